--- /dev/null
+++ b/packages/caller/src/caller-api.ts
@@ -0,0 +1,162 @@
+/**
+The HTTP API towards callers: chat completions, calls of business services, and the state of the process.
+*/
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {ServiceWork} from '@currantcross/core/types';
+import {createNotRun} from '@currantcross/core/errors';
+import VError from 'verror';
+import {parseChatRequest} from './chat-request.js';
+import {createStreamedResponse, createWholeResponse} from './chat-response.js';
+import {getHandlerFailure, requestIdHeader, sendFailure} from './failure-response.js';
+import {getSha256} from './hasher.js';
+import {
+	sendJson, startHttpServer, tryGetHeader, type HttpRequest, type HttpServer,
+} from './http-server.js';
+import type {CallerHost, RequestListener} from './request-listener.js';
+
+export type CallerApiSettings = Readonly<{
+	host: string;
+	/** 0 takes any free port. */
+	port: number;
+	maximumBodyBytes: number;
+}>;
+
+/** Header with the caller's budget in milliseconds. */
+const deadlineHeader = 'x-currantcross-deadline-ms';
+const bearerPattern = /^Bearer (?<key>\S+)$/v;
+const wholeNumberPattern = /^[1-9]\d{0,9}$/v;
+
+function getKeySha256(message: IncomingMessage): string {
+	const key = bearerPattern.exec(tryGetHeader(message, 'authorization') ?? '')?.groups?.key;
+	return key === undefined ? '' : getSha256(key);
+}
+
+function tryGetDeadlineMs(message: IncomingMessage): number | undefined {
+	const text = tryGetHeader(message, deadlineHeader);
+	if (text === undefined) {
+		return undefined;
+	}
+
+	if (!wholeNumberPattern.test(text)) {
+		throw new VError({name: 'MalformedRequest'}, '%s: must be a whole number of milliseconds', deadlineHeader);
+	}
+
+	return Number(text);
+}
+
+/** Tells the host when the caller goes before its answer is whole. */
+function watchCaller(response: ServerResponse, cancel: () => void): void {
+	response.on('close', () => {
+		if (!response.writableFinished) {
+			cancel();
+		}
+	});
+}
+
+/** Starts the API. */
+export async function startCallerApi(settings: CallerApiSettings, host: CallerHost): Promise<HttpServer> {
+	async function handleChat({message, readText}: HttpRequest, response: ServerResponse): Promise<void> {
+		const requestId = host.createRequestId();
+		const request = parseChatRequest(await readText(), host.getLongHash);
+		const cancel = () => {
+			host.cancel(requestId);
+		};
+
+		watchCaller(response, cancel);
+		const responseHost = {
+			response, requestId, request, cancel,
+		};
+		const listener = request.isStreamed ? createStreamedResponse(responseHost) : createWholeResponse(responseHost);
+		host.submit({
+			requestId,
+			keySha256: getKeySha256(message),
+			route: request.route,
+			deadlineMs: tryGetDeadlineMs(message),
+			work: request.work,
+		}, listener);
+	}
+
+	function createServiceListener(response: ServerResponse, requestId: string): RequestListener {
+		return {
+			receiveTokens() {
+				// A service answers at once and whole.
+			},
+			complete() {
+				response.destroy();
+			},
+			answer(answer, server, isReplay) {
+				response.writeHead(answer.status, {
+					'content-type': answer.contentType,
+					[requestIdHeader]: requestId,
+					'x-currantcross-server': server,
+					'x-currantcross-ran': 'yes',
+					...(isReplay ? {'idempotent-replayed': 'true'} : {}),
+				});
+				response.end(answer.body);
+			},
+			fail(failure) {
+				sendFailure(response, failure, requestId);
+			},
+		};
+	}
+
+	async function readServiceWork(request: HttpRequest, route: string): Promise<ServiceWork> {
+		const {message, url, readText} = request;
+		const method = message.method ?? 'GET';
+		const path = `${url.pathname.slice(`/v1/services/${route}`.length) || '/'}${url.search}`;
+		const body = await readText();
+		return {
+			kind: 'service',
+			method,
+			path,
+			contentType: tryGetHeader(message, 'content-type'),
+			body,
+			bodySha256: getSha256(`${method} ${path}\n${body}`),
+			isIdempotent: host.findIdempotentMethods(route)?.includes(method) ?? false,
+			idempotencyKey: tryGetHeader(message, 'idempotency-key'),
+		};
+	}
+
+	async function handleService(request: HttpRequest, response: ServerResponse): Promise<void> {
+		const requestId = host.createRequestId();
+		const route = request.parameters.route ?? '';
+		const work = await readServiceWork(request, route);
+		watchCaller(response, () => {
+			host.cancel(requestId);
+		});
+		host.submit({
+			requestId, keySha256: getKeySha256(request.message), route, deadlineMs: tryGetDeadlineMs(request.message), work,
+		}, createServiceListener(response, requestId));
+	}
+
+	function handleModels(_request: HttpRequest, response: ServerResponse): void {
+		const data = host.getRouteNames().map(id => ({id, object: 'model', owned_by: 'currantcross'}));
+		sendJson(response, 200, {object: 'list', data});
+	}
+
+	function handleReadiness(_request: HttpRequest, response: ServerResponse): void {
+		const isReady = host.isReady() && !host.isDraining();
+		sendJson(response, isReady ? 200 : 503, {ready: isReady, draining: host.isDraining()});
+	}
+
+	return startHttpServer({
+		...settings,
+		routes: [
+			{method: 'POST', path: '/v1/chat/completions', handler: handleChat},
+			{method: 'GET', path: '/v1/models', handler: handleModels},
+			{method: 'ALL', path: '/v1/services/:route/*', handler: handleService},
+			{
+				method: 'GET', path: '/healthz', handler(_request, response) {
+					sendJson(response, 200, {healthy: true});
+				},
+			},
+			{method: 'GET', path: '/readyz', handler: handleReadiness},
+		],
+		handleUnknownRoute({url}, response) {
+			sendFailure(response, createNotRun('routeNotFound', url.pathname), host.createRequestId());
+		},
+		handleError(error, response) {
+			sendFailure(response, getHandlerFailure(error), host.createRequestId());
+		},
+	});
+}
--- /dev/null
+++ b/packages/caller/src/failure-response.ts
@@ -0,0 +1,38 @@
+/**
+Sends failures to callers in their one form.
+*/
+import type {ServerResponse} from 'node:http';
+import {getError, getErrorText} from '@currantcross/core/error-text';
+import {
+	createNotRun, getErrorAnswer, getErrorBody, tryGetRetryAfterMs, type Failure,
+} from '@currantcross/core/errors';
+import type {RequestId} from '@currantcross/core/types';
+import VError from 'verror';
+import {sendJson} from './http-server.js';
+
+const millisecondsPerSecond = 1000;
+
+/** Name of the header that carries a request's id. */
+export const requestIdHeader = 'x-currantcross-request-id';
+
+/** Sends a failure as an answer of its own. */
+export function sendFailure(response: ServerResponse, failure: Failure, requestId: RequestId): void {
+	const retryAfterMs = tryGetRetryAfterMs(failure);
+	sendJson(response, getErrorAnswer(failure.kind).status, getErrorBody(failure, requestId), {
+		[requestIdHeader]: requestId,
+		...(retryAfterMs === undefined ? {} : {'retry-after': String(Math.ceil(retryAfterMs / millisecondsPerSecond))}),
+	});
+}
+
+/** Returns the failure that an error of a handler stands for. */
+export function getHandlerFailure(error: unknown): Failure {
+	if (VError.hasCauseWithName(getError(error), 'PayloadTooLarge')) {
+		return createNotRun('payloadTooLarge');
+	}
+
+	if (VError.hasCauseWithName(getError(error), 'MalformedRequest')) {
+		return createNotRun('malformedRequest', getErrorText(error));
+	}
+
+	return {kind: 'internal', ran: 'unknown'};
+}
--- /dev/null
+++ b/packages/core/src/agent-types.ts
@@ -0,0 +1,68 @@
+/**
+Events and actions of an agent: all that its decisions hear from entries and its server, and ask of them.
+*/
+import type {StreamId} from './entry-types.js';
+import type {
+	Attempt, AttemptId, AttemptMessage, AttemptState, Incarnation, Milliseconds, PromptClass, Ran, ServerName, ServiceAnswer,
+	TokenCount,
+} from './types.js';
+
+/** What an engine says of itself, late. */
+export type EngineReport = Readonly<{
+	totalMemoryTokens: TokenCount;
+	prefillTokensPerSecond: number;
+	/** Memory that the engine holds, by the attempt it was taken for. */
+	held: readonly HeldMemory[];
+}>;
+
+export type HeldMemory = Readonly<{attemptId: AttemptId; tokens: TokenCount}>;
+
+export type AgentEvent
+	= | Readonly<{kind: 'submitArrived'; streamId: StreamId; attempt: Attempt}>
+	/** Asks for an attempt; one that is unknown is voided. */
+		| Readonly<{kind: 'resumeArrived'; streamId: StreamId; attemptId: AttemptId; incarnation: Incarnation; nextOffset: number}>
+		| Readonly<{kind: 'voidArrived'; replyId: string; attemptId: AttemptId; incarnation: Incarnation}>
+		| Readonly<{kind: 'streamClosed'; streamId: StreamId}>
+		| Readonly<{kind: 'cancelArrived'; attemptId: AttemptId}>
+		| Readonly<{kind: 'tokensGenerated'; attemptId: AttemptId; tokens: readonly string[]}>
+		| Readonly<{kind: 'promptCompleted'; attemptId: AttemptId; finishReason: string}>
+		| Readonly<{kind: 'serviceAnswered'; attemptId: AttemptId; answer: ServiceAnswer}>
+		| Readonly<{kind: 'workFailed'; attemptId: AttemptId; ran: Ran; detail: string}>
+		| Readonly<{kind: 'engineReported'; report: EngineReport}>
+		| Readonly<{kind: 'drainStarted'}>
+		| Readonly<{kind: 'timePassed'}>;
+
+export type AgentAction
+	= | Readonly<{kind: 'sendMessage'; streamId: StreamId; message: AttemptMessage}>
+		| Readonly<{kind: 'endStream'; streamId: StreamId}>
+		| Readonly<{kind: 'replyState'; replyId: string; state: AttemptState}>
+		| Readonly<{kind: 'startWork'; attempt: Attempt; promptClass: PromptClass; remainingMs: Milliseconds}>
+		| Readonly<{kind: 'cancelWork'; attemptId: AttemptId}>
+		| Readonly<{kind: 'releaseMemory'; attemptId: AttemptId}>;
+
+export type AgentSettings = Readonly<{
+	server: ServerName;
+	incarnation: Incarnation;
+	/** Attempts that the server works on at once. */
+	maximumActive: number;
+	/** Long prompts among them. */
+	maximumLongActive: number;
+	/** Prompt tokens of medium and long prompts that may be in prefill at once. */
+	maximumPrefillTokens: TokenCount;
+	/** Longest predicted wait, by class, at which an attempt is still taken. */
+	maximumWaitMs: Readonly<Record<PromptClass, Milliseconds>>;
+	/** Wait after which a queued attempt is served like one of the next more urgent class. */
+	ageingMs: Milliseconds;
+	heartbeatIntervalMs: Milliseconds;
+	/** Age from which a permit is refused; tombstones and ended attempts are kept as long. */
+	permitLifeMs: Milliseconds;
+	/** How long the tokens of an ended answer are kept. */
+	answerLifeMs: Milliseconds;
+	/** How long a prompt goes on when no entry listens. */
+	orphanLifeMs: Milliseconds;
+	/** How long an action that may not be repeated is awaited after its deadline. */
+	actionGraceMs: Milliseconds;
+	/** Memory and speed that are assumed until the engine reports. */
+	assumedMemoryTokens: TokenCount;
+	assumedPrefillTokensPerSecond: number;
+}>;
--- /dev/null
+++ b/packages/core/src/agent.ts
@@ -0,0 +1,505 @@
+/**
+The decisions of an agent, the only way to the server beside it.
+
+Whatever must be decided once for a server is decided here: its queue, its memory, which attempts run, which were
+voided. A refusal or a void from here is the only ground on which anyone says that a request did not run.
+*/
+import type {
+	AgentAction, AgentEvent, AgentSettings, EngineReport,
+} from './agent-types.js';
+import {createAttemptRecords, isLive, type AttemptRecord} from './attempt-records.js';
+import type {StreamId} from './entry-types.js';
+import {createMemoryLedger} from './memory-ledger.js';
+import {getClassesAhead, getPromptClass} from './prompt-class.js';
+import type {
+	AgentStatus, Attempt, AttemptId, AttemptMessage, AttemptResult, Incarnation, Milliseconds, Ran, RefusalReason, ServingState,
+	Timestamp, TokenCount, Work,
+} from './types.js';
+import {createWorkQueue, type QueuedAttempt} from './work-queue.js';
+
+export type Agent = Readonly<{
+	step(event: AgentEvent, now: Timestamp): readonly AgentAction[];
+	/** Returns when `timePassed` is due next. */
+	getWakeAt(): Timestamp;
+	getStatus(now: Timestamp): AgentStatus;
+	/** Returns how many attempts wait or run. */
+	getLiveCount(): number;
+	getTombstoneCount(): number;
+	getReservedOwners(): readonly AttemptId[];
+}>;
+
+type Listener = {
+	readonly streamId: StreamId;
+	readonly attemptId: AttemptId;
+	lastSentAt: Timestamp;
+	nextOffset: number;
+};
+
+type RejectedAttempt = Readonly<{
+	streamId: StreamId;
+	attemptId: AttemptId;
+	reason: RefusalReason;
+	retryAfterMs: Milliseconds;
+}>;
+
+/** Settings that suit an engine of about 400,000 tokens of memory. */
+export const defaultAgentSettings = {
+	maximumActive: 24,
+	maximumLongActive: 2,
+	maximumPrefillTokens: 250_000,
+	maximumWaitMs: {short: 2000, medium: 10_000, long: 120_000},
+	ageingMs: 5000,
+	heartbeatIntervalMs: 400,
+	permitLifeMs: 60_000,
+	answerLifeMs: 15_000,
+	orphanLifeMs: 4000,
+	actionGraceMs: 30_000,
+	assumedMemoryTokens: 400_000,
+	assumedPrefillTokensPerSecond: 10_000,
+} as const satisfies Omit<AgentSettings, 'server' | 'incarnation'>;
+
+const millisecondsPerSecond = 1000;
+
+function getWorkTokens(work: Work): TokenCount {
+	return work.kind === 'prompt' ? work.promptTokens : 0;
+}
+
+function getMemoryTokens(work: Work): TokenCount {
+	return work.kind === 'prompt' ? work.promptTokens + work.maximumTokens : 0;
+}
+
+function isRepeatable(work: Work): boolean {
+	return work.kind === 'prompt' || work.isIdempotent;
+}
+
+/** Creates the agent of one server. */
+export function createAgent(settings: AgentSettings): Agent {
+	const records = createAttemptRecords(settings);
+	const ledger = createMemoryLedger(settings.assumedMemoryTokens);
+	const queue = createWorkQueue(settings.ageingMs);
+	const listeners = new Map<StreamId, Listener>();
+	const active = new Map<AttemptId, QueuedAttempt>();
+	const prefilling = new Set<AttemptId>();
+	let prefillTokensPerSecond = settings.assumedPrefillTokensPerSecond;
+	let state: ServingState = 'serving';
+
+	function getStatus(now: Timestamp): AgentStatus {
+		return {
+			server: settings.server,
+			state,
+			permit: {incarnation: settings.incarnation, stampedAt: now},
+			load: {
+				queuedTokens: {short: getWaitingTokens('short'), medium: getWaitingTokens('medium'), long: getWaitingTokens('long')},
+				queuedRequests: queue.getSize(),
+				activeRequests: active.size,
+				freeMemoryTokens: ledger.getFree(),
+				prefillTokensPerSecond,
+			},
+		};
+	}
+
+	function getWaitingTokens(promptClass: QueuedAttempt['promptClass']): TokenCount {
+		let tokens = queue.getTokens(promptClass);
+		for (const attemptId of prefilling) {
+			const item = active.get(attemptId);
+			tokens += item?.promptClass === promptClass ? item.tokens : 0;
+		}
+
+		return tokens;
+	}
+
+	function getPredictedWaitMs(attempt: Attempt): Milliseconds {
+		const ownTokens = getWorkTokens(attempt.work);
+		let ahead = 0;
+		for (const promptClass of getClassesAhead(getPromptClass(ownTokens))) {
+			ahead += getWaitingTokens(promptClass);
+		}
+
+		return ahead / prefillTokensPerSecond * millisecondsPerSecond;
+	}
+
+	function getListeners(attemptId: AttemptId): readonly Listener[] {
+		return [...listeners.values()].filter(listener => listener.attemptId === attemptId);
+	}
+
+	function send(listener: Listener, message: AttemptMessage, now: Timestamp): AgentAction {
+		listener.lastSentAt = now;
+		return {kind: 'sendMessage', streamId: listener.streamId, message};
+	}
+
+	function endListener(listener: Listener, result: AttemptResult, now: Timestamp): readonly AgentAction[] {
+		listeners.delete(listener.streamId);
+		return [
+			send(listener, {kind: 'ended', result, status: getStatus(now)}, now),
+			{kind: 'endStream', streamId: listener.streamId},
+		];
+	}
+
+	/** Refuses an attempt, and any copy of it that arrives later. */
+	function refuseForGood(rejected: RejectedAttempt, now: Timestamp): readonly AgentAction[] {
+		const {streamId, attemptId, reason, retryAfterMs} = rejected;
+		records.addTombstone(attemptId, now);
+		return endListener({
+			streamId, attemptId, lastSentAt: now, nextOffset: 0,
+		}, {kind: 'refused', reason, retryAfterMs}, now);
+	}
+
+	function sendTokens(record: AttemptRecord, listener: Listener, now: Timestamp): readonly AgentAction[] {
+		if (listener.nextOffset >= record.tokens.length) {
+			return [];
+		}
+
+		const offset = listener.nextOffset;
+		listener.nextOffset = record.tokens.length;
+		return [send(listener, {kind: 'tokens', offset, tokens: record.tokens.slice(offset)}, now)];
+	}
+
+	function listen(streamId: StreamId, record: AttemptRecord, nextOffset: number, now: Timestamp): readonly AgentAction[] {
+		const listener: Listener = {
+			streamId, attemptId: record.attempt.attemptId, lastSentAt: now, nextOffset,
+		};
+		listeners.set(streamId, listener);
+		record.orphanedAt = undefined;
+		const accepted = send(listener, {kind: 'accepted', status: getStatus(now)}, now);
+		if (record.phase.kind !== 'ended') {
+			return [accepted, ...sendTokens(record, listener, now)];
+		}
+
+		if (record.isAnswerDropped) {
+			const result = {kind: 'failed', ran: 'yes', detail: 'the answer is no longer kept'} as const;
+			return [accepted, ...endListener(listener, result, now)];
+		}
+
+		return [accepted, ...sendTokens(record, listener, now), ...endListener(listener, record.phase.result, now)];
+	}
+
+	function end(record: AttemptRecord, result: AttemptResult, now: Timestamp): readonly AgentAction[] {
+		const {attemptId} = record.attempt;
+		record.phase = {kind: 'ended', result, endedAt: now};
+		queue.remove(attemptId);
+		active.delete(attemptId);
+		prefilling.delete(attemptId);
+		ledger.release(attemptId);
+		const ends = getListeners(attemptId).flatMap(listener => [
+			...sendTokens(record, listener, now),
+			...endListener(listener, result, now),
+		]);
+		return [...ends, ...startQueued(now)];
+	}
+
+	function cancel(record: AttemptRecord, now: Timestamp): readonly AgentAction[] {
+		const {attempt, phase} = record;
+		if (phase.kind === 'ended') {
+			return [];
+		}
+
+		if (phase.kind === 'queued') {
+			return end(record, {kind: 'cancelled', ran: 'no'}, now);
+		}
+
+		// An action that may not be repeated goes on, so that its outcome becomes known.
+		if (!isRepeatable(attempt.work)) {
+			return [];
+		}
+
+		const {attemptId} = attempt;
+		return [{kind: 'cancelWork', attemptId}, {kind: 'releaseMemory', attemptId}, ...end(record, {kind: 'cancelled', ran: 'yes'}, now)];
+	}
+
+	function canStart(item: QueuedAttempt): boolean {
+		if (active.size >= settings.maximumActive) {
+			return false;
+		}
+
+		const record = records.tryGet(item.attemptId);
+		if (record === undefined || getMemoryTokens(record.attempt.work) > ledger.getFree()) {
+			return false;
+		}
+
+		if (item.promptClass === 'short') {
+			return true;
+		}
+
+		return hasPrefillRoom(item) && hasLongSlot(item);
+	}
+
+	function hasPrefillRoom(item: QueuedAttempt): boolean {
+		let tokens = 0;
+		for (const attemptId of prefilling) {
+			tokens += active.get(attemptId)?.tokens ?? 0;
+		}
+
+		return tokens === 0 || tokens + item.tokens <= settings.maximumPrefillTokens;
+	}
+
+	function hasLongSlot(item: QueuedAttempt): boolean {
+		if (item.promptClass !== 'long') {
+			return true;
+		}
+
+		const longCount = [...active.values()].filter(other => other.promptClass === 'long').length;
+		return longCount < settings.maximumLongActive;
+	}
+
+	function startQueued(now: Timestamp): readonly AgentAction[] {
+		const actions: AgentAction[] = [];
+		let item = queue.tryTake(candidate => canStart(candidate), now);
+		while (item !== undefined) {
+			const record = records.tryGet(item.attemptId);
+			if (record !== undefined) {
+				actions.push(startWork(record, item, now));
+			}
+
+			item = queue.tryTake(candidate => canStart(candidate), now);
+		}
+
+		return actions;
+	}
+
+	function startWork(record: AttemptRecord, item: QueuedAttempt, now: Timestamp): AgentAction {
+		record.phase = {kind: 'running'};
+		active.set(item.attemptId, item);
+		ledger.tryReserve(item.attemptId, getMemoryTokens(record.attempt.work));
+		if (item.tokens > 0) {
+			prefilling.add(item.attemptId);
+		}
+
+		return {
+			kind: 'startWork', attempt: record.attempt, promptClass: item.promptClass, remainingMs: record.deadlineAt - now,
+		};
+	}
+
+	function findRefusal(attempt: Attempt, now: Timestamp): RefusalReason | undefined {
+		if (records.isVoided(attempt.attemptId)) {
+			return 'voided';
+		}
+
+		if (attempt.permit.incarnation !== settings.incarnation) {
+			return 'incarnationMismatch';
+		}
+
+		if (now - attempt.permit.stampedAt > settings.permitLifeMs) {
+			return 'permitExpired';
+		}
+
+		if (state !== 'serving') {
+			return 'draining';
+		}
+
+		if (attempt.remainingMs <= 0) {
+			return 'deadlinePassed';
+		}
+
+		return getMemoryTokens(attempt.work) > ledger.getTotal() ? 'memoryExhausted' : undefined;
+	}
+
+	function submit(streamId: StreamId, attempt: Attempt, now: Timestamp): readonly AgentAction[] {
+		const known = records.tryGet(attempt.attemptId);
+		if (known !== undefined) {
+			return listen(streamId, known, attempt.deliveredTokens.length, now);
+		}
+
+		const reason = findRefusal(attempt, now);
+		if (reason !== undefined) {
+			return refuseForGood({
+				streamId, attemptId: attempt.attemptId, reason, retryAfterMs: 0,
+			}, now);
+		}
+
+		const tokens = getWorkTokens(attempt.work);
+		const promptClass = getPromptClass(tokens);
+		const waitMs = getPredictedWaitMs(attempt);
+		const maximumWaitMs = Math.min(settings.maximumWaitMs[promptClass], attempt.remainingMs);
+		if (waitMs > maximumWaitMs) {
+			return refuseForGood({
+				streamId, attemptId: attempt.attemptId, reason: 'overloaded', retryAfterMs: waitMs - maximumWaitMs,
+			}, now);
+		}
+
+		const record = records.add(attempt, now);
+		queue.add({
+			attemptId: attempt.attemptId, organisation: attempt.organisation, promptClass, tokens, queuedAt: now,
+		});
+		return [...listen(streamId, record, attempt.deliveredTokens.length, now), ...startQueued(now)];
+	}
+
+	function resume(event: Extract<AgentEvent, {kind: 'resumeArrived'}>, now: Timestamp): readonly AgentAction[] {
+		const record = records.tryGet(event.attemptId);
+		if (record !== undefined) {
+			return listen(event.streamId, record, event.nextOffset, now);
+		}
+
+		// What a former incarnation did is not known, so the attempt can't be called refused.
+		if (event.incarnation !== settings.incarnation) {
+			const result = {kind: 'failed', ran: 'unknown', detail: 'the agent was restarted'} as const;
+			return endListener({
+				streamId: event.streamId, attemptId: event.attemptId, lastSentAt: now, nextOffset: 0,
+			}, result, now);
+		}
+
+		return refuseForGood({
+			streamId: event.streamId, attemptId: event.attemptId, reason: 'voided', retryAfterMs: 0,
+		}, now);
+	}
+
+	function voidAttempt(attemptId: AttemptId, incarnation: Incarnation, now: Timestamp): void {
+		if (records.tryGet(attemptId) === undefined && incarnation === settings.incarnation) {
+			records.addTombstone(attemptId, now);
+		}
+	}
+
+	function closeStream(streamId: StreamId, now: Timestamp): void {
+		const listener = listeners.get(streamId);
+		if (listener === undefined) {
+			return;
+		}
+
+		listeners.delete(streamId);
+		const record = records.tryGet(listener.attemptId);
+		if (record !== undefined && getListeners(listener.attemptId).length === 0) {
+			record.orphanedAt = now;
+		}
+	}
+
+	function receiveTokens(attemptId: AttemptId, tokens: readonly string[], now: Timestamp): readonly AgentAction[] {
+		const record = records.tryGet(attemptId);
+		if (record === undefined || !isLive(record)) {
+			return [];
+		}
+
+		record.tokens.push(...tokens);
+		const hadPrefill = prefilling.delete(attemptId);
+		const sent = getListeners(attemptId).flatMap(listener => sendTokens(record, listener, now));
+		return hadPrefill ? [...sent, ...startQueued(now)] : sent;
+	}
+
+	function endLive(attemptId: AttemptId, getResult: (record: AttemptRecord) => AttemptResult, now: Timestamp): readonly AgentAction[] {
+		const record = records.tryGet(attemptId);
+		return record === undefined || !isLive(record) ? [] : end(record, getResult(record), now);
+	}
+
+	function failWork(attemptId: AttemptId, ran: Ran, detail: string, now: Timestamp): readonly AgentAction[] {
+		const actions = endLive(attemptId, () => ({kind: 'failed', ran, detail}), now);
+		return [{kind: 'releaseMemory', attemptId}, ...actions];
+	}
+
+	function applyReport(report: EngineReport, now: Timestamp): readonly AgentAction[] {
+		ledger.setTotal(report.totalMemoryTokens);
+		prefillTokensPerSecond = report.prefillTokensPerSecond;
+		const leaked = ledger.findLeaked(report.held);
+		const releases = leaked.map(attemptId => ({kind: 'releaseMemory', attemptId} as const));
+		return [...releases, ...startQueued(now)];
+	}
+
+	/** Returns until when the attempt may wait or run. */
+	function getExpiryAt(record: AttemptRecord): Timestamp {
+		const {attempt, phase, deadlineAt, orphanedAt} = record;
+		if (isRepeatable(attempt.work)) {
+			return Math.min(deadlineAt, (orphanedAt ?? Number.POSITIVE_INFINITY) + settings.orphanLifeMs);
+		}
+
+		return phase.kind === 'queued' ? deadlineAt : deadlineAt + settings.actionGraceMs;
+	}
+
+	function expire(record: AttemptRecord, now: Timestamp): readonly AgentAction[] {
+		if (now < getExpiryAt(record)) {
+			return [];
+		}
+
+		if (record.phase.kind === 'queued') {
+			return end(record, {kind: 'refused', reason: 'deadlinePassed', retryAfterMs: 0}, now);
+		}
+
+		if (isRepeatable(record.attempt.work)) {
+			return cancel(record, now);
+		}
+
+		return end(record, {kind: 'failed', ran: 'unknown', detail: 'the service did not answer'}, now);
+	}
+
+	function passTime(now: Timestamp): readonly AgentAction[] {
+		records.expire(now);
+		const expiries = records.getLive().flatMap(record => expire(record, now));
+		const due = [...listeners.values()].filter(listener => now >= listener.lastSentAt + settings.heartbeatIntervalMs);
+		const heartbeats = due.map(listener => send(listener, {kind: 'heartbeat', status: getStatus(now)}, now));
+		return [...expiries, ...heartbeats, ...startQueued(now)];
+	}
+
+	function step(event: AgentEvent, now: Timestamp): readonly AgentAction[] {
+		switch (event.kind) {
+			case 'submitArrived': {
+				return submit(event.streamId, event.attempt, now);
+			}
+
+			case 'resumeArrived': {
+				return resume(event, now);
+			}
+
+			case 'voidArrived': {
+				voidAttempt(event.attemptId, event.incarnation, now);
+				return [{kind: 'replyState', replyId: event.replyId, state: records.getState(event.attemptId)}];
+			}
+
+			case 'streamClosed': {
+				closeStream(event.streamId, now);
+				return [];
+			}
+
+			case 'cancelArrived': {
+				const record = records.tryGet(event.attemptId);
+				return record === undefined ? [] : cancel(record, now);
+			}
+
+			case 'tokensGenerated': {
+				return receiveTokens(event.attemptId, event.tokens, now);
+			}
+
+			case 'promptCompleted': {
+				const {finishReason} = event;
+				return endLive(event.attemptId, record => ({kind: 'completed', tokenCount: record.tokens.length, finishReason}), now);
+			}
+
+			case 'serviceAnswered': {
+				const {answer} = event;
+				return endLive(event.attemptId, () => ({kind: 'answered', answer}), now);
+			}
+
+			case 'workFailed': {
+				return failWork(event.attemptId, event.ran, event.detail, now);
+			}
+
+			case 'engineReported': {
+				return applyReport(event.report, now);
+			}
+
+			case 'drainStarted': {
+				state = 'draining';
+				return [];
+			}
+
+			case 'timePassed': {
+				return passTime(now);
+			}
+		}
+	}
+
+	return {
+		step,
+		getWakeAt() {
+			let wakeAt = Number.POSITIVE_INFINITY;
+			for (const listener of listeners.values()) {
+				wakeAt = Math.min(wakeAt, listener.lastSentAt + settings.heartbeatIntervalMs);
+			}
+
+			for (const record of records.getLive()) {
+				wakeAt = Math.min(wakeAt, getExpiryAt(record));
+			}
+
+			return wakeAt;
+		},
+		getStatus,
+		getLiveCount: () => records.getLive().length,
+		getTombstoneCount: () => records.getTombstoneCount(),
+		getReservedOwners: () => ledger.getOwners(),
+	};
+}
--- /dev/null
+++ b/packages/core/src/burn.ts
@@ -0,0 +1,168 @@
+/**
+Service-level burn: how fast each route uses up the failures that its objective allows.
+
+A request is good when it was answered and its first token came within the objective. The burn rate is the share of bad
+requests over the share that is allowed: at 1 the budget is used up exactly over the objective's period.
+*/
+import type {
+	Milliseconds, Objective, OrganisationName, RouteName, Timestamp,
+} from './types.js';
+
+/** Length bucket of a request, for reports. */
+export type LengthBucket = 'service' | 'under4k' | 'from4kTo32k' | 'from32kTo100k' | 'over100k';
+
+/** One finished request, as the burn sees it. */
+export type BurnSample = Readonly<{
+	route: RouteName;
+	organisation: OrganisationName;
+	bucket: LengthBucket;
+	isGood: boolean;
+}>;
+
+/** Counts of one route, organisation and bucket over one window. */
+export type BurnCount = Readonly<{
+	route: RouteName;
+	organisation: OrganisationName;
+	bucket: LengthBucket;
+	windowMs: Milliseconds;
+	good: number;
+	bad: number;
+}>;
+
+export type BurnCounter = Readonly<{
+	record(sample: BurnSample, now: Timestamp): void;
+	getCounts(now: Timestamp): readonly BurnCount[];
+}>;
+
+/** One line of the report: a route over a window. */
+export type BurnLine = Readonly<{
+	route: RouteName;
+	windowMs: Milliseconds;
+	good: number;
+	bad: number;
+	/** Share of bad requests over the share that the objective allows. */
+	burnRate: number;
+	/** Share of the window's allowed failures that is left, at least 0. */
+	budgetLeft: number;
+	/** Organisations with the most bad requests, worst first. */
+	worstOrganisations: readonly OrganisationName[];
+	worstBuckets: readonly LengthBucket[];
+}>;
+
+const minuteMs = 60_000;
+const namedWorst = 3;
+
+/** Windows of the report, in milliseconds. */
+export const burnWindowsMs = [5 * minuteMs, 60 * minuteMs, 360 * minuteMs] as const;
+
+const longestWindowMinutes = 360;
+const longPromptTokens = 100_000;
+const mediumPromptTokens = 32_000;
+const shortPromptTokens = 4000;
+
+/** Returns the bucket of a prompt's length. */
+export function getLengthBucket(promptTokens: number): LengthBucket {
+	if (promptTokens <= shortPromptTokens) {
+		return 'under4k';
+	}
+
+	if (promptTokens <= mediumPromptTokens) {
+		return 'from4kTo32k';
+	}
+
+	return promptTokens <= longPromptTokens ? 'from32kTo100k' : 'over100k';
+}
+
+type Minute = {readonly minute: number; good: number; bad: number};
+
+type Series = Readonly<{sample: BurnSample; minutes: Minute[]}>;
+
+/** Creates an empty counter that keeps the longest window, in minutes. */
+export function createBurnCounter(): BurnCounter {
+	const seriesByKey = new Map<string, Series>();
+
+	function getSeries(sample: BurnSample): Series {
+		const key = JSON.stringify([sample.route, sample.organisation, sample.bucket]);
+		const series = seriesByKey.get(key) ?? {sample, minutes: []};
+		seriesByKey.set(key, series);
+		return series;
+	}
+
+	function getCount({sample, minutes}: Series, windowMs: Milliseconds, now: Timestamp): BurnCount {
+		const first = Math.floor((now - windowMs) / minuteMs);
+		let good = 0;
+		let bad = 0;
+		for (const item of minutes) {
+			good += item.minute > first ? item.good : 0;
+			bad += item.minute > first ? item.bad : 0;
+		}
+
+		const {route, organisation, bucket} = sample;
+		return {
+			route, organisation, bucket, windowMs, good, bad,
+		};
+	}
+
+	return {
+		record(sample, now) {
+			const {minutes} = getSeries(sample);
+			const minute = Math.floor(now / minuteMs);
+			const last = minutes.at(-1);
+			const current = last?.minute === minute ? last : {minute, good: 0, bad: 0};
+			if (current !== last) {
+				minutes.push(current);
+			}
+
+			current.good += sample.isGood ? 1 : 0;
+			current.bad += sample.isGood ? 0 : 1;
+			if ((minutes[0]?.minute ?? minute) <= minute - longestWindowMinutes) {
+				minutes.shift();
+			}
+		},
+		getCounts(now) {
+			const counts = [...seriesByKey.values()].flatMap(series => burnWindowsMs.map(windowMs => getCount(series, windowMs, now)));
+			return counts.filter(count => count.good + count.bad > 0);
+		},
+	};
+}
+
+function getWorst<Name extends string>(counts: readonly BurnCount[], getName: (count: BurnCount) => Name): readonly Name[] {
+	const badByName = new Map<Name, number>();
+	for (const count of counts) {
+		if (count.bad > 0) {
+			badByName.set(getName(count), (badByName.get(getName(count)) ?? 0) + count.bad);
+		}
+	}
+
+	return [...badByName].toSorted((left, right) => right[1] - left[1]).slice(0, namedWorst).map(([name]) => name);
+}
+
+function getLine(route: RouteName, objective: Objective, windowMs: Milliseconds, counts: readonly BurnCount[]): BurnLine {
+	let good = 0;
+	let bad = 0;
+	for (const count of counts) {
+		good += count.good;
+		bad += count.bad;
+	}
+
+	const allowedShare = 1 - objective.share;
+	const burnRate = good + bad === 0 ? 0 : bad / (good + bad) / allowedShare;
+	return {
+		route,
+		windowMs,
+		good,
+		bad,
+		burnRate,
+		budgetLeft: Math.max(0, 1 - burnRate),
+		worstOrganisations: getWorst(counts, count => count.organisation),
+		worstBuckets: getWorst(counts, count => count.bucket),
+	};
+}
+
+/** Sums the counts of all entries into a line for each route and window. */
+export function getBurnLines(counts: readonly BurnCount[], objectives: ReadonlyMap<RouteName, Objective>): readonly BurnLine[] {
+	return [...objectives].flatMap(([route, objective]) => burnWindowsMs.map(windowMs => {
+		const own = counts.filter(count => count.route === route && count.windowMs === windowMs);
+		return getLine(route, objective, windowMs, own);
+	}));
+}
--- /dev/null
+++ b/packages/core/src/claimed-request.ts
@@ -0,0 +1,343 @@
+/**
+A call of a service that must run at most once.
+
+The key is claimed in the log before anything is sent. Whoever finds another's claim asks the agent that the claim
+names: if it knows the attempt, its answer is the answer; if it does not, it voids the attempt, and only then the claim
+may move on. If that agent has restarted, nobody can know, and the outcome is unknown for ever.
+*/
+import {createAttemptTracker, type AttemptTracker, type TrackerStep} from './attempt-tracker.js';
+import type {
+	Claim, ClaimHolder, ClaimOutcome, ClaimRecord,
+} from './claims.js';
+import type {AdmittedRequest, EntryAction} from './entry-types.js';
+import type {ErrorKind} from './errors.js';
+import {
+	createAttempt, findPermit, getAttemptId, type RequestSession, type SessionEvent, type SessionHost,
+} from './request-session.js';
+import type {
+	AttemptId, AttemptResult, Permit, Ran, Server, ServerName, ServiceAnswer, Timestamp,
+} from './types.js';
+
+/** The key of a claim and the hash of the call it stands for. */
+export type ClaimKey = Readonly<{key: string; bodyHash: string}>;
+
+type Candidate = Readonly<{server: Server; permit: Permit; attemptId: AttemptId}>;
+
+type Phase
+	= | Readonly<{kind: 'idle'}>
+		| Readonly<{kind: 'probing'; server: Server; movedFrom: AttemptId | undefined}>
+		| Readonly<{kind: 'claiming'; candidate: Candidate}>
+		| Readonly<{kind: 'attempting'; server: Server; attemptId: AttemptId; tracker: AttemptTracker}>
+	/** Asks the holder of another's claim. */
+		| Readonly<{kind: 'asking'; server: Server; attemptId: AttemptId; tracker: AttemptTracker}>
+		| Readonly<{kind: 'ended'}>;
+
+const retryAfterLostClaimMs = 2000;
+
+/** Creates the session of an admitted call whose key is known. */
+export function createClaimedRequest(request: AdmittedRequest, claimKey: ClaimKey, host: SessionHost): RequestSession {
+	const {requestId} = request;
+	const excluded = new Set<ServerName>();
+	let phase: Phase = {kind: 'idle'};
+	let tryCount = 0;
+	let lastDetail: string | undefined;
+
+	function fail(kind: ErrorKind, ran: Ran, retryAfterMs?: number): readonly EntryAction[] {
+		phase = {kind: 'ended'};
+		return [{
+			kind: 'failRequest', requestId, failure: {
+				kind, ran, detail: lastDetail, retryAfterMs,
+			},
+		}];
+	}
+
+	function answer(server: ServerName, serviceAnswer: ServiceAnswer, isReplay: boolean): readonly EntryAction[] {
+		phase = {kind: 'ended'};
+		return [{
+			kind: 'answerRequest', requestId, answer: serviceAnswer, server, isReplay,
+		}];
+	}
+
+	function recordOutcome(attemptId: AttemptId, outcome: ClaimOutcome): EntryAction {
+		return {
+			kind: 'recordOutcome', record: {
+				kind: 'ended', key: claimKey.key, attemptId, outcome,
+			},
+		};
+	}
+
+	function createClaimRecord(holder: ClaimHolder, movedFrom: AttemptId | undefined): ClaimRecord {
+		const {key, bodyHash} = claimKey;
+		return movedFrom === undefined
+			? {
+				kind: 'claimed', key, bodyHash, holder,
+			}
+			: {
+				kind: 'moved', key, fromAttemptId: movedFrom, holder,
+			};
+	}
+
+	function submitClaim(server: Server, movedFrom: AttemptId | undefined, now: Timestamp): readonly EntryAction[] {
+		const lookup = findPermit(host, server, host.settings.permitRefreshMs, now);
+		if (lookup.kind === 'probing') {
+			phase = {kind: 'probing', server, movedFrom};
+			return [lookup.action];
+		}
+
+		const budgetMs = request.deadlineAt - now - host.settings.claimReserveMs;
+		if (budgetMs <= 0) {
+			return fail('deadlineExceeded', 'no');
+		}
+
+		tryCount += 1;
+		const {permit} = lookup;
+		const attemptId = getAttemptId(request, tryCount);
+		phase = {kind: 'claiming', candidate: {server, permit, attemptId}};
+		const holder = {attemptId, server: server.name, incarnation: permit.incarnation};
+		return [{
+			kind: 'submitClaim', requestId, record: createClaimRecord(holder, movedFrom), budgetMs,
+		}];
+	}
+
+	function claimNextServer(movedFrom: AttemptId | undefined, now: Timestamp): readonly EntryAction[] {
+		phase = {kind: 'idle'};
+		const server = host.router.findServer(request.pool, request.work, excluded, now);
+		return server === undefined ? fail('overloaded', 'no') : submitClaim(server, movedFrom, now);
+	}
+
+	function startAttempt(candidate: Candidate, now: Timestamp): readonly EntryAction[] {
+		const {server, permit, attemptId} = candidate;
+		const attempt = createAttempt(request, tryCount, permit, {deliveredTokens: [], now});
+		const tracker = createAttemptTracker(host.settings, {
+			requestId, server, attempt, maximumReopens: Number.POSITIVE_INFINITY,
+		});
+		phase = {
+			kind: 'attempting', server, attemptId, tracker,
+		};
+		host.router.recordSent(attemptId, server.name, request.work, now);
+		return tracker.start({kind: 'submit'}, now);
+	}
+
+	function askHolder(holder: ClaimHolder, now: Timestamp): readonly EntryAction[] {
+		const member = host.membership.tryGetMember(holder.server);
+		if (member === undefined) {
+			lastDetail = 'the server that held the call has left';
+			return fail('outcomeUnknown', 'unknown');
+		}
+
+		const {server} = member;
+		const permit = {incarnation: holder.incarnation, stampedAt: 0};
+		const attempt = {...createAttempt(request, tryCount, permit, {deliveredTokens: [], now}), attemptId: holder.attemptId};
+		const tracker = createAttemptTracker(host.settings, {
+			requestId, server, attempt, maximumReopens: Number.POSITIVE_INFINITY,
+		});
+		phase = {
+			kind: 'asking', server, attemptId: holder.attemptId, tracker,
+		};
+		return tracker.start({kind: 'resume', nextOffset: 0}, now);
+	}
+
+	function handleOutcome(claim: Claim, outcome: ClaimOutcome): readonly EntryAction[] {
+		switch (outcome.kind) {
+			case 'answered': {
+				return answer(claim.holder.server, outcome.answer, true);
+			}
+
+			case 'unknown': {
+				return fail('outcomeUnknown', 'unknown');
+			}
+		}
+	}
+
+	function handleClaim(claim: Claim | undefined, now: Timestamp): readonly EntryAction[] {
+		if (phase.kind !== 'claiming') {
+			return [];
+		}
+
+		if (claim === undefined) {
+			lastDetail = 'the claim is gone';
+			return fail('internal', 'no');
+		}
+
+		if (claim.bodyHash !== claimKey.bodyHash) {
+			return fail('idempotencyKeyReused', 'no');
+		}
+
+		if (claim.outcome !== undefined) {
+			return handleOutcome(claim, claim.outcome);
+		}
+
+		const {candidate} = phase;
+		return claim.holder.attemptId === candidate.attemptId ? startAttempt(candidate, now) : askHolder(claim.holder, now);
+	}
+
+	/** Moves the claim to a next attempt; the one before it did not run and never will. */
+	function moveClaim(server: ServerName, attemptId: AttemptId, now: Timestamp): readonly EntryAction[] {
+		if (phase.kind === 'attempting') {
+			excluded.add(server);
+		}
+
+		if (tryCount >= host.settings.maximumRefusals) {
+			return fail('overloaded', 'no');
+		}
+
+		return claimNextServer(attemptId, now);
+	}
+
+	function handleUnknown(attemptId: AttemptId, detail: string): readonly EntryAction[] {
+		lastDetail = detail;
+		return [recordOutcome(attemptId, {kind: 'unknown'}), ...fail('outcomeUnknown', 'unknown')];
+	}
+
+	function handleResult(server: ServerName, attemptId: AttemptId, result: AttemptResult, now: Timestamp): readonly EntryAction[] {
+		switch (result.kind) {
+			case 'answered': {
+				const isReplay = phase.kind === 'asking';
+				return [recordOutcome(attemptId, {kind: 'answered', answer: result.answer}), ...answer(server, result.answer, isReplay)];
+			}
+
+			case 'refused': {
+				lastDetail = `the server answered ${result.reason}`;
+				return moveClaim(server, attemptId, now);
+			}
+
+			case 'failed': {
+				lastDetail = result.detail;
+				return result.ran === 'no' ? moveClaim(server, attemptId, now) : handleUnknown(attemptId, result.detail);
+			}
+
+			case 'cancelled': {
+				return result.ran === 'no' ? moveClaim(server, attemptId, now) : handleUnknown(attemptId, 'the call was cancelled');
+			}
+
+			case 'completed': {
+				return handleUnknown(attemptId, 'the server answered as for a prompt');
+			}
+		}
+	}
+
+	function handleStep(step: TrackerStep, now: Timestamp): readonly EntryAction[] {
+		if (phase.kind !== 'attempting' && phase.kind !== 'asking') {
+			return step.actions;
+		}
+
+		const {server, attemptId, kind} = phase;
+		switch (step.outcome.kind) {
+			case 'pending':
+			case 'tokens': {
+				return step.actions;
+			}
+
+			case 'ended': {
+				host.router.recordEnd(attemptId);
+				return [...step.actions, ...handleResult(server.name, attemptId, step.outcome.result, now)];
+			}
+
+			case 'lost': {
+				host.router.recordEnd(attemptId);
+				host.membership.recordUnreachable(server.name, now);
+				lastDetail = undefined;
+				const isNotRun = kind === 'attempting' && !step.outcome.wasSent;
+				return [...step.actions, ...(isNotRun ? moveClaim(server.name, attemptId, now) : fail('outcomeUnknown', 'unknown'))];
+			}
+		}
+	}
+
+	function handleProbe(server: ServerName, now: Timestamp): readonly EntryAction[] {
+		if (phase.kind !== 'probing' || phase.server.name !== server) {
+			return [];
+		}
+
+		const member = host.membership.tryGetMember(server);
+		if (member === undefined || member.unreachableUntil > now || member.status?.state !== 'serving') {
+			excluded.add(server);
+			return claimNextServer(phase.movedFrom, now);
+		}
+
+		return submitClaim(phase.server, phase.movedFrom, now);
+	}
+
+	/** Gives the request up at its deadline, without holding back what is known. */
+	function handleDeadline(): readonly EntryAction[] {
+		switch (phase.kind) {
+			case 'attempting':
+			case 'asking': {
+				host.router.recordEnd(phase.attemptId);
+				const isSent = phase.kind === 'asking' || phase.tracker.wasSent();
+				return fail('outcomePending', isSent ? 'unknown' : 'no', retryAfterLostClaimMs);
+			}
+
+			case 'idle':
+			case 'probing':
+			case 'claiming': {
+				return fail('deadlineExceeded', 'no');
+			}
+
+			case 'ended': {
+				return [];
+			}
+		}
+	}
+
+	function handleTime(now: Timestamp): readonly EntryAction[] {
+		if (now >= request.deadlineAt) {
+			return handleDeadline();
+		}
+
+		return phase.kind === 'attempting' || phase.kind === 'asking' ? handleStep(phase.tracker.checkTime(now), now) : [];
+	}
+
+	function handleStreamEvent(event: Extract<SessionEvent, {kind: 'messageReceived' | 'streamBroken'}>, now: Timestamp): readonly EntryAction[] {
+		if (phase.kind !== 'attempting' && phase.kind !== 'asking') {
+			return [];
+		}
+
+		const step = event.kind === 'messageReceived'
+			? phase.tracker.receive(event.streamId, event.message, now)
+			: phase.tracker.breakStream(event.streamId, event.wasSent, now);
+		return handleStep(step, now);
+	}
+
+	function handleEvent(event: SessionEvent, now: Timestamp): readonly EntryAction[] {
+		switch (event.kind) {
+			case 'started': {
+				return claimNextServer(undefined, now);
+			}
+
+			case 'messageReceived':
+			case 'streamBroken': {
+				return handleStreamEvent(event, now);
+			}
+
+			case 'serverProbed': {
+				return handleProbe(event.server, now);
+			}
+
+			case 'claimKnown': {
+				return handleClaim(event.claim, now);
+			}
+
+			case 'claimExpired': {
+				return phase.kind === 'claiming' ? fail('platformUnavailable', 'no', retryAfterLostClaimMs) : [];
+			}
+
+			// The action goes on without its caller, so that a repeated call finds its outcome.
+			case 'callerGone': {
+				return [];
+			}
+
+			case 'timePassed': {
+				return handleTime(now);
+			}
+		}
+	}
+
+	function getTrackerWakeAt(): Timestamp {
+		return phase.kind === 'attempting' || phase.kind === 'asking' ? phase.tracker.getWakeAt() : Number.POSITIVE_INFINITY;
+	}
+
+	return {
+		step: (event, now) => phase.kind === 'ended' ? [] : handleEvent(event, now),
+		getWakeAt: () => phase.kind === 'ended' ? Number.POSITIVE_INFINITY : Math.min(request.deadlineAt, getTrackerWakeAt()),
+	};
+}
--- /dev/null
+++ b/packages/core/src/configuration.ts
@@ -0,0 +1,173 @@
+/**
+The configuration that numbered tickets build up.
+
+Each object keeps the number of the ticket that last touched it, also after its removal, so that an older ticket can
+never bring back what a newer one replaced. Deltas carry every object changed after a log sequence; a process that
+merges a delta goes forward only.
+*/
+import type {
+	Organisation, OrganisationName, Pool, PoolName, Route, RouteName, Ticket, TicketObject,
+} from './types.js';
+
+/** An object with the ticket that last touched it. */
+export type VersionedObject = Readonly<{
+	object: TicketObject;
+	ticketNumber: number;
+	sequence: number;
+}>;
+
+/** What became of a ticket. */
+export type TicketEffect
+	= | Readonly<{kind: 'accepted'; sequence: number}>
+		| Readonly<{kind: 'alreadyAccepted'; sequence: number}>
+		| Readonly<{kind: 'refused'; newerNumber: number; objectName: string}>;
+
+/** All objects that changed after the sequence `after`, up to `sequence`. */
+export type ConfigurationDelta = Readonly<{
+	after: number;
+	sequence: number;
+	objects: readonly VersionedObject[];
+}>;
+
+/** An organisation with its name. */
+export type NamedOrganisation = Readonly<{name: OrganisationName; organisation: Organisation}>;
+
+export type Configuration = Readonly<{
+	getSequence(): number;
+	/** Applies the ticket of the next log sequence. */
+	applyTicket(ticket: Ticket, sequence: number): TicketEffect;
+	/** Applies a delta that starts at or before the own sequence; returns false when it leaves a gap or is old. */
+	mergeDelta(delta: ConfigurationDelta): boolean;
+	getDelta(after: number): ConfigurationDelta;
+	tryGetRoute(name: RouteName): Route | undefined;
+	tryGetPool(name: PoolName): Pool | undefined;
+	findOrganisationByKey(keySha256: string): NamedOrganisation | undefined;
+	getRoutes(): ReadonlyMap<RouteName, Route>;
+	/** Returns the objects that the ticket last touched. */
+	getTicketObjects(ticketNumber: number): readonly VersionedObject[];
+}>;
+
+/** Returns the identity of a ticket's object, unique over all kinds. */
+export function getObjectKey(object: TicketObject): string {
+	return `${object.kind}/${object.name}`;
+}
+
+function hasSameContent(left: TicketObject, right: TicketObject): boolean {
+	return JSON.stringify(left.state) === JSON.stringify(right.state);
+}
+
+/** Creates an empty configuration, at sequence 0. */
+export function createConfiguration(): Configuration {
+	const objects = new Map<string, VersionedObject>();
+	const routes = new Map<RouteName, Route>();
+	const pools = new Map<PoolName, Pool>();
+	const organisationsByKey = new Map<string, NamedOrganisation>();
+	const keysByOrganisation = new Map<OrganisationName, string>();
+	let sequence = 0;
+
+	function setOrganisation(name: OrganisationName, organisation: Organisation | undefined): void {
+		const oldKey = keysByOrganisation.get(name);
+		if (oldKey !== undefined) {
+			organisationsByKey.delete(oldKey);
+			keysByOrganisation.delete(name);
+		}
+
+		if (organisation !== undefined) {
+			organisationsByKey.set(organisation.keySha256, {name, organisation});
+			keysByOrganisation.set(name, organisation.keySha256);
+		}
+	}
+
+	function setState(object: TicketObject): void {
+		switch (object.kind) {
+			case 'route': {
+				setOrDelete(routes, object.name, object.state);
+				return;
+			}
+
+			case 'pool': {
+				setOrDelete(pools, object.name, object.state);
+				return;
+			}
+
+			case 'organisation': {
+				setOrganisation(object.name, object.state);
+			}
+		}
+	}
+
+	/** Keeps the map ordered by sequence, so that a delta is the tail of the map. */
+	function setObject(versioned: VersionedObject): void {
+		const key = getObjectKey(versioned.object);
+		objects.delete(key);
+		objects.set(key, versioned);
+		setState(versioned.object);
+	}
+
+	function findObstacle(ticket: Ticket): TicketEffect | undefined {
+		for (const object of ticket.objects) {
+			const current = objects.get(getObjectKey(object));
+			if (current === undefined || current.ticketNumber < ticket.number) {
+				continue;
+			}
+
+			if (current.ticketNumber === ticket.number && hasSameContent(current.object, object)) {
+				return {kind: 'alreadyAccepted', sequence: current.sequence};
+			}
+
+			return {kind: 'refused', newerNumber: current.ticketNumber, objectName: getObjectKey(object)};
+		}
+
+		return undefined;
+	}
+
+	return {
+		getSequence: () => sequence,
+		applyTicket(ticket, ticketSequence) {
+			sequence = Math.max(sequence, ticketSequence);
+			const obstacle = findObstacle(ticket);
+			if (obstacle !== undefined) {
+				return obstacle;
+			}
+
+			for (const object of ticket.objects) {
+				setObject({object, ticketNumber: ticket.number, sequence: ticketSequence});
+			}
+
+			return {kind: 'accepted', sequence: ticketSequence};
+		},
+		mergeDelta(delta) {
+			if (delta.after > sequence || delta.sequence <= sequence) {
+				return false;
+			}
+
+			for (const versioned of delta.objects) {
+				if (versioned.sequence > sequence) {
+					setObject(versioned);
+				}
+			}
+
+			sequence = delta.sequence;
+			return true;
+		},
+		getDelta: after => ({
+			after,
+			sequence,
+			objects: [...objects.values()].filter(versioned => versioned.sequence > after),
+		}),
+		tryGetRoute: name => routes.get(name),
+		tryGetPool: name => pools.get(name),
+		findOrganisationByKey: keySha256 => organisationsByKey.get(keySha256),
+		getRoutes: () => routes,
+		getTicketObjects: ticketNumber => [...objects.values()].filter(versioned => versioned.ticketNumber === ticketNumber),
+	};
+}
+
+function setOrDelete<State>(map: Map<string, State>, name: string, state: State | undefined): void {
+	if (state === undefined) {
+		map.delete(name);
+		return;
+	}
+
+	map.set(name, state);
+}
--- /dev/null
+++ b/packages/core/src/entry.ts
@@ -0,0 +1,279 @@
+/**
+The decisions of an entry, from a request's arrival to its one final answer.
+
+The driver feeds events in and performs the actions that come out. Nothing here reads a clock, opens a socket or draws
+an unseeded random number, so that a recorded list of events replays to the same actions.
+
+@example
+const entry = createEntry(settings, {configuration, random: createRandom(1), getHash, policy: defaultRoutingPolicy});
+for (const action of entry.step({kind: 'requestArrived', request}, performance.now())) perform(action);
+*/
+import {createAdmission} from './admission.js';
+import {createClaimedRequest} from './claimed-request.js';
+import type {Configuration, NamedOrganisation} from './configuration.js';
+import type {
+	AdmittedRequest, ArrivedRequest, EntryAction, EntryEvent, EntrySettings,
+} from './entry-types.js';
+import {createNotRun, type ErrorKind, type Failure} from './errors.js';
+import {createMembership, type Member} from './membership.js';
+import type {Random} from './random.js';
+import {createRepeatableRequest} from './repeatable-request.js';
+import {
+	isFinalAction, type RequestSession, type SessionEvent, type SessionHost,
+} from './request-session.js';
+import {createRetryBudget} from './retry-budget.js';
+import {createRouter, type RoutingPolicy} from './routing.js';
+import type {
+	AgentStatus, OrganisationName, RequestId, Route, RouteName, Timestamp, Work,
+} from './types.js';
+
+/** What an entry needs of its surroundings. */
+export type EntryHost = Readonly<{
+	configuration: Configuration;
+	random: Random;
+	policy: RoutingPolicy;
+	/** Returns a well-mixed 32-bit hash of a text. */
+	getHash(text: string): number;
+}>;
+
+export type Entry = Readonly<{
+	step(event: EntryEvent, now: Timestamp): readonly EntryAction[];
+	/** Returns when `timePassed` is due next. */
+	tryGetWakeAt(): Timestamp | undefined;
+	getOpenRequestCount(): number;
+	isDraining(): boolean;
+	getMembers(): Iterable<Member>;
+}>;
+
+type OpenRequest = Readonly<{organisation: OrganisationName; session: RequestSession}>;
+
+type Admitted = Readonly<{kind: 'admitted'; request: AdmittedRequest; route: Route}>;
+type Refused = Readonly<{kind: 'refused'; failure: Failure}>;
+
+/** Settings that suit a data centre with a few milliseconds between hosts. */
+export const defaultEntrySettings = {
+	heartbeatTimeoutMs: 1500,
+	reopenDelayMs: 250,
+	permitRefreshMs: 10_000,
+	maximumRefusals: 4,
+	claimReserveMs: 100,
+	retryShare: 0.1,
+	retryBurst: 10,
+} as const satisfies Omit<EntrySettings, 'entryName' | 'dataCentre'>;
+
+const unreachablePauseMs = 500;
+const maximumUnreachablePauseMs = 8000;
+
+function refuse(kind: ErrorKind, detail?: string): Refused {
+	return {kind: 'refused', failure: createNotRun(kind, detail)};
+}
+
+function getWorkSize(work: Work): number {
+	return work.kind === 'prompt' ? work.promptTokens + work.maximumTokens : 1;
+}
+
+function checkWork(route: Route, work: Work): Refused | undefined {
+	if (route.kind !== work.kind) {
+		return refuse('routeNotFound', `it serves ${route.kind === 'prompt' ? 'prompts' : 'service calls'}`);
+	}
+
+	if (work.kind === 'prompt' && route.kind === 'prompt' && work.promptTokens > route.maximumPromptTokens) {
+		return refuse('promptTooLarge', `${work.promptTokens} tokens, the limit is ${route.maximumPromptTokens}`);
+	}
+
+	if (work.kind === 'service' && !work.isIdempotent && work.idempotencyKey === undefined) {
+		return refuse('idempotencyKeyMissing');
+	}
+
+	return undefined;
+}
+
+/** Creates an entry without requests or servers. */
+export function createEntry(settings: EntrySettings, host: EntryHost): Entry {
+	const membership = createMembership({unreachablePauseMs, maximumUnreachablePauseMs});
+	const admission = createAdmission();
+	const requests = new Map<RequestId, OpenRequest>();
+	const sessionHost: SessionHost = {
+		settings,
+		membership,
+		router: createRouter({dataCentre: settings.dataCentre, policy: host.policy}, {membership, random: host.random, getHash: host.getHash}),
+		retryBudget: createRetryBudget({share: settings.retryShare, maximumSaved: settings.retryBurst}),
+	};
+	let isDraining = false;
+
+	function findRoute(name: RouteName): Route | undefined {
+		return host.configuration.tryGetRoute(name);
+	}
+
+	function checkPredictedFinish(request: AdmittedRequest, now: Timestamp): Refused | undefined {
+		const members = membership.getAvailable(request.pool, now);
+		if (members.length === 0) {
+			return refuse('overloaded', 'no server of the pool is available');
+		}
+
+		let shortestMs = Number.POSITIVE_INFINITY;
+		for (const member of members) {
+			shortestMs = Math.min(shortestMs, sessionHost.router.getPredictedWaitMs(member, request.work, now));
+			if (request.work.kind === 'service' || now + shortestMs <= request.deadlineAt) {
+				return undefined;
+			}
+		}
+
+		return {kind: 'refused', failure: createNotRun('deadlineUnreachable', undefined, shortestMs)};
+	}
+
+	function checkOrganisation(named: NamedOrganisation, request: ArrivedRequest, now: Timestamp): Refused | undefined {
+		const failure = admission.checkLimits(named.name, named.organisation, getWorkSize(request.work), now);
+		return failure === undefined ? undefined : {kind: 'refused', failure};
+	}
+
+	function admit(arrived: ArrivedRequest, now: Timestamp): Admitted | Refused {
+		if (host.configuration.getSequence() === 0) {
+			return refuse('notReady');
+		}
+
+		const named = host.configuration.findOrganisationByKey(arrived.keySha256);
+		if (named === undefined) {
+			return refuse('unauthorised');
+		}
+
+		const route = findRoute(arrived.route);
+		if (route === undefined) {
+			return refuse('routeNotFound', arrived.route);
+		}
+
+		const budgetMs = Math.min(arrived.deadlineMs ?? route.defaultDeadlineMs, route.maximumDeadlineMs);
+		const request: AdmittedRequest = {
+			requestId: arrived.requestId,
+			organisation: named.name,
+			pool: route.pool,
+			work: arrived.work,
+			deadlineAt: now + budgetMs,
+		};
+		return checkWork(route, arrived.work)
+			?? checkPredictedFinish(request, now)
+			?? checkOrganisation(named, arrived, now)
+			?? {kind: 'admitted', request, route};
+	}
+
+	function createSession(request: AdmittedRequest, routeName: RouteName): RequestSession {
+		const {work} = request;
+		if (work.kind === 'prompt' || work.isIdempotent) {
+			return createRepeatableRequest(request, sessionHost);
+		}
+
+		const key = `${request.organisation}/${routeName}/${work.idempotencyKey}`;
+		return createClaimedRequest(request, {key, bodyHash: work.bodySha256}, sessionHost);
+	}
+
+	function stepRequest(requestId: RequestId, event: SessionEvent, now: Timestamp): readonly EntryAction[] {
+		const open = requests.get(requestId);
+		if (open === undefined) {
+			return [];
+		}
+
+		const actions = open.session.step(event, now);
+		if (actions.some(action => isFinalAction(action))) {
+			requests.delete(requestId);
+			admission.recordEnd(open.organisation);
+		}
+
+		return actions;
+	}
+
+	function stepEachRequest(event: SessionEvent, now: Timestamp): readonly EntryAction[] {
+		return [...requests.keys()].flatMap(requestId => stepRequest(requestId, event, now));
+	}
+
+	function startRequest(arrived: ArrivedRequest, now: Timestamp): readonly EntryAction[] {
+		const decision = admit(arrived, now);
+		if (decision.kind === 'refused') {
+			return [{kind: 'failRequest', requestId: arrived.requestId, failure: decision.failure}];
+		}
+
+		const session = createSession(decision.request, arrived.route);
+		requests.set(arrived.requestId, {organisation: decision.request.organisation, session});
+		return stepRequest(arrived.requestId, {kind: 'started'}, now);
+	}
+
+	function applyStatus(status: AgentStatus, now: Timestamp): void {
+		membership.applyStatus(status, now);
+	}
+
+	function stepDueRequests(now: Timestamp): readonly EntryAction[] {
+		const due = [...requests].filter(([, open]) => open.session.getWakeAt() <= now);
+		return due.flatMap(([requestId]) => stepRequest(requestId, {kind: 'timePassed'}, now));
+	}
+
+	function applyEvent(event: EntryEvent, now: Timestamp): readonly EntryAction[] {
+		switch (event.kind) {
+			case 'requestArrived': {
+				return startRequest(event.request, now);
+			}
+
+			case 'callerGone': {
+				return stepRequest(event.requestId, {kind: 'callerGone'}, now);
+			}
+
+			case 'messageReceived': {
+				if (event.message.kind !== 'tokens') {
+					applyStatus(event.message.status, now);
+				}
+
+				return stepRequest(event.requestId, {kind: 'messageReceived', streamId: event.streamId, message: event.message}, now);
+			}
+
+			case 'streamBroken': {
+				return stepRequest(event.requestId, {kind: 'streamBroken', streamId: event.streamId, wasSent: event.wasSent}, now);
+			}
+
+			case 'statusReceived': {
+				applyStatus(event.status, now);
+				return stepEachRequest({kind: 'serverProbed', server: event.status.server}, now);
+			}
+
+			case 'probeFailed': {
+				membership.recordUnreachable(event.server, now);
+				return stepEachRequest({kind: 'serverProbed', server: event.server}, now);
+			}
+
+			case 'claimKnown': {
+				return stepRequest(event.requestId, {kind: 'claimKnown', claim: event.claim}, now);
+			}
+
+			case 'claimExpired': {
+				return stepRequest(event.requestId, {kind: 'claimExpired'}, now);
+			}
+
+			case 'hostListRead': {
+				membership.applyHostList(event.listings);
+				admission.setEntryCount(event.entryCount);
+				return [];
+			}
+
+			case 'drainStarted': {
+				isDraining = true;
+				return [];
+			}
+
+			case 'timePassed': {
+				return stepDueRequests(now);
+			}
+		}
+	}
+
+	return {
+		step: applyEvent,
+		tryGetWakeAt() {
+			let wakeAt = Number.POSITIVE_INFINITY;
+			for (const {session} of requests.values()) {
+				wakeAt = Math.min(wakeAt, session.getWakeAt());
+			}
+
+			return Number.isFinite(wakeAt) ? wakeAt : undefined;
+		},
+		getOpenRequestCount: () => requests.size,
+		isDraining: () => isDraining,
+		getMembers: () => membership.getMembers(),
+	};
+}
--- /dev/null
+++ b/packages/core/src/errors.ts
@@ -0,0 +1,152 @@
+/**
+The closed list of error kinds and the table from kind to answer.
+
+Every failure that a caller or operator sees has one of these kinds and the form of `ErrorBody`.
+*/
+import type {Milliseconds, Ran, RequestId} from './types.js';
+
+/** Category of an error, by who can mend it. */
+export type ErrorCategory = 'caller' | 'capacity' | 'endpoint' | 'platform' | 'operator' | 'internal';
+
+type ErrorAnswer = Readonly<{
+	status: number;
+	category: ErrorCategory;
+	/** Whether the same request may succeed later. */
+	isRetryable: boolean;
+	text: string;
+}>;
+
+/** The answer to each kind of error. */
+export const errorTable = {
+	malformedRequest: {
+		status: 400, category: 'caller', isRetryable: false, text: 'The request is malformed',
+	},
+	idempotencyKeyMissing: {
+		status: 400, category: 'caller', isRetryable: false, text: 'The header Idempotency-Key is required on this call',
+	},
+	unauthorised: {
+		status: 401, category: 'caller', isRetryable: false, text: 'The key is unknown',
+	},
+	routeNotFound: {
+		status: 404, category: 'caller', isRetryable: false, text: 'The route does not exist',
+	},
+	payloadTooLarge: {
+		status: 413, category: 'caller', isRetryable: false, text: 'The body is too large',
+	},
+	promptTooLarge: {
+		status: 413, category: 'caller', isRetryable: false, text: 'The prompt is longer than this route can serve',
+	},
+	idempotencyKeyReused: {
+		status: 422, category: 'caller', isRetryable: false, text: 'The idempotency key was used with another body',
+	},
+	cancelled: {
+		status: 499, category: 'caller', isRetryable: true, text: 'The caller closed the request',
+	},
+	rateLimited: {
+		status: 429, category: 'capacity', isRetryable: true, text: 'The organisation is over its limit',
+	},
+	overloaded: {
+		status: 503, category: 'capacity', isRetryable: true, text: 'No server can take the request now',
+	},
+	deadlineUnreachable: {
+		status: 503, category: 'capacity', isRetryable: true, text: 'The request would not finish within its deadline',
+	},
+	deadlineExceeded: {
+		status: 504, category: 'capacity', isRetryable: true, text: 'The request did not finish within its deadline',
+	},
+	serverLost: {
+		status: 502, category: 'endpoint', isRetryable: true, text: 'The server was lost and no other could take over',
+	},
+	serverFailed: {
+		status: 502, category: 'endpoint', isRetryable: true, text: 'The server failed',
+	},
+	outcomeUnknown: {
+		status: 502, category: 'endpoint', isRetryable: false, text: 'It is not known whether the action ran; it is not run again',
+	},
+	outcomePending: {
+		status: 409, category: 'endpoint', isRetryable: true, text: 'The outcome of the earlier call with this key is not known yet',
+	},
+	platformUnavailable: {
+		status: 503, category: 'platform', isRetryable: true, text: 'The object API does not answer',
+	},
+	notReady: {
+		status: 503, category: 'platform', isRetryable: true, text: 'The process has no configuration yet',
+	},
+	draining: {
+		status: 503, category: 'capacity', isRetryable: true, text: 'The process is stopping',
+	},
+	ticketInvalid: {
+		status: 400, category: 'operator', isRetryable: false, text: 'The ticket is invalid',
+	},
+	ticketOutdated: {
+		status: 409, category: 'operator', isRetryable: false, text: 'A newer ticket touched the same object',
+	},
+	ticketNotFound: {
+		status: 404, category: 'operator', isRetryable: false, text: 'The ticket does not exist',
+	},
+	internal: {
+		status: 500, category: 'internal', isRetryable: true, text: 'Internal error',
+	},
+} as const satisfies Readonly<Record<string, ErrorAnswer>>;
+
+/** The closed list of error kinds. */
+export type ErrorKind = keyof typeof errorTable;
+
+/** A failure on its way to a caller. */
+export type Failure = Readonly<{
+	kind: ErrorKind;
+	ran: Ran;
+	/** More than the table's text, when there is more to say; never a key or a prompt. */
+	detail?: string | undefined;
+	retryAfterMs?: Milliseconds | undefined;
+}>;
+
+/** The form in which callers and operators receive every failure. */
+export type ErrorBody = Readonly<{
+	error: Readonly<{
+		kind: ErrorKind;
+		message: string;
+		requestId: RequestId;
+		ran: Ran;
+		retryAfterMs?: Milliseconds;
+	}>;
+}>;
+
+const defaultRetryAfterMs = 1000;
+
+/** Returns a failure whose work never ran. */
+export function createNotRun(kind: ErrorKind, detail?: string, retryAfterMs?: Milliseconds): Failure {
+	return {
+		kind, ran: 'no', detail, retryAfterMs,
+	};
+}
+
+/** Returns the table's answer to a kind of error. */
+export function getErrorAnswer(kind: ErrorKind): ErrorAnswer {
+	return errorTable[kind];
+}
+
+/** Returns when to come back, in milliseconds, or `undefined` where a retry does not help. */
+export function tryGetRetryAfterMs(failure: Failure): Milliseconds | undefined {
+	if (!getErrorAnswer(failure.kind).isRetryable) {
+		return undefined;
+	}
+
+	return Math.ceil(failure.retryAfterMs ?? defaultRetryAfterMs);
+}
+
+/** Returns the body that tells a failure to a caller. */
+export function getErrorBody(failure: Failure, requestId: RequestId): ErrorBody {
+	const {text} = getErrorAnswer(failure.kind);
+	const message = failure.detail === undefined ? text : `${text}: ${failure.detail}`;
+	const retryAfterMs = tryGetRetryAfterMs(failure);
+	return {
+		error: {
+			kind: failure.kind,
+			message,
+			requestId,
+			ran: failure.ran,
+			...(retryAfterMs === undefined ? {} : {retryAfterMs}),
+		},
+	};
+}
--- /dev/null
+++ b/packages/core/src/fixtures.ts
@@ -0,0 +1,110 @@
+/**
+Small deployments and requests for tests, benchmarks and embedders who want to try the parts.
+*/
+import type {Configuration} from './configuration.js';
+import {createConfiguration} from './configuration.js';
+import type {ArrivedRequest} from './entry-types.js';
+import type {HostListing} from './membership.js';
+import type {
+	AgentStatus, Load, PromptWork, Server, ServiceWork, Ticket,
+} from './types.js';
+
+const idleLoad: Load = {
+	queuedTokens: {short: 0, medium: 0, long: 0},
+	queuedRequests: 0,
+	activeRequests: 0,
+	freeMemoryTokens: 400_000,
+	prefillTokensPerSecond: 10_000,
+};
+
+/** SHA-256 that stands for the key of the only organisation. */
+export const fixtureKeySha256 = 'a'.repeat(64);
+
+/** A ticket with a prompt route `rules`, a service route `shop`, their pools and one organisation. */
+export const fixtureTicket: Ticket = {
+	number: 1,
+	objects: [
+		{kind: 'pool', name: 'models', state: {kind: 'model', engineMemoryTokens: 400_000}},
+		{kind: 'pool', name: 'shops', state: {kind: 'business', engineMemoryTokens: 0}},
+		{
+			kind: 'route', name: 'rules', state: {
+				kind: 'prompt',
+				pool: 'models',
+				model: 'base',
+				defaultDeadlineMs: 10_000,
+				maximumDeadlineMs: 60_000,
+				maximumPromptTokens: 390_000,
+				objective: {firstTokenMs: 390, share: 0.95},
+			},
+		},
+		{
+			kind: 'route', name: 'shop', state: {
+				kind: 'service',
+				pool: 'shops',
+				defaultDeadlineMs: 5000,
+				maximumDeadlineMs: 30_000,
+				idempotentMethods: ['GET'],
+				objective: {firstTokenMs: 390, share: 0.95},
+			},
+		},
+		{
+			kind: 'organisation', name: 'club', state: {
+				keySha256: fixtureKeySha256, requestsPerSecond: 1_000_000, tokensPerSecond: 1_000_000_000, concurrentRequests: 100_000,
+			},
+		},
+	],
+};
+
+/** Returns a configuration in which the fixture's ticket is in force. */
+export function createFixtureConfiguration(): Configuration {
+	const configuration = createConfiguration();
+	configuration.applyTicket(fixtureTicket, 1);
+	return configuration;
+}
+
+/** Returns a server of a pool, in data centre `a`. */
+export function createFixtureServer(name: string, pool: 'models' | 'shops'): Server {
+	return {
+		name, pool, kind: pool === 'models' ? 'model' : 'business', dataCentre: 'a', agentUrl: `http://${name}`,
+	};
+}
+
+/** Returns a host list that names the servers as live. */
+export function createFixtureListings(servers: readonly Server[]): readonly HostListing[] {
+	return servers.map(server => ({server, isLeaving: false}));
+}
+
+/** Returns the status of an idle agent. */
+export function createFixtureStatus(server: string, incarnation = 'i1', stampedAt = 0): AgentStatus {
+	return {
+		server, state: 'serving', permit: {incarnation, stampedAt}, load: idleLoad,
+	};
+}
+
+/** Returns a prompt of a length. */
+export function createFixturePrompt(promptTokens: number): PromptWork {
+	return {
+		kind: 'prompt', model: 'base', promptTokens, maximumTokens: 100, prefixKey: 'p', prefixTokens: 100, body: '{}',
+	};
+}
+
+/** Returns a call of the service; with a key it is one that may not be repeated. */
+export function createFixtureCall(idempotencyKey: string | undefined, body = 'slot 1'): ServiceWork {
+	return {
+		kind: 'service',
+		method: idempotencyKey === undefined ? 'GET' : 'POST',
+		path: '/slots',
+		contentType: undefined,
+		body,
+		bodySha256: `sha256 of ${body}`,
+		isIdempotent: idempotencyKey === undefined,
+		idempotencyKey,
+	};
+}
+
+/** Returns a request of the fixture's organisation. */
+export function createFixtureRequest(requestId: string, work: PromptWork | ServiceWork, deadlineMs?: number): ArrivedRequest {
+	return {
+		requestId, keySha256: fixtureKeySha256, route: work.kind === 'prompt' ? 'rules' : 'shop', deadlineMs, work,
+	};
+}
--- /dev/null
+++ b/packages/core/src/prompt-class.ts
@@ -0,0 +1,21 @@
+/**
+Classes of prompts by length.
+*/
+import {classLimitsTokens, type PromptClass, type TokenCount} from './types.js';
+
+/** The classes from the most to the least urgent. */
+export const promptClasses = ['short', 'medium', 'long'] as const satisfies readonly PromptClass[];
+
+/** Returns the class of a prompt. */
+export function getPromptClass(promptTokens: TokenCount): PromptClass {
+	if (promptTokens <= classLimitsTokens.short) {
+		return 'short';
+	}
+
+	return promptTokens <= classLimitsTokens.medium ? 'medium' : 'long';
+}
+
+/** Returns the classes that are served no later than the given one. */
+export function getClassesAhead(promptClass: PromptClass): readonly PromptClass[] {
+	return promptClasses.slice(0, promptClasses.indexOf(promptClass) + 1);
+}
--- /dev/null
+++ b/packages/core/src/repeatable-request.ts
@@ -0,0 +1,257 @@
+/**
+A request that may be run more than once: a prompt, or an idempotent call of a service.
+
+It tries one server after another until one answers or the deadline passes. Refusals are cheap and bounded in number;
+other retries come out of the entry's retry budget. A prompt is resumed after the tokens that its caller already has.
+*/
+import {createAttemptTracker, type AttemptTracker, type TrackerStep} from './attempt-tracker.js';
+import type {AdmittedRequest, EntryAction} from './entry-types.js';
+import type {ErrorKind} from './errors.js';
+import {
+	createAttempt, findPermit, type RequestSession, type SessionEvent, type SessionHost,
+} from './request-session.js';
+import type {
+	AttemptResult, Milliseconds, Ran, Server, ServerName, Timestamp,
+} from './types.js';
+
+type Phase
+	= | Readonly<{kind: 'idle'}>
+		| Readonly<{kind: 'probing'; server: Server}>
+		| Readonly<{kind: 'attempting'; server: Server; tracker: AttemptTracker; attemptId: string}>
+		| Readonly<{kind: 'ended'}>;
+
+/** How often a silent stream is reopened before the attempt is given up for another server. */
+const maximumReopens = 1;
+
+const defaultRetryAfterMs = 1000;
+
+/** Creates the session of an admitted request. */
+export function createRepeatableRequest(request: AdmittedRequest, host: SessionHost): RequestSession {
+	const excluded = new Set<ServerName>();
+	const delivered: string[] = [];
+	let phase: Phase = {kind: 'idle'};
+	let tryCount = 0;
+	let refusals = 0;
+	let isUncertain = false;
+	let hasRun = false;
+	let retryAfterMs: Milliseconds | undefined;
+	let lastDetail: string | undefined;
+
+	function getRan(): Ran {
+		if (hasRun) {
+			return 'yes';
+		}
+
+		const isOutstanding = phase.kind === 'attempting' && phase.tracker.wasSent();
+		return isUncertain || isOutstanding ? 'unknown' : 'no';
+	}
+
+	function endAttempt(): void {
+		if (phase.kind === 'attempting') {
+			host.router.recordEnd(phase.attemptId);
+		}
+	}
+
+	function fail(kind: ErrorKind): readonly EntryAction[] {
+		const ran = getRan();
+		const cancels = phase.kind === 'attempting' ? phase.tracker.cancel() : [];
+		endAttempt();
+		phase = {kind: 'ended'};
+		return [...cancels, {
+			kind: 'failRequest',
+			requestId: request.requestId,
+			failure: {
+				kind, ran, detail: lastDetail, retryAfterMs,
+			},
+		}];
+	}
+
+	function openAttempt(server: Server, now: Timestamp): readonly EntryAction[] {
+		const lookup = findPermit(host, server, host.settings.permitRefreshMs, now);
+		if (lookup.kind === 'probing') {
+			phase = {kind: 'probing', server};
+			return [lookup.action];
+		}
+
+		tryCount += 1;
+		const attempt = createAttempt(request, tryCount, lookup.permit, {deliveredTokens: [...delivered], now});
+		const tracker = createAttemptTracker(host.settings, {
+			requestId: request.requestId, server, attempt, maximumReopens,
+		});
+		phase = {
+			kind: 'attempting', server, tracker, attemptId: attempt.attemptId,
+		};
+		host.router.recordSent(attempt.attemptId, server.name, request.work, now);
+		return tracker.start({kind: 'submit'}, now);
+	}
+
+	function tryNextServer(kindIfNone: ErrorKind, now: Timestamp): readonly EntryAction[] {
+		endAttempt();
+		phase = {kind: 'idle'};
+		const server = host.router.findServer(request.pool, request.work, excluded, now);
+		if (server === undefined) {
+			retryAfterMs ??= defaultRetryAfterMs;
+			return fail(kindIfNone);
+		}
+
+		return openAttempt(server, now);
+	}
+
+	/** Tries again after a try that did not run, or may have run, at a server. */
+	function retryElsewhere(server: ServerName, kind: ErrorKind, now: Timestamp): readonly EntryAction[] {
+		excluded.add(server);
+		endAttempt();
+		phase = {kind: 'idle'};
+		return host.retryBudget.trySpend() ? tryNextServer(kind, now) : fail(kind);
+	}
+
+	function handleRefusal(server: ServerName, result: Extract<AttemptResult, {kind: 'refused'}>, now: Timestamp): readonly EntryAction[] {
+		refusals += 1;
+		retryAfterMs = Math.min(retryAfterMs ?? Number.POSITIVE_INFINITY, Math.max(1, result.retryAfterMs));
+		lastDetail = `the last server answered ${result.reason}`;
+		excluded.add(server);
+		if (refusals >= host.settings.maximumRefusals) {
+			endAttempt();
+			phase = {kind: 'idle'};
+			return fail('overloaded');
+		}
+
+		return tryNextServer('overloaded', now);
+	}
+
+	function handleResult(server: ServerName, result: AttemptResult, now: Timestamp): readonly EntryAction[] {
+		const {requestId} = request;
+		switch (result.kind) {
+			case 'completed': {
+				endAttempt();
+				phase = {kind: 'ended'};
+				const {finishReason, tokenCount} = result;
+				return [{
+					kind: 'completeRequest', requestId, summary: {
+						server, finishReason, tokenCount, tries: tryCount,
+					},
+				}];
+			}
+
+			case 'answered': {
+				endAttempt();
+				phase = {kind: 'ended'};
+				return [{
+					kind: 'answerRequest', requestId, answer: result.answer, server, isReplay: false,
+				}];
+			}
+
+			case 'refused': {
+				return handleRefusal(server, result, now);
+			}
+
+			case 'failed': {
+				hasRun ||= result.ran === 'yes';
+				isUncertain ||= result.ran === 'unknown';
+				lastDetail = result.detail;
+				return retryElsewhere(server, 'serverFailed', now);
+			}
+
+			case 'cancelled': {
+				hasRun ||= result.ran === 'yes';
+				isUncertain ||= result.ran === 'unknown';
+				lastDetail = 'the server cancelled the attempt';
+				return retryElsewhere(server, 'serverFailed', now);
+			}
+		}
+	}
+
+	function handleStep(step: TrackerStep, now: Timestamp): readonly EntryAction[] {
+		if (phase.kind !== 'attempting') {
+			return step.actions;
+		}
+
+		const {server} = phase;
+		switch (step.outcome.kind) {
+			case 'pending': {
+				return step.actions;
+			}
+
+			case 'tokens': {
+				hasRun = true;
+				host.router.recordFirstToken(phase.attemptId);
+				delivered.push(...step.outcome.tokens);
+				return [...step.actions, {kind: 'deliverTokens', requestId: request.requestId, tokens: step.outcome.tokens}];
+			}
+
+			case 'ended': {
+				return [...step.actions, ...handleResult(server.name, step.outcome.result, now)];
+			}
+
+			case 'lost': {
+				host.membership.recordUnreachable(server.name, now);
+				const cancels = step.outcome.wasSent ? phase.tracker.cancel() : [];
+				isUncertain ||= step.outcome.wasSent;
+				lastDetail = undefined;
+				return [...step.actions, ...cancels, ...retryElsewhere(server.name, 'serverLost', now)];
+			}
+		}
+	}
+
+	function handleProbe(server: ServerName, now: Timestamp): readonly EntryAction[] {
+		if (phase.kind !== 'probing' || phase.server.name !== server) {
+			return [];
+		}
+
+		const member = host.membership.tryGetMember(server);
+		if (member === undefined || member.unreachableUntil > now || member.status?.state !== 'serving') {
+			excluded.add(server);
+			return tryNextServer('serverLost', now);
+		}
+
+		return openAttempt(phase.server, now);
+	}
+
+	function handleTime(now: Timestamp): readonly EntryAction[] {
+		if (now >= request.deadlineAt) {
+			lastDetail = undefined;
+			return fail('deadlineExceeded');
+		}
+
+		return phase.kind === 'attempting' ? handleStep(phase.tracker.checkTime(now), now) : [];
+	}
+
+	function handleEvent(event: SessionEvent, now: Timestamp): readonly EntryAction[] {
+		switch (event.kind) {
+			case 'started': {
+				host.retryBudget.recordFirstTry();
+				return tryNextServer('overloaded', now);
+			}
+
+			case 'messageReceived': {
+				return phase.kind === 'attempting' ? handleStep(phase.tracker.receive(event.streamId, event.message, now), now) : [];
+			}
+
+			case 'streamBroken': {
+				return phase.kind === 'attempting' ? handleStep(phase.tracker.breakStream(event.streamId, event.wasSent, now), now) : [];
+			}
+
+			case 'serverProbed': {
+				return handleProbe(event.server, now);
+			}
+
+			case 'callerGone': {
+				return fail('cancelled');
+			}
+
+			case 'timePassed': {
+				return handleTime(now);
+			}
+
+			case 'claimKnown':
+			case 'claimExpired': {
+				return [];
+			}
+		}
+	}
+
+	return {
+		step: (event, now) => phase.kind === 'ended' ? [] : handleEvent(event, now),
+		getWakeAt: () => Math.min(request.deadlineAt, phase.kind === 'attempting' ? phase.tracker.getWakeAt() : Number.POSITIVE_INFINITY),
+	};
+}
--- /dev/null
+++ b/packages/core/src/request-session.ts
@@ -0,0 +1,79 @@
+/**
+What the sessions of requests share: their surroundings, and the interface through which the entry drives them.
+*/
+import type {Claim} from './claims.js';
+import type {
+	AdmittedRequest, EntryAction, EntrySettings, StreamId,
+} from './entry-types.js';
+import type {Membership} from './membership.js';
+import type {RetryBudget} from './retry-budget.js';
+import type {Router} from './routing.js';
+import type {
+	Attempt, AttemptId, AttemptMessage, Permit, Server, Timestamp,
+} from './types.js';
+
+/** What a session shares with the other sessions of its entry. */
+export type SessionHost = Readonly<{
+	settings: EntrySettings;
+	membership: Membership;
+	router: Router;
+	retryBudget: RetryBudget;
+}>;
+
+export type SessionEvent
+	= | Readonly<{kind: 'started'}>
+		| Readonly<{kind: 'messageReceived'; streamId: StreamId; message: AttemptMessage}>
+		| Readonly<{kind: 'streamBroken'; streamId: StreamId; wasSent: boolean}>
+		| Readonly<{kind: 'serverProbed'; server: string}>
+		| Readonly<{kind: 'claimKnown'; claim: Claim | undefined}>
+		| Readonly<{kind: 'claimExpired'}>
+		| Readonly<{kind: 'callerGone'}>
+		| Readonly<{kind: 'timePassed'}>;
+
+/** One request on its way. It has ended once it gave a `completeRequest`, `answerRequest` or `failRequest`. */
+export type RequestSession = Readonly<{
+	step(event: SessionEvent, now: Timestamp): readonly EntryAction[];
+	getWakeAt(): Timestamp;
+}>;
+
+/** Returns the identity of a try, unique over all entries since request ids are. */
+export function getAttemptId(request: AdmittedRequest, tryNumber: number): AttemptId {
+	return `${request.requestId}.${tryNumber}`;
+}
+
+/** Creates an attempt of the request for a server whose permit is known. */
+export function createAttempt(
+	request: AdmittedRequest,
+	tryNumber: number,
+	permit: Permit,
+	rest: Readonly<{deliveredTokens: readonly string[]; now: Timestamp}>,
+): Attempt {
+	return {
+		attemptId: getAttemptId(request, tryNumber),
+		organisation: request.organisation,
+		work: request.work,
+		permit,
+		remainingMs: Math.max(0, request.deadlineAt - rest.now),
+		deliveredTokens: rest.deliveredTokens,
+	};
+}
+
+/** Returns whether the action ends its request. */
+export function isFinalAction(action: EntryAction): boolean {
+	return action.kind === 'completeRequest' || action.kind === 'answerRequest' || action.kind === 'failRequest';
+}
+
+/** A server whose agent was heard lately enough for the purpose, or the question to ask it first. */
+export type PermitLookup
+	= | Readonly<{kind: 'known'; permit: Permit}>
+		| Readonly<{kind: 'probing'; action: EntryAction}>;
+
+/** Returns the permit of the server's agent, or the probe that brings one. */
+export function findPermit(host: SessionHost, server: Server, maximumAgeMs: number, now: Timestamp): PermitLookup {
+	const member = host.membership.tryGetMember(server.name);
+	if (member?.status !== undefined && now - member.statusAt <= maximumAgeMs) {
+		return {kind: 'known', permit: member.status.permit};
+	}
+
+	return {kind: 'probing', action: {kind: 'probeServer', server}};
+}
--- /dev/null
+++ b/packages/core/src/routing.ts
@@ -0,0 +1,265 @@
+/**
+Choice of a server for a request.
+
+The length-aware policy predicts how long a prompt would wait at a few candidates, and takes the best. It knows what
+each agent said last, what it sent there since, and which prefixes it sent there before; all of that may be late, so a
+wrong guess must stay cheap: an agent that is busier than predicted refuses, and the request is routed again.
+*/
+import {LRUCache} from 'lru-cache';
+import {isAvailable, type Member, type Membership} from './membership.js';
+import {getClassesAhead, getPromptClass} from './prompt-class.js';
+import type {Random} from './random.js';
+import type {
+	AttemptId, Milliseconds, PoolName, PromptClass, Server, ServerName, Timestamp, TokenCount, Work,
+} from './types.js';
+
+/** How a server is chosen; the first two are baselines for measurement. */
+export type RoutingPolicy
+	= | Readonly<{kind: 'roundRobin'}>
+		| Readonly<{kind: 'leastOutstanding'}>
+		| Readonly<{
+			kind: 'lengthAware';
+			/** Candidates that are drawn at random and compared. */
+			choices: number;
+			/** Largest share of a pool that long prompts may use. */
+			maximumLongShare: number;
+			/** Predicted cost of a server in another data centre. */
+			remotePenaltyMs: Milliseconds;
+		}>;
+
+export const defaultRoutingPolicy = {
+	kind: 'lengthAware', choices: 4, maximumLongShare: 0.5, remotePenaltyMs: 20,
+} as const satisfies RoutingPolicy;
+
+/** What the routing may ask of its surroundings. */
+export type RoutingHost = Readonly<{
+	membership: Membership;
+	random: Random;
+	/** Returns a well-mixed 32-bit hash of a text. */
+	getHash(text: string): number;
+}>;
+
+export type RoutingSettings = Readonly<{
+	dataCentre: string;
+	policy: RoutingPolicy;
+}>;
+
+export type Router = Readonly<{
+	/** Returns the best server that is not excluded, or `undefined` when none is available. */
+	findServer(pool: PoolName, work: Work, excluded: ReadonlySet<ServerName>, now: Timestamp): Server | undefined;
+	/** Returns how long the work would wait at the server for its first token. */
+	getPredictedWaitMs(member: Member, work: Work, now: Timestamp): Milliseconds;
+	recordSent(attemptId: AttemptId, server: ServerName, work: Work, now: Timestamp): void;
+	recordFirstToken(attemptId: AttemptId): void;
+	recordEnd(attemptId: AttemptId): void;
+}>;
+
+type Outstanding = {
+	readonly server: ServerName;
+	readonly promptClass: PromptClass;
+	readonly sentAt: Timestamp;
+	/** Tokens that still wait for prefill; 0 once the first token came. */
+	tokens: TokenCount;
+};
+
+const prefixHintLimit = 20_000;
+const assumedPrefillTokensPerSecond = 10_000;
+const millisecondsPerSecond = 1000;
+
+/** Weight of one prompt in the moving share of long prompts. */
+const longShareWeight = 0.02;
+
+/** Room above the measured share of long prompts. */
+const longShareHeadroom = 1.25;
+
+function getWorkTokens(work: Work): TokenCount {
+	switch (work.kind) {
+		case 'prompt': {
+			return work.promptTokens;
+		}
+
+		case 'service': {
+			return 1;
+		}
+	}
+}
+
+/** Creates the routing of one entry. */
+export function createRouter(settings: RoutingSettings, host: RoutingHost): Router {
+	const outstandingByAttempt = new Map<AttemptId, Outstanding>();
+	const attemptsByServer = new Map<ServerName, Set<AttemptId>>();
+	const prefixHints = new LRUCache<string, ServerName>({max: prefixHintLimit});
+	let nextIndex = 0;
+	let longShare = 0;
+
+	function getOutstanding(server: ServerName): readonly Outstanding[] {
+		const attempts = attemptsByServer.get(server);
+		if (attempts === undefined) {
+			return [];
+		}
+
+		return [...attempts].flatMap(attemptId => outstandingByAttempt.get(attemptId) ?? []);
+	}
+
+	function getUncachedTokens(server: ServerName, work: Work): TokenCount {
+		if (work.kind === 'service') {
+			return 1;
+		}
+
+		return prefixHints.get(work.prefixKey) === server ? Math.max(1, work.promptTokens - work.prefixTokens) : work.promptTokens;
+	}
+
+	/** Returns the tokens that are prefilled before the work's own. */
+	function getTokensAhead(member: Member, promptClass: PromptClass, now: Timestamp): TokenCount {
+		const classes = getClassesAhead(promptClass);
+		const sent = getOutstanding(member.server.name).filter(item => classes.includes(item.promptClass));
+		const {status, statusAt} = member;
+		if (status === undefined) {
+			return getTokenSum(sent);
+		}
+
+		const {queuedTokens, prefillTokensPerSecond} = status.load;
+		const reported = classes.map(name => queuedTokens[name]).reduce((sum, tokens) => sum + tokens, 0);
+		const prefilled = (now - statusAt) / millisecondsPerSecond * prefillTokensPerSecond;
+		return Math.max(0, reported - prefilled) + getTokenSum(sent.filter(item => item.sentAt > statusAt));
+	}
+
+	function getPredictedWaitMs(member: Member, work: Work, now: Timestamp): Milliseconds {
+		const rate = member.status?.load.prefillTokensPerSecond ?? assumedPrefillTokensPerSecond;
+		const ahead = getTokensAhead(member, getPromptClass(getWorkTokens(work)), now);
+		const own = getUncachedTokens(member.server.name, work);
+		return (ahead + own) / Math.max(1, rate) * millisecondsPerSecond;
+	}
+
+	function getLongServers(members: readonly Member[], maximumShare: number): readonly Member[] {
+		const share = Math.min(maximumShare, longShare * longShareHeadroom);
+		const count = Math.max(1, Math.ceil(members.length * share));
+		const ranked = members.map(member => ({member, rank: host.getHash(member.server.name)}));
+		ranked.sort((left, right) => left.rank - right.rank);
+		return ranked.slice(0, count).map(({member}) => member);
+	}
+
+	function drawCandidates(members: readonly Member[], count: number): readonly Member[] {
+		const rest = [...members];
+		const drawn: Member[] = [];
+		while (drawn.length < count && rest.length > 0) {
+			const [member] = rest.splice(host.random.getInteger(rest.length), 1);
+			if (member !== undefined) {
+				drawn.push(member);
+			}
+		}
+
+		return drawn;
+	}
+
+	function findByPredictedWait(
+		members: readonly Member[],
+		work: Work,
+		policy: Extract<RoutingPolicy, {kind: 'lengthAware'}>,
+		now: Timestamp,
+	): Member | undefined {
+		const isLong = getPromptClass(getWorkTokens(work)) === 'long';
+		const eligible = isLong ? getLongServers(members, policy.maximumLongShare) : members;
+		const candidates = [...drawCandidates(eligible, policy.choices)];
+		const hint = work.kind === 'prompt' ? prefixHints.get(work.prefixKey) : undefined;
+		const hinted = eligible.find(member => member.server.name === hint);
+		if (hinted !== undefined) {
+			candidates.push(hinted);
+		}
+
+		return findLowest(candidates, member => {
+			const penaltyMs = member.server.dataCentre === settings.dataCentre ? 0 : policy.remotePenaltyMs;
+			return getPredictedWaitMs(member, work, now) + penaltyMs;
+		});
+	}
+
+	function findMember(members: readonly Member[], work: Work, now: Timestamp): Member | undefined {
+		const {policy} = settings;
+		switch (policy.kind) {
+			case 'roundRobin': {
+				nextIndex += 1;
+				return members[nextIndex % members.length];
+			}
+
+			case 'leastOutstanding': {
+				return findLowest(members, member => attemptsByServer.get(member.server.name)?.size ?? 0);
+			}
+
+			case 'lengthAware': {
+				return findByPredictedWait(members, work, policy, now);
+			}
+		}
+	}
+
+	function recordLongShare(work: Work): void {
+		const tokens = getWorkTokens(work);
+		const isLong = getPromptClass(tokens) === 'long';
+		// A prompt counts by its tokens, measured against a short one, so that few but enormous prompts weigh in full.
+		const weight = Math.min(1, longShareWeight * Math.max(1, tokens / assumedPrefillTokensPerSecond));
+		longShare += ((isLong ? 1 : 0) - longShare) * weight;
+	}
+
+	return {
+		findServer(pool, work, excluded, now) {
+			const members = host.membership.getAvailable(pool, now)
+				.filter(member => !excluded.has(member.server.name) && isAvailable(member, now));
+			return findMember(members, work, now)?.server;
+		},
+		getPredictedWaitMs,
+		recordSent(attemptId, server, work, now) {
+			const promptClass = getPromptClass(getWorkTokens(work));
+			outstandingByAttempt.set(attemptId, {
+				server, promptClass, sentAt: now, tokens: getUncachedTokens(server, work),
+			});
+			const attempts = attemptsByServer.get(server) ?? new Set();
+			attempts.add(attemptId);
+			attemptsByServer.set(server, attempts);
+			if (work.kind === 'prompt') {
+				prefixHints.set(work.prefixKey, server);
+				recordLongShare(work);
+			}
+		},
+		recordFirstToken(attemptId) {
+			const outstanding = outstandingByAttempt.get(attemptId);
+			if (outstanding !== undefined) {
+				outstanding.tokens = 0;
+			}
+		},
+		recordEnd(attemptId) {
+			const outstanding = outstandingByAttempt.get(attemptId);
+			if (outstanding === undefined) {
+				return;
+			}
+
+			outstandingByAttempt.delete(attemptId);
+			const attempts = attemptsByServer.get(outstanding.server);
+			attempts?.delete(attemptId);
+			if (attempts?.size === 0) {
+				attemptsByServer.delete(outstanding.server);
+			}
+		},
+	};
+}
+
+function getTokenSum(items: readonly Outstanding[]): TokenCount {
+	let sum = 0;
+	for (const item of items) {
+		sum += item.tokens;
+	}
+
+	return sum;
+}
+
+function findLowest(members: readonly Member[], getScore: (member: Member) => number): Member | undefined {
+	let best: Member | undefined;
+	let bestScore = Number.POSITIVE_INFINITY;
+	for (const member of members) {
+		const score = getScore(member);
+		if (score < bestScore) {
+			best = member;
+			bestScore = score;
+		}
+	}
+
+	return best;
+}
--- /dev/null
+++ b/packages/core/src/ticket.ts
@@ -0,0 +1,123 @@
+/**
+The form of tickets: checked whole, unknown keys refused, each problem named by the path of its key.
+*/
+import {z} from 'zod';
+import type {Ticket, TicketObject} from './types.js';
+
+const nameSchema = z.string().regex(/^[a-z\d][a-z\d\-]{0,62}$/v, 'must be lower-case letters, digits and hyphens');
+const millisecondsSchema = z.number().int().positive();
+const rateSchema = z.number().positive();
+
+const objectiveSchema = z.strictObject({
+	firstTokenMs: millisecondsSchema,
+	share: z.number().gt(0).lt(1),
+});
+
+const promptRouteSchema = z.strictObject({
+	kind: z.literal('prompt'),
+	pool: nameSchema,
+	model: z.string().min(1),
+	defaultDeadlineMs: millisecondsSchema,
+	maximumDeadlineMs: millisecondsSchema,
+	maximumPromptTokens: z.number().int().positive(),
+	objective: objectiveSchema,
+});
+
+const serviceRouteSchema = z.strictObject({
+	kind: z.literal('service'),
+	pool: nameSchema,
+	defaultDeadlineMs: millisecondsSchema,
+	maximumDeadlineMs: millisecondsSchema,
+	idempotentMethods: z.array(z.enum(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE', 'POST', 'PATCH'])),
+	objective: objectiveSchema,
+});
+
+const routeSchema = z.discriminatedUnion('kind', [promptRouteSchema, serviceRouteSchema])
+	.refine(route => route.defaultDeadlineMs <= route.maximumDeadlineMs, {
+		path: ['defaultDeadlineMs'], error: 'must be at most maximumDeadlineMs',
+	});
+
+const poolSchema = z.strictObject({
+	kind: z.enum(['model', 'business']),
+	engineMemoryTokens: z.number().int().min(0),
+});
+
+const organisationSchema = z.strictObject({
+	keySha256: z.string().regex(/^[\da-f]{64}$/v, 'must be a SHA-256 in lower-case hexadecimal'),
+	requestsPerSecond: rateSchema,
+	tokensPerSecond: rateSchema,
+	concurrentRequests: z.number().int().positive(),
+});
+
+function createObjectSchema<Kind extends TicketObject['kind'], State>(kind: Kind, stateSchema: z.ZodType<State>) {
+	return z.strictObject({
+		kind: z.literal(kind),
+		name: nameSchema,
+		/** The whole new state; left out when the object is removed. */
+		state: stateSchema.optional(),
+		removed: z.literal(true).optional(),
+	}).refine(object => (object.state === undefined) === (object.removed === true), {
+		path: ['state'], error: 'either state or "removed": true is required',
+	});
+}
+
+const ticketSchema = z.strictObject({
+	number: z.number().int().positive(),
+	objects: z.array(z.union([
+		createObjectSchema('route', routeSchema),
+		createObjectSchema('pool', poolSchema),
+		createObjectSchema('organisation', organisationSchema),
+	])).min(1),
+});
+
+/** One thing that is wrong with a document. */
+export type Problem = Readonly<{
+	/** Path of the key, such as `objects.0.state.pool`. */
+	path: string;
+	/** What is wanted there. */
+	message: string;
+}>;
+
+export type ParsedTicket
+	= | Readonly<{kind: 'valid'; ticket: Ticket}>
+		| Readonly<{kind: 'invalid'; problems: readonly Problem[]}>;
+
+type Issue = z.core.$ZodIssue;
+
+/** Of a union's branches, keeps the one whose kind was meant, since the others only say that the kind differs. */
+function getIssues(issue: Issue, prefix: readonly PropertyKey[]): readonly Problem[] {
+	const path = [...prefix, ...issue.path];
+	if (issue.code !== 'invalid_union' || issue.errors.length === 0) {
+		return [{path: path.join('.'), message: issue.message}];
+	}
+
+	const branch_ = issue.errors.find(branch => !branch.some(inner => inner.code === 'invalid_value' && inner.path.join('.') === 'kind'));
+	const meant = branch_;
+	if (meant === undefined) {
+		return [{path: [...path, 'kind'].join('.'), message: 'must be a known kind'}];
+	}
+
+	return meant.flatMap(inner => getIssues(inner, path));
+}
+
+/** Returns the problems of a failed check, each with the path of its key. */
+export function getProblems(error: z.ZodError): readonly Problem[] {
+	return error.issues.flatMap(issue => getIssues(issue, []));
+}
+
+/** Checks a ticket as it was read from JSON. */
+export function parseTicket(value: unknown): ParsedTicket {
+	const result = ticketSchema.safeParse(value);
+	if (!result.success) {
+		return {kind: 'invalid', problems: getProblems(result.error)};
+	}
+
+	const {objects} = result.data;
+	const keys = objects.map(object => `${object.kind}/${object.name}`);
+	const repeated = keys.findIndex((key, index) => keys.indexOf(key) !== index);
+	if (repeated !== -1) {
+		return {kind: 'invalid', problems: [{path: `objects.${repeated}`, message: 'the ticket names this object twice'}]};
+	}
+
+	return {kind: 'valid', ticket: {number: result.data.number, objects}};
+}
--- /dev/null
+++ b/packages/daemon/src/agent-daemon.ts
@@ -0,0 +1,95 @@
+/**
+The agent daemon: wires the decisions of an agent to its peers and to the server beside it.
+*/
+import {createAgent, defaultAgentSettings} from '@currantcross/core/agent';
+import {createBusinessService} from '@currantcross/endpoint/business-service';
+import {createModelServer} from '@currantcross/endpoint/model-server';
+import {createAgentService} from '@currantcross/peer/agent-service';
+import {startPeerServer} from '@currantcross/peer/peer-server';
+import {createAgentDriver, type AgentDriver, type ServerClient} from './agent-driver.js';
+import type {Daemon} from './daemon.js';
+import {createIncarnation} from './incarnation.js';
+import {createLogger} from './logger.js';
+import {createMetrics} from './metrics.js';
+import {readKeyFile, type AgentDaemonSettings} from './settings.js';
+
+const engineTimeoutMs = 2000;
+const drainPollMs = 50;
+const gaugeIntervalMs = 10_000;
+
+function createServerClient({server}: AgentDaemonSettings): ServerClient {
+	switch (server.kind) {
+		case 'model': {
+			return {kind: 'model', client: createModelServer(server.url, engineTimeoutMs)};
+		}
+
+		case 'business': {
+			return {kind: 'business', client: createBusinessService(server.url)};
+		}
+	}
+}
+
+/** Starts the daemon and waits until it listens. */
+export async function startAgentDaemon(settings: AgentDaemonSettings): Promise<Daemon> {
+	const logger = createLogger(settings.log.level, {process: settings.name});
+	const metrics = createMetrics(settings.metrics, {process: settings.name, dataCentre: settings.dataCentre});
+	const incarnation = createIncarnation();
+	const {maximumActive, maximumLongActive} = settings.limits;
+	const agent = createAgent({
+		...defaultAgentSettings,
+		...(maximumActive === undefined ? {} : {maximumActive}),
+		...(maximumLongActive === undefined ? {} : {maximumLongActive}),
+		server: settings.name,
+		incarnation,
+	});
+	const service = createAgentService({
+		receive(event) {
+			driver.dispatch(event);
+		},
+		getStatus: () => agent.getStatus(performance.now()),
+	});
+	const driver: AgentDriver = createAgentDriver(agent, {
+		server: createServerClient(settings), logger, getAdapter: () => service,
+	});
+	const server = await startPeerServer({
+		host: settings.peer.host,
+		port: settings.peer.port,
+		sharedKey: readKeyFile(settings.peer.sharedKeyFile),
+		tls: settings.peer.tls,
+	}, router => {
+		service.registerRoutes(router);
+	});
+	const gaugeTimer = setInterval(() => {
+		metrics.recordLiveAttempts(agent.getLiveCount());
+	}, gaugeIntervalMs);
+	logger.info('started', {role: 'agent', peerPort: server.port, incarnation});
+
+	/** Waits until no attempt is left. */
+	async function drain(): Promise<void> {
+		driver.dispatch({kind: 'drainStarted'});
+		await new Promise<void>(resolve => {
+			const timer = setInterval(() => {
+				if (agent.getLiveCount() === 0) {
+					clearInterval(timer);
+					resolve();
+				}
+			}, drainPollMs);
+		});
+	}
+
+	return {
+		ports: {peer: server.port},
+		async stop() {
+			logger.info('stopping', {live: agent.getLiveCount()});
+			await drain();
+			await new Promise(resolve => {
+				setTimeout(resolve, settings.drainLingerMs);
+			});
+			driver.close();
+			clearInterval(gaugeTimer);
+			metrics.close();
+			await server.close();
+			logger.info('stopped');
+		},
+	};
+}
--- /dev/null
+++ b/packages/daemon/src/agent-driver.ts
@@ -0,0 +1,199 @@
+/**
+Drives the decisions of an agent: performs its actions at the server beside it, and feeds back what comes of them.
+*/
+import {getErrorText} from '@currantcross/core/error-text';
+import type {Agent} from '@currantcross/core/agent';
+import type {AgentAction, AgentEvent} from '@currantcross/core/agent-types';
+import type {
+	Attempt, AttemptId, PromptWork, ServiceWork,
+} from '@currantcross/core/types';
+import type {BusinessService} from '@currantcross/endpoint/business-service';
+import type {ModelServer} from '@currantcross/endpoint/model-server';
+import type {AgentServiceAdapter} from '@currantcross/peer/agent-service';
+import type {Logger} from './logger.js';
+
+/** The server beside the agent. */
+export type ServerClient
+	= | Readonly<{kind: 'model'; client: ModelServer}>
+		| Readonly<{kind: 'business'; client: BusinessService}>;
+
+export type AgentDriverHost = Readonly<{
+	server: ServerClient;
+	logger: Logger;
+	/** Returns the adapter towards entries, which exists once the driver does. */
+	getAdapter(): AgentServiceAdapter;
+}>;
+
+export type AgentDriver = Readonly<{
+	dispatch(event: AgentEvent): void;
+	close(): void;
+}>;
+
+type StartWork = Extract<AgentAction, {kind: 'startWork'}>;
+
+const reportIntervalMs = 500;
+
+/** Creates the driver of one agent. */
+export function createAgentDriver(agent: Agent, host: AgentDriverHost): AgentDriver {
+	const running = new Map<AttemptId, AbortController>();
+	let timer: NodeJS.Timeout | undefined;
+	let isClosed = false;
+	const reportTimer = setInterval(() => {
+		void readReport();
+	}, reportIntervalMs);
+
+	function dispatch(event: AgentEvent): void {
+		if (isClosed) {
+			return;
+		}
+
+		for (const action of agent.step(event, performance.now())) {
+			perform(action);
+		}
+
+		setTimer();
+	}
+
+	function setTimer(): void {
+		clearTimeout(timer);
+		const wakeAt = agent.getWakeAt();
+		if (Number.isFinite(wakeAt)) {
+			timer = setTimeout(() => {
+				dispatch({kind: 'timePassed'});
+			}, Math.max(1, wakeAt - performance.now()));
+		}
+	}
+
+	function perform(action: AgentAction): void {
+		switch (action.kind) {
+			case 'sendMessage':
+			case 'endStream':
+			case 'replyState': {
+				host.getAdapter().perform(action);
+				return;
+			}
+
+			case 'startWork': {
+				host.logger.debug('attemptStarted', {attemptId: action.attempt.attemptId, promptClass: action.promptClass});
+				void startWork(action, performance.now());
+				return;
+			}
+
+			case 'cancelWork': {
+				running.get(action.attemptId)?.abort();
+				return;
+			}
+
+			case 'releaseMemory': {
+				void releaseMemory(action.attemptId);
+			}
+		}
+	}
+
+	async function startWork(action: StartWork, startedAt: number): Promise<void> {
+		const {attempt} = action;
+		const {work} = attempt;
+		switch (work.kind) {
+			case 'prompt': {
+				await runPrompt(action, work);
+				break;
+			}
+
+			case 'service': {
+				await callService(attempt, work, action.remainingMs - (performance.now() - startedAt));
+				break;
+			}
+		}
+
+		host.logger.debug('attemptEnded', {attemptId: attempt.attemptId});
+	}
+
+	async function runPrompt({attempt, promptClass}: StartWork, work: PromptWork): Promise<void> {
+		const {attemptId} = attempt;
+		if (host.server.kind !== 'model') {
+			dispatch({
+				kind: 'workFailed', attemptId, ran: 'no', detail: 'the server is no model server',
+			});
+			return;
+		}
+
+		const controller = new AbortController();
+		running.set(attemptId, controller);
+		let hasOutput = false;
+		try {
+			const outputs = host.server.client.runPrompt({
+				attempt, work, promptClass, signal: controller.signal,
+			});
+			for await (const output of outputs) {
+				hasOutput = true;
+				dispatch(output.kind === 'tokens'
+					? {kind: 'tokensGenerated', attemptId, tokens: output.tokens}
+					: {kind: 'promptCompleted', attemptId, finishReason: output.finishReason});
+			}
+		} catch (error) {
+			if (!controller.signal.aborted) {
+				host.logger.warn('serverFailed', {attemptId, reason: getErrorText(error)});
+			}
+		} finally {
+			running.delete(attemptId);
+		}
+
+		// Without effect when the prompt was completed before.
+		dispatch({
+			kind: 'workFailed', attemptId, ran: hasOutput ? 'yes' : 'unknown', detail: 'the engine broke off',
+		});
+	}
+
+	async function callService({attemptId}: Attempt, work: ServiceWork, remainingMs: number): Promise<void> {
+		if (host.server.kind !== 'business' || remainingMs <= 0) {
+			const detail = remainingMs <= 0 ? 'the agent was paused past the deadline' : 'the server is no business server';
+			dispatch({
+				kind: 'workFailed', attemptId, ran: 'no', detail,
+			});
+			return;
+		}
+
+		const outcome = await host.server.client.call(work, remainingMs);
+		dispatch(outcome.kind === 'answered'
+			? {kind: 'serviceAnswered', attemptId, answer: outcome.answer}
+			: {
+				kind: 'workFailed', attemptId, ran: outcome.ran, detail: outcome.detail,
+			});
+	}
+
+	async function releaseMemory(attemptId: AttemptId): Promise<void> {
+		if (host.server.kind !== 'model') {
+			return;
+		}
+
+		try {
+			await host.server.client.releaseMemory(attemptId);
+		} catch {
+			// The next reports name the memory again.
+		}
+	}
+
+	async function readReport(): Promise<void> {
+		if (host.server.kind !== 'model') {
+			return;
+		}
+
+		try {
+			dispatch({kind: 'engineReported', report: await host.server.client.getReport()});
+		} catch {
+			// Reports are late or missing by nature; the last one stands.
+		}
+	}
+
+	return {
+		dispatch,
+		close() {
+			isClosed = true;
+			clearTimeout(timer);
+			clearInterval(reportTimer);
+			for (const controller of running.values()) {
+				controller.abort();
+			}
+		},
+	};
+}
--- /dev/null
+++ b/packages/daemon/src/host-list-reader.ts
@@ -0,0 +1,61 @@
+/**
+Reads the host list again and again, and keeps the last that could be read.
+*/
+import {getErrorText} from '@currantcross/core/error-text';
+import type {Random} from '@currantcross/core/random';
+import {readHostList, type EntryListing, type HostList} from '@currantcross/platform/host-list';
+import type {Logger} from './logger.js';
+
+export type HostListReaderHost = Readonly<{
+	random: Random;
+	logger: Logger;
+	onRead(hosts: HostList): void;
+}>;
+
+export type HostListReader = Readonly<{
+	/** Reads the list once, and from then on again and again. */
+	start(): Promise<void>;
+	/** Reads the list once more, out of turn. */
+	refresh(): Promise<void>;
+	getEntries(): readonly EntryListing[];
+	close(): void;
+}>;
+
+const intervalMs = 2000;
+const timeoutMs = 2000;
+
+/** Creates a reader; until the list was read, it knows the entries of the settings. */
+export function createHostListReader(url: string, knownEntries: readonly EntryListing[], host: HostListReaderHost): HostListReader {
+	let entries = knownEntries;
+	let timer: NodeJS.Timeout | undefined;
+	let isClosed = false;
+
+	async function refresh(): Promise<void> {
+		try {
+			const hosts = await readHostList(url, timeoutMs);
+			entries = hosts.entries;
+			host.onRead(hosts);
+		} catch (error) {
+			host.logger.warn('hostListFailed', {reason: getErrorText(error)});
+		}
+	}
+
+	async function readRepeatedly(): Promise<void> {
+		await refresh();
+		if (!isClosed) {
+			timer = setTimeout(() => {
+				void readRepeatedly();
+			}, intervalMs * (0.75 + (host.random.getFraction() / 2)));
+		}
+	}
+
+	return {
+		start: readRepeatedly,
+		refresh,
+		getEntries: () => entries,
+		close() {
+			isClosed = true;
+			clearTimeout(timer);
+		},
+	};
+}
--- /dev/null
+++ b/packages/daemon/src/metrics.ts
@@ -0,0 +1,52 @@
+/**
+Metrics by StatsD. docs/metrics.md lists the names with their units.
+*/
+import {StatsD} from 'hot-shots';
+
+export type Metrics = Readonly<{
+	recordRequest(outcome: string, durationMs: number): void;
+	recordFirstToken(durationMs: number): void;
+	recordTokens(count: number): void;
+	recordOpenRequests(count: number): void;
+	recordConfigurationSequence(sequence: number): void;
+	recordLiveAttempts(count: number): void;
+	close(): void;
+}>;
+
+export type MetricsSettings = Readonly<{host: string; port: number}>;
+
+/** Creates the client; without settings nothing is sent. */
+export function createMetrics(settings: MetricsSettings | undefined, tags: Readonly<Record<string, string>>): Metrics {
+	const client = new StatsD({
+		...(settings ?? {mock: true}),
+		prefix: 'currantcross.',
+		globalTags: {...tags},
+		errorHandler() {
+			// Metrics are sent without delivery guarantee.
+		},
+	});
+	return {
+		recordRequest(outcome, durationMs) {
+			client.increment('request.ended', 1, {outcome});
+			client.timing('request.duration', durationMs, {outcome});
+		},
+		recordFirstToken(durationMs) {
+			client.timing('request.first_token', durationMs);
+		},
+		recordTokens(count) {
+			client.increment('tokens.delivered', count);
+		},
+		recordOpenRequests(count) {
+			client.gauge('request.open', count);
+		},
+		recordConfigurationSequence(sequence) {
+			client.gauge('configuration.sequence', sequence);
+		},
+		recordLiveAttempts(count) {
+			client.gauge('attempt.live', count);
+		},
+		close() {
+			client.close(() => undefined);
+		},
+	};
+}
--- /dev/null
+++ b/packages/daemon/src/settings.ts
@@ -0,0 +1,111 @@
+/**
+Settings of the daemons: JSON, checked whole, unknown keys refused. Keys are never in the settings, only their files.
+*/
+import {readFileSync} from 'node:fs';
+import {getProblems} from '@currantcross/core/ticket';
+import {readJsonFile} from '@currantcross/operator/commands';
+import {UsageError} from '@currantcross/operator/usage-error';
+import {z} from 'zod';
+
+const portSchema = z.number().int().min(0).max(65_535);
+const nameSchema = z.string().min(1);
+const urlSchema = z.url({protocol: /^https?$/v});
+
+const logSchema = z.strictObject({
+	level: z.enum(['error', 'warn', 'info', 'debug']),
+});
+
+const metricsSchema = z.strictObject({
+	host: z.string().min(1),
+	port: portSchema,
+});
+
+const peerListenerSchema = z.strictObject({
+	host: z.string().min(1),
+	port: portSchema,
+	sharedKeyFile: z.string().min(1),
+	tls: z.strictObject({
+		certificateFile: z.string().min(1),
+		keyFile: z.string().min(1),
+		authorityFile: z.string().min(1),
+	}).optional(),
+});
+
+const commonShape = {
+	name: nameSchema,
+	dataCentre: nameSchema,
+	peer: peerListenerSchema,
+	log: logSchema.default({level: 'info'}),
+	metrics: metricsSchema.optional(),
+};
+
+const entrySchema = z.strictObject({
+	role: z.literal('entry'),
+	...commonShape,
+	caller: z.strictObject({
+		host: z.string().min(1),
+		port: portSchema,
+		maximumBodyBytes: z.number().int().positive().default(8_000_000),
+	}),
+	operator: z.strictObject({host: z.string().min(1), port: portSchema, keyFile: z.string().min(1)}),
+	platform: z.strictObject({objectApiUrl: urlSchema, hostListUrl: urlSchema}),
+	/** Other entries, for the time before the host list was read. */
+	peers: z.array(z.strictObject({name: nameSchema, dataCentre: nameSchema, peerUrl: urlSchema})).default([]),
+	claimBuckets: z.number().int().min(1).max(1024).default(4),
+	/** How long new work is still served after SIGTERM, while the balancer lags. */
+	drainLagMs: z.number().int().min(0).default(5000),
+	policy: z.enum(['lengthAware', 'leastOutstanding', 'roundRobin']).default('lengthAware'),
+});
+
+const agentSchema = z.strictObject({
+	role: z.literal('agent'),
+	...commonShape,
+	server: z.strictObject({kind: z.enum(['model', 'business']), url: urlSchema}),
+	limits: z.strictObject({
+		maximumActive: z.number().int().positive().optional(),
+		maximumLongActive: z.number().int().positive().optional(),
+	}).default({}),
+	/** How long outcomes are kept for entries that ask late, once the last attempt has ended. */
+	drainLingerMs: z.number().int().min(0).default(2000),
+});
+
+const settingsSchema = z.discriminatedUnion('role', [entrySchema, agentSchema]);
+
+export type EntryDaemonSettings = Readonly<z.infer<typeof entrySchema>>;
+export type AgentDaemonSettings = Readonly<z.infer<typeof agentSchema>>;
+export type DaemonSettings = EntryDaemonSettings | AgentDaemonSettings;
+
+/**
+Reads and checks a settings file.
+
+@throws UsageError that names the file, the key's path and what is wanted.
+*/
+export function readSettings(file: string): DaemonSettings {
+	const result = settingsSchema.safeParse(readJsonFile(file));
+	if (result.success) {
+		return result.data;
+	}
+
+	const [problem] = getProblems(result.error);
+	throw new UsageError(`${file}: ${problem?.path ?? ''}: ${problem?.message ?? ''}`);
+}
+
+/**
+Reads a key from its file.
+
+@throws UsageError that names the file.
+*/
+export function readKeyFile(file: string): string {
+	let key: string;
+	try {
+		key = readFileSync(file, 'utf8').trim();
+	} catch {
+		throw new UsageError(`${file}: the key file can not be read`);
+	}
+
+	if (key === '') {
+		throw new UsageError(`${file}: the key file is empty`);
+	}
+
+	return key;
+}
--- /dev/null
+++ b/packages/endpoint/src/business-service.ts
@@ -0,0 +1,69 @@
+/**
+Client of a business service, some of whose calls may not be repeated.
+
+undici never repeats a call that is not idempotent by itself; nothing here does either.
+*/
+import type {
+	Milliseconds, Ran, ServiceAnswer, ServiceWork,
+} from '@currantcross/core/types';
+import {Agent, request, type Dispatcher} from 'undici';
+
+/** How a call ended; `failed` says whether the service may have run it. */
+export type ServiceCallOutcome
+	= | Readonly<{kind: 'answered'; answer: ServiceAnswer}>
+		| Readonly<{kind: 'failed'; ran: Ran; detail: string}>;
+
+export type BusinessService = Readonly<{
+	/** Calls the service once. Never throws. */
+	call(work: ServiceWork, timeoutMs: Milliseconds): Promise<ServiceCallOutcome>;
+}>;
+
+function isConnectionRefused(error: unknown): boolean {
+	return error instanceof Error && 'code' in error && error.code === 'ECONNREFUSED';
+}
+
+function getHeaders(work: ServiceWork): Record<string, string> {
+	return {
+		...(work.contentType === undefined ? {} : {'content-type': work.contentType}),
+		...(work.idempotencyKey === undefined ? {} : {'idempotency-key': work.idempotencyKey}),
+	};
+}
+
+/** Returns the URL of a path at the service; a path such as `//host/` never leads elsewhere. */
+function getTargetUrl(serviceUrl: string, path: string): URL {
+	const target = new URL(serviceUrl);
+	const [pathname = '/', ...search] = path.split('?');
+	target.pathname = pathname;
+	target.search = search.join('?');
+	return target;
+}
+
+/** Creates the client of one service. */
+export function createBusinessService(url: string): BusinessService {
+	// A connection that was kept may have gone silent, and a call on it could not be told from one that ran.
+	const dispatcher = new Agent({pipelining: 0, keepAliveTimeout: 1});
+
+	return {
+		async call(work, timeoutMs) {
+			try {
+				const response = await request(getTargetUrl(url, work.path), {
+					method: work.method,
+					headers: getHeaders(work),
+					...(work.body === '' ? {} : {body: work.body}),
+					dispatcher,
+					signal: AbortSignal.timeout(Math.max(1, Math.ceil(timeoutMs))),
+				});
+				const contentType = response.headers['content-type'];
+				const answer = {
+					status: response.statusCode,
+					contentType: (Array.isArray(contentType) ? contentType[0] : contentType) ?? 'application/octet-stream',
+					body: await response.body.text(),
+				};
+				return {kind: 'answered', answer};
+			} catch (error) {
+				const ran = isConnectionRefused(error) ? 'no' : 'unknown';
+				return {kind: 'failed', ran, detail: 'the service did not answer'};
+			}
+		},
+	};
+}
--- /dev/null
+++ b/packages/endpoint/src/model-server.ts
@@ -0,0 +1,150 @@
+/**
+Client of a model server that speaks the OpenAI form, with the few extensions that the engines have.
+*/
+import {parseOwnJson} from '@currantcross/core/json';
+import {getError} from '@currantcross/core/error-text';
+import type {EngineReport} from '@currantcross/core/agent-types';
+import {promptClasses} from '@currantcross/core/prompt-class';
+import type {
+	Attempt, AttemptId, Milliseconds, PromptClass, PromptWork,
+} from '@currantcross/core/types';
+import {createParser} from 'eventsource-parser';
+import {Agent, request} from 'undici';
+import VError from 'verror';
+import {z} from 'zod';
+
+/** What an engine sends while it works on a prompt. */
+export type EngineOutput
+	= | Readonly<{kind: 'tokens'; tokens: readonly string[]}>
+		| Readonly<{kind: 'completed'; finishReason: string}>;
+
+export type PromptCall = Readonly<{
+	attempt: Attempt;
+	work: PromptWork;
+	promptClass: PromptClass;
+	signal: AbortSignal;
+}>;
+
+export type ModelServer = Readonly<{
+	/** Yields the engine's output; throws a `VError` named `EngineError` when it fails or breaks off. */
+	runPrompt(call: PromptCall): AsyncIterable<EngineOutput>;
+	cancel(attemptId: AttemptId): Promise<void>;
+	/** Releases what the engine holds for an attempt; a repeat changes nothing. */
+	releaseMemory(attemptId: AttemptId): Promise<void>;
+	getReport(): Promise<EngineReport>;
+}>;
+
+const chunkSchema = z.object({
+	choices: z.array(z.object({
+		delta: z.object({content: z.string().nullish()}),
+		finish_reason: z.string().nullish(),
+	})),
+});
+
+const reportSchema = z.object({
+	totalMemoryTokens: z.number(),
+	prefillTokensPerSecond: z.number(),
+	held: z.array(z.object({attemptId: z.string(), tokens: z.number()})),
+});
+
+const endMarker = '[DONE]';
+
+/** Silence of an engine's stream after which it is given up. */
+const engineSilenceMs = 60_000;
+
+function parseChunk(data: string): readonly EngineOutput[] {
+	const {choices} = chunkSchema.parse(JSON.parse(data));
+	return choices.flatMap(({delta, finish_reason: finishReason}): EngineOutput[] => {
+		const tokens: EngineOutput[] = delta.content ? [{kind: 'tokens', tokens: [delta.content]}] : [];
+		return finishReason ? [...tokens, {kind: 'completed', finishReason}] : tokens;
+	});
+}
+
+function getRequestBody({attempt, work, promptClass}: PromptCall): string {
+	const body = parseOwnJson<Readonly<Record<string, unknown>>>(work.body);
+	return JSON.stringify({
+		...body,
+		model: work.model,
+		stream: true,
+		max_tokens: work.maximumTokens,
+		// Lower numbers go first.
+		priority: promptClasses.indexOf(promptClass),
+		attempt_id: attempt.attemptId,
+		resume_tokens: attempt.deliveredTokens,
+	});
+}
+
+/** Yields the data of each server-sent event. */
+async function * readEvents(body: AsyncIterable<Uint8Array>): AsyncGenerator<string> {
+	const events: string[] = [];
+	const parser = createParser({
+		onEvent(event) {
+			events.push(event.data);
+		},
+	});
+	const decoder = new TextDecoder();
+	for await (const chunk of body) {
+		parser.feed(decoder.decode(chunk, {stream: true}));
+		yield * events.splice(0);
+	}
+}
+
+/** Creates the client of one model server. */
+export function createModelServer(url: string, timeoutMs: Milliseconds): ModelServer {
+	const dispatcher = new Agent({connections: 256, headersTimeout: engineSilenceMs, bodyTimeout: engineSilenceMs});
+
+	async function post(path: string, body: unknown): Promise<void> {
+		const response = await request(new URL(path, url), {
+			method: 'POST', headers: {'content-type': 'application/json'}, body: JSON.stringify(body), signal: AbortSignal.timeout(timeoutMs),
+		});
+		await response.body.dump();
+	}
+
+	async function openStream(call: PromptCall) {
+		const response = await request(new URL('/v1/chat/completions', url), {
+			method: 'POST',
+			headers: {'content-type': 'application/json'},
+			body: getRequestBody(call),
+			dispatcher,
+			signal: call.signal,
+		});
+		if (response.statusCode !== 200) {
+			const text = await response.body.text();
+			throw new VError({name: 'EngineError'}, 'the engine answered %d: %s', response.statusCode, text.slice(0, 200));
+		}
+
+		return response.body;
+	}
+
+	async function * readOutput(call: PromptCall): AsyncGenerator<EngineOutput> {
+		for await (const data of readEvents(await openStream(call))) {
+			if (data === endMarker) {
+				return;
+			}
+
+			yield * parseChunk(data);
+		}
+
+		throw new VError({name: 'EngineError'}, 'the engine broke off its stream');
+	}
+
+	return {
+		async * runPrompt(call) {
+			try {
+				yield * readOutput(call);
+			} catch (error) {
+				if (error instanceof VError) {
+					throw error;
+				}
+
+				throw new VError({name: 'EngineError', cause: getError(error)}, 'the engine can not be used');
+			}
+		},
+		cancel: async attemptId => post('/v1/cancel', {attemptId}),
+		releaseMemory: async attemptId => post('/v1/memory/release', {attemptId}),
+		async getReport() {
+			const response = await request(new URL('/v1/load', url), {signal: AbortSignal.timeout(timeoutMs)});
+			return reportSchema.parse(await response.body.json());
+		},
+	};
+}
--- /dev/null
+++ b/packages/peer/src/peer-server.ts
@@ -0,0 +1,69 @@
+/**
+The HTTP/2 server on which a process hears its peers.
+*/
+import http2, {type Http2SecureServer, type Http2Server} from 'node:http2';
+import type {ConnectRouter} from '@connectrpc/connect';
+import {connectNodeAdapter} from '@connectrpc/connect-node';
+import {readTlsOptions, type TlsFiles} from './connections.js';
+import {createKeyChecker} from './shared-key.js';
+
+export type PeerServerSettings = Readonly<{
+	host: string;
+	/** 0 takes any free port. */
+	port: number;
+	sharedKey: string;
+	tls: TlsFiles | undefined;
+}>;
+
+export type PeerServer = Readonly<{
+	/** Port on which the server listens. */
+	port: number;
+	close(): Promise<void>;
+}>;
+
+function createServer(settings: PeerServerSettings, registerRoutes: (router: ConnectRouter) => void): Http2Server | Http2SecureServer {
+	const handler = connectNodeAdapter({
+		routes: registerRoutes,
+		interceptors: [createKeyChecker(settings.sharedKey)],
+		grpc: false,
+		grpcWeb: false,
+	});
+	if (settings.tls === undefined) {
+		return http2.createServer(handler);
+	}
+
+	return http2.createSecureServer({...readTlsOptions(settings.tls), requestCert: true, rejectUnauthorized: true}, handler);
+}
+
+/** Starts a server with the services that `registerRoutes` adds. */
+export async function startPeerServer(settings: PeerServerSettings, registerRoutes: (router: ConnectRouter) => void): Promise<PeerServer> {
+	const server = createServer(settings, registerRoutes);
+	const sessions = new Set<http2.ServerHttp2Session>();
+	server.on('session', (session: http2.ServerHttp2Session) => {
+		sessions.add(session);
+		session.on('close', () => {
+			sessions.delete(session);
+		});
+		session.on('error', () => {
+			session.destroy();
+		});
+	});
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(settings.port, settings.host, resolve);
+	});
+	const address = server.address();
+	return {
+		port: typeof address === 'object' ? address?.port ?? 0 : 0,
+		async close() {
+			await new Promise<void>(resolve => {
+				server.close(() => {
+					resolve();
+				});
+				for (const session of sessions) {
+					session.destroy();
+				}
+			});
+		},
+	};
+}
--- /dev/null
+++ b/packages/standins/src/demo.ts
@@ -0,0 +1,200 @@
+#!/usr/bin/env node
+/**
+The demo: starts three data centres on loopback, applies a ticket, sends real requests and checks each answer.
+
+With `--keep` it leaves the system up and prints how to call it.
+*/
+import {writeFileSync} from 'node:fs';
+import path from 'node:path';
+import process from 'node:process';
+import {getAnswerTokens, getTokenCount} from './answer-text.js';
+import {callService, streamChat} from './caller-client.js';
+import {demoKey, getDemoTicket} from './demo-ticket.js';
+import {sendJsonRequest, startDeployment, type Deployment} from './deployment.js';
+
+type Row = Readonly<{
+	request: string;
+	entry: string;
+	server: string;
+	tokens: string;
+	firstTokenMs: string;
+	totalMs: string;
+	ran: string;
+	isRight: boolean;
+}>;
+
+type Question = Readonly<{name: string; prompt: string; maximumTokens: number}>;
+
+const shortPrompt = 'May a skipper change the sail after the first heat? Answer by the rules of the club.';
+const reservation = JSON.stringify({slot: '2026-06-14 10:30', club: 'Rivebasse', boat: 'CAN 21'});
+const answerTokens = 24;
+const longAnswerTokens = 12;
+const longPromptCharacters = 440_000;
+const dataCentres = ['qc-a', 'qc-b', 'qc-c'] as const;
+
+function print(text: string): void {
+	process.stdout.write(text);
+}
+
+function getLongPrompt(): string {
+	const line = 'Season 2025, heat 3: boat 14 rounded the north buoy before boat 9 and protested at the finish.\n';
+	return `Summarise the archive.\n${line.repeat(Math.ceil(longPromptCharacters / line.length))}`;
+}
+
+function getUrl(deployment: Deployment, index: number): string {
+	return deployment.getEntries()[index]?.callerUrl ?? '';
+}
+
+function getEntryName(deployment: Deployment, index: number): string {
+	return deployment.getEntries()[index]?.name ?? '';
+}
+
+async function applyTicket(deployment: Deployment): Promise<void> {
+	const file = path.join(deployment.directory, 'ticket-1.json');
+	writeFileSync(file, JSON.stringify(getDemoTicket(1)));
+	const operatorUrl = deployment.getEntries()[0]?.operatorUrl ?? '';
+	const result = await deployment.runCommand(['ticket', 'apply', file, '--wait', '--operator', operatorUrl, '--key-file', deployment.operatorKeyFile]);
+	print(`$ currantcross ticket apply ticket-1.json --wait\n${result.stdout}${result.stderr}\n`);
+	if (result.exitCode !== 0) {
+		throw new Error('the ticket was not applied');
+	}
+}
+
+async function askPrompt(deployment: Deployment, index: number, question: Question): Promise<Row> {
+	const {name, prompt, maximumTokens} = question;
+	const outcome = await streamChat({
+		callerUrl: getUrl(deployment, index),
+		key: demoKey,
+		route: 'rules-assistant',
+		prompt,
+		maximumTokens,
+		onText(text) {
+			print(`[${name}] ${text.trim()}\n`);
+		},
+	});
+	const isRight = outcome.isWhole && outcome.text === getAnswerTokens(prompt, maximumTokens).join('');
+	if (!isRight) {
+		print(`[${name}] WRONG: ${JSON.stringify(outcome.error ?? outcome.text)}\n`);
+	}
+
+	return {
+		request: name,
+		entry: getEntryName(deployment, index),
+		server: outcome.server ?? '-',
+		tokens: `${getTokenCount(prompt)} + ${maximumTokens}`,
+		firstTokenMs: outcome.firstTokenMs === undefined ? '-' : outcome.firstTokenMs.toFixed(0),
+		totalMs: outcome.totalMs.toFixed(0),
+		ran: outcome.isWhole ? 'yes' : (outcome.error?.ran ?? '-'),
+		isRight,
+	};
+}
+
+async function lookUpStock(deployment: Deployment): Promise<Row> {
+	const outcome = await callService({
+		callerUrl: getUrl(deployment, 2), key: demoKey, route: 'shop', method: 'GET', path: '/stock/bowl-17',
+	});
+	print(`[stock lookup] ${outcome.body}`);
+	return {
+		request: 'stock lookup',
+		entry: getEntryName(deployment, 2),
+		server: outcome.server ?? '-',
+		tokens: '-',
+		firstTokenMs: '-',
+		totalMs: outcome.totalMs.toFixed(0),
+		ran: 'yes',
+		isRight: outcome.status === 200 && outcome.body.includes('"inStock":7'),
+	};
+}
+
+async function reserve(deployment: Deployment, index: number, name: string): Promise<Row> {
+	const outcome = await callService({
+		callerUrl: getUrl(deployment, index),
+		key: demoKey,
+		route: 'shop',
+		method: 'POST',
+		path: '/reservations',
+		body: reservation,
+		idempotencyKey: 'slot-2026-06-14-1030',
+	});
+	print(`[${name}] ${outcome.body}`);
+	return {
+		request: name,
+		entry: getEntryName(deployment, index),
+		server: outcome.server ?? '-',
+		tokens: '-',
+		firstTokenMs: '-',
+		totalMs: outcome.totalMs.toFixed(0),
+		ran: outcome.isReplay ? 'yes, before' : (outcome.error?.ran ?? 'yes'),
+		isRight: outcome.status === 201 && outcome.body.includes('"run":1'),
+	};
+}
+
+/** Returns how often the reservation ran at all business servers together. */
+async function countRuns(deployment: Deployment): Promise<number> {
+	const shops = deployment.getServers().filter(server => server.kind === 'business');
+	const answers = await Promise.all(shops.map(async shop => sendJsonRequest<Readonly<Record<string, number>>>('GET', `${shop.serverUrl}/runs`)));
+	return answers.flatMap(runs => Object.values(runs)).reduce((sum, run) => sum + run, 0);
+}
+
+function printTable(rows: readonly Row[]): void {
+	const headings = ['request', 'entry', 'server', 'tokens', 'first token ms', 'total ms', 'ran', 'right'];
+	const cells = rows.map(row => [row.request, row.entry, row.server, row.tokens, row.firstTokenMs, row.totalMs, row.ran, row.isRight ? 'yes' : 'NO']);
+	const widths = headings.map((heading, column) => Math.max(heading.length, ...cells.map(row => row[column]?.length ?? 0)));
+	for (const row of [headings, ...cells]) {
+		print(`${row.map((cell, column) => cell.padEnd(widths[column] ?? 0)).join('  ').trimEnd()}\n`);
+	}
+}
+
+function printHowToCall(deployment: Deployment): void {
+	print([
+		'',
+		'The system is up; end it with Ctrl+C. A streamed answer:',
+		`  curl -N ${getUrl(deployment, 0)}/v1/chat/completions -H 'authorization: Bearer ${demoKey}' \\`,
+		'    -d \'{"model":"rules-assistant","stream":true,"messages":[{"role":"user","content":"Who has right of way?"}]}\'',
+		'A reservation:',
+		`  curl ${getUrl(deployment, 1)}/v1/services/shop/reservations -H 'authorization: Bearer ${demoKey}' -H 'idempotency-key: my-key-1' -d '{"slot":"10:30"}'`,
+		`Logs and settings: ${deployment.directory}`,
+		'',
+	].join('\n'));
+}
+
+async function sendRequests(deployment: Deployment): Promise<boolean> {
+	const long = askPrompt(deployment, 1, {name: 'long prompt', prompt: getLongPrompt(), maximumTokens: longAnswerTokens});
+	const short = askPrompt(deployment, 0, {name: 'short question', prompt: shortPrompt, maximumTokens: answerTokens});
+	const rows = [
+		await short,
+		await lookUpStock(deployment),
+		await reserve(deployment, 0, 'reservation'),
+		await reserve(deployment, 1, 'same key again'),
+		await long,
+	];
+	const runCount = await countRuns(deployment);
+	print('\n');
+	printTable(rows);
+	print(`the reservation ran ${runCount} time(s)\n`);
+	return runCount === 1 && rows.every(row => row.isRight);
+}
+
+async function keepUntilInterrupted(): Promise<void> {
+	await new Promise<void>(resolve => {
+		const timer = setInterval(() => undefined, 60_000);
+		process.once('SIGINT', () => {
+			clearInterval(timer);
+			resolve();
+		});
+	});
+}
+
+const deployment = await startDeployment({
+	dataCentres, modelServersPerDataCentre: 2, businessServersPerDataCentre: 1, timeScale: 0.5, drainLagMs: 0,
+});
+try {
+	await applyTicket(deployment);
+	process.exitCode = await sendRequests(deployment) ? 0 : 1;
+	if (process.argv.includes('--keep')) {
+		printHowToCall(deployment);
+		await keepUntilInterrupted();
+	}
+} finally {
+	await deployment.stop();
+}
