--- a/packages/core/src/agent.ts
+++ b/packages/core/src/agent.ts
@@ -486,7 +486,7 @@
 	return {
 		step,
 		getWakeAt() {
-			let wakeAt = Number.POSITIVE_INFINITY;
+			let wakeAt = records.tryGetExpiryAt() ?? Number.POSITIVE_INFINITY;
 			for (const listener of listeners.values()) {
 				wakeAt = Math.min(wakeAt, listener.lastSentAt + settings.heartbeatIntervalMs);
 			}
--- a/packages/core/src/attempt-records.ts
+++ b/packages/core/src/attempt-records.ts
@@ -36,6 +36,8 @@
 	getState(attemptId: AttemptId): AttemptState;
 	/** Forgets what is past its life. */
 	expire(now: Timestamp): void;
+	/** Returns when `expire` is due next, or `undefined` when nothing is remembered. */
+	tryGetExpiryAt(): Timestamp | undefined;
 	getLive(): readonly AttemptRecord[];
 	getTombstoneCount(): number;
 }>;
@@ -120,6 +122,7 @@
 				}
 			}
 		},
+		tryGetExpiryAt: () => records.size === 0 && tombstones.size === 0 ? undefined : nextExpiryAt,
 		getLive: () => [...live].filter(record => isLive(record)),
 		getTombstoneCount: () => tombstones.size,
 	};
--- a/packages/core/src/attempt-tracker.ts
+++ b/packages/core/src/attempt-tracker.ts
@@ -42,7 +42,7 @@
 	/** Gives the attempt up and asks the agent to cancel it. */
 	cancel(): readonly EntryAction[];
 	getWakeAt(): Timestamp;
-	/** Returns whether an earlier stream may have brought the attempt to the agent. */
+	/** Returns whether the attempt may have come to the agent; silence is no proof that it has not. */
 	wasSent(): boolean;
 }>;
 
@@ -58,7 +58,8 @@
 	let reopenAt: Timestamp | undefined;
 	let reopens = 0;
 	let nextOffset = attempt.deliveredTokens.length;
-	let maySent = false;
+	let hasHeard = false;
+	let isKnownUnsent = false;
 
 	function openStream(mode: StreamMode, now: Timestamp): EntryAction {
 		streamCount += 1;
@@ -137,7 +138,7 @@
 
 	return {
 		start(mode, now) {
-			maySent = mode.kind === 'resume';
+			hasHeard = mode.kind === 'resume';
 			return [openStream(mode, now)];
 		},
 		receive(messageStreamId, message, now) {
@@ -145,7 +146,7 @@
 				return nothing;
 			}
 
-			maySent = true;
+			hasHeard = true;
 			lastHeardAt = now;
 			const step = receiveMessage(message, now);
 			if (step.outcome.kind === 'tokens') {
@@ -160,8 +161,8 @@
 			}
 
 			streamId = undefined;
-			maySent ||= wasSent;
-			if (!maySent) {
+			isKnownUnsent = !wasSent && !hasHeard && streamCount === 1;
+			if (isKnownUnsent) {
 				return {actions: [], outcome: {kind: 'lost', wasSent: false}};
 			}
 
@@ -173,7 +174,6 @@
 			}
 
 			if (streamId !== undefined && now >= lastHeardAt + settings.heartbeatTimeoutMs) {
-				maySent = true;
 				return reopenStream(0, now);
 			}
 
@@ -187,6 +187,6 @@
 
 			return streamId === undefined ? Number.POSITIVE_INFINITY : lastHeardAt + settings.heartbeatTimeoutMs;
 		},
-		wasSent: () => maySent,
+		wasSent: () => streamCount > 0 && !isKnownUnsent,
 	};
 }
--- a/packages/core/src/work-queue.ts
+++ b/packages/core/src/work-queue.ts
@@ -3,6 +3,9 @@
 
 Attempts are served by class, and within a class in order of arrival. Waiting raises an attempt's class, so that a
 stream of short prompts can't starve a long one. Organisations of one class take turns.
+
+A large prompt may not fit while smaller ones still do. Once it has waited long enough to count as urgent, only short
+prompts pass it, so that what it needs becomes free.
 */
 import {promptClasses} from './prompt-class.js';
 import type {
@@ -47,6 +50,18 @@
 			|| left.queuedAt - right.queuedAt;
 	}
 
+	function findFirst(canStart: (item: QueuedAttempt) => boolean, now: Timestamp): QueuedAttempt | undefined {
+		const startable = items.filter(item => canStart(item));
+		if (startable.length === 0) {
+			return undefined;
+		}
+
+		const isBlocked = items.some(item => item.promptClass !== 'short' && getRank(item, now) === 0 && !startable.includes(item));
+		const allowed = isBlocked ? startable.filter(item => item.promptClass === 'short') : startable;
+		const [first] = allowed.toSorted((left, right) => compare(left, right, now));
+		return first;
+	}
+
 	/** An organisation that comes back after a rest starts level with the others, without credit for the rest. */
 	function levelServed(organisation: OrganisationName): void {
 		const waiting = items.map(item => getServed(item));
@@ -75,7 +90,7 @@
 			items = items.filter(item => item.attemptId !== attemptId);
 		},
 		tryTake(canStart, now) {
-			const [first] = items.filter(item => canStart(item)).toSorted((left, right) => compare(left, right, now));
+			const first = findFirst(canStart, now);
 			if (first === undefined) {
 				return undefined;
 			}
