--- a/packages/core/src/agent.test.ts
+++ b/packages/core/src/agent.test.ts
@@ -5,7 +5,9 @@
 import {createAgent, defaultAgentSettings, type Agent} from './agent.js';
 import type {AgentAction, AgentEvent} from './agent-types.js';
 import {createFixtureCall, createFixturePrompt} from './fixtures.js';
-import {formatTranscript, replaySession, type Machine, type RecordedEvent} from './replay.js';
+import {
+	formatTranscript, replaySession, type Machine, type RecordedEvent,
+} from './replay.js';
 import type {Attempt, Work} from './types.js';
 
 type Recorded = RecordedEvent<AgentEvent>;
--- a/packages/core/src/attempt-tracker.ts
+++ b/packages/core/src/attempt-tracker.ts
@@ -27,10 +27,11 @@
 
 export type TrackedAttempt = Readonly<{
 	requestId: RequestId;
-	server: Server;
 	attempt: Attempt;
 	/** How often a stream is reopened in a row without a word from the agent. */
 	maximumReopens: number;
+	/** Returns the server as it is known now; a restarted agent may have another address. */
+	getServer(): Server;
 }>;
 
 export type AttemptTracker = Readonly<{
@@ -51,7 +52,7 @@
 
 /** Creates the tracker of one attempt. */
 export function createAttemptTracker(settings: EntrySettings, tracked: TrackedAttempt): AttemptTracker {
-	const {requestId, server, attempt} = tracked;
+	const {requestId, attempt} = tracked;
 	let streamCount = 0;
 	let streamId: StreamId | undefined;
 	let lastHeardAt: Timestamp = 0;
@@ -67,7 +68,7 @@
 		lastHeardAt = now;
 		reopenAt = undefined;
 		return {
-			kind: 'openStream', requestId, streamId, server, attempt, mode, needsFreshConnection: streamCount > 1,
+			kind: 'openStream', requestId, streamId, server: tracked.getServer(), attempt, mode, needsFreshConnection: streamCount > 1,
 		};
 	}
 
@@ -179,7 +180,7 @@
 
 			return nothing;
 		},
-		cancel: () => [...closeStream(), {kind: 'cancelAttempt', server, attemptId: attempt.attemptId}],
+		cancel: () => [...closeStream(), {kind: 'cancelAttempt', server: tracked.getServer(), attemptId: attempt.attemptId}],
 		getWakeAt() {
 			if (reopenAt !== undefined) {
 				return reopenAt;
--- a/packages/core/src/claimed-request.ts
+++ b/packages/core/src/claimed-request.ts
@@ -12,7 +12,7 @@
 import type {AdmittedRequest, EntryAction} from './entry-types.js';
 import type {ErrorKind} from './errors.js';
 import {
-	createAttempt, findPermit, getAttemptId, type RequestSession, type SessionEvent, type SessionHost,
+	createAttempt, createServerLookup, findPermit, getAttemptId, type RequestSession, type SessionEvent, type SessionHost,
 } from './request-session.js';
 import type {
 	AttemptId, AttemptResult, Permit, Ran, Server, ServerName, ServiceAnswer, Timestamp,
@@ -109,7 +109,7 @@
 		const {server, permit, attemptId} = candidate;
 		const attempt = createAttempt(request, tryCount, permit, {deliveredTokens: [], now});
 		const tracker = createAttemptTracker(host.settings, {
-			requestId, server, attempt, maximumReopens: Number.POSITIVE_INFINITY,
+			requestId, getServer: createServerLookup(host, server), attempt, maximumReopens: Number.POSITIVE_INFINITY,
 		});
 		phase = {
 			kind: 'attempting', server, attemptId, tracker,
@@ -129,7 +129,7 @@
 		const permit = {incarnation: holder.incarnation, stampedAt: 0};
 		const attempt = {...createAttempt(request, tryCount, permit, {deliveredTokens: [], now}), attemptId: holder.attemptId};
 		const tracker = createAttemptTracker(host.settings, {
-			requestId, server, attempt, maximumReopens: Number.POSITIVE_INFINITY,
+			requestId, getServer: createServerLookup(host, server), attempt, maximumReopens: Number.POSITIVE_INFINITY,
 		});
 		phase = {
 			kind: 'asking', server, attemptId: holder.attemptId, tracker,
--- /dev/null
+++ b/packages/core/src/configuration.test.ts
@@ -0,0 +1,232 @@
+/**
+Tickets in any order, by several operators, over a log that loses answers: what is in force never goes back.
+*/
+import process from 'node:process';
+import fc from 'fast-check';
+import {describe, expect, test} from 'vitest';
+import {createConfiguration, type Configuration, type TicketEffect} from './configuration.js';
+import {
+	createLog, type CreateOutcome, type LogAction, type LogEntry,
+} from './log.js';
+import {parseTicket} from './ticket.js';
+import type {Pool, Ticket} from './types.js';
+
+const parameters = {
+	seed: Number(process.env.CURRANTCROSS_SEED ?? '20261204'),
+	numRuns: Number(process.env.CURRANTCROSS_RUNS ?? '1000'),
+};
+
+const poolNames = ['p1', 'p2', 'p3'] as const;
+
+const pool: fc.Arbitrary<Pool | undefined> = fc.option(
+	fc.record({kind: fc.constant('model' as const), engineMemoryTokens: fc.integer({min: 1, max: 3})}),
+	{nil: undefined},
+);
+
+const ticket: fc.Arbitrary<Ticket> = fc.record({
+	number: fc.integer({min: 1, max: 6}),
+	objects: fc.uniqueArray(fc.constantFrom(...poolNames), {minLength: 1, maxLength: 2})
+		.chain(names => fc.tuple(...names.map(name => pool.map(state => ({kind: 'pool' as const, name, state}))))),
+});
+
+/** Number of the ticket that last touched each pool, as the configuration says. */
+function getNumbers(configuration: Configuration): ReadonlyMap<string, number> {
+	return new Map(configuration.getDelta(0).objects.map(({object, ticketNumber}) => [object.name, ticketNumber]));
+}
+
+function expectNotOlder(before: ReadonlyMap<string, number>, after: ReadonlyMap<string, number>): void {
+	for (const [name, number] of before) {
+		expect(after.get(name)).toBeGreaterThanOrEqual(number);
+	}
+}
+
+function getState(configuration: Configuration): unknown {
+	return poolNames.map(name => configuration.tryGetPool(name));
+}
+
+describe('configuration', () => {
+	test('no object ever goes back to an older ticket, and a removed one stays away', () => {
+		fc.assert(fc.property(fc.array(ticket, {maxLength: 20}), tickets => {
+			const configuration = createConfiguration();
+			for (const [index, next] of tickets.entries()) {
+				const before = getNumbers(configuration);
+				const effect = configuration.applyTicket(next, index + 1);
+				expectNotOlder(before, getNumbers(configuration));
+				if (effect.kind === 'accepted') {
+					expect(next.objects.map(object => getNumbers(configuration).get(object.name))).toEqual(next.objects.map(() => next.number));
+				}
+			}
+		}), parameters);
+	});
+
+	test('a repeat is harmless, and another ticket with the same number is refused', () => {
+		const getObject = (name: string, engineMemoryTokens: number) => ({kind: 'pool', name, state: {kind: 'model', engineMemoryTokens}} as const);
+		const configuration = createConfiguration();
+		const effects = [
+			[getObject('p1', 1)],
+			[getObject('p1', 1)],
+			[getObject('p1', 2)],
+			[getObject('p1', 1), getObject('p2', 1)],
+		].map((objects, index) => configuration.applyTicket({number: 5, objects}, index + 1).kind);
+		expect(effects).toEqual(['accepted', 'alreadyAccepted', 'refused', 'refused']);
+		expect(configuration.tryGetPool('p2')).toBeUndefined();
+	});
+
+	test('deltas in any order, old or repeated, bring a process forward only, and to the same state', () => {
+		const script = fc.tuple(fc.array(ticket, {minLength: 1, maxLength: 12}), fc.array(fc.nat({max: 12}), {maxLength: 20}));
+		fc.assert(fc.property(script, ([tickets, pulls]) => {
+			const source = createConfiguration();
+			const copy = createConfiguration();
+			const old = [source.getDelta(0)];
+			for (const [index, next] of tickets.entries()) {
+				source.applyTicket(next, index + 1);
+				old.push(source.getDelta(0));
+				const before = getNumbers(copy);
+				const stale = old[(pulls[index] ?? 0) % old.length];
+				if (stale !== undefined) {
+					copy.mergeDelta(stale);
+				}
+
+				expectNotOlder(before, getNumbers(copy));
+			}
+
+			copy.mergeDelta(source.getDelta(copy.getSequence()));
+			expect(getState(copy)).toEqual(getState(source));
+		}), parameters);
+	});
+});
+
+type Writer = Readonly<{configuration: Configuration; log: ReturnType<typeof createLog<Ticket, TicketEffect>>}>;
+
+/** Creates what an operator's entry has: a configuration that folds the shared log. */
+function createWriter(name: string): Writer {
+	const configuration = createConfiguration();
+	const log = createLog<Ticket, TicketEffect>({
+		writer: name, minimumGapMs: 0, retryDelayMs: 1, maximumBatchRecords: 5,
+	}, (record, sequence) => configuration.applyTicket(record, sequence));
+	return {configuration, log};
+}
+
+describe('tickets that race over a shared log', () => {
+	test('all writers end with the same state, and every answer of acceptance is true', () => {
+		const script = fc.record({
+			tickets: fc.array(fc.record({writer: fc.nat({max: 2}), ticket}), {minLength: 1, maxLength: 10}),
+			schedule: fc.array(fc.nat({max: 2}), {minLength: 40, maxLength: 120}),
+			lost: fc.array(fc.boolean(), {maxLength: 30}),
+		});
+		fc.assert(fc.property(script, ({tickets, schedule, lost}) => {
+			const objects = new Map<number, LogEntry<Ticket>>();
+			const writers = ['w0', 'w1', 'w2'].map(name => createWriter(name));
+			const inboxes: Array<Array<LogAction<Ticket, TicketEffect>>> = writers.map(() => []);
+			const effects: Array<Readonly<{ticket: Ticket; effect: TicketEffect}>> = [];
+			let now = 0;
+			let writeCount = 0;
+
+			function create(entry: LogEntry<Ticket>): CreateOutcome {
+				writeCount += 1;
+				const exists = objects.has(entry.sequence);
+				if (!exists) {
+					objects.set(entry.sequence, entry);
+				}
+
+				if (lost[writeCount] === true) {
+					return 'unknown';
+				}
+
+				return exists ? 'exists' : 'created';
+			}
+
+			function perform(index: number, action: LogAction<Ticket, TicketEffect>): void {
+				switch (action.kind) {
+					case 'createEntry': {
+						step(index, {kind: 'createAnswered', sequence: action.entry.sequence, outcome: create(action.entry)});
+						return;
+					}
+
+					case 'readEntries': {
+						step(index, {kind: 'entriesRead', entries: [...objects.values()].filter(entry => entry.sequence > action.after)});
+						return;
+					}
+
+					case 'effectKnown': {
+						const submitted = tickets[Number(action.submissionId)];
+						if (submitted !== undefined) {
+							effects.push({ticket: submitted.ticket, effect: action.effect});
+						}
+
+						return;
+					}
+
+					case 'submissionExpired': {
+						throw new Error('nothing expires here');
+					}
+				}
+			}
+
+			function step(index: number, event: Parameters<Writer['log']['step']>[0]): void {
+				inboxes[index]?.push(...writers[index]?.log.step(event, now) ?? []);
+			}
+
+			/** Lets a writer take its turn: one call that it waits for, or the passing of time. */
+			function takeTurn(index: number): void {
+				now += 2;
+				const action = inboxes[index]?.shift();
+				if (action === undefined) {
+					step(index, {kind: 'timePassed'});
+				} else {
+					perform(index, action);
+				}
+			}
+
+			for (const [index, {writer, ticket: record}] of tickets.entries()) {
+				step(writer, {
+					kind: 'submitted', submissionId: String(index), record, expiresAt: Number.POSITIVE_INFINITY,
+				});
+				takeTurn(schedule[index] ?? 0);
+			}
+
+			for (const index of [...schedule, ...Array.from({length: 300}, (_, turn) => turn % 3)]) {
+				takeTurn(index);
+			}
+
+			for (const [index] of writers.entries()) {
+				step(index, {kind: 'tailLearned', sequence: objects.size});
+				for (let turn = 0; turn < 5; turn += 1) {
+					takeTurn(index);
+				}
+			}
+
+			const states = writers.map(({configuration}) => getState(configuration));
+			expect(states[1]).toEqual(states[0]);
+			expect(states[2]).toEqual(states[0]);
+			expect(effects).toHaveLength(tickets.length);
+			const numbers = getNumbers(writers[0]?.configuration ?? createConfiguration());
+			for (const {ticket: {number, objects: touched}, effect} of effects) {
+				if (effect.kind === 'accepted') {
+					expect(touched.every(object => (numbers.get(object.name) ?? 0) >= number)).toBe(true);
+				}
+			}
+		}), parameters);
+	});
+});
+
+describe('the form of tickets', () => {
+	test('each problem names the path of its key', () => {
+		const state = {kind: 'model', engineMemoryTokens: -1};
+		const parsed = parseTicket({number: 1, objects: [{kind: 'pool', name: 'p', state}]});
+		expect(parsed).toMatchObject({kind: 'invalid', problems: [{path: 'objects.0.state.engineMemoryTokens'}]});
+	});
+
+	test('an unknown key, an unknown kind, a repeated object and a state beside a removal are refused', () => {
+		const object = {kind: 'pool', name: 'p', state: {kind: 'model', engineMemoryTokens: 1}};
+		const tickets = [
+			{number: 1, objects: [object], note: 'x'},
+			{number: 1, objects: [{...object, kind: 'shelf'}]},
+			{number: 1, objects: [object, object]},
+			{number: 1, objects: [{...object, removed: true}]},
+			{number: 1, objects: [{kind: 'pool', name: 'p'}]},
+			{number: 1, objects: []},
+		];
+		expect(tickets.map(value => parseTicket(value).kind)).toEqual(tickets.map(() => 'invalid'));
+	});
+});
--- a/packages/core/src/configuration.ts
+++ b/packages/core/src/configuration.ts
@@ -104,28 +104,42 @@
 		setState(versioned.object);
 	}
 
-	function findObstacle(ticket: Ticket): TicketEffect | undefined {
-		for (const object of ticket.objects) {
-			const current = objects.get(getObjectKey(object));
-			if (current === undefined || current.ticketNumber < ticket.number) {
-				continue;
-			}
+	/** Returns the ticket that stands in the way of one object: a newer one, or another with the same number. */
+	function findObstacle(object: TicketObject, number: number): TicketEffect | undefined {
+		const current = objects.get(getObjectKey(object));
+		if (current === undefined || current.ticketNumber < number) {
+			return undefined;
+		}
 
-			if (current.ticketNumber === ticket.number && hasSameContent(current.object, object)) {
-				return {kind: 'alreadyAccepted', sequence: current.sequence};
-			}
+		const isSame = current.ticketNumber === number && hasSameContent(current.object, object);
+		return isSame
+			? {kind: 'alreadyAccepted', sequence: current.sequence}
+			: {kind: 'refused', newerNumber: current.ticketNumber, objectName: getObjectKey(object)};
+	}
+
+	/** Returns what keeps a ticket from being accepted as a new one. */
+	function findTicketObstacle(ticket: Ticket): TicketEffect | undefined {
+		const obstacles = ticket.objects.map(object => findObstacle(object, ticket.number));
+		const refusal = obstacles.find(obstacle => obstacle?.kind === 'refused');
+		if (refusal !== undefined) {
+			return refusal;
+		}
 
-			return {kind: 'refused', newerNumber: current.ticketNumber, objectName: getObjectKey(object)};
+		const repeated = obstacles.findIndex(obstacle => obstacle !== undefined);
+		const repeatedObject = ticket.objects[repeated];
+		if (repeatedObject === undefined || obstacles.every(obstacle => obstacle !== undefined)) {
+			return obstacles[0];
 		}
 
-		return undefined;
+		// Another ticket with this number touched some of the objects, but not all.
+		return {kind: 'refused', newerNumber: ticket.number, objectName: getObjectKey(repeatedObject)};
 	}
 
 	return {
 		getSequence: () => sequence,
 		applyTicket(ticket, ticketSequence) {
 			sequence = Math.max(sequence, ticketSequence);
-			const obstacle = findObstacle(ticket);
+			const obstacle = findTicketObstacle(ticket);
 			if (obstacle !== undefined) {
 				return obstacle;
 			}
--- a/packages/core/src/fault-properties.test.ts
+++ b/packages/core/src/fault-properties.test.ts
@@ -10,8 +10,8 @@
 } from './fault-world.js';
 
 const parameters = {
-	seed: Number(process.env['CURRANTCROSS_SEED'] ?? '20261204'),
-	numRuns: Number(process.env['CURRANTCROSS_RUNS'] ?? '1000'),
+	seed: Number(process.env.CURRANTCROSS_SEED ?? '20261204'),
+	numRuns: Number(process.env.CURRANTCROSS_RUNS ?? '1000'),
 };
 
 /** Time beyond the deadline that an answer may take, for one turn of the loop. */
@@ -24,11 +24,21 @@
 
 const fault: fc.Arbitrary<Fault> = fc.oneof(
 	fc.record({kind: fc.constant('killEntry' as const), index, at: time}),
-	fc.record({kind: fc.constant('killAgent' as const), index, at: time, downMs: fc.integer({min: 0, max: 2000})}),
-	fc.record({kind: fc.constant('pauseEntry' as const), index, at: time, forMs: span}),
-	fc.record({kind: fc.constant('pauseAgent' as const), index, at: time, forMs: span}),
-	fc.record({kind: fc.constant('silenceConnections' as const), entry: index, agent: index, at: time}),
-	fc.record({kind: fc.constant('partLink' as const), entry: index, agent: index, at: time, forMs: span}),
+	fc.record({
+		kind: fc.constant('killAgent' as const), index, at: time, downMs: fc.integer({min: 0, max: 2000}),
+	}),
+	fc.record({
+		kind: fc.constant('pauseEntry' as const), index, at: time, forMs: span,
+	}),
+	fc.record({
+		kind: fc.constant('pauseAgent' as const), index, at: time, forMs: span,
+	}),
+	fc.record({
+		kind: fc.constant('silenceConnections' as const), entry: index, agent: index, at: time,
+	}),
+	fc.record({
+		kind: fc.constant('partLink' as const), entry: index, agent: index, at: time, forMs: span,
+	}),
 	fc.record({kind: fc.constant('stopObjectApi' as const), at: time, forMs: span}),
 	fc.record({kind: fc.constant('loseWriteAnswers' as const), at: time, count}),
 	fc.record({kind: fc.constant('loseServiceAnswers' as const), at: time, count}),
--- a/packages/core/src/fault-regressions.test.ts
+++ b/packages/core/src/fault-regressions.test.ts
@@ -16,7 +16,11 @@
 	// The attempt was sent, its agent was paused before it said a word, and the entry took silence for "never sent".
 	test('an attempt without any word from its agent may have run', () => {
 		const requests = [createPrompt(0, 3, 300), createPrompt(105, 1, 300), createPrompt(0, 0, 300)];
-		const facts = runScenario({seed: 305_966, requests, faults: [{kind: 'pauseAgent', index: 1, at: 103, forMs: 299}]});
+		const facts = runScenario({
+			seed: 305_966, requests, faults: [{
+				kind: 'pauseAgent', index: 1, at: 103, forMs: 299,
+			}],
+		});
 		for (const {final, wasStarted} of facts.requests) {
 			if (final?.kind === 'failRequest' && final.failure.ran === 'no') {
 				expect(wasStarted).toBe(false);
--- a/packages/core/src/fault-world.ts
+++ b/packages/core/src/fault-world.ts
@@ -12,30 +12,34 @@
 import {
 	createFixtureCall, createFixtureConfiguration, createFixtureListings, createFixturePrompt, createFixtureRequest, createFixtureServer,
 } from './fixtures.js';
-import {createLog, type Log, type LogAction, type LogEntry} from './log.js';
+import {
+	createLog, type Log, type LogAction, type LogEntry,
+} from './log.js';
 import {createRandom} from './random.js';
 import {defaultRoutingPolicy} from './routing.js';
-import type {Attempt, AttemptId, RequestId, Timestamp} from './types.js';
+import type {
+	Attempt, AttemptId, RequestId, Timestamp,
+} from './types.js';
 
 /** A fault of the script, at its time. */
-export type Fault =
-	| Readonly<{kind: 'killEntry'; index: number; at: Timestamp}>
+export type Fault
+	= | Readonly<{kind: 'killEntry'; index: number; at: Timestamp}>
 	/** The agent is gone for a while, and comes back with a new incarnation. */
-	| Readonly<{kind: 'killAgent'; index: number; at: Timestamp; downMs: number}>
-	| Readonly<{kind: 'pauseEntry'; index: number; at: Timestamp; forMs: number}>
-	| Readonly<{kind: 'pauseAgent'; index: number; at: Timestamp; forMs: number}>
+		| Readonly<{kind: 'killAgent'; index: number; at: Timestamp; downMs: number}>
+		| Readonly<{kind: 'pauseEntry'; index: number; at: Timestamp; forMs: number}>
+		| Readonly<{kind: 'pauseAgent'; index: number; at: Timestamp; forMs: number}>
 	/** All connections between an entry and an agent go silent; new ones work. */
-	| Readonly<{kind: 'silenceConnections'; entry: number; agent: number; at: Timestamp}>
+		| Readonly<{kind: 'silenceConnections'; entry: number; agent: number; at: Timestamp}>
 	/** Nothing passes between an entry and an agent for a while, also on new connections. */
-	| Readonly<{kind: 'partLink'; entry: number; agent: number; at: Timestamp; forMs: number}>
-	| Readonly<{kind: 'stopObjectApi'; at: Timestamp; forMs: number}>
+		| Readonly<{kind: 'partLink'; entry: number; agent: number; at: Timestamp; forMs: number}>
+		| Readonly<{kind: 'stopObjectApi'; at: Timestamp; forMs: number}>
 	/** The next writes take effect and their answers are lost. */
-	| Readonly<{kind: 'loseWriteAnswers'; at: Timestamp; count: number}>
+		| Readonly<{kind: 'loseWriteAnswers'; at: Timestamp; count: number}>
 	/** The next calls of services run and their answers are lost. */
-	| Readonly<{kind: 'loseServiceAnswers'; at: Timestamp; count: number}>
-	| Readonly<{kind: 'killEngines'; index: number; at: Timestamp}>
+		| Readonly<{kind: 'loseServiceAnswers'; at: Timestamp; count: number}>
+		| Readonly<{kind: 'killEngines'; index: number; at: Timestamp}>
 	/** The next submits reach their agents only after the delay, or at once and again after it. */
-	| Readonly<{kind: 'delaySubmits'; at: Timestamp; count: number; delayMs: number; isRepeated: boolean}>;
+		| Readonly<{kind: 'delaySubmits'; at: Timestamp; count: number; delayMs: number; isRepeated: boolean}>;
 
 /** A request of the script. */
 export type ScriptedRequest = Readonly<{
@@ -140,6 +144,15 @@
 	return Array.from({length: answerLength}, (_, index) => `${requestId}:${index}`);
 }
 
+function getProcess<Kind>(processes: readonly Kind[], index: number): Kind {
+	const found = processes[index % processes.length];
+	if (found === undefined) {
+		throw new Error('the world has no such process');
+	}
+
+	return found;
+}
+
 /** Runs a scenario to its end. */
 export function runScenario(scenario: Scenario, settings: WorldSettings = defaultWorldSettings): WorldFacts {
 	const random = createRandom(scenario.seed);
@@ -218,11 +231,11 @@
 	}));
 
 	function getEntry(index: number): EntryProcess {
-		return entries[index % entries.length] as EntryProcess; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+		return getProcess(entries, index);
 	}
 
 	function getAgent(index: number): AgentProcess {
-		return agents[index % agents.length] as AgentProcess; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+		return getProcess(agents, index);
 	}
 
 	function isParted(entry: number, agent: number): boolean {
@@ -475,13 +488,14 @@
 
 			case 'startWork': {
 				startWork(index, action.attempt, action.remainingMs);
-				return;
+				break;
 			}
 
 			case 'replyState':
 			case 'cancelWork':
 			case 'releaseMemory': {
 				// The servers of this world stop by themselves.
+				break;
 			}
 		}
 	}
--- a/packages/core/src/repeatable-request.ts
+++ b/packages/core/src/repeatable-request.ts
@@ -8,7 +8,7 @@
 import type {AdmittedRequest, EntryAction} from './entry-types.js';
 import type {ErrorKind} from './errors.js';
 import {
-	createAttempt, findPermit, type RequestSession, type SessionEvent, type SessionHost,
+	createAttempt, createServerLookup, findPermit, type RequestSession, type SessionEvent, type SessionHost,
 } from './request-session.js';
 import type {
 	AttemptResult, Milliseconds, Ran, Server, ServerName, Timestamp,
@@ -76,7 +76,7 @@
 		tryCount += 1;
 		const attempt = createAttempt(request, tryCount, lookup.permit, {deliveredTokens: [...delivered], now});
 		const tracker = createAttemptTracker(host.settings, {
-			requestId: request.requestId, server, attempt, maximumReopens,
+			requestId: request.requestId, getServer: createServerLookup(host, server), attempt, maximumReopens,
 		});
 		phase = {
 			kind: 'attempting', server, tracker, attemptId: attempt.attemptId,
--- a/packages/core/src/request-session.ts
+++ b/packages/core/src/request-session.ts
@@ -58,6 +58,11 @@
 	};
 }
 
+/** Returns a function that gives the server as the membership knows it, also after a change of its address. */
+export function createServerLookup(host: SessionHost, server: Server): () => Server {
+	return () => host.membership.tryGetMember(server.name)?.server ?? server;
+}
+
 /** Returns whether the action ends its request. */
 export function isFinalAction(action: EntryAction): boolean {
 	return action.kind === 'completeRequest' || action.kind === 'answerRequest' || action.kind === 'failRequest';
--- a/packages/standins/src/demo-ticket.ts
+++ b/packages/standins/src/demo-ticket.ts
@@ -7,7 +7,7 @@
 export const demoKey = 'key-of-the-club';
 
 /** Returns the first ticket of a deployment: two routes, their pools and one organisation. */
-export function getDemoTicket(number: number): unknown {
+export function getDemoTicket(number: number): Readonly<{number: number; objects: readonly unknown[]}> {
 	const keySha256 = createHash('sha256').update(demoKey).digest('hex');
 	return {
 		number,
--- a/packages/standins/src/deployment.ts
+++ b/packages/standins/src/deployment.ts
@@ -53,14 +53,22 @@
 	/** Starts an entry or agent again under the same name; the host list hears of it. */
 	restartEntry(name: string): Promise<EntryProcess>;
 	restartAgent(name: string): Promise<ServerProcess>;
-	/** Writes the host list anew, without what `isGone` names. */
-	publishHosts(isLeaving?: (name: string) => boolean): Promise<void>;
+	/** Writes the host list anew. */
+	publishHosts(change?: HostListChange): Promise<void>;
 	/** Runs the command line; returns its exit code and output. */
 	runCommand(commandArguments: readonly string[]): Promise<CommandResult>;
 	/** Stops all processes and removes their files. */
 	stop(): Promise<void>;
 }>;
 
+/** What a host list says that differs from the processes as they are. */
+export type HostListChange = Readonly<{
+	/** Names of servers that are listed as leaving. */
+	leaving?: readonly string[];
+	/** Other URLs of agents, such as those of relays, by name of server. */
+	agentUrls?: Readonly<Record<string, string>>;
+}>;
+
 export type CommandResult = Readonly<{exitCode: number | undefined; stdout: string; stderr: string}>;
 
 const loopback = '127.0.0.1';
@@ -77,6 +85,10 @@
 	return parseOwnJson<Answer>(await response.body.text());
 }
 
+function compareNames(left: Readonly<{name: string}>, right: Readonly<{name: string}>): number {
+	return left.name.localeCompare(right.name);
+}
+
 /** Starts a deployment and waits until each process listens. */
 export async function startDeployment(settings: DeploymentSettings): Promise<Deployment> {
 	const directory = mkdtempSync(path.join(tmpdir(), 'currantcross-'));
@@ -114,6 +126,8 @@
 			caller: {host: loopback, port: 0},
 			operator: {host: loopback, port: 0, keyFile: operatorKeyFile},
 			platform: {objectApiUrl: platformUrl, hostListUrl: platformUrl},
+			peers: [...entries.values()].filter(other => other.name !== name)
+				.map(other => ({name: other.name, dataCentre: other.dataCentre, peerUrl: other.peerUrl})),
 			drainLagMs: settings.drainLagMs,
 			...settings.entrySettings,
 		});
@@ -143,13 +157,13 @@
 		});
 	}
 
-	async function publishHosts(isLeaving: (name: string) => boolean = () => false): Promise<void> {
+	async function publishHosts({leaving = [], agentUrls = {}}: HostListChange = {}): Promise<void> {
 		await sendJsonRequest('PUT', `${platformUrl}/v1/hosts`, {
 			servers: [...servers.values()].map(({name, kind, dataCentre, agentUrl}) => ({
 				server: {
-					name, kind, dataCentre, agentUrl, pool: kind === 'model' ? 'models' : 'shop',
+					name, kind, dataCentre, agentUrl: agentUrls[name] ?? agentUrl, pool: kind === 'model' ? 'models' : 'shop',
 				},
-				isLeaving: isLeaving(name),
+				isLeaving: leaving.includes(name),
 			})),
 			entries: [...entries.values()].map(({name, dataCentre, peerUrl}) => ({name, dataCentre, peerUrl})),
 		});
@@ -167,8 +181,8 @@
 		directory,
 		platformUrl,
 		operatorKeyFile,
-		getEntries: () => [...entries.values()],
-		getServers: () => [...servers.values()],
+		getEntries: () => [...entries.values()].toSorted(compareNames),
+		getServers: () => [...servers.values()].toSorted(compareNames),
 		async restartEntry(name) {
 			const old = entries.get(name);
 			const entry = await startEntry(name, old?.dataCentre ?? '');
--- a/packages/standins/src/model-server-standin.ts
+++ b/packages/standins/src/model-server-standin.ts
@@ -202,6 +202,13 @@
 					sendJson(response, 200, order);
 				},
 			},
+			{
+				method: 'GET',
+				path: '/held',
+				handler(_request, response) {
+					sendJson(response, 200, engine.getHeld());
+				},
+			},
 			{
 				method: 'POST', path: '/control', async handler(request, response) {
 					const change = parseOwnJson<Partial<ModelServerFaults>>(await request.readText());
