Keep long prompts on the few servers that can carry them

Cause of the slowdown of short prompts: every engine had a long prompt in prefill, whose full steps take 38 ms where 13 ms would do. The share of servers for long prompts was a moving share of counts, and far too small: long prompts waited 21 s where round robin had 6 s.

Now the share follows the rate of long tokens over the speed of a server, with 15 % room, and short prompts count what a long neighbour costs each of their tokens.

--- a/packages/core/src/agent.ts
+++ b/packages/core/src/agent.ts
@@ -5,14 +5,14 @@
 voided. A refusal or a void from here is the only ground on which anyone says that a request did not run.
 */
 import type {
-	AgentAction, AgentEvent, AgentSettings, EngineReport,
+	AgentAction, AgentEvent, AgentSettings, EngineReport, QueuePolicy,
 } from './agent-types.js';
 import {createAttemptRecords, isLive, type AttemptRecord} from './attempt-records.js';
 import type {StreamId} from './entry-types.js';
 import {createMemoryLedger} from './memory-ledger.js';
-import {getClassesAhead, getPromptClass} from './prompt-class.js';
+import {getClassesAhead, getPromptClass, promptClasses} from './prompt-class.js';
 import type {
-	AgentStatus, Attempt, AttemptId, AttemptMessage, AttemptResult, Incarnation, Milliseconds, Ran, RefusalReason, ServingState,
+	AgentStatus, Attempt, AttemptId, AttemptMessage, AttemptResult, Incarnation, Milliseconds, PromptClass, Ran, RefusalReason, ServingState,
 	Timestamp, TokenCount, Work,
 } from './types.js';
 import {createWorkQueue, type QueuedAttempt} from './work-queue.js';
@@ -44,6 +44,7 @@
 
 /** Settings that suit an engine of about 400,000 tokens of memory. */
 export const defaultAgentSettings = {
+	queuePolicy: {kind: 'byClass'},
 	maximumActive: 24,
 	maximumLongActive: 2,
 	maximumPrefillTokens: 250_000,
@@ -68,6 +69,19 @@
 	return work.kind === 'prompt' ? work.promptTokens + work.maximumTokens : 0;
 }
 
+/** Returns the class by which the work is queued. */
+function getQueueClass(work: Work, policy: QueuePolicy): PromptClass {
+	switch (policy.kind) {
+		case 'firstCome': {
+			return 'short';
+		}
+
+		case 'byClass': {
+			return getPromptClass(getWorkTokens(work));
+		}
+	}
+}
+
 function isRepeatable(work: Work): boolean {
 	return work.kind === 'prompt' || work.isIdempotent;
 }
@@ -109,9 +123,8 @@
 	}
 
 	function getPredictedWaitMs(attempt: Attempt): Milliseconds {
-		const ownTokens = getWorkTokens(attempt.work);
 		let ahead = 0;
-		for (const promptClass of getClassesAhead(getPromptClass(ownTokens))) {
+		for (const promptClass of getClassesAhead(getQueueClass(attempt.work, settings.queuePolicy))) {
 			ahead += getWaitingTokens(promptClass);
 		}
 
@@ -265,7 +278,7 @@
 		}
 
 		return {
-			kind: 'startWork', attempt: record.attempt, promptClass: item.promptClass, remainingMs: record.deadlineAt - now,
+			kind: 'startWork', attempt: record.attempt, priority: promptClasses.indexOf(item.promptClass), remainingMs: record.deadlineAt - now,
 		};
 	}
 
@@ -293,6 +306,10 @@
 		return getMemoryTokens(attempt.work) > ledger.getTotal() ? 'memoryExhausted' : undefined;
 	}
 
+	function getMaximumWaitMs(promptClass: PromptClass, remainingMs: Milliseconds): Milliseconds {
+		return settings.queuePolicy.kind === 'firstCome' ? Number.POSITIVE_INFINITY : Math.min(settings.maximumWaitMs[promptClass], remainingMs);
+	}
+
 	function submit(streamId: StreamId, attempt: Attempt, now: Timestamp): readonly AgentAction[] {
 		const known = records.tryGet(attempt.attemptId);
 		if (known !== undefined) {
@@ -307,9 +324,9 @@
 		}
 
 		const tokens = getWorkTokens(attempt.work);
-		const promptClass = getPromptClass(tokens);
+		const promptClass = getQueueClass(attempt.work, settings.queuePolicy);
 		const waitMs = getPredictedWaitMs(attempt);
-		const maximumWaitMs = Math.min(settings.maximumWaitMs[promptClass], attempt.remainingMs);
+		const maximumWaitMs = getMaximumWaitMs(promptClass, attempt.remainingMs);
 		if (waitMs > maximumWaitMs) {
 			return refuseForGood({
 				streamId, attemptId: attempt.attemptId, reason: 'overloaded', retryAfterMs: waitMs - maximumWaitMs,
--- a/packages/core/src/entry.ts
+++ b/packages/core/src/entry.ts
@@ -100,6 +100,8 @@
 		retryBudget: createRetryBudget({share: settings.retryShare, maximumSaved: settings.retryBurst}),
 	};
 	let isDraining = false;
+	/** No request is due before; it may lie too early, which costs one look at all requests. */
+	let earliestWakeAt = Number.POSITIVE_INFINITY;
 
 	function findRoute(name: RouteName): Route | undefined {
 		return host.configuration.tryGetRoute(name);
@@ -176,6 +178,8 @@
 		if (actions.some(action => isFinalAction(action))) {
 			requests.delete(requestId);
 			admission.recordEnd(open.organisation);
+		} else {
+			earliestWakeAt = Math.min(earliestWakeAt, open.session.getWakeAt());
 		}
 
 		return actions;
@@ -202,7 +206,13 @@
 
 	function stepDueRequests(now: Timestamp): readonly EntryAction[] {
 		const due = [...requests].filter(([, open]) => open.session.getWakeAt() <= now);
-		return due.flatMap(([requestId]) => stepRequest(requestId, {kind: 'timePassed'}, now));
+		const actions = due.flatMap(([requestId]) => stepRequest(requestId, {kind: 'timePassed'}, now));
+		earliestWakeAt = Number.POSITIVE_INFINITY;
+		for (const {session} of requests.values()) {
+			earliestWakeAt = Math.min(earliestWakeAt, session.getWakeAt());
+		}
+
+		return actions;
 	}
 
 	function applyEvent(event: EntryEvent, now: Timestamp): readonly EntryAction[] {
@@ -248,6 +258,7 @@
 			case 'hostListRead': {
 				membership.applyHostList(event.listings);
 				admission.setEntryCount(event.entryCount);
+				sessionHost.router.setEntryCount(event.entryCount);
 				return [];
 			}
 
@@ -264,14 +275,7 @@
 
 	return {
 		step: applyEvent,
-		tryGetWakeAt() {
-			let wakeAt = Number.POSITIVE_INFINITY;
-			for (const {session} of requests.values()) {
-				wakeAt = Math.min(wakeAt, session.getWakeAt());
-			}
-
-			return Number.isFinite(wakeAt) ? wakeAt : undefined;
-		},
+		tryGetWakeAt: () => Number.isFinite(earliestWakeAt) ? earliestWakeAt : undefined,
 		getOpenRequestCount: () => requests.size,
 		isDraining: () => isDraining,
 		getMembers: () => membership.getMembers(),
--- a/packages/core/src/routing.ts
+++ b/packages/core/src/routing.ts
@@ -1,11 +1,13 @@
 /**
 Choice of a server for a request.
 
-The length-aware policy predicts how long a prompt would wait at a few candidates, and takes the best. It knows what
-each agent said last, what it sent there since, and which prefixes it sent there before; all of that may be late, so a
-wrong guess must stay cheap: an agent that is busier than predicted refuses, and the request is routed again.
+The length-aware policy keeps long prompts on the few servers that can just carry them, and predicts how long a prompt
+would take at a few candidates. It knows what each agent said last, what it sent there since, and which prefixes it sent
+there before; all of that may be late, so a wrong guess must stay cheap: an agent that is busier than predicted refuses,
+and the request is routed again.
 */
 import {LRUCache} from 'lru-cache';
+import {createLongDemand} from './long-demand.js';
 import {isAvailable, type Member, type Membership} from './membership.js';
 import {getClassesAhead, getPromptClass} from './prompt-class.js';
 import type {Random} from './random.js';
@@ -17,18 +19,24 @@
 export type RoutingPolicy
 	= | Readonly<{kind: 'roundRobin'}>
 		| Readonly<{kind: 'leastOutstanding'}>
-		| Readonly<{
-			kind: 'lengthAware';
-			/** Candidates that are drawn at random and compared. */
-			choices: number;
-			/** Largest share of a pool that long prompts may use. */
-			maximumLongShare: number;
-			/** Predicted cost of a server in another data centre. */
-			remotePenaltyMs: Milliseconds;
-		}>;
+		| LengthAwarePolicy;
+
+export type LengthAwarePolicy = Readonly<{
+	kind: 'lengthAware';
+	/** Candidates that are drawn at random and compared. */
+	choices: number;
+	/** Largest share of a pool that long prompts may use. */
+	maximumLongShare: number;
+	/** Predicted wait of a long prompt above which it may go to more servers. */
+	longWaitMs: Milliseconds;
+	/** What each token of an answer is delayed by a long prompt in prefill at the same server. */
+	interferenceMsPerToken: Milliseconds;
+	/** Predicted cost of a server in another data centre. */
+	remotePenaltyMs: Milliseconds;
+}>;
 
 export const defaultRoutingPolicy = {
-	kind: 'lengthAware', choices: 4, maximumLongShare: 0.5, remotePenaltyMs: 20,
+	kind: 'lengthAware', choices: 8, maximumLongShare: 0.9, longWaitMs: 20_000, interferenceMsPerToken: 20, remotePenaltyMs: 20,
 } as const satisfies RoutingPolicy;
 
 /** What the routing may ask of its surroundings. */
@@ -52,6 +60,8 @@
 	recordSent(attemptId: AttemptId, server: ServerName, work: Work, now: Timestamp): void;
 	recordFirstToken(attemptId: AttemptId): void;
 	recordEnd(attemptId: AttemptId): void;
+	/** Sets how many entries send prompts to the same servers. */
+	setEntryCount(count: number): void;
 }>;
 
 type Outstanding = {
@@ -66,12 +76,6 @@
 const assumedPrefillTokensPerSecond = 10_000;
 const millisecondsPerSecond = 1000;
 
-/** Weight of one prompt in the moving share of long prompts. */
-const longShareWeight = 0.02;
-
-/** Room above the measured share of long prompts. */
-const longShareHeadroom = 1.25;
-
 function getWorkTokens(work: Work): TokenCount {
 	switch (work.kind) {
 		case 'prompt': {
@@ -89,8 +93,9 @@
 	const outstandingByAttempt = new Map<AttemptId, Outstanding>();
 	const attemptsByServer = new Map<ServerName, Set<AttemptId>>();
 	const prefixHints = new LRUCache<string, ServerName>({max: prefixHintLimit});
+	const longDemand = createLongDemand();
 	let nextIndex = 0;
-	let longShare = 0;
+	let entryCount = 1;
 
 	function getOutstanding(server: ServerName): readonly Outstanding[] {
 		const attempts = attemptsByServer.get(server);
@@ -109,9 +114,8 @@
 		return prefixHints.get(work.prefixKey) === server ? Math.max(1, work.promptTokens - work.prefixTokens) : work.promptTokens;
 	}
 
-	/** Returns the tokens that are prefilled before the work's own. */
-	function getTokensAhead(member: Member, promptClass: PromptClass, now: Timestamp): TokenCount {
-		const classes = getClassesAhead(promptClass);
+	/** Returns the tokens of the classes that still wait for prefill at the server. */
+	function getTokensAhead(member: Member, classes: readonly PromptClass[], now: Timestamp): TokenCount {
 		const sent = getOutstanding(member.server.name).filter(item => classes.includes(item.promptClass));
 		const {status, statusAt} = member;
 		if (status === undefined) {
@@ -126,17 +130,60 @@
 
 	function getPredictedWaitMs(member: Member, work: Work, now: Timestamp): Milliseconds {
 		const rate = member.status?.load.prefillTokensPerSecond ?? assumedPrefillTokensPerSecond;
-		const ahead = getTokensAhead(member, getPromptClass(getWorkTokens(work)), now);
+		const ahead = getTokensAhead(member, getClassesAhead(getPromptClass(getWorkTokens(work))), now);
 		const own = getUncachedTokens(member.server.name, work);
 		return (ahead + own) / Math.max(1, rate) * millisecondsPerSecond;
 	}
 
-	function getLongServers(members: readonly Member[], maximumShare: number): readonly Member[] {
-		const share = Math.min(maximumShare, longShare * longShareHeadroom);
-		const count = Math.max(1, Math.ceil(members.length * share));
+	/** Returns the members in an order that all entries share; long prompts use them from the front. */
+	function rankMembers(members: readonly Member[]): readonly Member[] {
 		const ranked = members.map(member => ({member, rank: host.getHash(member.server.name)}));
-		ranked.sort((left, right) => left.rank - right.rank);
-		return ranked.slice(0, count).map(({member}) => member);
+		return ranked.toSorted((left, right) => left.rank - right.rank).map(({member}) => member);
+	}
+
+	function getLongServerLimit(members: readonly Member[], policy: LengthAwarePolicy): number {
+		return Math.max(1, Math.floor(members.length * policy.maximumLongShare));
+	}
+
+	function getLongServerCount(members: readonly Member[], policy: LengthAwarePolicy, now: Timestamp): number {
+		const rates = members.map(member => member.status?.load.prefillTokensPerSecond ?? assumedPrefillTokensPerSecond);
+		const meanRate = rates.reduce((sum, rate) => sum + rate, 0) / rates.length;
+		return Math.min(longDemand.getServerCount(entryCount, meanRate, now), getLongServerLimit(members, policy));
+	}
+
+	/** Returns the best of the servers that can just carry the long prompts, or of more when they are too busy. */
+	function findForLong(members: readonly Member[], work: Work, policy: LengthAwarePolicy, now: Timestamp): Member | undefined {
+		const ranked = rankMembers(members);
+		const getScore = (member: Member): number => getPredictedWaitMs(member, work, now);
+		const own = findLowest(ranked.slice(0, getLongServerCount(members, policy, now)), getScore);
+		if (own === undefined || getScore(own) <= policy.longWaitMs) {
+			return own;
+		}
+
+		return findLowest(ranked.slice(0, getLongServerLimit(members, policy)), getScore);
+	}
+
+	function getInterferenceMs(member: Member, work: Work, policy: LengthAwarePolicy, now: Timestamp): Milliseconds {
+		if (work.kind === 'service' || getTokensAhead(member, ['long'], now) === 0) {
+			return 0;
+		}
+
+		return work.maximumTokens * policy.interferenceMsPerToken;
+	}
+
+	/** Returns the best of a few servers, drawn from those without long prompts and from all. */
+	function findForShort(members: readonly Member[], work: Work, policy: LengthAwarePolicy, now: Timestamp): Member | undefined {
+		const free = rankMembers(members).slice(getLongServerCount(members, policy, now));
+		const hint = work.kind === 'prompt' ? prefixHints.get(work.prefixKey) : undefined;
+		const candidates = [
+			...drawCandidates(free, policy.choices),
+			...drawCandidates(members, policy.choices),
+			...members.filter(member => member.server.name === hint),
+		];
+		return findLowest(candidates, member => {
+			const penaltyMs = member.server.dataCentre === settings.dataCentre ? 0 : policy.remotePenaltyMs;
+			return getPredictedWaitMs(member, work, now) + getInterferenceMs(member, work, policy, now) + penaltyMs;
+		});
 	}
 
 	function drawCandidates(members: readonly Member[], count: number): readonly Member[] {
@@ -152,27 +199,6 @@
 		return drawn;
 	}
 
-	function findByPredictedWait(
-		members: readonly Member[],
-		work: Work,
-		policy: Extract<RoutingPolicy, {kind: 'lengthAware'}>,
-		now: Timestamp,
-	): Member | undefined {
-		const isLong = getPromptClass(getWorkTokens(work)) === 'long';
-		const eligible = isLong ? getLongServers(members, policy.maximumLongShare) : members;
-		const candidates = [...drawCandidates(eligible, policy.choices)];
-		const hint = work.kind === 'prompt' ? prefixHints.get(work.prefixKey) : undefined;
-		const hinted = eligible.find(member => member.server.name === hint);
-		if (hinted !== undefined) {
-			candidates.push(hinted);
-		}
-
-		return findLowest(candidates, member => {
-			const penaltyMs = member.server.dataCentre === settings.dataCentre ? 0 : policy.remotePenaltyMs;
-			return getPredictedWaitMs(member, work, now) + penaltyMs;
-		});
-	}
-
 	function findMember(members: readonly Member[], work: Work, now: Timestamp): Member | undefined {
 		const {policy} = settings;
 		switch (policy.kind) {
@@ -186,19 +212,13 @@
 			}
 
 			case 'lengthAware': {
-				return findByPredictedWait(members, work, policy, now);
+				return getPromptClass(getWorkTokens(work)) === 'long'
+					? findForLong(members, work, policy, now)
+					: findForShort(members, work, policy, now);
 			}
 		}
 	}
 
-	function recordLongShare(work: Work): void {
-		const tokens = getWorkTokens(work);
-		const isLong = getPromptClass(tokens) === 'long';
-		// A prompt counts by its tokens, measured against a short one, so that few but enormous prompts weigh in full.
-		const weight = Math.min(1, longShareWeight * Math.max(1, tokens / assumedPrefillTokensPerSecond));
-		longShare += ((isLong ? 1 : 0) - longShare) * weight;
-	}
-
 	return {
 		findServer(pool, work, excluded, now) {
 			const members = host.membership.getAvailable(pool, now)
@@ -216,7 +236,10 @@
 			attemptsByServer.set(server, attempts);
 			if (work.kind === 'prompt') {
 				prefixHints.set(work.prefixKey, server);
-				recordLongShare(work);
+			}
+
+			if (promptClass === 'long') {
+				longDemand.record(getWorkTokens(work), now);
 			}
 		},
 		recordFirstToken(attemptId) {
@@ -238,6 +261,9 @@
 				attemptsByServer.delete(outstanding.server);
 			}
 		},
+		setEntryCount(count) {
+			entryCount = Math.max(1, count);
+		},
 	};
 }
 
--- a/packages/daemon/src/agent-driver.ts
+++ b/packages/daemon/src/agent-driver.ts
@@ -74,7 +74,7 @@
 			}
 
 			case 'startWork': {
-				host.logger.debug('attemptStarted', {attemptId: action.attempt.attemptId, promptClass: action.promptClass});
+				host.logger.debug('attemptStarted', {attemptId: action.attempt.attemptId, priority: action.priority});
 				void startWork(action, performance.now());
 				return;
 			}
@@ -108,7 +108,7 @@
 		host.logger.debug('attemptEnded', {attemptId: attempt.attemptId});
 	}
 
-	async function runPrompt({attempt, promptClass}: StartWork, work: PromptWork): Promise<void> {
+	async function runPrompt({attempt, priority}: StartWork, work: PromptWork): Promise<void> {
 		const {attemptId} = attempt;
 		if (host.server.kind !== 'model') {
 			dispatch({
@@ -122,7 +122,7 @@
 		let hasOutput = false;
 		try {
 			const outputs = host.server.client.runPrompt({
-				attempt, work, promptClass, signal: controller.signal,
+				attempt, work, priority, signal: controller.signal,
 			});
 			for await (const output of outputs) {
 				hasOutput = true;
--- a/packages/endpoint/src/model-server.ts
+++ b/packages/endpoint/src/model-server.ts
@@ -4,9 +4,8 @@
 import {parseOwnJson} from '@currantcross/core/json';
 import {getError} from '@currantcross/core/error-text';
 import type {EngineReport} from '@currantcross/core/agent-types';
-import {promptClasses} from '@currantcross/core/prompt-class';
 import type {
-	Attempt, AttemptId, Milliseconds, PromptClass, PromptWork,
+	Attempt, AttemptId, Milliseconds, PromptWork,
 } from '@currantcross/core/types';
 import {createParser} from 'eventsource-parser';
 import {Agent, request} from 'undici';
@@ -21,7 +20,8 @@
 export type PromptCall = Readonly<{
 	attempt: Attempt;
 	work: PromptWork;
-	promptClass: PromptClass;
+	/** Lower priorities go first. */
+	priority: number;
 	signal: AbortSignal;
 }>;
 
@@ -60,15 +60,14 @@
 	});
 }
 
-function getRequestBody({attempt, work, promptClass}: PromptCall): string {
+function getRequestBody({attempt, work, priority}: PromptCall): string {
 	const body = parseOwnJson<Readonly<Record<string, unknown>>>(work.body);
 	return JSON.stringify({
 		...body,
 		model: work.model,
 		stream: true,
 		max_tokens: work.maximumTokens,
-		// Lower numbers go first.
-		priority: promptClasses.indexOf(promptClass),
+		priority,
 		attempt_id: attempt.attemptId,
 		resume_tokens: attempt.deliveredTokens,
 	});
--- /dev/null
+++ b/packages/measure/src/summary-table.ts
@@ -0,0 +1,55 @@
+/**
+Summaries as tables: the mean over the seeds for each policy.
+*/
+import type {Percentiles, RunSummary} from './summary.js';
+
+function getMean(values: readonly number[]): number {
+	return values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
+}
+
+function formatPercentiles(all: readonly Percentiles[], digits: number): string {
+	return [all.map(item => item.p50), all.map(item => item.p95), all.map(item => item.p99)]
+		.map(values => getMean(values).toFixed(digits)).join(' / ');
+}
+
+function formatShare(values: readonly number[]): string {
+	return `${(getMean(values) * 100).toFixed(1)} %`;
+}
+
+function formatBuckets(summaries: readonly RunSummary[]): readonly string[] {
+	const names = summaries[0]?.buckets.map(bucket => bucket.bucket) ?? [];
+	return names.map(name => {
+		const own = summaries.flatMap(summary => summary.buckets.filter(bucket => bucket.bucket === name));
+		const prompts = own.reduce((sum, bucket) => sum + bucket.prompts, 0);
+		const completed = own.reduce((sum, bucket) => sum + bucket.completed, 0);
+		const late = own.reduce((sum, bucket) => sum + bucket.deadlineExceeded, 0);
+		const firstToken = formatPercentiles(own.map(bucket => bucket.firstTokenMs), 0);
+		const gap = formatPercentiles(own.map(bucket => bucket.gapMs), 0);
+		return `| ${name} | ${prompts} | ${completed} | ${late} | ${firstToken} | ${gap} |`;
+	});
+}
+
+function formatPolicy(policy: string, summaries: readonly RunSummary[]): string {
+	return [
+		`### ${policy}, load ${summaries[0]?.load ?? 0}, seeds ${summaries.map(summary => summary.seed).join(', ')}`,
+		'',
+		'| prompt tokens | prompts | whole in time | late | first token ms p50 / p95 / p99 | between tokens ms p50 / p95 / p99 |',
+		'|---|---|---|---|---|---|',
+		...formatBuckets(summaries),
+		'',
+		`- slowdown of short prompts, whole answer, p50 / p95 / p99: ${formatPercentiles(summaries.map(summary => summary.shortSlowdown), 2)}`,
+		`- slowdown of short prompts, first token, p50 / p95 / p99: ${formatPercentiles(summaries.map(summary => summary.shortFirstTokenSlowdown), 2)}`,
+		`- goodput ${formatShare(summaries.map(summary => summary.goodput))}, of short prompts ${formatShare(summaries.map(summary => summary.shortGoodput))}`,
+		`- refused ${getMean(summaries.map(summary => summary.refused)).toFixed(1)}, unanswered ${getMean(summaries.map(summary => summary.unanswered)).toFixed(1)} a run`,
+		`- attempts over admitted prompts ${getMean(summaries.map(summary => summary.amplification)).toFixed(3)}`,
+		`- prompt tokens from the prefix cache ${formatShare(summaries.map(summary => summary.cacheHitShare))}`,
+		'',
+		'',
+	].join('\n');
+}
+
+/** Returns a section for each policy; percentiles are means over the seeds. */
+export function formatSummaries(summaries: readonly RunSummary[]): string {
+	const names = [...new Set(summaries.map(summary => summary.policy))];
+	return names.map(name => formatPolicy(name, summaries.filter(summary => summary.policy === name))).join('');
+}
