Keep short prompts on servers of their own

Cause: with long prompts packed, short ones still met prompts of 4k to 32k in prefill, and strayed to servers whose long prompt their entry had not heard of yet.

Prompts over 4k tokens now share the packed servers (they pass long ones in the engine's queue), and short ones leave the others only when the predicted cost there is over a second.

--- a/packages/core/src/agent-types.ts
+++ b/packages/core/src/agent-types.ts
@@ -37,16 +37,16 @@
 		| Readonly<{kind: 'endStream'; streamId: StreamId}>
 		| Readonly<{kind: 'replyState'; replyId: string; state: AttemptState}>
 		/** Lower priorities go first at the engine. */
-	| Readonly<{kind: 'startWork'; attempt: Attempt; priority: number; remainingMs: Milliseconds}>
+		| Readonly<{kind: 'startWork'; attempt: Attempt; priority: number; remainingMs: Milliseconds}>
 		| Readonly<{kind: 'cancelWork'; attemptId: AttemptId}>
 		| Readonly<{kind: 'releaseMemory'; attemptId: AttemptId}>;
 
 /** How an agent orders its work; the first is a baseline for measurement. */
-export type QueuePolicy =
+export type QueuePolicy
 	/** In order of arrival, whatever the length; nothing is refused for its wait. */
-	| Readonly<{kind: 'firstCome'}>
+	= | Readonly<{kind: 'firstCome'}>
 	/** By class of length, with limits for long prompts, and refusal past a predicted wait. */
-	| Readonly<{kind: 'byClass'}>;
+		| Readonly<{kind: 'byClass'}>;
 
 export type AgentSettings = Readonly<{
 	server: ServerName;
--- a/packages/core/src/routing.ts
+++ b/packages/core/src/routing.ts
@@ -27,6 +27,8 @@
 	choices: number;
 	/** Largest share of a pool that long prompts may use. */
 	maximumLongShare: number;
+	/** Predicted cost of a short prompt above which it may go to servers with long prompts. */
+	shortWaitMs: Milliseconds;
 	/** Predicted wait of a long prompt above which it may go to more servers. */
 	longWaitMs: Milliseconds;
 	/** What each token of an answer is delayed by a long prompt in prefill at the same server. */
@@ -36,7 +38,7 @@
 }>;
 
 export const defaultRoutingPolicy = {
-	kind: 'lengthAware', choices: 8, maximumLongShare: 0.9, longWaitMs: 20_000, interferenceMsPerToken: 20, remotePenaltyMs: 20,
+	kind: 'lengthAware', choices: 16, maximumLongShare: 0.9, shortWaitMs: 1000, longWaitMs: 20_000, interferenceMsPerToken: 20, remotePenaltyMs: 20,
 } as const satisfies RoutingPolicy;
 
 /** What the routing may ask of its surroundings. */
@@ -164,26 +166,31 @@
 	}
 
 	function getInterferenceMs(member: Member, work: Work, policy: LengthAwarePolicy, now: Timestamp): Milliseconds {
-		if (work.kind === 'service' || getTokensAhead(member, ['long'], now) === 0) {
+		if (work.kind === 'service') {
 			return 0;
 		}
 
-		return work.maximumTokens * policy.interferenceMsPerToken;
+		const rate = member.status?.load.prefillTokensPerSecond ?? assumedPrefillTokensPerSecond;
+		const prefillMs = getTokensAhead(member, ['medium', 'long'], now) / rate * millisecondsPerSecond;
+		return Math.min(prefillMs, work.maximumTokens * policy.interferenceMsPerToken);
 	}
 
-	/** Returns the best of a few servers, drawn from those without long prompts and from all. */
+	/** Returns the best of a few servers without long prompts, or of all when those are too busy. */
 	function findForShort(members: readonly Member[], work: Work, policy: LengthAwarePolicy, now: Timestamp): Member | undefined {
-		const free = rankMembers(members).slice(getLongServerCount(members, policy, now));
-		const hint = work.kind === 'prompt' ? prefixHints.get(work.prefixKey) : undefined;
-		const candidates = [
-			...drawCandidates(free, policy.choices),
-			...drawCandidates(members, policy.choices),
-			...members.filter(member => member.server.name === hint),
-		];
-		return findLowest(candidates, member => {
+		const getScore = (member: Member): number => {
 			const penaltyMs = member.server.dataCentre === settings.dataCentre ? 0 : policy.remotePenaltyMs;
 			return getPredictedWaitMs(member, work, now) + getInterferenceMs(member, work, policy, now) + penaltyMs;
-		});
+		};
+
+		const hint = work.kind === 'prompt' ? prefixHints.get(work.prefixKey) : undefined;
+		const free = rankMembers(members).slice(getLongServerCount(members, policy, now));
+		const hinted = free.filter(member => member.server.name === hint);
+		const own = findLowest([...drawCandidates(free, policy.choices), ...hinted], getScore);
+		if (own !== undefined && getScore(own) <= policy.shortWaitMs) {
+			return own;
+		}
+
+		return findLowest([...own === undefined ? [] : [own], ...drawCandidates(members, policy.choices)], getScore);
 	}
 
 	function drawCandidates(members: readonly Member[], count: number): readonly Member[] {
@@ -212,9 +219,9 @@
 			}
 
 			case 'lengthAware': {
-				return getPromptClass(getWorkTokens(work)) === 'long'
-					? findForLong(members, work, policy, now)
-					: findForShort(members, work, policy, now);
+				return getPromptClass(getWorkTokens(work)) === 'short'
+					? findForShort(members, work, policy, now)
+					: findForLong(members, work, policy, now);
 			}
 		}
 	}
@@ -238,7 +245,7 @@
 				prefixHints.set(work.prefixKey, server);
 			}
 
-			if (promptClass === 'long') {
+			if (promptClass !== 'short') {
 				longDemand.record(getWorkTokens(work), now);
 			}
 		},
--- /dev/null
+++ b/packages/measure/src/bench-decisions.ts
@@ -0,0 +1,148 @@
+/**
+Costs of the decisions alone, in one process: routing by number of servers, state by number of objects.
+*/
+import process from 'node:process';
+import {createClaims} from '@currantcross/core/claims';
+import {createConfiguration, type Configuration} from '@currantcross/core/configuration';
+import {createEntry, defaultEntrySettings} from '@currantcross/core/entry';
+import {
+	createFixtureConfiguration, createFixtureListings, createFixturePrompt, createFixtureRequest, createFixtureServer, createFixtureStatus,
+} from '@currantcross/core/fixtures';
+import {createRandom} from '@currantcross/core/random';
+import {defaultRoutingPolicy} from '@currantcross/core/routing';
+import {formatMessage} from '@currantcross/peer/message-codec';
+import {toBinary} from '@bufbuild/protobuf';
+import {AttemptMessageSchema} from '@currantcross/peer/gen/currantcross/v1/peer_pb';
+
+/** One measured figure. */
+export type Figure = Readonly<{name: string; value: number; unit: string}>;
+
+const routingServerCounts = [10, 100, 400, 1000] as const;
+const routingRequests = 4000;
+const objectCounts = [1000, 10_000, 50_000] as const;
+const claimCount = 100_000;
+const microsecondsPerMillisecond = 1000;
+
+/** Measures a request's whole way through the entry's decisions: arrival, choice, tokens and end. */
+function measureRouting(serverCount: number): Figure {
+	const entry = createEntry({...defaultEntrySettings, entryName: 'e', dataCentre: 'a'}, {
+		configuration: createFixtureConfiguration(), random: createRandom(1), policy: defaultRoutingPolicy, getHash: text => Number(text.slice(1)),
+	});
+	const servers = Array.from({length: serverCount}, (_, index) => createFixtureServer(`m${index}`, 'models'));
+	entry.step({kind: 'hostListRead', listings: createFixtureListings(servers), entryCount: 34}, 0);
+	for (const server of servers) {
+		entry.step({kind: 'statusReceived', status: createFixtureStatus(server.name)}, 0);
+	}
+
+	function runRequest(index: number): void {
+		const requestId = `r${index}`;
+		const streamId = `${requestId}.1/1`;
+		const now = index * 0.01;
+		const actions = entry.step({kind: 'requestArrived', request: createFixtureRequest(requestId, createFixturePrompt(1000 + (index % 3000)))}, now);
+		const opened = actions.find(action => action.kind === 'openStream');
+		const status = createFixtureStatus(opened?.kind === 'openStream' ? opened.server.name : 'm0', 'i1', now);
+		entry.step({
+			kind: 'messageReceived', requestId, streamId, message: {kind: 'tokens', offset: 0, tokens: ['a']},
+		}, now);
+		entry.step({
+			kind: 'messageReceived', requestId, streamId, message: {kind: 'ended', result: {kind: 'completed', tokenCount: 1, finishReason: 'stop'}, status},
+		}, now);
+	}
+
+	for (let index = 0; index < routingRequests / 4; index += 1) {
+		runRequest(index);
+	}
+
+	const startedAt = performance.now();
+	for (let index = routingRequests; index < 2 * routingRequests; index += 1) {
+		runRequest(index);
+	}
+
+	const perRequest = (performance.now() - startedAt) / routingRequests * microsecondsPerMillisecond;
+	return {name: `decisions of one request, ${serverCount} servers known`, value: perRequest, unit: 'µs'};
+}
+
+function getHeapBytes(): number {
+	globalThis.gc?.();
+	return process.memoryUsage().heapUsed;
+}
+
+function fillConfiguration(count: number): Configuration {
+	const configuration = createConfiguration();
+	for (let index = 0; index < count; index += 1) {
+		configuration.applyTicket({
+			number: index + 1,
+			objects: [{
+				kind: 'organisation',
+				name: `organisation-${index}`,
+				state: {
+					keySha256: index.toString(16).padStart(64, '0'), requestsPerSecond: 10, tokensPerSecond: 100_000, concurrentRequests: 100,
+				},
+			}],
+		}, index + 1);
+	}
+
+	return configuration;
+}
+
+function measureConfiguration(count: number): readonly Figure[] {
+	const before = getHeapBytes();
+	const startedAt = performance.now();
+	const configuration = fillConfiguration(count);
+	const applyUs = (performance.now() - startedAt) / count * microsecondsPerMillisecond;
+	const bytes = (getHeapBytes() - before) / count;
+	const deltaStartedAt = performance.now();
+	const {objects} = configuration.getDelta(count - 1);
+	const deltaMs = performance.now() - deltaStartedAt;
+	const wireBytes = JSON.stringify(objects).length;
+	return [
+		{name: `memory of an object, ${count} objects`, value: bytes, unit: 'B'},
+		{name: `applying a ticket, ${count} objects`, value: applyUs, unit: 'µs'},
+		{name: `delta of one change, ${count} objects`, value: deltaMs, unit: 'ms'},
+		{name: `one changed object on the wire, ${count} objects`, value: wireBytes, unit: 'B'},
+	];
+}
+
+function measureClaims(): readonly Figure[] {
+	const before = getHeapBytes();
+	const claims = createClaims();
+	const startedAt = performance.now();
+	for (let index = 0; index < claimCount; index += 1) {
+		const attemptId = `entry-a-incarnation0-${index}.1`;
+		const key = `club/shop/key-${index}`;
+		const holder = {attemptId, server: `s${index % 3}`, incarnation: 'incarnation0'};
+		claims.applyRecord({
+			kind: 'claimed', key, bodyHash: index.toString(16).padStart(64, '0'), holder,
+		});
+		const answer = {status: 201, contentType: 'application/json', body: `{"slot":${index}}`};
+		claims.applyRecord({
+			kind: 'ended', key, attemptId, outcome: {kind: 'answered', answer},
+		});
+	}
+
+	const foldUs = (performance.now() - startedAt) / claimCount * microsecondsPerMillisecond;
+	const bytes = (getHeapBytes() - before) / claims.getSize();
+	return [
+		{name: 'memory of a claim with its outcome', value: bytes, unit: 'B'},
+		{name: 'folding a claim and its outcome', value: foldUs, unit: 'µs'},
+	];
+}
+
+function measureMessages(): readonly Figure[] {
+	const status = createFixtureStatus('model-qc-a-01', 'incarnation0');
+	const getSize = (message: Parameters<typeof formatMessage>[0]): number => toBinary(AttemptMessageSchema, formatMessage(message)).length;
+	return [
+		{name: 'heartbeat with status on the wire, without framing', value: getSize({kind: 'heartbeat', status}), unit: 'B'},
+		{name: 'one token on the wire, without framing', value: getSize({kind: 'tokens', offset: 100, tokens: ['buoy12 ']}), unit: 'B'},
+	];
+}
+
+/** Measures all of them; memory is only measured when the process runs with --expose-gc. */
+export function measureDecisions(): readonly Figure[] {
+	return [
+		...routingServerCounts.map(count => measureRouting(count)),
+		...objectCounts.flatMap(count => measureConfiguration(count)),
+		...measureClaims(),
+		...measureMessages(),
+	];
+}
--- /dev/null
+++ b/packages/measure/src/bench.ts
@@ -0,0 +1,37 @@
+#!/usr/bin/env node
+/**
+Benchmarks: prints each figure, and writes them as JSON where asked.
+*/
+import {writeFileSync} from 'node:fs';
+import process from 'node:process';
+import {Command, Option} from 'commander';
+import {measureDecisions, type Figure} from './bench-decisions.js';
+import {measureProcesses} from './bench-processes.js';
+
+type Options = Readonly<{part: 'all' | 'decisions' | 'processes'; json?: string}>;
+
+async function runBenchmarks({part, json}: Options): Promise<void> {
+	const figures: Figure[] = [];
+	if (part !== 'processes') {
+		figures.push(...measureDecisions());
+	}
+
+	if (part !== 'decisions') {
+		figures.push(...await measureProcesses());
+	}
+
+	for (const {name, value, unit} of figures) {
+		process.stdout.write(`${name}: ${value.toPrecision(4)} ${unit}\n`);
+	}
+
+	if (json !== undefined) {
+		writeFileSync(json, `${JSON.stringify(figures, undefined, '\t')}\n`);
+	}
+}
+
+await new Command('bench')
+	.description('Measure costs of decisions and processes')
+	.addOption(new Option('--part <part>', 'what to measure').choices(['all', 'decisions', 'processes']).default('all'))
+	.option('--json <file>', 'write the figures as JSON')
+	.action(runBenchmarks)
+	.parseAsync();
--- a/packages/measure/src/measure.ts
+++ b/packages/measure/src/measure.ts
@@ -4,12 +4,15 @@
 */
 import {writeFileSync} from 'node:fs';
 import process from 'node:process';
+import {createHasher, type Hasher} from '@currantcross/caller/hasher';
 import {defaultRoutingPolicy} from '@currantcross/core/routing';
 import {Command, Option} from 'commander';
 import {summariseRun, type RunSummary} from './summary.js';
 import {formatSummaries} from './summary-table.js';
 import {formatSlowdownChart} from './summary-chart.js';
-import {noRunFaults, runWorkload, type Policy, type RunFaults} from './virtual-run.js';
+import {
+	noRunFaults, runWorkload, type Policy, type RunFaults,
+} from './virtual-run.js';
 import {
 	createWorkload, deployments, isLongPrompt, type Deployment, type WorkloadName,
 } from './workload.js';
@@ -62,22 +65,23 @@
 	}
 }
 
-function measureSeed(policy: Policy, options: Options, seed: number): RunSummary {
+function measureSeed(policy: Policy, options: Options, seed: number, getHash: Hasher['getHash']): RunSummary {
 	const deployment = deployments[options.workload];
 	const durationMs = Number(options.seconds) * millisecondsPerSecond;
 	const load = Number(options.load);
 	const prompts = createWorkload(deployment, seed, load, durationMs);
 	const faults = createFaults(options.fault, deployment, durationMs);
-	const result = runWorkload(deployment, policy, prompts, {seed, faults});
-	const alone = runWorkload(deployment, policy, prompts.filter(prompt => !isLongPrompt(prompt)), {seed, faults});
+	const result = runWorkload(deployment, policy, prompts, {seed, faults, getHash});
+	const alone = runWorkload(deployment, policy, prompts.filter(prompt => !isLongPrompt(prompt)), {seed, faults, getHash});
 	return summariseRun(result, alone, {policy: policy.name, seed, load});
 }
 
-function measure(options: Options): void {
+async function measure(options: Options): Promise<void> {
+	const {getHash} = await createHasher();
 	const chosen = policies.filter(policy => options.policy === 'all' || policy.name === options.policy);
 	const first = Number(options.seed);
 	const seeds = Array.from({length: Number(options.seeds)}, (_, index) => first + index);
-	const summaries = chosen.flatMap(policy => seeds.map(seed => measureSeed(policy, options, seed)));
+	const summaries = chosen.flatMap(policy => seeds.map(seed => measureSeed(policy, options, seed, getHash)));
 	process.stdout.write(formatSummaries(summaries));
 	if (options.json !== undefined) {
 		writeFileSync(options.json, `${JSON.stringify({options, summaries}, undefined, '\t')}\n`);
--- a/packages/measure/src/virtual-run.ts
+++ b/packages/measure/src/virtual-run.ts
@@ -105,14 +105,21 @@
 	return `${keyOfAll}${index}`;
 }
 
+export type RunOptions = Readonly<{
+	seed: number;
+	faults: RunFaults;
+	/** Returns a well-mixed 32-bit hash of a text. */
+	getHash(text: string): number;
+}>;
+
 /** Runs the prompts to their ends. */
 export function runWorkload(
 	deployment: Deployment,
 	policy: Policy,
 	prompts: readonly WorkloadPrompt[],
-	options: Readonly<{seed: number; faults: RunFaults}>,
+	options: RunOptions,
 ): RunResult {
-	const {seed, faults} = options;
+	const {seed, faults, getHash} = options;
 	const random = createRandom(seed);
 	const jobs = new TinyQueue<Job>([], (left, right) => left.at - right.at || left.order - right.order);
 	const outcomes = new Map<string, PromptOutcome>();
@@ -141,7 +148,7 @@
 		configuration.applyTicket(createTicket(), 1);
 		configuration.applyTicket(createOrganisationTicket(deployment.organisations), 2);
 		const entry = createEntry({...defaultEntrySettings, entryName: `e${index}`, dataCentre}, {
-			configuration, random: createRandom(seed + index), policy: policy.routing, getHash: hashText,
+			configuration, random: createRandom(seed + index), policy: policy.routing, getHash,
 		});
 		return {entry, dataCentre, wakeAt: Number.POSITIVE_INFINITY};
 	});
@@ -386,11 +393,13 @@
 		const held: ReadonlyArray<Readonly<{attemptId: AttemptId; tokens: number}>> = node.engine.getHeld();
 		if (!isCut && !node.isDead) {
 			schedule(now + faults.reportLagMs, () => {
-				stepAgent(index, {kind: 'engineReported', report: {
-					totalMemoryTokens: defaultEngineModelSettings.memoryTokens,
-					prefillTokensPerSecond: node.engine.getPrefillTokensPerSecond(),
-					held,
-				}});
+				stepAgent(index, {
+					kind: 'engineReported', report: {
+						totalMemoryTokens: defaultEngineModelSettings.memoryTokens,
+						prefillTokensPerSecond: node.engine.getPrefillTokensPerSecond(),
+						held,
+					},
+				});
 			});
 		}
 
@@ -429,6 +438,10 @@
 		openCount -= 1;
 	}
 
+	function hasOpenPrompts(): boolean {
+		return openCount > 0;
+	}
+
 	function startPrompt(prompt: WorkloadPrompt): void {
 		outcomes.set(prompt.requestId, {
 			prompt, firstTokenMs: undefined, totalMs: undefined, gapsMs: [], lastTokenAt: 0, result: 'open', tries: 0,
@@ -468,12 +481,7 @@
 		});
 	}
 
-	while (openCount > 0) {
-		const job = jobs.pop();
-		if (job === undefined) {
-			break;
-		}
-
+	for (let job = jobs.pop(); job !== undefined && hasOpenPrompts(); job = jobs.pop()) {
 		now = job.at;
 		job.run();
 	}
@@ -485,14 +493,3 @@
 		attempts,
 	};
 }
-
-/** Mixes the characters of a text; the daemons use xxHash. */
-function hashText(text: string): number {
-	let hash = 2_166_136_261;
-	for (const character of text) {
-		hash = Math.imul(hash ^ (character.codePointAt(0) ?? 0), 16_777_619);
-	}
-
-	hash = Math.imul(hash ^ (hash >>> 15), 2_246_822_507);
-	return (hash ^ (hash >>> 13)) >>> 0;
-}
