Let prompts of middle length pass a blocked long one

Cause of the late middle lengths under overload, found by their queue at the agent: once a long prompt that did not fit counted as urgent, only short prompts might pass it; and the room for prefill held for them too, so one long prompt stopped them for its whole prefill. Now only long prompts wait for either. Entries also avoid engines whose memory was too full when their agent was heard last, and long prompts use at most 75 % of a pool.

--- a/packages/core/src/agent-types.ts
+++ b/packages/core/src/agent-types.ts
@@ -56,7 +56,7 @@
 	maximumActive: number;
 	/** Long prompts among them. */
 	maximumLongActive: number;
-	/** Prompt tokens of medium and long prompts that may be in prefill at once. */
+	/** Prompt tokens in prefill beside which no further long prompt starts. */
 	maximumPrefillTokens: TokenCount;
 	/** Longest predicted wait, by class, at which an attempt is still taken. */
 	maximumWaitMs: Readonly<Record<PromptClass, Milliseconds>>;
--- a/packages/core/src/agent.ts
+++ b/packages/core/src/agent.ts
@@ -229,11 +229,7 @@
 			return false;
 		}
 
-		if (item.promptClass === 'short') {
-			return true;
-		}
-
-		return hasPrefillRoom(item) && hasLongSlot(item);
+		return item.promptClass !== 'long' || (hasPrefillRoom(item) && hasLongSlot());
 	}
 
 	function hasPrefillRoom(item: QueuedAttempt): boolean {
@@ -245,11 +241,7 @@
 		return tokens === 0 || tokens + item.tokens <= settings.maximumPrefillTokens;
 	}
 
-	function hasLongSlot(item: QueuedAttempt): boolean {
-		if (item.promptClass !== 'long') {
-			return true;
-		}
-
+	function hasLongSlot(): boolean {
 		const longCount = [...active.values()].filter(other => other.promptClass === 'long').length;
 		return longCount < settings.maximumLongActive;
 	}
--- a/packages/core/src/routing.ts
+++ b/packages/core/src/routing.ts
@@ -38,7 +38,7 @@
 }>;
 
 export const defaultRoutingPolicy = {
-	kind: 'lengthAware', choices: 16, maximumLongShare: 0.9, shortWaitMs: 1000, longWaitMs: 20_000, interferenceMsPerToken: 20, remotePenaltyMs: 20,
+	kind: 'lengthAware', choices: 16, maximumLongShare: 0.75, shortWaitMs: 1000, longWaitMs: 20_000, interferenceMsPerToken: 20, remotePenaltyMs: 20,
 } as const satisfies RoutingPolicy;
 
 /** What the routing may ask of its surroundings. */
@@ -75,6 +75,9 @@
 };
 
 const prefixHintLimit = 20_000;
+/** Predicted wait for memory at an engine that had too little of it when its agent was heard last. */
+const fullMemoryMs = 5000;
+
 const assumedPrefillTokensPerSecond = 10_000;
 const millisecondsPerSecond = 1000;
 
@@ -134,7 +137,8 @@
 		const rate = member.status?.load.prefillTokensPerSecond ?? assumedPrefillTokensPerSecond;
 		const ahead = getTokensAhead(member, getClassesAhead(getPromptClass(getWorkTokens(work))), now);
 		const own = getUncachedTokens(member.server.name, work);
-		return (ahead + own) / Math.max(1, rate) * millisecondsPerSecond;
+		const isMemoryFull = member.status !== undefined && member.status.load.freeMemoryTokens < getWorkTokens(work);
+		return ((ahead + own) / Math.max(1, rate) * millisecondsPerSecond) + (isMemoryFull ? fullMemoryMs : 0);
 	}
 
 	/** Returns the members in an order that all entries share; long prompts use them from the front. */
--- a/packages/core/src/work-queue.ts
+++ b/packages/core/src/work-queue.ts
@@ -4,8 +4,8 @@
 Attempts are served by class, and within a class in order of arrival. Waiting raises an attempt's class, so that a
 stream of short prompts can't starve a long one. Organisations of one class take turns.
 
-A large prompt may not fit while smaller ones still do. Once it has waited long enough to count as urgent, only short
-prompts pass it, so that what it needs becomes free.
+A long prompt may not fit while smaller ones still do. Once it has waited long enough to count as urgent, no other long
+prompt passes it, so that what it needs becomes free.
 */
 import {promptClasses} from './prompt-class.js';
 import type {
@@ -56,8 +56,8 @@
 			return undefined;
 		}
 
-		const isBlocked = items.some(item => item.promptClass !== 'short' && getRank(item, now) === 0 && !startable.includes(item));
-		const allowed = isBlocked ? startable.filter(item => item.promptClass === 'short') : startable;
+		const isBlocked = items.some(item => item.promptClass === 'long' && getRank(item, now) === 0 && !startable.includes(item));
+		const allowed = isBlocked ? startable.filter(item => item.promptClass !== 'long') : startable;
 		const [first] = allowed.toSorted((left, right) => compare(left, right, now));
 		return first;
 	}
