--- a/packages/core/src/agent-types.ts
+++ b/packages/core/src/agent-types.ts
@@ -63,6 +63,8 @@
 	/** Wait after which a queued attempt is served like one of the next more urgent class. */
 	ageingMs: Milliseconds;
 	heartbeatIntervalMs: Milliseconds;
+	/** Least time between two messages with tokens on one stream; tokens that come meanwhile go together. */
+	tokenIntervalMs: Milliseconds;
 	/** Age from which a permit is refused; tombstones and ended attempts are kept as long. */
 	permitLifeMs: Milliseconds;
 	/** How long the tokens of an ended answer are kept. */
--- a/packages/core/src/agent.ts
+++ b/packages/core/src/agent.ts
@@ -32,6 +32,7 @@
 	readonly streamId: StreamId;
 	readonly attemptId: AttemptId;
 	lastSentAt: Timestamp;
+	lastTokensAt: Timestamp;
 	nextOffset: number;
 };
 
@@ -51,6 +52,7 @@
 	maximumWaitMs: {short: 2000, medium: 10_000, long: 120_000},
 	ageingMs: 5000,
 	heartbeatIntervalMs: 400,
+	tokenIntervalMs: 25,
 	permitLifeMs: 60_000,
 	answerLifeMs: 15_000,
 	orphanLifeMs: 4000,
@@ -61,6 +63,9 @@
 
 const millisecondsPerSecond = 1000;
 
+/** Time of the last tokens on a stream that had none: the first ones are never held back. */
+const noTokensYet = Number.NEGATIVE_INFINITY;
+
 function getWorkTokens(work: Work): TokenCount {
 	return work.kind === 'prompt' ? work.promptTokens : 0;
 }
@@ -153,7 +158,7 @@
 		const {streamId, attemptId, reason, retryAfterMs} = rejected;
 		records.addTombstone(attemptId, now);
 		return endListener({
-			streamId, attemptId, lastSentAt: now, nextOffset: 0,
+			streamId, attemptId, lastSentAt: now, lastTokensAt: noTokensYet, nextOffset: 0,
 		}, {kind: 'refused', reason, retryAfterMs}, now);
 	}
 
@@ -164,12 +169,30 @@
 
 		const offset = listener.nextOffset;
 		listener.nextOffset = record.tokens.length;
+		listener.lastTokensAt = now;
 		return [send(listener, {kind: 'tokens', offset, tokens: record.tokens.slice(offset)}, now)];
 	}
 
+	function getTokensDueAt(listener: Listener): Timestamp {
+		return listener.lastTokensAt + settings.tokenIntervalMs;
+	}
+
+	function hasTokensToSend(listener: Listener): boolean {
+		return listener.nextOffset < (records.tryGet(listener.attemptId)?.tokens.length ?? 0);
+	}
+
+	/** Sends the tokens that were held back to go together. */
+	function sendDueTokens(now: Timestamp): readonly AgentAction[] {
+		const due = [...listeners.values()].filter(listener => now >= getTokensDueAt(listener));
+		return due.flatMap(listener => {
+			const record = records.tryGet(listener.attemptId);
+			return record === undefined ? [] : sendTokens(record, listener, now);
+		});
+	}
+
 	function listen(streamId: StreamId, record: AttemptRecord, nextOffset: number, now: Timestamp): readonly AgentAction[] {
 		const listener: Listener = {
-			streamId, attemptId: record.attempt.attemptId, lastSentAt: now, nextOffset,
+			streamId, attemptId: record.attempt.attemptId, lastSentAt: now, lastTokensAt: noTokensYet, nextOffset,
 		};
 		listeners.set(streamId, listener);
 		record.orphanedAt = undefined;
@@ -342,7 +365,7 @@
 		if (event.incarnation !== settings.incarnation) {
 			const result = {kind: 'failed', ran: 'unknown', detail: 'the agent was restarted'} as const;
 			return endListener({
-				streamId: event.streamId, attemptId: event.attemptId, lastSentAt: now, nextOffset: 0,
+				streamId: event.streamId, attemptId: event.attemptId, lastSentAt: now, lastTokensAt: noTokensYet, nextOffset: 0,
 			}, result, now);
 		}
 
@@ -378,7 +401,8 @@
 
 		record.tokens.push(...tokens);
 		const hadPrefill = prefilling.delete(attemptId);
-		const sent = getListeners(attemptId).flatMap(listener => sendTokens(record, listener, now));
+		const due = getListeners(attemptId).filter(listener => now >= getTokensDueAt(listener));
+		const sent = due.flatMap(listener => sendTokens(record, listener, now));
 		return hadPrefill ? [...sent, ...startQueued(now)] : sent;
 	}
 
@@ -429,9 +453,10 @@
 	function checkTime(now: Timestamp): readonly AgentAction[] {
 		records.expire(now);
 		const expiries = records.getLive().flatMap(record => expire(record, now));
+		const tokens = sendDueTokens(now);
 		const due = [...listeners.values()].filter(listener => now >= listener.lastSentAt + settings.heartbeatIntervalMs);
 		const heartbeats = due.map(listener => send(listener, {kind: 'heartbeat', status: getStatus(now)}, now));
-		return [...expiries, ...heartbeats, ...startQueued(now)];
+		return [...expiries, ...tokens, ...heartbeats, ...startQueued(now)];
 	}
 
 	function step(event: AgentEvent, now: Timestamp): readonly AgentAction[] {
@@ -497,7 +522,8 @@
 		getWakeAt() {
 			let wakeAt = records.tryGetExpiryAt() ?? Number.POSITIVE_INFINITY;
 			for (const listener of listeners.values()) {
-				wakeAt = Math.min(wakeAt, listener.lastSentAt + settings.heartbeatIntervalMs);
+				const tokensAt = hasTokensToSend(listener) ? getTokensDueAt(listener) : Number.POSITIVE_INFINITY;
+				wakeAt = Math.min(wakeAt, tokensAt, listener.lastSentAt + settings.heartbeatIntervalMs);
 			}
 
 			for (const record of records.getLive()) {
--- /dev/null
+++ b/packages/core/src/membership.test.ts
@@ -0,0 +1,62 @@
+/**
+Whose word counts on which server may get new work.
+*/
+import {describe, expect, test} from 'vitest';
+import {createFixtureListings, createFixtureServer, createFixtureStatus} from './fixtures.js';
+import {createMembership, type Membership} from './membership.js';
+import type {ServingState} from './types.js';
+
+const server = createFixtureServer('m1', 'models');
+
+function createFixtureMembership(): Membership {
+	const membership = createMembership({unreachablePauseMs: 500, maximumUnreachablePauseMs: 2000});
+	membership.applyHostList(createFixtureListings([server]));
+	return membership;
+}
+
+function applyState(membership: Membership, state: ServingState, incarnation: string, now: number): void {
+	membership.applyStatus({...createFixtureStatus('m1', incarnation, now), state}, now);
+}
+
+function isAvailable(membership: Membership, now: number): boolean {
+	return membership.getAvailable('models', now).length === 1;
+}
+
+describe('membership', () => {
+	test('neither a late message nor the host list takes a draining server back', () => {
+		const membership = createFixtureMembership();
+		applyState(membership, 'draining', 'i1', 10);
+		applyState(membership, 'serving', 'i1', 5);
+		membership.applyHostList(createFixtureListings([server]));
+		expect(isAvailable(membership, 20)).toBe(false);
+	});
+
+	test('a new incarnation is taken back, and the one before is not believed again', () => {
+		const membership = createFixtureMembership();
+		applyState(membership, 'draining', 'i1', 10);
+		applyState(membership, 'serving', 'i2', 20);
+		expect(isAvailable(membership, 21)).toBe(true);
+		applyState(membership, 'gone', 'i1', 30);
+		expect(isAvailable(membership, 31)).toBe(true);
+		expect(membership.tryGetMember('m1')?.status?.permit.incarnation).toBe('i2');
+	});
+
+	test('a host that is listed as leaving gets no new work, though its agent serves', () => {
+		const membership = createFixtureMembership();
+		applyState(membership, 'serving', 'i1', 10);
+		membership.applyHostList([{server, isLeaving: true}]);
+		expect(isAvailable(membership, 20)).toBe(false);
+	});
+
+	test('a server that can not be reached is paused longer each time, up to a bound, until it is heard', () => {
+		const membership = createFixtureMembership();
+		const pauses = [0, 1, 2, 3].map(round => {
+			const now = round * 10_000;
+			membership.recordUnreachable('m1', now);
+			return (membership.tryGetMember('m1')?.unreachableUntil ?? 0) - now;
+		});
+		expect(pauses).toEqual([500, 1000, 2000, 2000]);
+		applyState(membership, 'serving', 'i1', 30_001);
+		expect(isAvailable(membership, 30_002)).toBe(true);
+	});
+});
--- /dev/null
+++ b/packages/daemon/src/logger.test.ts
@@ -0,0 +1,12 @@
+/**
+The form of log lines.
+*/
+import {expect, test} from 'vitest';
+import {formatLogLine} from './logger.js';
+
+test('values are bare where they are one plain word, and quoted otherwise', () => {
+	const line = formatLogLine({
+		plain: 'a-1/b.c:8', spaced: 'two words', equals: 'a=b', quote: 'say "no"', empty: '', lines: 'a\nb', back: String.raw`a\b`, number: 1.5, flag: false, none: undefined,
+	});
+	expect(line).toBe(String.raw`plain=a-1/b.c:8 spaced="two words" equals="a=b" quote="say \"no\"" empty="" lines="a\nb" back="a\\b" number=1.5 flag=false`);
+});
