Order engines into a wanted state under a lease with fencing numbers

A pool's ticket may say which model, version and role its engines are wanted in. Two entries at most want the pool's lease; the holder sends each agent the whole wanted state. The agent refuses numbers below those it saw, reads the lease before it acts, and takes one order at a time.

The lease compares no clocks: its holder trusts 70 % of the duration from when it sent the write; another takes over after it saw one version for the whole duration.

--- a/packages/core/src/configuration.ts
+++ b/packages/core/src/configuration.ts
@@ -43,6 +43,7 @@
 	tryGetPool(name: PoolName): Pool | undefined;
 	findOrganisationByKey(keySha256: string): NamedOrganisation | undefined;
 	getRoutes(): ReadonlyMap<RouteName, Route>;
+	getPools(): ReadonlyMap<PoolName, Pool>;
 	/** Returns the objects that the ticket last touched. */
 	getTicketObjects(ticketNumber: number): readonly VersionedObject[];
 }>;
@@ -173,6 +174,7 @@
 		tryGetPool: name => pools.get(name),
 		findOrganisationByKey: keySha256 => organisationsByKey.get(keySha256),
 		getRoutes: () => routes,
+		getPools: () => pools,
 		getTicketObjects: ticketNumber => [...objects.values()].filter(versioned => versioned.ticketNumber === ticketNumber),
 	};
 }
--- /dev/null
+++ b/packages/core/src/lease.test.ts
@@ -0,0 +1,156 @@
+/**
+Leases under pauses, slow calls and lost answers: never two holders at once, and numbers that grow.
+*/
+import process from 'node:process';
+import fc from 'fast-check';
+import {describe, expect, test} from 'vitest';
+import {
+	createLease, type Lease, type LeaseAction, type LeaseEvent, type StoredLease,
+} from './lease.js';
+import {createOrderGate} from './order-gate.js';
+import type {Timestamp} from './types.js';
+
+const parameters = {
+	seed: Number(process.env.CURRANTCROSS_SEED ?? '20261204'),
+	numRuns: Number(process.env.CURRANTCROSS_RUNS ?? '1000'),
+};
+
+const durationMs = 1000;
+const endAt = 20_000;
+const holderCount = 3;
+
+type Pause = Readonly<{holder: number; from: Timestamp; forMs: number}>;
+type Job = Readonly<{at: Timestamp; order: number; run: () => void}>;
+type HolderFacts = Readonly<{holder: number; fencingNumber: number; at: Timestamp}>;
+
+/** Runs holders against one stored lease, and returns who held it when, looked at every 10 ms. */
+function runHolders(pauses: readonly Pause[], delaysMs: readonly number[], lost: readonly boolean[]): readonly HolderFacts[] {
+	const leases: Lease[] = Array.from({length: holderCount}, (_, holder) => createLease({holder: `h${holder}`, durationMs, retryDelayMs: 50}));
+	const facts: HolderFacts[] = [];
+	let stored: StoredLease | undefined;
+	let jobs: Job[] = [];
+	let now = 0;
+	let callCount = 0;
+	let jobCount = 0;
+
+	function schedule(at: Timestamp, run: () => void): void {
+		jobCount += 1;
+		jobs.push({at, order: jobCount, run});
+	}
+
+	function getDelayMs(): number {
+		callCount += 1;
+		return delaysMs[callCount % delaysMs.length] ?? 1;
+	}
+
+	/** Returns when a holder can act next, after the pauses that it is in. */
+	function getAwakeAt(holder: number, at: Timestamp): Timestamp {
+		const pause = pauses.find(item => item.holder === holder && at >= item.from && at < item.from + item.forMs);
+		return pause === undefined ? at : getAwakeAt(holder, pause.from + pause.forMs);
+	}
+
+	function step(holder: number, event: LeaseEvent): void {
+		const awakeAt = getAwakeAt(holder, now);
+		if (awakeAt > now) {
+			schedule(awakeAt, () => {
+				step(holder, event);
+			});
+			return;
+		}
+
+		for (const action of leases[holder]?.step(event, now) ?? []) {
+			perform(holder, action);
+		}
+	}
+
+	function write(action: Extract<LeaseAction, {kind: 'writeLease'}>): 'created' | 'exists' {
+		if (stored?.version !== action.version) {
+			return 'exists';
+		}
+
+		stored = {record: action.record, version: (stored?.version ?? 0) + 1};
+		return 'created';
+	}
+
+	function perform(holder: number, action: LeaseAction): void {
+		schedule(now + getDelayMs(), () => {
+			const isLost = lost[callCount % Math.max(1, lost.length)] === true;
+			const read = stored;
+			const outcome = action.kind === 'writeLease' ? write(action) : undefined;
+			schedule(now + getDelayMs(), () => {
+				step(holder, outcome === undefined ? {kind: 'leaseRead', stored: read} : {kind: 'writeAnswered', outcome: isLost ? 'unknown' : outcome});
+			});
+		});
+	}
+
+	function observeHolders(): void {
+		for (const [holder, lease] of leases.entries()) {
+			const fencingNumber = lease.tryGetFencingNumber(now);
+			if (fencingNumber !== undefined) {
+				facts.push({holder, fencingNumber, at: now});
+			}
+
+			step(holder, {kind: 'timePassed'});
+		}
+	}
+
+	for (let at = 0; at <= endAt; at += 10) {
+		schedule(at, observeHolders);
+	}
+
+	while (jobs.length > 0) {
+		jobs = jobs.toSorted((left, right) => left.at - right.at || left.order - right.order);
+		const job = jobs.shift();
+		if (job === undefined || job.at > endAt) {
+			break;
+		}
+
+		now = job.at;
+		job.run();
+	}
+
+	return facts;
+}
+
+const pause: fc.Arbitrary<Pause> = fc.record({
+	holder: fc.nat({max: holderCount - 1}), from: fc.nat({max: endAt / 2}), forMs: fc.integer({min: 10, max: 5000}),
+});
+
+describe('a lease', () => {
+	test('is never held by two at once, and each next holder has a higher number', () => {
+		const script = fc.record({
+			pauses: fc.array(pause, {maxLength: 4}),
+			delaysMs: fc.array(fc.integer({min: 1, max: 400}), {minLength: 1, maxLength: 7}),
+			lost: fc.array(fc.boolean(), {maxLength: 5}),
+		});
+		fc.assert(fc.property(script, ({pauses, delaysMs, lost}) => {
+			let last: HolderFacts | undefined;
+			for (const facts of runHolders(pauses, delaysMs, lost)) {
+				const isOther = last !== undefined && facts.holder !== last.holder;
+				expect(isOther && facts.at === last?.at).toBe(false);
+				expect(facts.fencingNumber).toBeGreaterThanOrEqual((last?.fencingNumber ?? 0) + (isOther ? 1 : 0));
+				last = facts;
+			}
+		}), {...parameters, numRuns: Math.ceil(parameters.numRuns / 10)});
+	});
+
+	test('is held by someone most of the time, and passes on when its holder is paused', () => {
+		const facts = runHolders([{holder: 0, from: 5000, forMs: 10_000}], [3], []);
+		const holders = new Set(facts.filter(({at}) => at > 9000 && at < 15_000).map(({holder}) => holder));
+		expect(holders.size).toBe(1);
+		expect(new Set(facts.map(({at}) => at)).size).toBeGreaterThan(endAt / 10 * 0.8);
+	});
+});
+
+describe('the gate of orders', () => {
+	const wanted = {model: 'base', version: '2', role: 'serve'};
+
+	test('refuses a number below one that it saw, or that stands in the lease', () => {
+		const gate = createOrderGate();
+		const check = (fencingNumber: number, stored: number) => gate.checkOrder({leaseName: 'orders', fencingNumber, wanted}, stored)?.kind;
+		expect(check(2, 2)).toBeUndefined();
+		expect(check(1, 0)).toBe('refused');
+		expect(check(2, 2)).toBeUndefined();
+		expect(check(2, 3)).toBe('refused');
+	});
+});
--- a/packages/core/src/ticket.ts
+++ b/packages/core/src/ticket.ts
@@ -40,6 +40,7 @@
 const poolSchema = z.strictObject({
 	kind: z.enum(['model', 'business']),
 	engineMemoryTokens: z.number().int().min(0),
+	wanted: z.strictObject({model: z.string().min(1), version: z.string().min(1), role: z.string().min(1)}).optional(),
 });
 
 const organisationSchema = z.strictObject({
--- a/packages/core/src/types.ts
+++ b/packages/core/src/types.ts
@@ -5,6 +5,8 @@
 Lengths of prompts and answers are in tokens.
 */
 
+import type {WantedState} from './order-gate.js';
+
 /** A point in time, in milliseconds, on the caller's own clock. */
 export type Timestamp = number;
 
@@ -187,6 +189,8 @@
 	kind: ServerKind;
 	/** Largest memory of one engine, in tokens; 0 for business pools. */
 	engineMemoryTokens: TokenCount;
+	/** What the engines are ordered to run; without it they are left as they are. */
+	wanted?: WantedState | undefined;
 }>;
 
 export type Organisation = Readonly<{
--- a/packages/daemon/src/agent-daemon.ts
+++ b/packages/daemon/src/agent-daemon.ts
@@ -6,14 +6,17 @@
 import {createModelServer} from '@currantcross/endpoint/model-server';
 import {createAgentService} from '@currantcross/peer/agent-service';
 import {startPeerServer} from '@currantcross/peer/peer-server';
+import {createObjectApi} from '@currantcross/platform/object-api';
 import {createAgentDriver, type AgentDriver, type ServerClient} from './agent-driver.js';
 import type {Daemon} from './daemon.js';
 import {createIncarnation} from './incarnation.js';
 import {createLogger} from './logger.js';
 import {createMetrics} from './metrics.js';
+import {createOrderHandler} from './order-handler.js';
 import {readKeyFile, type AgentDaemonSettings} from './settings.js';
 
 const engineTimeoutMs = 2000;
+const objectApiTimeoutMs = 2000;
 const drainPollMs = 50;
 const gaugeIntervalMs = 10_000;
 
@@ -47,10 +50,14 @@
 			driver.dispatch(event);
 		},
 		getStatus: () => agent.getStatus(performance.now()),
+		applyOrder: async order => orders.applyOrder(order),
 	});
-	const driver: AgentDriver = createAgentDriver(agent, {
-		server: createServerClient(settings), logger, getAdapter: () => service,
-	});
+	const serverClient = createServerClient(settings);
+	const driver: AgentDriver = createAgentDriver(agent, {server: serverClient, logger, getAdapter: () => service});
+	const api = settings.platform === undefined
+		? undefined
+		: createObjectApi({url: settings.platform.objectApiUrl, timeoutMs: objectApiTimeoutMs});
+	const orders = createOrderHandler(api, serverClient.kind === 'model' ? serverClient.client : undefined);
 	const server = await startPeerServer({
 		host: settings.peer.host,
 		port: settings.peer.port,
--- a/packages/daemon/src/entry-daemon.ts
+++ b/packages/daemon/src/entry-daemon.ts
@@ -28,12 +28,17 @@
 import {createIncarnation} from './incarnation.js';
 import {createLogger} from './logger.js';
 import {createMetrics} from './metrics.js';
+import {startOrderReconciler} from './order-reconciler.js';
 import {createRequestStatistics} from './request-statistics.js';
 import {readKeyFile, type EntryDaemonSettings} from './settings.js';
 
 const peerTimeoutMs = 1000;
 const objectApiTimeoutMs = 2000;
 const drainPollMs = 50;
+
+/** Entries that want the leases for orders. */
+const orderCandidates = 2;
+
 const gaugeIntervalMs = 10_000;
 const seedRange = 2 ** 31;
 
@@ -122,10 +127,20 @@
 	const entry = createEntry({...defaultEntrySettings, entryName: settings.name, dataCentre: settings.dataCentre}, {
 		configuration, random, policy: getPolicy(settings.policy), getHash,
 	});
-	const driver = createEntryDriver(entry, {agents: createAgentClient(connections, peerTimeoutMs), claims, logger});
+	const agents = createAgentClient(connections, peerTimeoutMs);
+	const driver = createEntryDriver(entry, {agents, claims, logger});
 	const statistics = createRequestStatistics(configuration, metrics, logger);
+	const reconciler = startOrderReconciler(writer, {
+		configuration, api, agents, logger, getMembers: () => entry.getMembers(), isCandidate: isOrderCandidate,
+	});
 	let requestCount = 0;
 
+	/** Returns whether this entry is among the first of all entries, in an order that all of them share. */
+	function isOrderCandidate(): boolean {
+		const ownRank = getHash(settings.name);
+		return getOtherEntries().filter(listing => getHash(listing.name) < ownRank).length < orderCandidates;
+	}
+
 	function getOtherEntries(): readonly EntryListing[] {
 		return hosts.getEntries().filter(listing => listing.name !== settings.name);
 	}
@@ -222,6 +237,7 @@
 			sync.close();
 			hosts.close();
 			claims.close();
+			reconciler.close();
 			driver.close();
 			clearInterval(gaugeTimer);
 			metrics.close();
--- a/packages/daemon/src/logger.ts
+++ b/packages/daemon/src/logger.ts
@@ -6,7 +6,7 @@
 /** The events that are logged. */
 export type LogEventName
 	= | 'started' | 'stopping' | 'stopped' | 'requestEnded' | 'attemptStarted' | 'attemptEnded' | 'streamBroken'
-		| 'hostListFailed' | 'configurationInForce' | 'configurationRead' | 'probeFailed' | 'serverFailed' | 'internalError';
+		| 'hostListFailed' | 'configurationInForce' | 'configurationRead' | 'probeFailed' | 'serverFailed' | 'orderSent' | 'internalError';
 
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
--- /dev/null
+++ b/packages/daemon/src/orders.process.test.ts
@@ -0,0 +1,115 @@
+/**
+Orders to engines: the wanted state of a ticket reaches each engine, and a holder that wakes late undoes nothing.
+*/
+import {writeFileSync} from 'node:fs';
+import path from 'node:path';
+import {parseOwnJson} from '@currantcross/core/json';
+import {getDemoTicket} from '@currantcross/standins/demo-ticket';
+import {
+	sendJsonRequest, startDeployment, type Deployment, type EntryProcess,
+} from '@currantcross/standins/deployment';
+import {
+	afterAll, beforeAll, expect, test,
+} from 'vitest';
+
+/** How long an order may take on a busy machine, a change of the lease's holder included. */
+const orderLimitMs = 40_000;
+
+let deployment: Deployment;
+
+async function wait(ms: number): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, ms);
+	});
+}
+
+async function applyWanted(entry: EntryProcess | undefined, number: number, version: string): Promise<void> {
+	const file = path.join(deployment.directory, `ticket-${number}.json`);
+	const state = {kind: 'model', engineMemoryTokens: 400_000, wanted: {model: 'base', version, role: 'serve'}};
+	writeFileSync(file, JSON.stringify({number, objects: [{kind: 'pool', name: 'models', state}]}));
+	const result = await deployment.runCommand([
+		'ticket', 'apply', file, '--operator', entry?.operatorUrl ?? '', '--key-file', deployment.operatorKeyFile,
+	]);
+	expect(result.exitCode).toBe(0);
+}
+
+async function getVersions(): Promise<readonly string[]> {
+	const models = deployment.getServers().filter(server => server.kind === 'model');
+	const orders = await Promise.all(models.map(async server => sendJsonRequest<{version: string}>('GET', `${server.serverUrl}/v1/orders`)));
+	return orders.map(order => order.version);
+}
+
+async function waitForVersions(version: string): Promise<readonly string[]> {
+	const startedAt = performance.now();
+	let versions = await getVersions();
+	while (versions.some(found => found !== version) && performance.now() - startedAt < orderLimitMs) {
+		// eslint-disable-next-line no-await-in-loop
+		await wait(100);
+		// eslint-disable-next-line no-await-in-loop
+		versions = await getVersions();
+	}
+
+	return versions;
+}
+
+async function getHolder(): Promise<EntryProcess | undefined> {
+	const stored = await sendJsonRequest<{value: string}>('GET', `${deployment.platformUrl}/v1/objects/${encodeURIComponent('lease/orders-models')}`);
+	const {holder} = parseOwnJson<{holder: string}>(stored.value);
+	return deployment.getEntries().find(entry => holder.startsWith(`${entry.name}/`));
+}
+
+beforeAll(async () => {
+	deployment = await startDeployment({
+		dataCentres: ['a', 'b'],
+		modelServersPerDataCentre: 1,
+		businessServersPerDataCentre: 0,
+		timeScale: 1,
+		drainLagMs: 0,
+		checksFencing: name => name === 'model-a-1',
+	});
+	const file = path.join(deployment.directory, 'ticket-1.json');
+	writeFileSync(file, JSON.stringify(getDemoTicket(1)));
+	const [entry] = deployment.getEntries();
+	const applied = await deployment.runCommand([
+		'ticket', 'apply', file, '--wait', '--operator', entry?.operatorUrl ?? '', '--key-file', deployment.operatorKeyFile,
+	]);
+	expect(applied.exitCode).toBe(0);
+});
+
+afterAll(async () => {
+	await deployment.stop();
+});
+
+test('the wanted version reaches each engine, also through a change of holder, and is not undone when the old one wakes', async () => {
+	await applyWanted(deployment.getEntries()[0], 2, '2');
+	expect(await waitForVersions('2')).toEqual(['2', '2']);
+	const holder = await getHolder();
+	const other = deployment.getEntries().find(entry => entry.name !== holder?.name);
+	holder?.running.process.kill('SIGSTOP');
+	await applyWanted(other, 3, '3');
+	expect(await waitForVersions('3')).toEqual(['3', '3']);
+	holder?.running.process.kill('SIGCONT');
+	await wait(4000);
+	expect(await getVersions()).toEqual(['3', '3']);
+	const next = await getHolder();
+	expect(next?.name).toBe(other?.name);
+});
+
+test('an agent refuses a number below that of the lease, also after it was restarted, beside engines that check and that do not', async () => {
+	const {createAgentClient} = await import('@currantcross/peer/agent-client');
+	const {createConnections, defaultConnectionSettings} = await import('@currantcross/peer/connections');
+	const connections = createConnections({...defaultConnectionSettings, sharedKey: 'shared-key-of-the-deployment', tls: undefined});
+	const agents = createAgentClient(connections, 5000);
+	const servers = deployment.getServers();
+	for (const server of servers) {
+		// eslint-disable-next-line no-await-in-loop
+		await deployment.restartAgent(server.name);
+	}
+
+	const outcomes = await Promise.all(deployment.getServers().map(async server => agents.applyOrder(server.agentUrl, {
+		leaseName: 'orders-models', fencingNumber: 1, wanted: {model: 'base', version: '1', role: 'serve'},
+	})));
+	connections.close();
+	expect(outcomes.map(outcome => outcome.kind)).toEqual(['refused', 'refused']);
+	expect(await getVersions()).toEqual(['3', '3']);
+});
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -61,6 +61,8 @@
 	role: z.literal('agent'),
 	...commonShape,
 	server: z.strictObject({kind: z.enum(['model', 'business']), url: urlSchema}),
+	/** Where leases are read before an order is applied; without it the agent takes no orders. */
+	platform: z.strictObject({objectApiUrl: urlSchema}).optional(),
 	limits: z.strictObject({
 		maximumActive: z.number().int().positive().optional(),
 		maximumLongActive: z.number().int().positive().optional(),
--- a/packages/endpoint/src/model-server.ts
+++ b/packages/endpoint/src/model-server.ts
@@ -4,6 +4,7 @@
 import {parseOwnJson} from '@currantcross/core/json';
 import {getError} from '@currantcross/core/error-text';
 import type {EngineReport} from '@currantcross/core/agent-types';
+import type {WantedState} from '@currantcross/core/order-gate';
 import type {
 	Attempt, AttemptId, Milliseconds, PromptWork,
 } from '@currantcross/core/types';
@@ -32,6 +33,8 @@
 	/** Releases what the engine holds for an attempt; a repeat changes nothing. */
 	releaseMemory(attemptId: AttemptId): Promise<void>;
 	getReport(): Promise<EngineReport>;
+	/** Orders the engine into a state; returns false when it refused the fencing number. */
+	sendOrder(wanted: WantedState, fencingNumber: number): Promise<boolean>;
 }>;
 
 const chunkSchema = z.object({
@@ -48,6 +51,8 @@
 });
 
 const endMarker = '[DONE]';
+const okStatus = 200;
+const conflictStatus = 409;
 
 /** Silence of an engine's stream after which it is given up. */
 const engineSilenceMs = 60_000;
@@ -92,11 +97,12 @@
 export function createModelServer(url: string, timeoutMs: Milliseconds): ModelServer {
 	const dispatcher = new Agent({connections: 256, headersTimeout: engineSilenceMs, bodyTimeout: engineSilenceMs});
 
-	async function sendPost(path: string, body: unknown): Promise<void> {
+	async function sendPost(path: string, body: unknown): Promise<number> {
 		const response = await request(new URL(path, url), {
 			method: 'POST', headers: {'content-type': 'application/json'}, body: JSON.stringify(body), signal: AbortSignal.timeout(timeoutMs),
 		});
 		await response.body.dump();
+		return response.statusCode;
 	}
 
 	async function openStream(call: PromptCall) {
@@ -139,8 +145,20 @@
 				throw new VError({name: 'EngineError', cause: getError(error)}, 'the engine can not be used');
 			}
 		},
-		cancel: async attemptId => sendPost('/v1/cancel', {attemptId}),
-		releaseMemory: async attemptId => sendPost('/v1/memory/release', {attemptId}),
+		async cancel(attemptId) {
+			await sendPost('/v1/cancel', {attemptId});
+		},
+		async releaseMemory(attemptId) {
+			await sendPost('/v1/memory/release', {attemptId});
+		},
+		async sendOrder(wanted, fencingNumber) {
+			const status = await sendPost('/v1/orders', {...wanted, fencingNumber});
+			if (status !== okStatus && status !== conflictStatus) {
+				throw new VError({name: 'EngineError'}, 'the engine answered an order with %d', status);
+			}
+
+			return status === okStatus;
+		},
 		async getReport() {
 			const response = await request(new URL('/v1/load', url), {signal: AbortSignal.timeout(timeoutMs)});
 			return reportSchema.parse(await response.body.json());
--- a/packages/peer/src/agent-client.ts
+++ b/packages/peer/src/agent-client.ts
@@ -2,6 +2,7 @@
 The entry's side of the calls to agents.
 */
 import {Code, ConnectError, createClient} from '@connectrpc/connect';
+import type {Order, OrderOutcome} from '@currantcross/core/order-gate';
 import type {StreamMode} from '@currantcross/core/entry-types';
 import type {
 	AgentStatus, Attempt, AttemptId, AttemptMessage, AttemptState, Incarnation, Milliseconds,
@@ -11,6 +12,7 @@
 import {
 	formatAttempt, parseMessage, parseState, parseStatus,
 } from './message-codec.js';
+import {formatOrder, parseOrderOutcome} from './order-codec.js';
 
 /** A stream of one attempt that is to be opened. */
 export type StreamRequest = Readonly<{
@@ -27,8 +29,13 @@
 	cancelAttempt(agentUrl: string, attemptId: AttemptId): Promise<void>;
 	voidAttempt(agentUrl: string, attemptId: AttemptId, incarnation: Incarnation): Promise<AttemptState>;
 	getStatus(agentUrl: string): Promise<AgentStatus>;
+	/** Sends an order; throws when the agent does not answer. */
+	applyOrder(agentUrl: string, order: Order): Promise<OrderOutcome>;
 }>;
 
+/** Loading a model takes its time. */
+const orderTimeoutMs = 30_000;
+
 function getErrorCode(error: unknown): string | undefined {
 	if (typeof error !== 'object' || error === null) {
 		return undefined;
@@ -83,6 +90,9 @@
 		async voidAttempt(agentUrl, attemptId, incarnation) {
 			return parseState(await getClient(agentUrl).voidAttempt({attemptId, incarnation}, {timeoutMs}));
 		},
+		async applyOrder(agentUrl, order) {
+			return parseOrderOutcome(await getClient(agentUrl).applyOrder(formatOrder(order), {timeoutMs: orderTimeoutMs}));
+		},
 		async getStatus(agentUrl) {
 			try {
 				const response = await getClient(agentUrl).getStatus({}, {timeoutMs});
--- a/packages/peer/src/agent-service.ts
+++ b/packages/peer/src/agent-service.ts
@@ -6,16 +6,19 @@
 import type {ConnectRouter, HandlerContext} from '@connectrpc/connect';
 import type {AgentAction, AgentEvent} from '@currantcross/core/agent-types';
 import type {StreamId} from '@currantcross/core/entry-types';
+import type {Order, OrderOutcome} from '@currantcross/core/order-gate';
 import type {AgentStatus, AttemptMessage, AttemptState} from '@currantcross/core/types';
 import {AgentService, type AttemptMessage as WireMessage} from './gen/currantcross/v1/peer_pb.js';
 import {
 	formatMessage, formatState, formatStatus, parseAttempt,
 } from './message-codec.js';
+import {formatOrderOutcome, parseOrder} from './order-codec.js';
 
 /** The agent that stands behind the service. */
 export type AgentServiceHost = Readonly<{
 	receive(event: AgentEvent): void;
 	getStatus(): AgentStatus;
+	applyOrder(order: Order): Promise<OrderOutcome>;
 }>;
 
 /** The actions that this service performs. */
@@ -82,6 +85,9 @@
 					return {};
 				},
 				getStatus: () => formatStatus(host.getStatus()),
+				async applyOrder(request) {
+					return formatOrderOutcome(await host.applyOrder(parseOrder(request)));
+				},
 			});
 		},
 		perform(action) {
--- a/packages/peer/src/peer-server.test.ts
+++ b/packages/peer/src/peer-server.test.ts
@@ -47,6 +47,7 @@
 			throw new Error('no attempt is sent here');
 		},
 		getStatus: () => createFixtureStatus('m1'),
+		applyOrder: async () => ({kind: 'applied'}),
 	});
 	server = await startPeerServer({
 		host: '127.0.0.1', port: 0, sharedKey, tls: serverTls,
--- /dev/null
+++ b/packages/platform/src/lease-driver.ts
@@ -0,0 +1,88 @@
+/**
+Drives a lease of the core against the object API, in the object `lease/NAME`.
+*/
+import {parseOwnJson} from '@currantcross/core/json';
+import {
+	createLease, type LeaseAction, type LeaseEvent, type LeaseRecord, type LeaseSettings, type StoredLease,
+} from '@currantcross/core/lease';
+import type {ObjectApi} from './object-api.js';
+
+export type LeaseDriver = Readonly<{
+	/** Returns the fencing number while the lease is held for certain. */
+	tryGetFencingNumber(): number | undefined;
+	close(): void;
+}>;
+
+function getLeaseKey(name: string): string {
+	return `lease/${name}`;
+}
+
+/**
+Reads a lease as it is stored.
+
+@throws VError named `ObjectApiError` when the object API does not answer.
+*/
+export async function readLease(api: ObjectApi, name: string): Promise<StoredLease | undefined> {
+	const stored = await api.tryGet(getLeaseKey(name));
+	return stored === undefined ? undefined : {record: parseOwnJson<LeaseRecord>(stored.value), version: stored.version};
+}
+
+/** Starts to want a lease, until it is closed. */
+export function startLease(name: string, settings: LeaseSettings, api: ObjectApi): LeaseDriver {
+	const lease = createLease(settings);
+	let timer: NodeJS.Timeout | undefined;
+	let isClosed = false;
+
+	function step(event: LeaseEvent): void {
+		if (isClosed) {
+			return;
+		}
+
+		for (const action of lease.step(event, performance.now())) {
+			void perform(action);
+		}
+
+		clearTimeout(timer);
+		const wakeAt = lease.getWakeAt();
+		if (Number.isFinite(wakeAt)) {
+			timer = setTimeout(() => {
+				step({kind: 'timePassed'});
+			}, Math.max(1, wakeAt - performance.now()));
+		}
+	}
+
+	async function perform(action: LeaseAction): Promise<void> {
+		switch (action.kind) {
+			case 'readLease': {
+				await read();
+				return;
+			}
+
+			case 'writeLease': {
+				const value = JSON.stringify(action.record);
+				const outcome = action.version === undefined
+					? await api.create(getLeaseKey(name), value)
+					: await api.update(getLeaseKey(name), value, action.version);
+				step({kind: 'writeAnswered', outcome});
+			}
+		}
+	}
+
+	async function read(): Promise<void> {
+		try {
+			const stored = await readLease(api, name);
+			step({kind: 'leaseRead', stored});
+		} catch {
+			step({kind: 'readFailed'});
+		}
+	}
+
+	step({kind: 'timePassed'});
+	return {
+		tryGetFencingNumber: () => lease.tryGetFencingNumber(performance.now()),
+		close() {
+			isClosed = true;
+			clearTimeout(timer);
+		},
+	};
+}
--- a/packages/standins/src/deployment.ts
+++ b/packages/standins/src/deployment.ts
@@ -25,6 +25,8 @@
 	entrySettings?: Readonly<Record<string, unknown>> | undefined;
 	/** Put into the settings of each agent. */
 	agentSettings?: Readonly<Record<string, unknown>> | undefined;
+	/** Returns whether the engine of a server checks fencing numbers. */
+	checksFencing?: ((name: string) => boolean) | undefined;
 	/** Sequences that an engine works on at once. */
 	maximumSequences?: number | undefined;
 }>;
@@ -145,7 +147,9 @@
 
 	async function startAgent(name: string, parts: Omit<ServerProcess, 'name' | 'agent' | 'agentUrl'>): Promise<ServerProcess> {
 		const {dataCentre, kind, serverUrl} = parts;
-		const agent = await startDaemon('agent', name, {dataCentre, server: {kind, url: serverUrl}, ...settings.agentSettings});
+		const agent = await startDaemon('agent', name, {
+			dataCentre, server: {kind, url: serverUrl}, platform: {objectApiUrl: platformUrl}, ...settings.agentSettings,
+		});
 		const server = {
 			...parts, name, agent, agentUrl: `http://${loopback}:${agent.ports.peer ?? 0}`,
 		};
@@ -155,7 +159,8 @@
 
 	async function startServer(name: string, dataCentre: string, kind: 'model' | 'business'): Promise<void> {
 		const sequences = settings.maximumSequences === undefined ? [] : ['--maximum-sequences', String(settings.maximumSequences)];
-		const options = kind === 'model' ? ['--time-scale', String(settings.timeScale), ...sequences] : [];
+		const fencing = settings.checksFencing?.(name) === true ? ['--checks-fencing'] : [];
+		const options = kind === 'model' ? ['--time-scale', String(settings.timeScale), ...sequences, ...fencing] : [];
 		const server = await start(`server-${name}`, standinScript, [kind, ...options]);
 		await startAgent(name, {
 			dataCentre, kind, server, serverUrl: `http://${loopback}:${server.ports.port ?? 0}`,
