Save up more retries for the loss of a data centre

Cause: an entry may have dozens of prompts at servers that go at once, and the budget let 10 of them try again.

--- a/packages/core/src/entry.ts
+++ b/packages/core/src/entry.ts
@@ -58,7 +58,7 @@
 	maximumRefusals: 4,
 	claimReserveMs: 100,
 	retryShare: 0.1,
-	retryBurst: 10,
+	retryBurst: 60,
 } as const satisfies Omit<EntrySettings, 'entryName' | 'dataCentre'>;
 
 const unreachablePauseMs = 500;
--- a/packages/measure/src/measure.ts
+++ b/packages/measure/src/measure.ts
@@ -33,6 +33,7 @@
 	load: string;
 	seconds: string;
 	fault: FaultName;
+	unboundedRetries: boolean;
 	json?: string;
 	svg?: string;
 }>;
@@ -70,9 +71,11 @@
 	const durationMs = Number(options.seconds) * millisecondsPerSecond;
 	const load = Number(options.load);
 	const prompts = createWorkload(deployment, seed, load, durationMs);
-	const faults = createFaults(options.fault, deployment, durationMs);
-	const result = runWorkload(deployment, policy, prompts, {seed, faults, getHash});
-	const alone = runWorkload(deployment, policy, prompts.filter(prompt => !isLongPrompt(prompt)), {seed, faults, getHash});
+	const run = {
+		seed, faults: createFaults(options.fault, deployment, durationMs), hasUnboundedRetries: options.unboundedRetries, getHash,
+	};
+	const result = runWorkload(deployment, policy, prompts, run);
+	const alone = runWorkload(deployment, policy, prompts.filter(prompt => !isLongPrompt(prompt)), run);
 	return summariseRun(result, alone, {policy: policy.name, seed, load});
 }
 
@@ -101,6 +104,7 @@
 	.option('--load <share>', 'share of the pool that the workload needs', '0.7')
 	.option('--seconds <number>', 'length of the run in virtual time', '240')
 	.addOption(new Option('--fault <name>', 'fault during the run').choices(['none', 'servers-die', 'reports-cut', 'data-centre-lost']).default('none'))
+	.option('--unbounded-retries', 'retry without a budget', false)
 	.option('--json <file>', 'write the figures as JSON')
 	.option('--svg <file>', 'write a picture')
 	.action(measure)
--- a/packages/measure/src/virtual-run.ts
+++ b/packages/measure/src/virtual-run.ts
@@ -108,6 +108,8 @@
 export type RunOptions = Readonly<{
 	seed: number;
 	faults: RunFaults;
+	/** Whether retries are let through without a budget, to show what the budget is for. */
+	hasUnboundedRetries: boolean;
 	/** Returns a well-mixed 32-bit hash of a text. */
 	getHash(text: string): number;
 }>;
@@ -119,7 +121,9 @@
 	prompts: readonly WorkloadPrompt[],
 	options: RunOptions,
 ): RunResult {
-	const {seed, faults, getHash} = options;
+	const {
+		seed, faults, hasUnboundedRetries, getHash,
+	} = options;
 	const random = createRandom(seed);
 	const jobs = new TinyQueue<Job>([], (left, right) => left.at - right.at || left.order - right.order);
 	const outcomes = new Map<string, PromptOutcome>();
@@ -147,7 +151,9 @@
 		const configuration = createConfiguration();
 		configuration.applyTicket(createTicket(), 1);
 		configuration.applyTicket(createOrganisationTicket(deployment.organisations), 2);
-		const entry = createEntry({...defaultEntrySettings, entryName: `e${index}`, dataCentre}, {
+		const entry = createEntry({
+			...defaultEntrySettings, ...(hasUnboundedRetries ? {retryShare: 1e6, retryBurst: 1e6} : {}), entryName: `e${index}`, dataCentre,
+		}, {
 			configuration, random: createRandom(seed + index), policy: policy.routing, getHash,
 		});
 		return {entry, dataCentre, wakeAt: Number.POSITIVE_INFINITY};
