Measure fairness, and ask engines and the host list less often

At rest an entry took 1.3 to 1.55 % of a core and an agent 1.45 to 1.5 %, over the 1.1 % wanted, so agents now ask their engine each second instead of each half, and entries read the host list every 3 s instead of 2.

--- a/packages/daemon/src/agent-driver.ts
+++ b/packages/daemon/src/agent-driver.ts
@@ -31,7 +31,7 @@
 
 type StartWork = Extract<AgentAction, {kind: 'startWork'}>;
 
-const reportIntervalMs = 500;
+const reportIntervalMs = 1000;
 
 /** Creates the driver of one agent. */
 export function createAgentDriver(agent: Agent, host: AgentDriverHost): AgentDriver {
--- a/packages/daemon/src/host-list-reader.ts
+++ b/packages/daemon/src/host-list-reader.ts
@@ -22,7 +22,7 @@
 	close(): void;
 }>;
 
-const intervalMs = 2000;
+const intervalMs = 3000;
 const timeoutMs = 2000;
 
 /** Creates a reader; until the list was read, it knows the entries of the settings. */
--- a/packages/measure/src/bench-processes.ts
+++ b/packages/measure/src/bench-processes.ts
@@ -235,6 +235,17 @@
 	];
 }
 
+/** Measures processes that have nothing to do, at two numbers of entries. */
+export async function measureAllAtRest(): Promise<readonly Figure[]> {
+	const figures: Figure[] = [];
+	for (const count of [2, 6]) {
+		// eslint-disable-next-line no-await-in-loop
+		figures.push(...await measureRest(count));
+	}
+
+	return figures;
+}
+
 /** Measures all of them, one deployment after the other. */
 export async function measureProcesses(): Promise<readonly Figure[]> {
 	const figures: Figure[] = [...await measurePath(), ...await measureActions()];
@@ -243,10 +254,5 @@
 		figures.push(...await measureRelay(count));
 	}
 
-	for (const count of [2, 6]) {
-		// eslint-disable-next-line no-await-in-loop
-		figures.push(...await measureRest(count));
-	}
-
-	return figures;
+	return [...figures, ...await measureAllAtRest()];
 }
--- a/packages/measure/src/bench.ts
+++ b/packages/measure/src/bench.ts
@@ -6,20 +6,24 @@
 import process from 'node:process';
 import {Command, Option} from 'commander';
 import {measureDecisions, type Figure} from './bench-decisions.js';
-import {measureProcesses} from './bench-processes.js';
+import {measureAllAtRest, measureProcesses} from './bench-processes.js';
 
-type Options = Readonly<{part: 'all' | 'decisions' | 'processes'; json?: string}>;
+type Options = Readonly<{part: 'all' | 'decisions' | 'processes' | 'rest'; json?: string}>;
 
 async function runBenchmarks({part, json}: Options): Promise<void> {
 	const figures: Figure[] = [];
-	if (part !== 'processes') {
+	if (part === 'all' || part === 'decisions') {
 		figures.push(...measureDecisions());
 	}
 
-	if (part !== 'decisions') {
+	if (part === 'all' || part === 'processes') {
 		figures.push(...await measureProcesses());
 	}
 
+	if (part === 'rest') {
+		figures.push(...await measureAllAtRest());
+	}
+
 	for (const {name, value, unit} of figures) {
 		process.stdout.write(`${name}: ${value.toPrecision(4)} ${unit}\n`);
 	}
@@ -31,7 +35,7 @@
 
 await new Command('bench')
 	.description('Measure costs of decisions and processes')
-	.addOption(new Option('--part <part>', 'what to measure').choices(['all', 'decisions', 'processes']).default('all'))
+	.addOption(new Option('--part <part>', 'what to measure').choices(['all', 'decisions', 'processes', 'rest']).default('all'))
 	.option('--json <file>', 'write the figures as JSON')
 	.action(runBenchmarks)
 	.parseAsync();
--- a/packages/measure/src/measure.ts
+++ b/packages/measure/src/measure.ts
@@ -14,7 +14,7 @@
 	noRunFaults, runWorkload, type Policy, type RunFaults,
 } from './virtual-run.js';
 import {
-	createWorkload, deployments, isLongPrompt, type Deployment, type WorkloadName,
+	createGreedyWorkload, createWorkload, deployments, isLongPrompt, type Deployment, type WorkloadName,
 } from './workload.js';
 
 const policies: readonly Policy[] = [
@@ -33,6 +33,7 @@
 	load: string;
 	seconds: string;
 	fault: FaultName;
+	greedy: string;
 	unboundedRetries: boolean;
 	json?: string;
 	svg?: string;
@@ -70,7 +71,7 @@
 	const deployment = deployments[options.workload];
 	const durationMs = Number(options.seconds) * millisecondsPerSecond;
 	const load = Number(options.load);
-	const prompts = createWorkload(deployment, seed, load, durationMs);
+	const prompts = createGreedyWorkload(createWorkload(deployment, seed, load, durationMs), Number(options.greedy));
 	const run = {
 		seed, faults: createFaults(options.fault, deployment, durationMs), hasUnboundedRetries: options.unboundedRetries, getHash,
 	};
@@ -104,6 +105,7 @@
 	.option('--load <share>', 'share of the pool that the workload needs', '0.7')
 	.option('--seconds <number>', 'length of the run in virtual time', '240')
 	.addOption(new Option('--fault <name>', 'fault during the run').choices(['none', 'servers-die', 'reports-cut', 'data-centre-lost']).default('none'))
+	.option('--greedy <factor>', 'how often the first organisation sends each of its prompts', '1')
 	.option('--unbounded-retries', 'retry without a budget', false)
 	.option('--json <file>', 'write the figures as JSON')
 	.option('--svg <file>', 'write a picture')
--- a/packages/measure/src/summary.ts
+++ b/packages/measure/src/summary.ts
@@ -3,6 +3,7 @@
 */
 import {build, type Histogram} from 'hdr-histogram-js';
 import type {PromptOutcome, RunResult} from './virtual-run.js';
+import {greedyOrganisation} from './workload.js';
 
 export type LengthBucketName = 'under 4k' | '4k to 32k' | '32k to 100k' | '100k to 390k' | 'above one engine';
 
@@ -30,6 +31,10 @@
 	shortFirstTokenSlowdown: Percentiles;
 	/** Share of the prompts that were answered whole within their deadline. */
 	goodput: number;
+	/** Time to the first token of short prompts of all organisations but the greedy one. */
+	othersFirstTokenMs: Percentiles;
+	/** Share of those prompts that were answered whole within their deadline. */
+	othersGoodput: number;
 	shortGoodput: number;
 	refused: number;
 	unanswered: number;
@@ -102,6 +107,7 @@
 export function summariseRun(result: RunResult, alone: RunResult, run: Readonly<{policy: string; seed: number; load: number}>): RunSummary {
 	const {outcomes} = result;
 	const short = outcomes.filter(outcome => isShort(outcome));
+	const others = short.filter(outcome => outcome.prompt.organisation !== greedyOrganisation);
 	const refusals = new Set<PromptOutcome['result']>(['overloaded', 'deadlineUnreachable', 'promptTooLarge', 'rateLimited']);
 	const refused = outcomes.filter(outcome => refusals.has(outcome.result));
 	const isCompleted = (outcome: PromptOutcome): boolean => outcome.result === 'completed';
@@ -111,6 +117,8 @@
 		shortSlowdown: getPercentiles(getSlowdowns(result, alone, outcome => outcome.totalMs)),
 		shortFirstTokenSlowdown: getPercentiles(getSlowdowns(result, alone, outcome => outcome.firstTokenMs)),
 		goodput: getShare(outcomes.filter(outcome => isCompleted(outcome)), outcomes),
+		othersFirstTokenMs: getPercentiles(others.flatMap(outcome => outcome.firstTokenMs ?? [])),
+		othersGoodput: getShare(others.filter(outcome => isCompleted(outcome)), others),
 		shortGoodput: getShare(short.filter(outcome => isCompleted(outcome)), short),
 		refused: refused.length,
 		unanswered: outcomes.filter(outcome => outcome.result === 'open').length,
--- a/packages/measure/src/workload.ts
+++ b/packages/measure/src/workload.ts
@@ -89,6 +89,9 @@
 	},
 ];
 
+/** Time between the copies of a greedy organisation's prompt. */
+const greedySpacingMs = 200;
+
 const shortestAnswer = 20;
 const longestAnswer = 200;
 const millisecondsPerSecond = 1000;
@@ -185,6 +188,20 @@
 	}
 }
 
+/** The organisation that sends more than its share in a run with a greedy one. */
+export const greedyOrganisation = 0;
+
+/**
+Returns the workload with each prompt of one organisation sent `factor` times, the copies a little later.
+*/
+export function createGreedyWorkload(prompts: readonly WorkloadPrompt[], factor: number): readonly WorkloadPrompt[] {
+	const copies = prompts.filter(prompt => prompt.organisation === greedyOrganisation).flatMap(prompt =>
+		Array.from({length: factor - 1}, (_, index) => ({
+			...prompt, requestId: `${prompt.requestId}c${index}`, at: prompt.at + ((index + 1) * greedySpacingMs),
+		})));
+	return [...prompts, ...copies].toSorted((left, right) => left.at - right.at);
+}
+
 /** Returns the prompts of a run that count as long, and that the run without long prompts leaves out. */
 export function isLongPrompt(prompt: WorkloadPrompt): boolean {
 	return prompt.work.promptTokens > 32_000;
