Fetch news of the configuration from the entry that told it

Cause, found while working out the capacity: each entry that heard of a new sequence read the object API, at the target size 880 reads a change or 308 a second. It now fetches the delta from the entry that told it, and reads the log only where that one does not answer.

The configuration tests pass.

--- a/packages/daemon/src/configuration-sync.ts
+++ b/packages/daemon/src/configuration-sync.ts
@@ -40,8 +40,8 @@
 	start(): void;
 	applyTicket(ticket: Ticket, waitsForAll: boolean): Promise<ApplyAnswer>;
 	getDelta(after: number): ConfigurationDelta;
-	/** Hears that a peer knows of a sequence. */
-	learnSequence(sequence: number): void;
+	/** Hears that another entry knows of a sequence; fetches what lacks from it, or from the log where it does not answer. */
+	learnSequence(sequence: number, entryName: string): void;
 	close(): void;
 }>;
 
@@ -108,6 +108,14 @@
 		}
 	}
 
+	async function fetchSequence(sequence: number, entryName: string): Promise<void> {
+		const entry = host.getOtherEntries().find(listing => listing.name === entryName);
+		const known = entry === undefined ? undefined : await exchange(entry);
+		if (known === undefined) {
+			log.learnTail(sequence);
+		}
+	}
+
 	async function exchangeForever(): Promise<void> {
 		while (!closing.signal.aborted) {
 			const [entry] = drawEntries(1);
@@ -213,8 +221,10 @@
 			return {kind: 'settled', effect, inForce: await waitForAll(effect.sequence, performance.now())};
 		},
 		getDelta: after => configuration.getDelta(after),
-		learnSequence(sequence) {
-			log.learnTail(sequence);
+		learnSequence(sequence, entryName) {
+			if (sequence > configuration.getSequence()) {
+				void fetchSequence(sequence, entryName);
+			}
 		},
 		close() {
 			closing.abort();
--- a/packages/daemon/src/entry-daemon.ts
+++ b/packages/daemon/src/entry-daemon.ts
@@ -100,7 +100,7 @@
 	const operatorKey = readKeyFile(settings.operator.keyFile);
 	const {tls} = settings.peer;
 	const connections = createConnections({...defaultConnectionSettings, sharedKey, tls});
-	const peers = createEntryPeerClient(connections, peerTimeoutMs);
+	const peers = createEntryPeerClient(settings.name, connections, peerTimeoutMs);
 	const api = createObjectApi({url: settings.platform.objectApiUrl, timeoutMs: objectApiTimeoutMs});
 	const writer = `${settings.name}/${incarnation}`;
 	const claims = createClaimStore({writer, bucketCount: settings.claimBuckets}, api, getHash);
@@ -205,8 +205,8 @@
 	}, router => {
 		registerEntryService(router, {
 			getDelta: after => sync.getDelta(after),
-			learnSequence(sequence) {
-				sync.learnSequence(sequence);
+			learnSequence(sequence, entryName) {
+				sync.learnSequence(sequence, entryName);
 			},
 			getReport: () => JSON.stringify(getReport()),
 		});
--- a/packages/measure/src/bench-decisions.ts
+++ b/packages/measure/src/bench-decisions.ts
@@ -8,6 +8,7 @@
 import {
 	createFixtureConfiguration, createFixtureListings, createFixturePrompt, createFixtureRequest, createFixtureServer, createFixtureStatus,
 } from '@currantcross/core/fixtures';
+import {createMembership} from '@currantcross/core/membership';
 import {createRandom} from '@currantcross/core/random';
 import {defaultRoutingPolicy} from '@currantcross/core/routing';
 import {formatMessage} from '@currantcross/peer/message-codec';
@@ -21,6 +22,7 @@
 const routingRequests = 4000;
 const objectCounts = [1000, 10_000, 50_000] as const;
 const claimCount = 100_000;
+const memberCount = 10_000;
 const microsecondsPerMillisecond = 1000;
 
 /** Measures a request's whole way through the entry's decisions: arrival, choice, tokens and end. */
@@ -128,6 +130,18 @@
 	];
 }
 
+function measureMembership(): readonly Figure[] {
+	const before = getHeapBytes();
+	const membership = createMembership({unreachablePauseMs: 500, maximumUnreachablePauseMs: 8000});
+	const servers = Array.from({length: memberCount}, (_, index) => createFixtureServer(`model-qc-a-${index}`, 'models'));
+	membership.applyHostList(createFixtureListings(servers));
+	for (const server of servers) {
+		membership.applyStatus(createFixtureStatus(server.name), 0);
+	}
+
+	return [{name: 'memory of a known server', value: (getHeapBytes() - before) / [...membership.getMembers()].length, unit: 'B'}];
+}
+
 function measureMessages(): readonly Figure[] {
 	const status = createFixtureStatus('model-qc-a-01', 'incarnation0');
 	const getSize = (message: Parameters<typeof formatMessage>[0]): number => toBinary(AttemptMessageSchema, formatMessage(message)).length;
@@ -143,6 +157,7 @@
 		...routingServerCounts.map(count => measureRouting(count)),
 		...objectCounts.flatMap(count => measureConfiguration(count)),
 		...measureClaims(),
+		...measureMembership(),
 		...measureMessages(),
 	];
 }
--- a/packages/measure/src/summary-table.ts
+++ b/packages/measure/src/summary-table.ts
@@ -30,6 +30,8 @@
 }
 
 function formatPolicy(policy: string, summaries: readonly RunSummary[]): string {
+	const others = formatPercentiles(summaries.map(summary => summary.othersFirstTokenMs), 0);
+	const othersGoodput = formatShare(summaries.map(summary => summary.othersGoodput));
 	return [
 		`### ${policy}, load ${summaries[0]?.load ?? 0}, seeds ${summaries.map(summary => summary.seed).join(', ')}`,
 		'',
@@ -40,7 +42,7 @@
 		`- slowdown of short prompts, whole answer, p50 / p95 / p99: ${formatPercentiles(summaries.map(summary => summary.shortSlowdown), 2)}`,
 		`- slowdown of short prompts, first token, p50 / p95 / p99: ${formatPercentiles(summaries.map(summary => summary.shortFirstTokenSlowdown), 2)}`,
 		`- goodput ${formatShare(summaries.map(summary => summary.goodput))}, of short prompts ${formatShare(summaries.map(summary => summary.shortGoodput))}`,
-		`- short prompts of all organisations but the first: first token ms p50 / p95 / p99 ${formatPercentiles(summaries.map(summary => summary.othersFirstTokenMs), 0)}, goodput ${formatShare(summaries.map(summary => summary.othersGoodput))}`,
+		`- short prompts of all organisations but the first: first token ms p50 / p95 / p99 ${others}, goodput ${othersGoodput}`,
 		`- refused ${getMean(summaries.map(summary => summary.refused)).toFixed(1)}, unanswered ${getMean(summaries.map(summary => summary.unanswered)).toFixed(1)} a run`,
 		`- attempts over admitted prompts ${getMean(summaries.map(summary => summary.amplification)).toFixed(3)}`,
 		`- prompt tokens from the prefix cache ${formatShare(summaries.map(summary => summary.cacheHitShare))}`,
--- a/packages/peer/src/entry-peers.ts
+++ b/packages/peer/src/entry-peers.ts
@@ -13,8 +13,8 @@
 export type EntryPeerHost = Readonly<{
 	/** Returns what changed after the asker's sequence. */
 	getDelta(after: number): ConfigurationDelta;
-	/** Hears that a peer knows of a sequence. */
-	learnSequence(sequence: number): void;
+	/** Hears that another entry, named in the list of hosts, knows of a sequence. */
+	learnSequence(sequence: number, entryName: string): void;
 	/** Returns the report of this entry as JSON. */
 	getReport(): string;
 }>;
@@ -28,8 +28,8 @@
 /** Adds the service of an entry to its server. */
 export function registerEntryService(router: ConnectRouter, host: EntryPeerHost): void {
 	router.service(EntryService, {
-		exchangeConfiguration({sequence}) {
-			host.learnSequence(sequence);
+		exchangeConfiguration({sequence, entry}) {
+			host.learnSequence(sequence, entry);
 			const delta = host.getDelta(sequence);
 			return {sequence: delta.sequence, delta: JSON.stringify(delta.objects)};
 		},
@@ -37,8 +37,8 @@
 	});
 }
 
-/** Creates a client whose calls time out after `timeoutMs`. */
-export function createEntryPeerClient(connections: Connections, timeoutMs: Milliseconds): EntryPeerClient {
+/** Creates the client of the entry `entryName`, whose calls time out after `timeoutMs`. */
+export function createEntryPeerClient(entryName: string, connections: Connections, timeoutMs: Milliseconds): EntryPeerClient {
 	async function call<Result>(peerUrl: string, perform: (client: ReturnType<typeof getClient>) => Promise<Result>): Promise<Result> {
 		try {
 			return await perform(getClient(peerUrl));
@@ -54,7 +54,7 @@
 
 	return {
 		async exchangeConfiguration(peerUrl, sequence) {
-			const response = await call(peerUrl, async client => client.exchangeConfiguration({sequence}, {timeoutMs}));
+			const response = await call(peerUrl, async client => client.exchangeConfiguration({sequence, entry: entryName}, {timeoutMs}));
 			const objects = parseOwnJson<ConfigurationDelta['objects']>(response.delta);
 			return {after: sequence, sequence: response.sequence, objects};
 		},
