--- a/packages/core/src/agent.ts
+++ b/packages/core/src/agent.ts
@@ -8,6 +8,7 @@
 	AgentAction, AgentEvent, AgentSettings, EngineReport, QueuePolicy,
 } from './agent-types.js';
 import {createAttemptRecords, isLive, type AttemptRecord} from './attempt-records.js';
+import {createAttemptStreams} from './attempt-streams.js';
 import type {StreamId} from './entry-types.js';
 import {createMemoryLedger} from './memory-ledger.js';
 import {getClassesAhead, getPromptClass, promptClasses} from './prompt-class.js';
@@ -15,6 +16,7 @@
 	AgentStatus, Attempt, AttemptId, AttemptMessage, AttemptResult, Incarnation, Milliseconds, PromptClass, Ran, RefusalReason, ServingState,
 	Timestamp, TokenCount, Work,
 } from './types.js';
+import {createRunningWork} from './running-work.js';
 import {createWorkQueue, type QueuedAttempt} from './work-queue.js';
 
 export type Agent = Readonly<{
@@ -28,14 +30,6 @@
 	getReservedOwners(): readonly AttemptId[];
 }>;
 
-type Listener = {
-	readonly streamId: StreamId;
-	readonly attemptId: AttemptId;
-	lastSentAt: Timestamp;
-	lastTokensAt: Timestamp;
-	nextOffset: number;
-};
-
 type RejectedAttempt = Readonly<{
 	streamId: StreamId;
 	attemptId: AttemptId;
@@ -63,9 +57,6 @@
 
 const millisecondsPerSecond = 1000;
 
-/** Time of the last tokens on a stream that had none: the first ones are never held back. */
-const noTokensYet = Number.NEGATIVE_INFINITY;
-
 function getWorkTokens(work: Work): TokenCount {
 	return work.kind === 'prompt' ? work.promptTokens : 0;
 }
@@ -96,9 +87,8 @@
 	const records = createAttemptRecords(settings);
 	const ledger = createMemoryLedger(settings.assumedMemoryTokens);
 	const queue = createWorkQueue(settings.ageingMs);
-	const listeners = new Map<StreamId, Listener>();
-	const active = new Map<AttemptId, QueuedAttempt>();
-	const prefilling = new Set<AttemptId>();
+	const running = createRunningWork();
+	const streams = createAttemptStreams(settings, {records, getStatus});
 	let prefillTokensPerSecond = settings.assumedPrefillTokensPerSecond;
 	let state: ServingState = 'serving';
 
@@ -110,21 +100,15 @@
 			load: {
 				queuedTokens: {short: getWaitingTokens('short'), medium: getWaitingTokens('medium'), long: getWaitingTokens('long')},
 				queuedRequests: queue.getSize(),
-				activeRequests: active.size,
+				activeRequests: running.getSize(),
 				freeMemoryTokens: ledger.getFree(),
 				prefillTokensPerSecond,
 			},
 		};
 	}
 
-	function getWaitingTokens(promptClass: QueuedAttempt['promptClass']): TokenCount {
-		let tokens = queue.getTokens(promptClass);
-		for (const attemptId of prefilling) {
-			const item = active.get(attemptId);
-			tokens += item?.promptClass === promptClass ? item.tokens : 0;
-		}
-
-		return tokens;
+	function getWaitingTokens(promptClass: PromptClass): TokenCount {
+		return queue.getTokens(promptClass) + running.getPrefillTokens(promptClass);
 	}
 
 	function getPredictedWaitMs(attempt: Attempt): Milliseconds {
@@ -136,91 +120,25 @@
 		return ahead / prefillTokensPerSecond * millisecondsPerSecond;
 	}
 
-	function getListeners(attemptId: AttemptId): readonly Listener[] {
-		return [...listeners.values()].filter(listener => listener.attemptId === attemptId);
-	}
-
-	function send(listener: Listener, message: AttemptMessage, now: Timestamp): AgentAction {
-		listener.lastSentAt = now;
-		return {kind: 'sendMessage', streamId: listener.streamId, message};
-	}
-
-	function endListener(listener: Listener, result: AttemptResult, now: Timestamp): readonly AgentAction[] {
-		listeners.delete(listener.streamId);
-		return [
-			send(listener, {kind: 'ended', result, status: getStatus(now)}, now),
-			{kind: 'endStream', streamId: listener.streamId},
-		];
-	}
-
 	/** Refuses an attempt, and any copy of it that arrives later. */
 	function refuseForGood(rejected: RejectedAttempt, now: Timestamp): readonly AgentAction[] {
 		const {streamId, attemptId, reason, retryAfterMs} = rejected;
 		records.addTombstone(attemptId, now);
-		return endListener({
-			streamId, attemptId, lastSentAt: now, lastTokensAt: noTokensYet, nextOffset: 0,
-		}, {kind: 'refused', reason, retryAfterMs}, now);
-	}
-
-	function sendTokens(record: AttemptRecord, listener: Listener, now: Timestamp): readonly AgentAction[] {
-		if (listener.nextOffset >= record.tokens.length) {
-			return [];
-		}
-
-		const offset = listener.nextOffset;
-		listener.nextOffset = record.tokens.length;
-		listener.lastTokensAt = now;
-		return [send(listener, {kind: 'tokens', offset, tokens: record.tokens.slice(offset)}, now)];
-	}
-
-	function getTokensDueAt(listener: Listener): Timestamp {
-		return listener.lastTokensAt + settings.tokenIntervalMs;
-	}
-
-	function hasTokensToSend(listener: Listener): boolean {
-		return listener.nextOffset < (records.tryGet(listener.attemptId)?.tokens.length ?? 0);
-	}
-
-	/** Sends the tokens that were held back to go together. */
-	function sendDueTokens(now: Timestamp): readonly AgentAction[] {
-		const due = [...listeners.values()].filter(listener => now >= getTokensDueAt(listener));
-		return due.flatMap(listener => {
-			const record = records.tryGet(listener.attemptId);
-			return record === undefined ? [] : sendTokens(record, listener, now);
-		});
+		return streams.refuse(streamId, {kind: 'refused', reason, retryAfterMs}, now);
 	}
 
 	function listen(streamId: StreamId, record: AttemptRecord, nextOffset: number, now: Timestamp): readonly AgentAction[] {
-		const listener: Listener = {
-			streamId, attemptId: record.attempt.attemptId, lastSentAt: now, lastTokensAt: noTokensYet, nextOffset,
-		};
-		listeners.set(streamId, listener);
 		record.orphanedAt = undefined;
-		const accepted = send(listener, {kind: 'accepted', status: getStatus(now)}, now);
-		if (record.phase.kind !== 'ended') {
-			return [accepted, ...sendTokens(record, listener, now)];
-		}
-
-		if (record.isAnswerDropped) {
-			const result = {kind: 'failed', ran: 'yes', detail: 'the answer is no longer kept'} as const;
-			return [accepted, ...endListener(listener, result, now)];
-		}
-
-		return [accepted, ...sendTokens(record, listener, now), ...endListener(listener, record.phase.result, now)];
+		return streams.listen(streamId, record, nextOffset, now);
 	}
 
 	function end(record: AttemptRecord, result: AttemptResult, now: Timestamp): readonly AgentAction[] {
 		const {attemptId} = record.attempt;
 		record.phase = {kind: 'ended', result, endedAt: now};
 		queue.remove(attemptId);
-		active.delete(attemptId);
-		prefilling.delete(attemptId);
+		running.remove(attemptId);
 		ledger.release(attemptId);
-		const ends = getListeners(attemptId).flatMap(listener => [
-			...sendTokens(record, listener, now),
-			...endListener(listener, result, now),
-		]);
-		return [...ends, ...startQueued(now)];
+		return [...streams.end(record, result, now), ...startQueued(now)];
 	}
 
 	function cancel(record: AttemptRecord, now: Timestamp): readonly AgentAction[] {
@@ -243,7 +161,7 @@
 	}
 
 	function canStart(item: QueuedAttempt): boolean {
-		if (active.size >= settings.maximumActive) {
+		if (running.getSize() >= settings.maximumActive) {
 			return false;
 		}
 
@@ -252,21 +170,13 @@
 			return false;
 		}
 
-		return item.promptClass !== 'long' || (hasPrefillRoom(item) && hasLongSlot());
+		return item.promptClass !== 'long' || canStartLong(item);
 	}
 
-	function hasPrefillRoom(item: QueuedAttempt): boolean {
-		let tokens = 0;
-		for (const attemptId of prefilling) {
-			tokens += active.get(attemptId)?.tokens ?? 0;
-		}
-
-		return tokens === 0 || tokens + item.tokens <= settings.maximumPrefillTokens;
-	}
-
-	function hasLongSlot(): boolean {
-		const longCount = [...active.values()].filter(other => other.promptClass === 'long').length;
-		return longCount < settings.maximumLongActive;
+	function canStartLong(item: QueuedAttempt): boolean {
+		const prefillTokens = running.getPrefillTokens();
+		const hasPrefillRoom = prefillTokens === 0 || prefillTokens + item.tokens <= settings.maximumPrefillTokens;
+		return hasPrefillRoom && running.getLongCount() < settings.maximumLongActive;
 	}
 
 	function startQueued(now: Timestamp): readonly AgentAction[] {
@@ -286,12 +196,8 @@
 
 	function startWork(record: AttemptRecord, item: QueuedAttempt, now: Timestamp): AgentAction {
 		record.phase = {kind: 'running'};
-		active.set(item.attemptId, item);
+		running.add(item);
 		ledger.tryReserve(item.attemptId, getMemoryTokens(record.attempt.work));
-		if (item.tokens > 0) {
-			prefilling.add(item.attemptId);
-		}
-
 		return {
 			kind: 'startWork', attempt: record.attempt, priority: promptClasses.indexOf(item.promptClass), remainingMs: record.deadlineAt - now,
 		};
@@ -364,9 +270,7 @@
 		// What a former incarnation did is not known, so the attempt can't be called refused.
 		if (event.incarnation !== settings.incarnation) {
 			const result = {kind: 'failed', ran: 'unknown', detail: 'the agent was restarted'} as const;
-			return endListener({
-				streamId: event.streamId, attemptId: event.attemptId, lastSentAt: now, lastTokensAt: noTokensYet, nextOffset: 0,
-			}, result, now);
+			return streams.refuse(event.streamId, result, now);
 		}
 
 		return refuseForGood({
@@ -381,14 +285,9 @@
 	}
 
 	function closeStream(streamId: StreamId, now: Timestamp): void {
-		const listener = listeners.get(streamId);
-		if (listener === undefined) {
-			return;
-		}
-
-		listeners.delete(streamId);
-		const record = records.tryGet(listener.attemptId);
-		if (record !== undefined && getListeners(listener.attemptId).length === 0) {
+		const attemptId = streams.remove(streamId);
+		const record = attemptId === undefined ? undefined : records.tryGet(attemptId);
+		if (record !== undefined) {
 			record.orphanedAt = now;
 		}
 	}
@@ -400,10 +299,8 @@
 		}
 
 		record.tokens.push(...tokens);
-		const hadPrefill = prefilling.delete(attemptId);
-		const due = getListeners(attemptId).filter(listener => now >= getTokensDueAt(listener));
-		const sent = due.flatMap(listener => sendTokens(record, listener, now));
-		return hadPrefill ? [...sent, ...startQueued(now)] : sent;
+		const sent = streams.deliver(record, now);
+		return running.endPrefill(attemptId) ? [...sent, ...startQueued(now)] : sent;
 	}
 
 	function endLive(attemptId: AttemptId, getResult: (record: AttemptRecord) => AttemptResult, now: Timestamp): readonly AgentAction[] {
@@ -453,10 +350,7 @@
 	function checkTime(now: Timestamp): readonly AgentAction[] {
 		records.expire(now);
 		const expiries = records.getLive().flatMap(record => expire(record, now));
-		const tokens = sendDueTokens(now);
-		const due = [...listeners.values()].filter(listener => now >= listener.lastSentAt + settings.heartbeatIntervalMs);
-		const heartbeats = due.map(listener => send(listener, {kind: 'heartbeat', status: getStatus(now)}, now));
-		return [...expiries, ...tokens, ...heartbeats, ...startQueued(now)];
+		return [...expiries, ...streams.checkTime(now), ...startQueued(now)];
 	}
 
 	function step(event: AgentEvent, now: Timestamp): readonly AgentAction[] {
@@ -520,12 +414,7 @@
 	return {
 		step,
 		getWakeAt() {
-			let wakeAt = records.tryGetExpiryAt() ?? Number.POSITIVE_INFINITY;
-			for (const listener of listeners.values()) {
-				const tokensAt = hasTokensToSend(listener) ? getTokensDueAt(listener) : Number.POSITIVE_INFINITY;
-				wakeAt = Math.min(wakeAt, tokensAt, listener.lastSentAt + settings.heartbeatIntervalMs);
-			}
-
+			let wakeAt = Math.min(streams.getWakeAt(), records.tryGetExpiryAt() ?? Number.POSITIVE_INFINITY);
 			for (const record of records.getLive()) {
 				wakeAt = Math.min(wakeAt, getExpiryAt(record));
 			}
