--- a/packages/core/src/claimed-request.ts
+++ b/packages/core/src/claimed-request.ts
@@ -12,7 +12,7 @@
 import type {AdmittedRequest, EntryAction} from './entry-types.js';
 import type {ErrorKind} from './errors.js';
 import {
-	createAttempt, createServerLookup, findPermit, getAttemptId, type RequestSession, type SessionEvent, type SessionHost,
+	createAttempt, createServerLookup, findPermit, getAttemptId, isUsableAfterProbe, type RequestSession, type SessionEvent, type SessionHost,
 } from './request-session.js';
 import type {
 	AttemptId, AttemptResult, Permit, Ran, Server, ServerName, ServiceAnswer, Timestamp,
@@ -248,8 +248,7 @@
 			return [];
 		}
 
-		const member = host.membership.tryGetMember(server);
-		if (member === undefined || member.unreachableUntil > now || member.status?.state !== 'serving') {
+		if (!isUsableAfterProbe(host, server, now)) {
 			excluded.add(server);
 			return claimNextServer(phase.movedFrom, now);
 		}
--- a/packages/core/src/repeatable-request.ts
+++ b/packages/core/src/repeatable-request.ts
@@ -8,7 +8,7 @@
 import type {AdmittedRequest, EntryAction} from './entry-types.js';
 import type {ErrorKind} from './errors.js';
 import {
-	createAttempt, createServerLookup, findPermit, type RequestSession, type SessionEvent, type SessionHost,
+	createAttempt, createServerLookup, findPermit, isUsableAfterProbe, type RequestSession, type SessionEvent, type SessionHost,
 } from './request-session.js';
 import type {
 	AttemptResult, Milliseconds, Ran, Server, ServerName, Timestamp,
@@ -198,8 +198,7 @@
 			return [];
 		}
 
-		const member = host.membership.tryGetMember(server);
-		if (member === undefined || member.unreachableUntil > now || member.status?.state !== 'serving') {
+		if (!isUsableAfterProbe(host, server, now)) {
 			excluded.add(server);
 			return openNextAttempt('serverLost', now);
 		}
--- a/packages/core/src/request-session.ts
+++ b/packages/core/src/request-session.ts
@@ -5,11 +5,11 @@
 import type {
 	AdmittedRequest, EntryAction, EntrySettings, StreamId,
 } from './entry-types.js';
-import type {Membership} from './membership.js';
+import {isAvailable, type Membership} from './membership.js';
 import type {RetryBudget} from './retry-budget.js';
 import type {Router} from './routing.js';
 import type {
-	Attempt, AttemptId, AttemptMessage, Permit, Server, Timestamp,
+	Attempt, AttemptId, AttemptMessage, Permit, Server, ServerName, Timestamp,
 } from './types.js';
 
 /** What a session shares with the other sessions of its entry. */
@@ -63,6 +63,12 @@
 	return () => host.membership.tryGetMember(server.name)?.server ?? server;
 }
 
+/** Returns whether a server that was asked for its status may get the work now. */
+export function isUsableAfterProbe(host: SessionHost, server: ServerName, now: Timestamp): boolean {
+	const member = host.membership.tryGetMember(server);
+	return member !== undefined && isAvailable(member, now) && member.status !== undefined;
+}
+
 /** Returns whether the action ends its request. */
 export function isFinalAction(action: EntryAction): boolean {
 	return action.kind === 'completeRequest' || action.kind === 'answerRequest' || action.kind === 'failRequest';
--- a/packages/standins/src/business-standin.ts
+++ b/packages/standins/src/business-standin.ts
@@ -5,7 +5,8 @@
 */
 import type {ServerResponse} from 'node:http';
 import {parseOwnJson} from '@currantcross/core/json';
-import {sendJson, startHttpServer, type HttpRequest} from '@currantcross/caller/http-server';
+import {sendJson, type HttpRequest} from '@currantcross/caller/http-server';
+import {startStandinServer} from './standin-server.js';
 
 /** What the stand-in does to calls; each field of a control request replaces the one here. */
 export type BusinessFaults = Readonly<{
@@ -55,7 +56,7 @@
 		sendJson(response, 200, {item: request.parameters.item, inStock: 7});
 	}
 
-	const server = await startHttpServer({
+	const server = await startStandinServer({
 		host,
 		port,
 		maximumBodyBytes,
@@ -75,12 +76,6 @@
 			},
 			{method: 'POST', path: '/*', handler: handleAction},
 		],
-		handleUnknownRoute(_request, response) {
-			sendJson(response, 404, {error: 'not found'});
-		},
-		handleError(_error, response) {
-			sendJson(response, 500, {});
-		},
 	});
 
 	return {
--- a/packages/standins/src/model-server-standin.ts
+++ b/packages/standins/src/model-server-standin.ts
@@ -6,11 +6,10 @@
 import {createHash} from 'node:crypto';
 import type {ServerResponse} from 'node:http';
 import {parseOwnJson} from '@currantcross/core/json';
-import {
-	sendJson, startHttpServer, type HttpRequest,
-} from '@currantcross/caller/http-server';
+import {sendJson, type HttpRequest} from '@currantcross/caller/http-server';
 import {getAnswerTokens, getTokenCount} from './answer-text.js';
 import {createEngineModel, type EngineModelSettings} from './engine-model.js';
+import {startStandinServer} from './standin-server.js';
 
 /** What the stand-in does to its streams; each field of a control request replaces the one here. */
 export type ModelServerFaults = Readonly<{
@@ -187,7 +186,7 @@
 		sendJson(response, 200, order);
 	}
 
-	const server = await startHttpServer({
+	const server = await startStandinServer({
 		host: settings.host,
 		port: settings.port,
 		maximumBodyBytes,
@@ -217,12 +216,6 @@
 				},
 			},
 		],
-		handleUnknownRoute(_request, response) {
-			sendJson(response, 404, {});
-		},
-		handleError(_error, response) {
-			sendJson(response, 500, {});
-		},
 	});
 
 	return {
--- a/packages/standins/src/object-api-standin.ts
+++ b/packages/standins/src/object-api-standin.ts
@@ -6,8 +6,9 @@
 import type {ServerResponse} from 'node:http';
 import {parseOwnJson} from '@currantcross/core/json';
 import {
-	sendJson, startHttpServer, tryGetHeader, type HttpRequest, type HttpServer,
+	sendJson, tryGetHeader, type HttpRequest, type HttpServer,
 } from '@currantcross/caller/http-server';
+import {startStandinServer} from './standin-server.js';
 
 type Stored = Readonly<{key: string; value: string; version: number; revision: number}>;
 
@@ -241,7 +242,7 @@
 		sendJson(response, 200, {});
 	}
 
-	const server: HttpServer = await startHttpServer({
+	const server: HttpServer = await startStandinServer({
 		host,
 		port,
 		maximumBodyBytes,
@@ -260,12 +261,6 @@
 				},
 			},
 		],
-		handleUnknownRoute(_request, response) {
-			sendJson(response, 404, {});
-		},
-		handleError(_error, response) {
-			sendJson(response, 500, {});
-		},
 	});
 
 	return {
