Leave no process behind when agents are restarted in tests, or the demo is ended

The demo now also ends its children on SIGTERM, and shows the service-level burn, in which its long prompt stands as late. After the test and after the demo: no process left.

--- a/packages/standins/src/child-process.ts
+++ b/packages/standins/src/child-process.ts
@@ -27,6 +27,13 @@
 
 const children = new Set<ChildProcess>();
 
+// Without a handler these signals would end the process without its 'exit' event, and leave the children.
+for (const signal of ['SIGTERM', 'SIGHUP'] as const) {
+	process.once(signal, () => {
+		process.exit(1);
+	});
+}
+
 process.on('exit', () => {
 	for (const child of children) {
 		child.kill('SIGKILL');
--- a/packages/standins/src/demo.ts
+++ b/packages/standins/src/demo.ts
@@ -60,6 +60,13 @@
 	}
 }
 
+/** Shows the service-level burn: the long prompt's first token came later than its route's objective allows. */
+async function reportBurn(deployment: Deployment): Promise<void> {
+	const operatorUrl = deployment.getEntries()[0]?.operatorUrl ?? '';
+	const result = await deployment.runCommand(['report', 'burn', '--operator', operatorUrl, '--key-file', deployment.operatorKeyFile]);
+	print(`$ currantcross report burn\n${result.stdout}${result.stderr}\n`);
+}
+
 async function askPrompt(deployment: Deployment, index: number, question: Question): Promise<Row> {
 	const {name, prompt, maximumTokens} = question;
 	const outcome = await streamChat({
@@ -170,6 +177,7 @@
 	];
 	const runCount = await countRuns(deployment);
 	print('\n');
+	await reportBurn(deployment);
 	printTable(rows);
 	print(`the reservation ran ${runCount} time(s)\n`);
 	return runCount === 1 && rows.every(row => row.isRight);
--- a/packages/standins/src/deployment.ts
+++ b/packages/standins/src/deployment.ts
@@ -56,7 +56,7 @@
 	operatorKeyFile: string;
 	getEntries(): readonly EntryProcess[];
 	getServers(): readonly ServerProcess[];
-	/** Starts an entry or agent again under the same name; the host list hears of it. */
+	/** Starts an entry or agent again under the same name, after the end of the one before; the host list hears of it. */
 	restartEntry(name: string): Promise<EntryProcess>;
 	restartAgent(name: string): Promise<ServerProcess>;
 	/** Writes the host list anew. */
@@ -195,7 +195,12 @@
 		getServers: () => [...servers.values()].toSorted(compareNames),
 		async restartEntry(name) {
 			const old = entries.get(name);
-			const entry = await startEntry(name, old?.dataCentre ?? '');
+			if (old === undefined) {
+				throw new Error(`no entry ${name}`);
+			}
+
+			await stopProcess(old.running, 'SIGKILL');
+			const entry = await startEntry(name, old.dataCentre);
 			await publishHosts();
 			return entry;
 		},
@@ -205,6 +210,7 @@
 				throw new Error(`no server ${name}`);
 			}
 
+			await stopProcess(old.agent, 'SIGKILL');
 			const server = await startAgent(name, old);
 			await publishHosts();
 			return server;
