--- a/packages/core/src/fault-properties.test.ts
+++ b/packages/core/src/fault-properties.test.ts
@@ -5,9 +5,10 @@
 import process from 'node:process';
 import fc from 'fast-check';
 import {describe, expect, test} from 'vitest';
-import {
-	getWorldAnswer, runScenario, type Fault, type RequestFacts, type Scenario, type ScriptedRequest,
-} from './fault-world.js';
+import type {
+	Fault, RequestFacts, Scenario, ScriptedRequest,
+} from './fault-scenario.js';
+import {getWorldAnswer, runScenario} from './fault-world.js';
 
 const parameters = {
 	seed: Number(process.env.CURRANTCROSS_SEED ?? '20261204'),
--- a/packages/core/src/fault-regressions.test.ts
+++ b/packages/core/src/fault-regressions.test.ts
@@ -2,9 +2,8 @@
 Failures that were once seen, each by the scenario that showed it.
 */
 import {describe, expect, test} from 'vitest';
-import {
-	runScenario, type Fault, type ScriptedRequest,
-} from './fault-world.js';
+import type {Fault, ScriptedRequest} from './fault-scenario.js';
+import {runScenario} from './fault-world.js';
 
 function createPrompt(at: number, entry: number, deadlineMs: number): ScriptedRequest {
 	return {
--- a/packages/core/src/fault-world.ts
+++ b/packages/core/src/fault-world.ts
@@ -9,9 +9,13 @@
 import {createClaims, type Claim, type ClaimRecord} from './claims.js';
 import type {EntryAction, EntryEvent, StreamMode} from './entry-types.js';
 import {createEntry, defaultEntrySettings, type Entry} from './entry.js';
+import {
+	defaultWorldSettings, type Fault, type RequestFacts, type Scenario, type ScriptedRequest, type WorldFacts, type WorldSettings,
+} from './fault-scenario.js';
 import {
 	createFixtureCall, createFixtureConfiguration, createFixtureListings, createFixturePrompt, createFixtureRequest, createFixtureServer,
 } from './fixtures.js';
+import {createJobQueue} from './job-queue.js';
 import {
 	createLog, type Log, type LogAction, type LogEntry,
 } from './log.js';
@@ -21,82 +25,6 @@
 	Attempt, AttemptId, RequestId, Timestamp,
 } from './types.js';
 
-/** A fault of the script, at its time. */
-export type Fault
-	= | Readonly<{kind: 'killEntry'; index: number; at: Timestamp}>
-	/** The agent is gone for a while, and comes back with a new incarnation. */
-		| Readonly<{kind: 'killAgent'; index: number; at: Timestamp; downMs: number}>
-		| Readonly<{kind: 'pauseEntry'; index: number; at: Timestamp; forMs: number}>
-		| Readonly<{kind: 'pauseAgent'; index: number; at: Timestamp; forMs: number}>
-	/** All connections between an entry and an agent go silent; new ones work. */
-		| Readonly<{kind: 'silenceConnections'; entry: number; agent: number; at: Timestamp}>
-	/** Nothing passes between an entry and an agent for a while, also on new connections. */
-		| Readonly<{kind: 'partLink'; entry: number; agent: number; at: Timestamp; forMs: number}>
-		| Readonly<{kind: 'stopObjectApi'; at: Timestamp; forMs: number}>
-	/** The next writes take effect and their answers are lost. */
-		| Readonly<{kind: 'loseWriteAnswers'; at: Timestamp; count: number}>
-	/** The next calls of services run and their answers are lost. */
-		| Readonly<{kind: 'loseServiceAnswers'; at: Timestamp; count: number}>
-		| Readonly<{kind: 'killEngines'; index: number; at: Timestamp}>
-	/** The next submits reach their agents only after the delay, or at once and again after it. */
-		| Readonly<{kind: 'delaySubmits'; at: Timestamp; count: number; delayMs: number; isRepeated: boolean}>;
-
-/** A request of the script. */
-export type ScriptedRequest = Readonly<{
-	at: Timestamp;
-	entry: number;
-	kind: 'prompt' | 'lookup' | 'action';
-	/** Idempotency key of an action. */
-	key: string;
-	promptTokens: number;
-	deadlineMs: number;
-}>;
-
-export type Scenario = Readonly<{
-	seed: number;
-	requests: readonly ScriptedRequest[];
-	faults: readonly Fault[];
-}>;
-
-/** What became of one request, and what is true of it. */
-export type RequestFacts = Readonly<{
-	request: ScriptedRequest;
-	requestId: RequestId;
-	final: EntryAction | undefined;
-	finalAt: Timestamp | undefined;
-	finalCount: number;
-	delivered: readonly string[];
-	/** Whether the entry that had the request was killed before it answered. */
-	isEntryLost: boolean;
-	/** Longest that the entry was paused in all. */
-	pausedMs: number;
-	/** Whether any attempt of this request was started at a server. */
-	wasStarted: boolean;
-}>;
-
-export type WorldFacts = Readonly<{
-	requests: readonly RequestFacts[];
-	/** How often each action ran, by its key. */
-	runs: ReadonlyMap<string, number>;
-	/** Attempts that hold memory at an agent in the end. */
-	reservedOwners: readonly AttemptId[];
-	/** Attempts over requests. */
-	attemptCount: number;
-	tombstoneCount: number;
-}>;
-
-export type WorldSettings = Readonly<{
-	entryCount: number;
-	modelCount: number;
-	shopCount: number;
-}>;
-
-export const defaultWorldSettings = {
-	entryCount: 2, modelCount: 2, shopCount: 2,
-} as const satisfies WorldSettings;
-
-type Job = Readonly<{at: Timestamp; order: number; run: () => void}>;
-
 type Process = {
 	generation: number;
 	pausedUntil: Timestamp;
@@ -134,7 +62,6 @@
 const firstTokenMs = 30;
 const tokenIntervalMs = 10;
 const answerLength = 6;
-const maximumJobs = 200_000;
 
 /** Time after the last deadline in which what is left over must have been cleaned up. */
 const settleMs = 100_000;
@@ -164,8 +91,7 @@
 	const states = new Map<RequestId, RequestState>();
 	const started = new Set<AttemptId>();
 	const runs = new Map<string, number>();
-	let jobs: Job[] = [];
-	let jobCount = 0;
+	const jobs = createJobQueue();
 	let now: Timestamp = 0;
 	let apiDownUntil: Timestamp = 0;
 	let lostWriteAnswers = 0;
@@ -175,8 +101,7 @@
 	let attemptCount = 0;
 
 	function schedule(delayMs: number, run: () => void): void {
-		jobCount += 1;
-		jobs.push({at: now + delayMs, order: jobCount, run});
+		jobs.add(now + delayMs, run);
 	}
 
 	function getDelay(baseMs: number): number {
@@ -740,32 +665,10 @@
 
 	function runJobs(): void {
 		const endAt = Math.max(0, ...scenario.requests.map(request => request.at + request.deadlineMs)) + settleMs;
-		for (let count = 0; count < maximumJobs && jobs.length > 0; count += 1) {
-			const next = takeNextJob();
-			if (next.at > endAt) {
-				return;
-			}
-
-			now = Math.max(now, next.at);
-			next.run();
-		}
-	}
-
-	function takeNextJob(): Job {
-		let best = 0;
-		for (const [index, job] of jobs.entries()) {
-			const current = jobs[best] ?? job;
-			if (job.at < current.at || (job.at === current.at && job.order < current.order)) {
-				best = index;
-			}
-		}
-
-		const [job] = jobs.splice(best, 1);
-		if (job === undefined) {
-			throw new Error('no job is left');
+		for (let job = jobs.tryTake(); job !== undefined && job.at <= endAt; job = jobs.tryTake()) {
+			now = Math.max(now, job.at);
+			job.run();
 		}
-
-		return job;
 	}
 
 	function getFacts(state: RequestState): RequestFacts {
@@ -799,7 +702,6 @@
 	}
 
 	runJobs();
-	jobs = [];
 	return {
 		requests: [...states.values()].map(state => getFacts(state)),
 		runs,
--- a/packages/core/src/lease.test.ts
+++ b/packages/core/src/lease.test.ts
@@ -4,6 +4,7 @@
 import process from 'node:process';
 import fc from 'fast-check';
 import {describe, expect, test} from 'vitest';
+import {createJobQueue} from './job-queue.js';
 import {
 	createLease, type Lease, type LeaseAction, type LeaseEvent, type StoredLease,
 } from './lease.js';
@@ -20,7 +21,6 @@
 const holderCount = 3;
 
 type Pause = Readonly<{holder: number; from: Timestamp; forMs: number}>;
-type Job = Readonly<{at: Timestamp; order: number; run: () => void}>;
 type HolderFacts = Readonly<{holder: number; fencingNumber: number; at: Timestamp}>;
 
 /** Runs holders against one stored lease, and returns who held it when, looked at every 10 ms. */
@@ -28,14 +28,12 @@
 	const leases: Lease[] = Array.from({length: holderCount}, (_, holder) => createLease({holder: `h${holder}`, durationMs, retryDelayMs: 50}));
 	const facts: HolderFacts[] = [];
 	let stored: StoredLease | undefined;
-	let jobs: Job[] = [];
+	const jobs = createJobQueue();
 	let now = 0;
 	let callCount = 0;
-	let jobCount = 0;
 
 	function schedule(at: Timestamp, run: () => void): void {
-		jobCount += 1;
-		jobs.push({at, order: jobCount, run});
+		jobs.add(at, run);
 	}
 
 	function getDelayMs(): number {
@@ -98,13 +96,7 @@
 		schedule(at, observeHolders);
 	}
 
-	while (jobs.length > 0) {
-		jobs = jobs.toSorted((left, right) => left.at - right.at || left.order - right.order);
-		const job = jobs.shift();
-		if (job === undefined || job.at > endAt) {
-			break;
-		}
-
+	for (let job = jobs.tryTake(); job !== undefined && job.at <= endAt; job = jobs.tryTake()) {
 		now = job.at;
 		job.run();
 	}
--- a/packages/measure/src/virtual-run.ts
+++ b/packages/measure/src/virtual-run.ts
@@ -9,13 +9,13 @@
 import type {EntryAction, EntryEvent} from '@currantcross/core/entry-types';
 import {createEntry, defaultEntrySettings, type Entry} from '@currantcross/core/entry';
 import type {ErrorKind} from '@currantcross/core/errors';
+import {createJobQueue} from '@currantcross/core/job-queue';
 import {createRandom} from '@currantcross/core/random';
 import type {RoutingPolicy} from '@currantcross/core/routing';
 import type {AttemptId, Server, Ticket} from '@currantcross/core/types';
 import {
 	createEngineModel, defaultEngineModelSettings, type EngineModel, type EngineStep,
 } from '@currantcross/standins/engine-model';
-import TinyQueue from 'tinyqueue';
 import type {Deployment, WorkloadPrompt} from './workload.js';
 
 /** A policy at both sides: how entries route, and how agents queue. */
@@ -55,7 +55,6 @@
 	attempts: number;
 }>;
 
-type Job = Readonly<{at: number; order: number; run: () => void}>;
 type WakeState = {wakeAt: number};
 type EntryNode = WakeState & Readonly<{entry: Entry; dataCentre: string}>;
 type AgentNode = WakeState & Readonly<{agent: Agent; server: Server; engine: EngineModel}> & {isStepping: boolean; isDead: boolean};
@@ -125,12 +124,11 @@
 		seed, faults, hasUnboundedRetries, getHash,
 	} = options;
 	const random = createRandom(seed);
-	const jobs = new TinyQueue<Job>([], (left, right) => left.at - right.at || left.order - right.order);
+	const jobs = createJobQueue();
 	const outcomes = new Map<string, PromptOutcome>();
 	const streams = new Map<string, Stream>();
 	const lastArrivals = new Map<string, number>();
 	let now = 0;
-	let jobCount = 0;
 	let openCount = prompts.length;
 	let prefilledTokens = 0;
 	let attempts = 0;
@@ -160,8 +158,7 @@
 	});
 
 	function schedule(at: number, run: () => void): void {
-		jobCount += 1;
-		jobs.push({at, order: jobCount, run});
+		jobs.add(at, run);
 	}
 
 	/** Schedules what a connection brings; one connection keeps its order, also behind a message that was lost. */
@@ -487,7 +484,7 @@
 		});
 	}
 
-	for (let job = jobs.pop(); job !== undefined && hasOpenPrompts(); job = jobs.pop()) {
+	for (let job = jobs.tryTake(); job !== undefined && hasOpenPrompts(); job = jobs.tryTake()) {
 		now = job.at;
 		job.run();
 	}
