Never void an attempt that the agent may have forgotten

Cause, found by reading: an agent forgets an ended attempt 60 s after its end. Asked for it later, it took it for one that never came and voided it; the claim moved, and the action ran again. This needs an outcome that was never recorded, as when its entry dies between the answer and the record, and a caller who comes back after a minute.

A claim now keeps its attempt's whole permit, and an agent voids only what its permit is young enough to be remembered; else the outcome is unknown. An entry that stops waits for outcomes that are being recorded.

--- a/packages/core/src/agent-types.ts
+++ b/packages/core/src/agent-types.ts
@@ -3,7 +3,7 @@
 */
 import type {StreamId} from './entry-types.js';
 import type {
-	Attempt, AttemptId, AttemptMessage, AttemptState, Incarnation, Milliseconds, PromptClass, Ran, ServerName, ServiceAnswer,
+	Attempt, AttemptId, AttemptMessage, AttemptState, Incarnation, Milliseconds, Permit, PromptClass, Ran, ServerName, ServiceAnswer,
 	TokenCount,
 } from './types.js';
 
@@ -20,8 +20,8 @@
 export type AgentEvent
 	= | Readonly<{kind: 'submitArrived'; streamId: StreamId; attempt: Attempt}>
 	/** Asks for an attempt; one that is unknown is voided. */
-		| Readonly<{kind: 'resumeArrived'; streamId: StreamId; attemptId: AttemptId; incarnation: Incarnation; nextOffset: number}>
-		| Readonly<{kind: 'voidArrived'; replyId: string; attemptId: AttemptId; incarnation: Incarnation}>
+		| Readonly<{kind: 'resumeArrived'; streamId: StreamId; attemptId: AttemptId; permit: Permit; nextOffset: number}>
+		| Readonly<{kind: 'voidArrived'; replyId: string; attemptId: AttemptId; permit: Permit}>
 		| Readonly<{kind: 'streamClosed'; streamId: StreamId}>
 		| Readonly<{kind: 'cancelArrived'; attemptId: AttemptId}>
 		| Readonly<{kind: 'tokensGenerated'; attemptId: AttemptId; tokens: readonly string[]}>
--- a/packages/core/src/agent.test.ts
+++ b/packages/core/src/agent.test.ts
@@ -13,6 +13,7 @@
 type Recorded = RecordedEvent<AgentEvent>;
 
 const incarnation = 'i1';
+const permit = {incarnation, stampedAt: 0};
 
 function createFixtureAgent(): Agent {
 	return createAgent({...defaultAgentSettings, server: 'm1', incarnation});
@@ -71,7 +72,7 @@
 			{
 				at: 60,
 				event: {
-					kind: 'resumeArrived', streamId: 'r1.1/2', attemptId: 'r1.1', incarnation, nextOffset: 1,
+					kind: 'resumeArrived', streamId: 'r1.1/2', attemptId: 'r1.1', permit, nextOffset: 1,
 				},
 			},
 			generate(70, 'r1.1', 'c'),
@@ -121,7 +122,7 @@
 		const agent = createFixtureAgent();
 		const voided = createAttempt('r1.1', createFixtureCall('k1'));
 		agent.step({
-			kind: 'voidArrived', replyId: 'v', attemptId: 'r1.1', incarnation,
+			kind: 'voidArrived', replyId: 'v', attemptId: 'r1.1', permit,
 		}, 10);
 		expect(agent.getTombstoneCount()).toBe(1);
 		const forgottenAt = 10 + defaultAgentSettings.permitLifeMs + 1;
@@ -145,6 +146,23 @@
 		expect(getRefusals(actions)).toEqual(['permitExpired', 'voided']);
 	});
 
+	test('of an attempt that it may have forgotten the agent says that nobody can know', () => {
+		const attempt = createAttempt('r1.1', createFixtureCall('k1'));
+		const later = defaultAgentSettings.permitLifeMs * 2;
+		const {actions} = replay([
+			submit(0, attempt),
+			{at: 20, event: {kind: 'serviceAnswered', attemptId: 'r1.1', answer: {status: 201, contentType: 'text/plain', body: 'done'}}},
+			{
+				at: later,
+				event: {
+					kind: 'resumeArrived', streamId: 'late', attemptId: 'r1.1', permit, nextOffset: 0,
+				},
+			},
+		], later + 1);
+		const late = actions.flatMap(action => action.kind === 'sendMessage' && action.streamId === 'late' ? [action.message] : []);
+		expect(late).toMatchObject([{kind: 'ended', result: {kind: 'failed', ran: 'unknown'}}]);
+	});
+
 	test('memory that the engine holds for nobody is released on the second report that names it', () => {
 		const agent = createFixtureAgent();
 		const report = {totalMemoryTokens: 1000, prefillTokensPerSecond: 1000, held: [{attemptId: 'lost.1', tokens: 10}]};
--- a/packages/core/src/agent.ts
+++ b/packages/core/src/agent.ts
@@ -13,7 +13,7 @@
 import {createMemoryLedger} from './memory-ledger.js';
 import {getClassesAhead, getPromptClass, promptClasses} from './prompt-class.js';
 import type {
-	AgentStatus, Attempt, AttemptId, AttemptMessage, AttemptResult, Incarnation, Milliseconds, PromptClass, Ran, RefusalReason, ServingState,
+	AgentStatus, Attempt, AttemptId, AttemptMessage, AttemptResult, Milliseconds, Permit, PromptClass, Ran, RefusalReason, ServingState,
 	Timestamp, TokenCount, Work,
 } from './types.js';
 import {createRunningWork} from './running-work.js';
@@ -267,9 +267,8 @@
 			return listen(event.streamId, record, event.nextOffset, now);
 		}
 
-		// What a former incarnation did is not known, so the attempt can't be called refused.
-		if (event.incarnation !== settings.incarnation) {
-			const result = {kind: 'failed', ran: 'unknown', detail: 'the agent was restarted'} as const;
+		if (!mayVoid(event.permit, now)) {
+			const result = {kind: 'failed', ran: 'unknown', detail: 'the agent no longer knows of the attempt'} as const;
 			return streams.refuse(event.streamId, result, now);
 		}
 
@@ -278,8 +277,16 @@
 		}, now);
 	}
 
-	function voidAttempt(attemptId: AttemptId, incarnation: Incarnation, now: Timestamp): void {
-		if (records.tryGet(attemptId) === undefined && incarnation === settings.incarnation) {
+	/**
+	Returns whether an attempt that is not known can't have run: it was meant for this incarnation, and its permit is
+	young enough that the agent would still remember it.
+	*/
+	function mayVoid(permit: Permit, now: Timestamp): boolean {
+		return permit.incarnation === settings.incarnation && now - permit.stampedAt <= settings.permitLifeMs;
+	}
+
+	function voidAttempt(attemptId: AttemptId, permit: Permit, now: Timestamp): void {
+		if (records.tryGet(attemptId) === undefined && mayVoid(permit, now)) {
 			records.addTombstone(attemptId, now);
 		}
 	}
@@ -364,7 +371,7 @@
 			}
 
 			case 'voidArrived': {
-				voidAttempt(event.attemptId, event.incarnation, now);
+				voidAttempt(event.attemptId, event.permit, now);
 				return [{kind: 'replyState', replyId: event.replyId, state: records.getState(event.attemptId)}];
 			}
 
--- a/packages/core/src/claimed-request.ts
+++ b/packages/core/src/claimed-request.ts
@@ -3,7 +3,8 @@
 
 The key is claimed in the log before anything is sent. Whoever finds another's claim asks the agent that the claim
 names: if it knows the attempt, its answer is the answer; if it does not, it voids the attempt, and only then the claim
-may move on. If that agent has restarted, nobody can know, and the outcome is unknown for ever.
+may move on. If that agent has restarted, or may have forgotten the attempt, nobody can know, and the outcome is unknown
+for ever.
 */
 import {createAttemptTracker, type AttemptTracker, type TrackerStep} from './attempt-tracker.js';
 import type {
@@ -93,7 +94,7 @@
 		const {permit} = lookup;
 		const attemptId = getAttemptId(request, tryCount);
 		phase = {kind: 'claiming', candidate: {server, permit, attemptId}};
-		const holder = {attemptId, server: server.name, incarnation: permit.incarnation};
+		const holder = {attemptId, server: server.name, permit};
 		return [{
 			kind: 'submitClaim', requestId, record: createClaimRecord(holder, movedFrom), budgetMs,
 		}];
@@ -126,7 +127,7 @@
 		}
 
 		const {server} = member;
-		const permit = {incarnation: holder.incarnation, stampedAt: 0};
+		const {permit} = holder;
 		const attempt = {...createAttempt(request, tryCount, permit, {deliveredTokens: [], now}), attemptId: holder.attemptId};
 		const tracker = createAttemptTracker(host.settings, {
 			requestId, getServer: createServerLookup(host, server), attempt, maximumReopens: Number.POSITIVE_INFINITY,
--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -2,11 +2,11 @@
 Claims of idempotency keys: who may run a non-idempotent action, and what came of it.
 
 The claims are a fold over a log. The first claim of a key holds. It names the attempt, the agent and the agent's
-incarnation; a claim moves to a next attempt only by a record that names the attempt it replaces, which its writer had
+permit; a claim moves to a next attempt only by a record that names the attempt it replaces, which its writer had
 voided at the agent. Once an outcome stands, it stands.
 */
 import type {
-	AttemptId, Incarnation, ServerName, ServiceAnswer,
+	AttemptId, Permit, ServerName, ServiceAnswer,
 } from './types.js';
 
 /** What is kept of an action that ended. `unknown` means that nobody can know, and it is final. */
@@ -18,7 +18,8 @@
 export type ClaimHolder = Readonly<{
 	attemptId: AttemptId;
 	server: ServerName;
-	incarnation: Incarnation;
+	/** The permit with which the attempt was made; it names the agent's incarnation, and how long the agent remembers. */
+	permit: Permit;
 }>;
 
 export type ClaimRecord
--- a/packages/core/src/entry.test.ts
+++ b/packages/core/src/entry.test.ts
@@ -139,7 +139,7 @@
 	});
 
 	test('an action is claimed, sent and recorded', async () => {
-		const holder = {attemptId: 'r1.1', server: 's1', incarnation: 'i1'};
+		const holder = {attemptId: 'r1.1', server: 's1', permit: {incarnation: 'i1', stampedAt: 0}};
 		const bodyHash = 'sha256 of slot 1';
 		const record: ClaimRecord = {
 			kind: 'claimed', key: 'club/shop/k1', bodyHash, holder,
@@ -154,7 +154,7 @@
 	});
 
 	test('an action whose agent restarted has an unknown outcome and is never sent again', async () => {
-		const holder = {attemptId: 'other.1', server: 's1', incarnation: 'i0'};
+		const holder = {attemptId: 'other.1', server: 's1', permit: {incarnation: 'i0', stampedAt: 0}};
 		const {actions, transcript} = replay([
 			arrive(10, createFixtureCall('k1')),
 			learnClaim(20, {bodyHash: 'sha256 of slot 1', holder, outcome: undefined}),
--- a/packages/core/src/fault-properties.test.ts
+++ b/packages/core/src/fault-properties.test.ts
@@ -19,6 +19,8 @@
 const graceMs = 50;
 
 const time = fc.integer({min: 0, max: 6000});
+/** Also long after agents forget attempts. */
+const requestTime = fc.oneof({weight: 4, arbitrary: time}, {weight: 1, arbitrary: fc.integer({min: 60_000, max: 200_000})});
 const index = fc.integer({min: 0, max: 3});
 const span = fc.integer({min: 10, max: 8000});
 const count = fc.integer({min: 1, max: 3});
@@ -51,7 +53,7 @@
 
 function getRequest(kinds: ReadonlyArray<ScriptedRequest['kind']>): fc.Arbitrary<ScriptedRequest> {
 	return fc.record({
-		at: time,
+		at: requestTime,
 		entry: index,
 		kind: fc.constantFrom(...kinds),
 		key: fc.constantFrom('k1', 'k2'),
--- a/packages/core/src/fault-regressions.test.ts
+++ b/packages/core/src/fault-regressions.test.ts
@@ -28,6 +28,23 @@
 	});
 });
 
+describe('an action whose outcome was never recorded', () => {
+	function createAction(at: number, entry: number): ScriptedRequest {
+		return {
+			at, entry, kind: 'action', key: 'k1', promptTokens: 0, deadlineMs: 5000,
+		};
+	}
+
+	// The agent had forgotten the attempt by then, and took it for one that never came.
+	test('does not run again when its caller comes back after the agent forgot it', () => {
+		const requests = [createAction(0, 0), createAction(200_000, 1)];
+		for (let killedAt = 10; killedAt < 60; killedAt += 1) {
+			const {runs} = runScenario({seed: 1, requests, faults: [{kind: 'killEntry', index: 0, at: killedAt}]});
+			expect(runs.get('k1') ?? 0).toBeLessThanOrEqual(1);
+		}
+	});
+});
+
 describe('tombstones', () => {
 	const actionCount = 40;
 
--- a/packages/core/src/fault-world.ts
+++ b/packages/core/src/fault-world.ts
@@ -338,7 +338,7 @@
 		const event: AgentEvent = mode.kind === 'submit'
 			? {kind: 'submitArrived', streamId, attempt}
 			: {
-				kind: 'resumeArrived', streamId, attemptId: attempt.attemptId, incarnation: attempt.permit.incarnation, nextOffset: mode.nextOffset,
+				kind: 'resumeArrived', streamId, attemptId: attempt.attemptId, permit: attempt.permit, nextOffset: mode.nextOffset,
 			};
 		const isDelayed = mode.kind === 'submit' && delayedSubmits.count > 0;
 		if (isDelayed) {
--- a/packages/daemon/src/claim-store.ts
+++ b/packages/daemon/src/claim-store.ts
@@ -34,6 +34,8 @@
 	submit(record: ClaimRecord, budgetMs: Milliseconds): Promise<SubmissionOutcome<Claim | undefined>>;
 	/** Does the same without asking the bucket's usual appender, for instance because this is it. */
 	submitHere(record: ClaimRecord, budgetMs: Milliseconds): Promise<SubmissionOutcome<Claim | undefined>>;
+	/** Waits until what was submitted has ended, for instance outcomes whose callers have their answers already. */
+	drain(): Promise<void>;
 	close(): void;
 }>;
 
@@ -46,6 +48,7 @@
 /** Creates the store; a bucket's log is read when it is first used. */
 export function createClaimStore(settings: ClaimStoreSettings, host: ClaimStoreHost): ClaimStore {
 	const buckets = new Map<number, Bucket>();
+	const pending = new Set<Promise<unknown>>();
 
 	function createBucket(index: number): Bucket {
 		const claims = createClaims();
@@ -93,6 +96,16 @@
 	}
 
 	async function submit(record: ClaimRecord, budgetMs: Milliseconds): Promise<SubmissionOutcome<Claim | undefined>> {
+		const outcome = submitToAppender(record, budgetMs);
+		pending.add(outcome);
+		try {
+			return await outcome;
+		} finally {
+			pending.delete(outcome);
+		}
+	}
+
+	async function submitToAppender(record: ClaimRecord, budgetMs: Milliseconds): Promise<SubmissionOutcome<Claim | undefined>> {
 		const appender = findAppender(record.key);
 		if (appender === undefined) {
 			return submitHere(record, budgetMs);
@@ -109,6 +122,9 @@
 	return {
 		submit,
 		submitHere,
+		async drain() {
+			await Promise.allSettled(pending);
+		},
 		close() {
 			for (const bucket of buckets.values()) {
 				bucket.close();
--- a/packages/daemon/src/entry-daemon.ts
+++ b/packages/daemon/src/entry-daemon.ts
@@ -236,6 +236,7 @@
 			const closed = callerServer.close();
 			await waitForRequests(entry);
 			await closed;
+			await claims.drain();
 			await operatorServer.close();
 			sync.close();
 			hosts.close();
--- a/packages/measure/src/bench-decisions.ts
+++ b/packages/measure/src/bench-decisions.ts
@@ -112,7 +112,7 @@
 	for (let index = 0; index < claimCount; index += 1) {
 		const attemptId = `entry-a-incarnation0-${index}.1`;
 		const key = `club/shop/key-${index}`;
-		const holder = {attemptId, server: `s${index % 3}`, incarnation: 'incarnation0'};
+		const holder = {attemptId, server: `s${index % 3}`, permit: {incarnation: 'incarnation0', stampedAt: index}};
 		claims.applyRecord({
 			kind: 'claimed', key, bodyHash: index.toString(16).padStart(64, '0'), holder,
 		});
--- a/packages/measure/src/virtual-run.ts
+++ b/packages/measure/src/virtual-run.ts
@@ -295,7 +295,7 @@
 		sendToAgent(index, server, mode.kind === 'submit'
 			? {kind: 'submitArrived', streamId, attempt}
 			: {
-				kind: 'resumeArrived', streamId, attemptId: attempt.attemptId, incarnation: attempt.permit.incarnation, nextOffset: mode.nextOffset,
+				kind: 'resumeArrived', streamId, attemptId: attempt.attemptId, permit: attempt.permit, nextOffset: mode.nextOffset,
 			});
 	}
 
--- a/packages/peer/src/agent-client.ts
+++ b/packages/peer/src/agent-client.ts
@@ -5,7 +5,7 @@
 import type {Order, OrderOutcome} from '@currantcross/core/order-gate';
 import type {StreamMode} from '@currantcross/core/entry-types';
 import type {
-	AgentStatus, Attempt, AttemptId, AttemptMessage, AttemptState, Incarnation, Milliseconds,
+	AgentStatus, Attempt, AttemptId, AttemptMessage, AttemptState, Milliseconds, Permit,
 } from '@currantcross/core/types';
 import type {Connections} from './connections.js';
 import {AgentService} from './gen/currantcross/v1/peer_pb.js';
@@ -27,7 +27,7 @@
 	/** Yields the messages of a stream until it ends; throws when it breaks. */
 	openStream(request: StreamRequest): AsyncIterable<AttemptMessage>;
 	cancelAttempt(agentUrl: string, attemptId: AttemptId): Promise<void>;
-	voidAttempt(agentUrl: string, attemptId: AttemptId, incarnation: Incarnation): Promise<AttemptState>;
+	voidAttempt(agentUrl: string, attemptId: AttemptId, permit: Permit): Promise<AttemptState>;
 	getStatus(agentUrl: string): Promise<AgentStatus>;
 	/** Sends an order; throws when the agent does not answer. */
 	applyOrder(agentUrl: string, order: Order): Promise<OrderOutcome>;
@@ -73,7 +73,7 @@
 
 			case 'resume': {
 				const {attemptId, permit} = attempt;
-				return client.getAttempt({attemptId, incarnation: permit.incarnation, nextOffset: mode.nextOffset}, {signal});
+				return client.getAttempt({attemptId, permit, nextOffset: mode.nextOffset}, {signal});
 			}
 		}
 	}
@@ -87,8 +87,8 @@
 		async cancelAttempt(agentUrl, attemptId) {
 			await getClient(agentUrl).cancelAttempt({attemptId}, {timeoutMs});
 		},
-		async voidAttempt(agentUrl, attemptId, incarnation) {
-			return parseState(await getClient(agentUrl).voidAttempt({attemptId, incarnation}, {timeoutMs}));
+		async voidAttempt(agentUrl, attemptId, permit) {
+			return parseState(await getClient(agentUrl).voidAttempt({attemptId, permit}, {timeoutMs}));
 		},
 		async applyOrder(agentUrl, order) {
 			return parseOrderOutcome(await getClient(agentUrl).applyOrder(formatOrder(order), {timeoutMs: orderTimeoutMs}));
--- a/packages/peer/src/agent-service.ts
+++ b/packages/peer/src/agent-service.ts
@@ -10,7 +10,7 @@
 import type {AgentStatus, AttemptMessage, AttemptState} from '@currantcross/core/types';
 import {AgentService, type AttemptMessage as WireMessage} from './gen/currantcross/v1/peer_pb.js';
 import {
-	formatMessage, formatState, formatStatus, parseAttempt,
+	formatMessage, formatState, formatStatus, parseAttempt, parsePermit,
 } from './message-codec.js';
 import {formatOrderOutcome, parseOrder} from './order-codec.js';
 
@@ -65,17 +65,19 @@
 					yield * runStream(context, streamId => ({kind: 'submitArrived', streamId, attempt}));
 				},
 				async * getAttempt(request, context) {
-					const {attemptId, incarnation, nextOffset} = request;
+					const {attemptId, nextOffset} = request;
+					const permit = parsePermit(request.permit);
 					yield * runStream(context, streamId => ({
-						kind: 'resumeArrived', streamId, attemptId, incarnation, nextOffset,
+						kind: 'resumeArrived', streamId, attemptId, permit, nextOffset,
 					}));
 				},
-				async voidAttempt({attemptId, incarnation}) {
+				async voidAttempt({attemptId, permit: wirePermit}) {
+					const permit = parsePermit(wirePermit);
 					const replyId = randomUUID();
 					const state = await new Promise<AttemptState>(resolve => {
 						replies.set(replyId, resolve);
 						host.receive({
-							kind: 'voidArrived', replyId, attemptId, incarnation,
+							kind: 'voidArrived', replyId, attemptId, permit,
 						});
 					});
 					return formatState(state);
--- a/packages/peer/src/message-codec.ts
+++ b/packages/peer/src/message-codec.ts
@@ -102,7 +102,12 @@
 	};
 }
 
-function fromWirePermit(permit: wire.Permit | undefined): Permit {
+/**
+Returns the permit that a message carries.
+
+@throws VError named `ProtocolError` when it carries none.
+*/
+export function parsePermit(permit: wire.Permit | undefined): Permit {
 	if (permit === undefined) {
 		throw createProtocolError('no permit');
 	}
@@ -123,7 +128,7 @@
 	return {
 		server: status.server,
 		state: fromWireState(status.state),
-		permit: fromWirePermit(status.permit),
+		permit: parsePermit(status.permit),
 		load: fromWireLoad(status.load),
 	};
 }
@@ -201,7 +206,7 @@
 		attemptId: request.attemptId,
 		organisation: request.organisation,
 		work: fromWireWork(request.work),
-		permit: fromWirePermit(request.permit),
+		permit: parsePermit(request.permit),
 		remainingMs: request.remainingMs,
 		deliveredTokens: request.deliveredTokens,
 	};
