Drop an unused function and two wrappers of one call

getSeconds had no caller; findRoute and applyStatus of the entry only passed on to the configuration and the membership.

--- a/packages/core/src/entry.ts
+++ b/packages/core/src/entry.ts
@@ -24,7 +24,7 @@
 import {createRetryBudget} from './retry-budget.js';
 import {createRouter, type RoutingPolicy} from './routing.js';
 import type {
-	AgentStatus, OrganisationName, RequestId, Route, RouteName, Timestamp, Work,
+	OrganisationName, RequestId, Route, RouteName, Timestamp, Work,
 } from './types.js';
 
 /** What an entry needs of its surroundings. */
@@ -103,10 +103,6 @@
 	/** No request is due before; it may lie too early, which costs one look at all requests. */
 	let earliestWakeAt = Number.POSITIVE_INFINITY;
 
-	function findRoute(name: RouteName): Route | undefined {
-		return host.configuration.tryGetRoute(name);
-	}
-
 	function checkPredictedFinish(request: AdmittedRequest, now: Timestamp): Refused | undefined {
 		const members = membership.getAvailable(request.pool, now);
 		if (members.length === 0) {
@@ -139,7 +135,7 @@
 			return refuse('unauthorised');
 		}
 
-		const route = findRoute(arrived.route);
+		const route = host.configuration.tryGetRoute(arrived.route);
 		if (route === undefined) {
 			return refuse('routeNotFound', arrived.route);
 		}
@@ -200,10 +196,6 @@
 		return stepRequest(arrived.requestId, {kind: 'started'}, now);
 	}
 
-	function applyStatus(status: AgentStatus, now: Timestamp): void {
-		membership.applyStatus(status, now);
-	}
-
 	function stepDueRequests(now: Timestamp): readonly EntryAction[] {
 		const due = [...requests].filter(([, open]) => open.session.getWakeAt() <= now);
 		const actions = due.flatMap(([requestId]) => stepRequest(requestId, {kind: 'timePassed'}, now));
@@ -227,7 +219,7 @@
 
 			case 'messageReceived': {
 				if (event.message.kind !== 'tokens') {
-					applyStatus(event.message.status, now);
+					membership.applyStatus(event.message.status, now);
 				}
 
 				return stepRequest(event.requestId, {kind: 'messageReceived', streamId: event.streamId, message: event.message}, now);
@@ -238,7 +230,7 @@
 			}
 
 			case 'statusReceived': {
-				applyStatus(event.status, now);
+				membership.applyStatus(event.status, now);
 				return stepEachRequest({kind: 'serverProbed', server: event.status.server}, now);
 			}
 
--- a/packages/measure/src/workload.ts
+++ b/packages/measure/src/workload.ts
@@ -94,7 +94,6 @@
 
 const shortestAnswer = 20;
 const longestAnswer = 200;
-const millisecondsPerSecond = 1000;
 
 /** Engine time of one prompt token and one answered token, by the engine model's rules at full steps. */
 const prefillCostMs = 0.0734;
@@ -206,8 +205,3 @@
 export function isLongPrompt(prompt: WorkloadPrompt): boolean {
 	return prompt.work.promptTokens > 32_000;
 }
-
-/** Seconds of a duration, for reports. */
-export function getSeconds(durationMs: number): number {
-	return durationMs / millisecondsPerSecond;
-}
