Serve callers straight from model servers on the users' platform

Cause: the product reached model servers only through an agent beside each and spoke its own form to callers; the platform's balancer, callers, servers and store speak another. Change: a gateway in packages/core/src/gateway (pure decisions) and packages/gateway (HTTP, exchange of open work over connect), and an adapter in platform/ that decodes headers, configuration and store. The client of the older object API moves to packages/object-api. Ruled out: agents in the path (a second hop and its processor time for news that answers already carry). Conclusion: the path stands; long prompts beyond one server's memory are still refused.

--- /dev/null
+++ b/packages/core/src/gateway/gateway.ts
@@ -0,0 +1,196 @@
+/**
+The decisions of a gateway: which requests it takes, where they go, and what their callers get.
+
+The driver feeds events in and performs the actions that come out. Nothing here reads a clock or opens a socket, so that
+a recorded list of events replays to the same actions.
+*/
+import {createNotRun, type Failure} from '../errors.js';
+import type {Milliseconds, Timestamp} from '../types.js';
+import {
+	createConfigurationState, type ConfigurationStateSettings, type RouteGrant, type RouteRefusal,
+} from './configuration-state.js';
+import {createEndpointRegistry, type EndpointRegistrySettings} from './endpoint-registry.js';
+import type {
+	EndpointId, GatewayRequest, ListedEndpoint, RequestKey, ServingConfiguration,
+} from './gateway-types.js';
+import {createLoadView, type GatewayName, type Work} from './load-view.js';
+import {
+	findPromptPlacement, findServicePlacement, getCandidates, type Placement,
+} from './placement.js';
+import type {GatewayEvent, RelayAction, RelayEvent} from './relay-types.js';
+import {createRelayedRequest, type PlacementDecision, type RelayedRequest} from './relayed-request.js';
+import {createSendBudget, type SendBudgetSettings} from './send-budget.js';
+
+export type GatewaySettings = Readonly<{
+	name: GatewayName;
+	dataCentre: string;
+	configuration: ConfigurationStateSettings;
+	endpoints: EndpointRegistrySettings;
+	budget: SendBudgetSettings;
+}>;
+
+export type Gateway = Readonly<{
+	step(event: GatewayEvent, now: Timestamp): readonly RelayAction[];
+	/** Returns when `timePassed` is due, or `undefined` while nothing is. */
+	tryGetWakeAt(): Timestamp | undefined;
+	/** Decides whether a request's head may pass. */
+	checkRoute(host: string, path: string, credential: string | undefined, now: Timestamp): RouteGrant | RouteRefusal;
+	tryGetConfiguration(): ServingConfiguration | undefined;
+	/** Returns how long ago the configuration was known to be the newest. */
+	getConfigurationAgeMs(now: Timestamp): Milliseconds;
+	/** Returns whether requests can be served. */
+	isReady(): boolean;
+	getOpenRequestCount(): number;
+	getOwnWorks(): ReadonlyArray<Readonly<{work: Work; isWriting: boolean}>>;
+}>;
+
+/** When a caller should come back that found no endpoint. */
+const noEndpointRetryMs: Milliseconds = 400;
+
+/** Creates a gateway that knows nothing yet. */
+export function createGateway(settings: GatewaySettings): Gateway {
+	const configuration = createConfigurationState(settings.configuration);
+	const registry = createEndpointRegistry(settings.endpoints);
+	const budget = createSendBudget(settings.budget);
+	const load = createLoadView();
+	const requests = new Map<RequestKey, RelayedRequest>();
+	let sendCount = 0;
+
+	function refuse(failure: Failure): PlacementDecision {
+		return {kind: 'refused', failure};
+	}
+
+	function findPlacement(request: GatewayRequest, endpoints: readonly ListedEndpoint[], excluded: ReadonlySet<EndpointId>, now: Timestamp): Placement | undefined {
+		const candidates = getCandidates(endpoints, excluded, id => load.getLoad(id, now));
+		const engine = configuration.tryGet()?.services.get(request.service)?.engine;
+		if (engine === undefined || request.prompt === undefined) {
+			return findServicePlacement(candidates, settings.dataCentre);
+		}
+
+		return findPromptPlacement(engine, candidates, {
+			promptTokens: request.prompt.promptTokens,
+			objectiveMs: request.route.objectiveMs,
+			longestPauseMs: request.route.longestPauseMs,
+			remainingMs: request.deadlineAt - now,
+		});
+	}
+
+	function choosePlacement(request: GatewayRequest, excluded: ReadonlySet<EndpointId>, now: Timestamp): PlacementDecision {
+		const available = registry.getAvailable(request.service, now);
+		const endpoints = available.some(({id}) => !excluded.has(id)) ? available : registry.getListed(request.service);
+		const placement = findPlacement(request, endpoints, excluded, now);
+		if (placement === undefined) {
+			return refuse(createNotRun('overloaded', 'no endpoint is available', noEndpointRetryMs));
+		}
+
+		if (placement.firstEventMs > request.deadlineAt - now) {
+			const retryAfterMs = Math.max(noEndpointRetryMs, placement.firstEventMs - (request.deadlineAt - now));
+			return refuse(createNotRun('deadlineUnreachable', undefined, retryAfterMs));
+		}
+
+		return {kind: 'placed', placement, candidates: endpoints.length};
+	}
+
+	const host = {
+		registry,
+		budget,
+		createSendId() {
+			sendCount += 1;
+			return sendCount;
+		},
+		choosePlacement,
+		checkCredential: (request: GatewayRequest, now: Timestamp) => configuration.checkCredential(request.route, request.credential, now),
+		recordWork(change: Parameters<typeof load.applyChange>[1], now: Timestamp) {
+			load.applyChange(settings.name, change, now);
+		},
+	};
+
+	function stepRequest(key: RequestKey, event: RelayEvent, now: Timestamp): readonly RelayAction[] {
+		const request = requests.get(key);
+		if (request === undefined) {
+			return [];
+		}
+
+		const actions = request.step(event, now);
+		if (request.isEnded()) {
+			requests.delete(key);
+		}
+
+		return actions;
+	}
+
+	function stepDueRequests(now: Timestamp): readonly RelayAction[] {
+		const due = [...requests].filter(([, request]) => request.getWakeAt() <= now);
+		return due.flatMap(([key]) => stepRequest(key, {kind: 'timePassed'}, now));
+	}
+
+	function step(event: GatewayEvent, now: Timestamp): readonly RelayAction[] {
+		switch (event.kind) {
+			case 'requestArrived': {
+				const {key} = event.request;
+				requests.set(key, createRelayedRequest(event.request, host));
+				return stepRequest(key, {kind: 'started'}, now);
+			}
+
+			case 'requestChanged': {
+				return stepRequest(event.key, event.event, now);
+			}
+
+			case 'endpointsListed': {
+				return registry.applyList(event.endpoints, now).map((news): RelayAction => ({kind: 'reportEndpoint', news}));
+			}
+
+			case 'endpointListFailed': {
+				registry.recordListFailure();
+				return [];
+			}
+
+			case 'configurationVerified': {
+				configuration.recordVerified(event.configuration, event.verifiedAt);
+				return [];
+			}
+
+			case 'clockJumped': {
+				configuration.expire();
+				return [];
+			}
+
+			case 'peerWorkChanged': {
+				load.applyChange(event.gateway, event.change, now);
+				return [];
+			}
+
+			case 'peerLost': {
+				load.removeGateway(event.gateway);
+				return [];
+			}
+
+			case 'gatewayCountKnown': {
+				budget.setGatewayCount(event.count);
+				return [];
+			}
+
+			case 'timePassed': {
+				return stepDueRequests(now);
+			}
+		}
+	}
+
+	return {
+		step,
+		tryGetWakeAt() {
+			let earliest = Number.POSITIVE_INFINITY;
+			for (const request of requests.values()) {
+				earliest = Math.min(earliest, request.getWakeAt());
+			}
+
+			return Number.isFinite(earliest) ? earliest : undefined;
+		},
+		checkRoute: configuration.checkRoute,
+		tryGetConfiguration: configuration.tryGet,
+		getConfigurationAgeMs: configuration.getAgeMs,
+		isReady: () => configuration.tryGet() !== undefined && registry.hasList(),
+		getOpenRequestCount: () => requests.size,
+		getOwnWorks: () => load.getWorks(settings.name),
+	};
+}
--- /dev/null
+++ b/packages/core/src/gateway/load-view.ts
@@ -0,0 +1,178 @@
+/**
+What each endpoint is doing for all gateways: the requests that this one sent and those that its peers tell of.
+
+Gateways exchange starts, first events and ends of their requests. The view of a peer's requests lags by the exchange;
+the requests of a peer that has gone silent are dropped.
+*/
+import type {Milliseconds, Timestamp, TokenCount} from '../types.js';
+import type {EndpointId} from './gateway-types.js';
+
+/** Identifies a request among those of one gateway. */
+export type WorkId = number;
+
+/** Name of a gateway. */
+export type GatewayName = string;
+
+/** A request that an endpoint was sent. */
+export type Work = Readonly<{
+	id: WorkId;
+	endpoint: EndpointId;
+	/** Endpoints that read parts of the prompt. */
+	helpers: readonly EndpointId[];
+	promptTokens: TokenCount;
+	/** Time that each of the endpoints reads. */
+	readMs: Milliseconds;
+	/** Longest pause between events that the request bears; 0 where it has no such aim. */
+	longestPauseMs: Milliseconds;
+}>;
+
+/** A change to the requests of one gateway. */
+export type WorkChange
+	= | Readonly<{kind: 'started'; work: Work}>
+		| Readonly<{kind: 'writing'; id: WorkId}>
+		| Readonly<{kind: 'ended'; id: WorkId}>;
+
+/** A writer at an endpoint, as far as its neighbours matter to it. */
+export type Writer = Readonly<{longestPauseMs: Milliseconds; promptTokens: TokenCount}>;
+
+/** What one endpoint has to do. */
+export type EndpointLoad = Readonly<{
+	/** Requests that hold or wait for a slot. */
+	requests: number;
+	/** Reading that is still to be done, for own requests and as a helper. */
+	readMs: Milliseconds;
+	/** Requests that are being read for, here or with this endpoint's help. */
+	readers: number;
+	writers: readonly Writer[];
+	/** Tokens that the requests hold in memory. */
+	memoryTokens: TokenCount;
+}>;
+
+export type LoadView = Readonly<{
+	applyChange(gateway: GatewayName, change: WorkChange, now: Timestamp): void;
+	/** Forgets all requests of a gateway. */
+	removeGateway(gateway: GatewayName): void;
+	getLoad(endpoint: EndpointId, now: Timestamp): EndpointLoad;
+	/** Returns the requests of one gateway, for a peer that has just connected. */
+	getWorks(gateway: GatewayName): ReadonlyArray<Readonly<{work: Work; isWriting: boolean}>>;
+}>;
+
+type TrackedWork = {readonly work: Work; readonly startedAt: Timestamp; isWriting: boolean};
+
+/** Longest time that a request is believed to be open without news of its end. */
+const maximumWorkAgeMs = 40_000;
+
+const idleLoad: EndpointLoad = {
+	requests: 0, readMs: 0, readers: 0, writers: [], memoryTokens: 0,
+};
+
+/** Creates a view without requests. */
+export function createLoadView(): LoadView {
+	const worksByGateway = new Map<GatewayName, Map<WorkId, TrackedWork>>();
+	const worksByEndpoint = new Map<EndpointId, Set<TrackedWork>>();
+
+	function getGatewayWorks(gateway: GatewayName): Map<WorkId, TrackedWork> {
+		const works = worksByGateway.get(gateway) ?? new Map<WorkId, TrackedWork>();
+		worksByGateway.set(gateway, works);
+		return works;
+	}
+
+	function addToEndpoint(endpoint: EndpointId, tracked: TrackedWork): void {
+		const works = worksByEndpoint.get(endpoint) ?? new Set<TrackedWork>();
+		works.add(tracked);
+		worksByEndpoint.set(endpoint, works);
+	}
+
+	function removeFromEndpoints(tracked: TrackedWork): void {
+		for (const endpoint of [tracked.work.endpoint, ...tracked.work.helpers]) {
+			const works = worksByEndpoint.get(endpoint);
+			works?.delete(tracked);
+			if (works?.size === 0) {
+				worksByEndpoint.delete(endpoint);
+			}
+		}
+	}
+
+	function removeWork(gateway: GatewayName, id: WorkId): void {
+		const works = worksByGateway.get(gateway);
+		const tracked = works?.get(id);
+		if (tracked !== undefined) {
+			works?.delete(id);
+			removeFromEndpoints(tracked);
+		}
+	}
+
+	return {
+		applyChange(gateway, change, now) {
+			switch (change.kind) {
+				case 'started': {
+					removeWork(gateway, change.work.id);
+					const tracked: TrackedWork = {work: change.work, startedAt: now, isWriting: false};
+					getGatewayWorks(gateway).set(change.work.id, tracked);
+					for (const endpoint of [change.work.endpoint, ...change.work.helpers]) {
+						addToEndpoint(endpoint, tracked);
+					}
+
+					return;
+				}
+
+				case 'writing': {
+					const tracked = worksByGateway.get(gateway)?.get(change.id);
+					if (tracked !== undefined) {
+						tracked.isWriting = true;
+					}
+
+					return;
+				}
+
+				case 'ended': {
+					removeWork(gateway, change.id);
+				}
+			}
+		},
+		removeGateway(gateway) {
+			for (const tracked of worksByGateway.get(gateway)?.values() ?? []) {
+				removeFromEndpoints(tracked);
+			}
+
+			worksByGateway.delete(gateway);
+		},
+		getLoad(endpoint, now) {
+			const works = worksByEndpoint.get(endpoint);
+			if (works === undefined) {
+				return idleLoad;
+			}
+
+			let requests = 0;
+			let readMs = 0;
+			let readers = 0;
+			let memoryTokens = 0;
+			const writers: Writer[] = [];
+			for (const {work, startedAt, isWriting} of works) {
+				const ageMs = now - startedAt;
+				if (ageMs > maximumWorkAgeMs) {
+					continue;
+				}
+
+				if (work.endpoint === endpoint) {
+					requests += 1;
+					memoryTokens += work.promptTokens;
+				}
+
+				if (!isWriting) {
+					readers += 1;
+					readMs += Math.max(work.readMs / 4, work.readMs - ageMs);
+				} else if (work.endpoint === endpoint) {
+					writers.push(work);
+				}
+			}
+
+			return {
+				requests, readMs, readers, writers, memoryTokens,
+			};
+		},
+		getWorks(gateway) {
+			return [...worksByGateway.get(gateway)?.values() ?? []].map(({work, isWriting}) => ({work, isWriting}));
+		},
+	};
+}
--- /dev/null
+++ b/packages/core/src/gateway/relay-types.ts
@@ -0,0 +1,71 @@
+/**
+Events and actions of a gateway: all that its decisions hear from the world and ask of it.
+*/
+import type {Failure} from '../errors.js';
+import type {Milliseconds, Timestamp} from '../types.js';
+import type {EndpointNews} from './endpoint-registry.js';
+import type {
+	EndpointAnswerHead, GatewayRequest, ListedEndpoint, RawHeaders, RequestKey, ServingConfiguration,
+} from './gateway-types.js';
+import type {GatewayName, WorkChange} from './load-view.js';
+
+/** Identifies one send of a request. */
+export type SendId = number;
+
+export type RelayEvent
+	= | Readonly<{kind: 'started'}>
+		| Readonly<{kind: 'answerStarted'; sendId: SendId; head: EndpointAnswerHead}>
+		| Readonly<{kind: 'answerBytes'; sendId: SendId; bytes: Uint8Array}>
+		| Readonly<{kind: 'answerEnded'; sendId: SendId}>
+	/** The connection failed; `wasSent` is false only if nothing can have reached the endpoint. */
+		| Readonly<{kind: 'sendFailed'; sendId: SendId; wasSent: boolean; detail: string}>
+		| Readonly<{kind: 'clientGone'}>
+		| Readonly<{kind: 'timePassed'}>;
+
+export type RelayAction
+	= | Readonly<{
+		kind: 'send';
+		key: RequestKey;
+		sendId: SendId;
+		endpoint: ListedEndpoint;
+		helpers: readonly ListedEndpoint[];
+		remainingMs: Milliseconds;
+		lastEventId: string | undefined;
+	}>
+	| Readonly<{kind: 'cancelSend'; sendId: SendId}>
+	| Readonly<{kind: 'startAnswer'; key: RequestKey; status: number; headers: RawHeaders}>
+	| Readonly<{kind: 'writeAnswer'; key: RequestKey; bytes: Uint8Array}>
+	| Readonly<{kind: 'endAnswer'; key: RequestKey; outcome: AnswerOutcome}>
+	/** Closes the caller's connection, since the answer that began can't be completed. */
+	| Readonly<{kind: 'breakAnswer'; key: RequestKey; failure: Failure}>
+	| Readonly<{kind: 'failRequest'; key: RequestKey; failure: Failure}>
+	/** Frees what is held for a request whose caller has left. */
+	| Readonly<{kind: 'forgetRequest'; key: RequestKey}>
+	| Readonly<{kind: 'publishWork'; change: WorkChange}>
+	| Readonly<{kind: 'reportEndpoint'; news: EndpointNews}>
+	| Readonly<{kind: 'reportDecision'; key: RequestKey; decision: RelayDecision}>;
+
+/** A decision on a request, with the inputs that made it, for the log. */
+export type RelayDecision
+	= | Readonly<{kind: 'placed'; sendId: SendId; endpoint: string; helpers: number; firstEventMs: Milliseconds; candidates: number}>
+		| Readonly<{kind: 'sendEnded'; sendId: SendId; endpoint: string; result: SendResult; mayHaveRun: boolean; detail: string}>;
+
+/** How a send ended. */
+export type SendResult = 'answered' | 'notRun' | 'replaced' | 'failedStatus' | 'corrupt' | 'broken' | 'silent' | 'deadline' | 'clientGone';
+
+/** What the caller got. */
+export type AnswerOutcome = Readonly<{status: number; sends: number; firstEventMs: Milliseconds | undefined}>;
+
+export type GatewayEvent
+	= | Readonly<{kind: 'requestArrived'; request: GatewayRequest}>
+		| Readonly<{kind: 'requestChanged'; key: RequestKey; event: RelayEvent}>
+		| Readonly<{kind: 'endpointsListed'; endpoints: readonly ListedEndpoint[]}>
+		| Readonly<{kind: 'endpointListFailed'}>
+	/** The configuration was found to be the newest at `verifiedAt`. */
+		| Readonly<{kind: 'configurationVerified'; configuration: ServingConfiguration | undefined; verifiedAt: Timestamp}>
+	/** Time may have passed that the steady clock does not show. */
+		| Readonly<{kind: 'clockJumped'}>
+		| Readonly<{kind: 'peerWorkChanged'; gateway: GatewayName; change: WorkChange}>
+		| Readonly<{kind: 'peerLost'; gateway: GatewayName}>
+		| Readonly<{kind: 'gatewayCountKnown'; count: number}>
+		| Readonly<{kind: 'timePassed'}>;
--- /dev/null
+++ b/packages/core/src/gateway/relayed-request.ts
@@ -0,0 +1,494 @@
+/**
+The decisions on one request, from its first send to its one final answer.
+
+A request that may be repeated is sent again when its endpoint fails; a resumable stream goes on after its last whole
+event. A request that may not be repeated is sent again only if it is certain that it has not run. Whatever was sent is
+never answered as not run.
+*/
+import {createNotRun, type ErrorKind, type Failure} from '../errors.js';
+import type {Milliseconds, Timestamp} from '../types.js';
+import type {EndpointRegistry} from './endpoint-registry.js';
+import {createEventSplitter, type EventSplitter, type StreamEvent} from './event-splitter.js';
+import type {EndpointAnswerHead, EndpointId, GatewayRequest} from './gateway-types.js';
+import type {WorkChange} from './load-view.js';
+import type {Placement} from './placement.js';
+import type {
+	RelayAction, RelayEvent, SendId, SendResult,
+} from './relay-types.js';
+import type {SendBudget} from './send-budget.js';
+
+/** What a request needs of its gateway. */
+export type RelayHost = Readonly<{
+	registry: EndpointRegistry;
+	budget: SendBudget;
+	createSendId(): SendId;
+	/** Chooses endpoints, or says why there are none. */
+	choosePlacement(request: GatewayRequest, excluded: ReadonlySet<EndpointId>, now: Timestamp): PlacementDecision;
+	checkCredential(request: GatewayRequest, now: Timestamp): Failure | undefined;
+	/** Takes in a change of the own requests. */
+	recordWork(change: WorkChange, now: Timestamp): void;
+}>;
+
+export type PlacementDecision
+	= | Readonly<{kind: 'placed'; placement: Placement; candidates: number}>
+		| Readonly<{kind: 'refused'; failure: Failure}>;
+
+export type RelayedRequest = Readonly<{
+	step(event: RelayEvent, now: Timestamp): readonly RelayAction[];
+	/** Returns when `timePassed` is due. */
+	getWakeAt(): Timestamp;
+	isEnded(): boolean;
+}>;
+
+/** Sends beyond the route's limit of endpoints that may be refused as not run. */
+const maximumRefusedSends = 3;
+/** Least time that is worth a send. */
+const shortestSendMs: Milliseconds = 30;
+
+const silenceLimits = {
+	/** Shortest silence that is taken as a failure; passes of a busy server take up to half a second. */
+	minimumMs: 900,
+	/** Longest wait for a stream that has gone silent. */
+	maximumMs: 6000,
+	/** Multiple of the objective, for the first event. */
+	objectiveFactor: 2.5,
+	/** Multiple of the longest pause, between events. */
+	pauseFactor: 4,
+} as const;
+
+const okStatus = 200;
+const firstErrorStatus = 300;
+const firstServerErrorStatus = 500;
+const misdirectedStatus = 421;
+
+type Send = {
+	readonly id: SendId;
+	readonly placement: Placement;
+	readonly splitter: EventSplitter;
+	readonly chunks: Uint8Array[];
+	head: EndpointAnswerHead | undefined;
+	lastProgressAt: Timestamp;
+	hasEvents: boolean;
+};
+
+type SavedAnswer = Readonly<{head: EndpointAnswerHead; chunks: readonly Uint8Array[]}>;
+
+function isStreamAnswer(request: GatewayRequest, head: EndpointAnswerHead): boolean {
+	return request.route.kind === 'streaming' && head.status === okStatus;
+}
+
+function parseEventNumber(id: string | undefined): number | undefined {
+	return id !== undefined && /^\d+$/v.test(id) ? Number(id) : undefined;
+}
+
+/** Creates the machine of one request. */
+export function createRelayedRequest(request: GatewayRequest, host: RelayHost): RelayedRequest {
+	const {route} = request;
+	const mayRepeat = route.kind === 'idempotent' || (route.kind === 'streaming' && route.isResumable);
+	const excluded = new Set<EndpointId>();
+	let sendCount = 0;
+	/** Endpoints that may have run the request. */
+	let runCount = 0;
+	let current: Send | undefined;
+	let savedFailure: SavedAnswer | undefined;
+	let hasStartedAnswer = false;
+	let {lastEventId} = request;
+	let firstEventAt: Timestamp | undefined;
+	let hasEnded = false;
+
+	function getSilenceLimitMs(send: Send): Milliseconds {
+		const {minimumMs, maximumMs, objectiveFactor, pauseFactor} = silenceLimits;
+		const usualMs = send.hasEvents
+			? route.longestPauseMs * pauseFactor
+			: Math.max(route.objectiveMs * objectiveFactor, send.placement.firstEventMs * 2);
+		return Math.min(maximumMs, Math.max(minimumMs, usualMs));
+	}
+
+	function canSendAgain(): boolean {
+		if (sendCount >= route.maximumEndpoints + maximumRefusedSends || runCount >= route.maximumEndpoints) {
+			return false;
+		}
+
+		return mayRepeat || runCount === 0;
+	}
+
+	function start(now: Timestamp): readonly RelayAction[] {
+		host.budget.recordRequest(request.service, now);
+		return send(now, undefined);
+	}
+
+	/** Sends the request, or ends it when that is not possible. */
+	function send(now: Timestamp, lastFailure: Failure | undefined): readonly RelayAction[] {
+		const remainingMs = request.deadlineAt - now;
+		if (remainingMs < shortestSendMs) {
+			return end(lastFailure ?? createFailure('deadlineExceeded'));
+		}
+
+		const refusal = host.checkCredential(request, now);
+		if (refusal !== undefined) {
+			return end(runCount === 0 ? refusal : lastFailure ?? createFailure('serverLost'));
+		}
+
+		const decision = host.choosePlacement(request, excluded, now);
+		if (decision.kind === 'refused') {
+			return end(lastFailure ?? decision.failure);
+		}
+
+		const {placement} = decision;
+		const sendId = host.createSendId();
+		sendCount += 1;
+		runCount += 1;
+		current = {
+			id: sendId, placement, splitter: createEventSplitter(), chunks: [], head: undefined, lastProgressAt: now, hasEvents: false,
+		};
+		excluded.add(placement.endpoint.id);
+		return [
+			{
+				kind: 'reportDecision',
+				key: request.key,
+				decision: {
+					kind: 'placed',
+					sendId,
+					endpoint: placement.endpoint.id,
+					helpers: placement.helpers.length,
+					firstEventMs: Math.round(placement.firstEventMs),
+					candidates: decision.candidates,
+				},
+			},
+			...recordWork({
+				kind: 'started',
+				work: {
+					id: sendId,
+					endpoint: placement.endpoint.id,
+					helpers: placement.helpers.map(({id}) => id),
+					promptTokens: request.prompt?.promptTokens ?? 0,
+					readMs: placement.readMs,
+					longestPauseMs: route.longestPauseMs,
+				},
+			}, now),
+			{
+				kind: 'send', key: request.key, sendId, endpoint: placement.endpoint, helpers: placement.helpers, remainingMs, lastEventId,
+			},
+		];
+	}
+
+	function recordWork(change: WorkChange, now: Timestamp): readonly RelayAction[] {
+		host.recordWork(change, now);
+		return [{kind: 'publishWork', change}];
+	}
+
+	function createFailure(kind: ErrorKind, detail?: string): Failure {
+		return runCount === 0 ? createNotRun(kind, detail) : {kind, ran: 'unknown', detail};
+	}
+
+	/** Ends the current send and frees its place. */
+	function closeSend(result: SendResult, detail: string, now: Timestamp): readonly RelayAction[] {
+		const closed = current;
+		if (closed === undefined) {
+			return [];
+		}
+
+		current = undefined;
+		if (result === 'notRun' || result === 'replaced') {
+			runCount -= 1;
+		}
+
+		return [
+			...recordWork({kind: 'ended', id: closed.id}, now),
+			{
+				kind: 'reportDecision',
+				key: request.key,
+				decision: {
+					kind: 'sendEnded',
+					sendId: closed.id,
+					endpoint: closed.placement.endpoint.id,
+					result,
+					mayHaveRun: result !== 'notRun' && result !== 'replaced',
+					detail,
+				},
+			},
+		];
+	}
+
+	function end(failure: Failure): readonly RelayAction[] {
+		hasEnded = true;
+		if (hasStartedAnswer) {
+			return [{kind: 'breakAnswer', key: request.key, failure}];
+		}
+
+		if (savedFailure !== undefined) {
+			return getAnswerActions(savedFailure);
+		}
+
+		return [{kind: 'failRequest', key: request.key, failure}];
+	}
+
+	function getAnswerActions({head, chunks}: SavedAnswer): readonly RelayAction[] {
+		const length = chunks.reduce((sum, chunk) => sum + chunk.length, 0);
+		return [
+			{
+				kind: 'startAnswer', key: request.key, status: head.status, headers: [...head.headers, 'Content-Length', String(length)],
+			},
+			...chunks.map((bytes): RelayAction => ({kind: 'writeAnswer', key: request.key, bytes})),
+			createEndAction(head.status),
+		];
+	}
+
+	function createEndAction(status: number): RelayAction {
+		const firstEventMs = firstEventAt === undefined ? undefined : firstEventAt - request.arrivedAt;
+		return {kind: 'endAnswer', key: request.key, outcome: {status, sends: sendCount, firstEventMs}};
+	}
+
+	/** Sends the request again where that is allowed, else ends it. */
+	function sendAgainOrEnd(failure: Failure, needsBudget: boolean, now: Timestamp): readonly RelayAction[] {
+		if (!canSendAgain() || (needsBudget && !host.budget.trySpend(request.service, now))) {
+			return end(failure);
+		}
+
+		return send(now, failure);
+	}
+
+	/** Handles a send whose endpoint may have run the request and gave no valid answer. */
+	function handleLoss(result: SendResult, detail: string, now: Timestamp): readonly RelayAction[] {
+		const lost = current;
+		if (lost === undefined) {
+			return [];
+		}
+
+		host.registry.recordFailure(lost.placement.endpoint.id, now);
+		return [
+			...closeSend(result, detail, now),
+			...sendAgainOrEnd(createFailure('serverLost', detail), true, now),
+		];
+	}
+
+	function handleRefusal(head: EndpointAnswerHead, now: Timestamp): readonly RelayAction[] {
+		const refused = current;
+		if (refused === undefined) {
+			return [];
+		}
+
+		const endpointId = refused.placement.endpoint.id;
+		const faulty = head.faultyAddress === undefined ? undefined : host.registry.findByAddress(head.faultyAddress);
+		const isReplaced = head.status === misdirectedStatus;
+		if (faulty !== undefined && faulty.id !== endpointId) {
+			host.registry.recordFailure(faulty.id, now);
+			excluded.delete(endpointId);
+		} else if (isReplaced) {
+			host.registry.recordReplaced(endpointId);
+		} else {
+			host.registry.recordFailure(endpointId, now);
+		}
+
+		const closing = closeSend(isReplaced ? 'replaced' : 'notRun', `status ${head.status}`, now);
+		const failure = runCount === 0 ? createNotRun('overloaded', undefined, head.retryAfterMs) : createFailure('serverLost');
+		return [...closing, ...sendAgainOrEnd(failure, true, now)];
+	}
+
+	function cancelCurrent(): readonly RelayAction[] {
+		return current === undefined ? [] : [{kind: 'cancelSend', sendId: current.id}];
+	}
+
+	function startAnswer(head: EndpointAnswerHead, now: Timestamp): readonly RelayAction[] {
+		if (current === undefined) {
+			return [];
+		}
+
+		if (head.isNotRun || head.status === misdirectedStatus) {
+			return handleRefusal(head, now);
+		}
+
+		if (head.requestId !== undefined && head.requestId !== request.requestId) {
+			return [...cancelCurrent(), ...handleLoss('corrupt', 'the answer belongs to another request', now)];
+		}
+
+		if (head.isEncoded || (head.status < firstErrorStatus && !head.hasStamp)) {
+			return [...cancelCurrent(), ...handleLoss('corrupt', 'the answer is not the endpoint\'s own', now)];
+		}
+
+		current.head = head;
+		current.lastProgressAt = now;
+		return [];
+	}
+
+	function addBytes(bytes: Uint8Array, now: Timestamp): readonly RelayAction[] {
+		if (current?.head === undefined) {
+			return [];
+		}
+
+		current.lastProgressAt = now;
+		if (!isStreamAnswer(request, current.head)) {
+			current.chunks.push(bytes);
+			return [];
+		}
+
+		const actions: RelayAction[] = [];
+		for (const event of current.splitter.addBytes(bytes)) {
+			const step = addEvent(event, now);
+			if (step === undefined) {
+				return [...actions, ...cancelCurrent(), ...handleLoss('corrupt', `event ${event.id ?? ''} is out of order`, now)];
+			}
+
+			actions.push(...step);
+		}
+
+		return actions;
+	}
+
+	/** Passes an event on, or returns `undefined` when it does not follow the last one. */
+	function addEvent(event: StreamEvent, now: Timestamp): readonly RelayAction[] | undefined {
+		if (current?.head === undefined) {
+			return [];
+		}
+
+		const number = parseEventNumber(event.id);
+		const lastNumber = parseEventNumber(lastEventId);
+		if (number !== undefined && lastNumber !== undefined && number !== lastNumber + 1) {
+			return undefined;
+		}
+
+		lastEventId = event.id ?? lastEventId;
+		const actions: RelayAction[] = [];
+		if (!current.hasEvents) {
+			current.hasEvents = true;
+			firstEventAt ??= now;
+			host.registry.recordSuccess(current.placement.endpoint.id);
+			actions.push(...recordWork({kind: 'writing', id: current.id}, now));
+		}
+
+		actions.push(...startStream(current.head), {kind: 'writeAnswer', key: request.key, bytes: event.bytes});
+		return actions;
+	}
+
+	function startStream(head: EndpointAnswerHead): readonly RelayAction[] {
+		if (hasStartedAnswer) {
+			return [];
+		}
+
+		hasStartedAnswer = true;
+		return [{
+			kind: 'startAnswer', key: request.key, status: head.status, headers: head.headers,
+		}];
+	}
+
+	function completeAnswer(now: Timestamp): readonly RelayAction[] {
+		const finished = current;
+		const head = finished?.head;
+		if (finished === undefined || head === undefined) {
+			return handleLoss('broken', 'the answer has no head', now);
+		}
+
+		if (isStreamAnswer(request, head)) {
+			return completeStream(finished, head, now);
+		}
+
+		if (head.status >= firstServerErrorStatus && mayRepeat) {
+			return handleFailedStatus({head, chunks: finished.chunks}, now);
+		}
+
+		host.registry.recordSuccess(finished.placement.endpoint.id);
+		return [...closeSend('answered', `status ${head.status}`, now), ...complete({head, chunks: finished.chunks})];
+	}
+
+	function complete(answer: SavedAnswer): readonly RelayAction[] {
+		if (hasStartedAnswer) {
+			return end(createFailure('serverFailed', `status ${answer.head.status}`));
+		}
+
+		hasEnded = true;
+		return getAnswerActions(answer);
+	}
+
+	function completeStream(finished: Send, head: EndpointAnswerHead, now: Timestamp): readonly RelayAction[] {
+		if (finished.splitter.getIncompleteByteCount() > 0) {
+			return handleLoss('broken', 'the stream ended inside an event', now);
+		}
+
+		hasEnded = true;
+		return [...closeSend('answered', `status ${head.status}`, now), ...startStream(head), createEndAction(head.status)];
+	}
+
+	/** An endpoint that fails requests is not avoided: failing is often the request's own doing. */
+	function handleFailedStatus(answer: SavedAnswer, now: Timestamp): readonly RelayAction[] {
+		savedFailure = answer;
+		return [
+			...closeSend('failedStatus', `status ${answer.head.status}`, now),
+			...sendAgainOrEnd(createFailure('serverFailed', `status ${answer.head.status}`), true, now),
+		];
+	}
+
+	function handleTime(now: Timestamp): readonly RelayAction[] {
+		if (now >= request.deadlineAt) {
+			return [...cancelCurrent(), ...closeSend('deadline', '', now), ...end(createFailure('deadlineExceeded'))];
+		}
+
+		if (current === undefined || now < getSilentAt(current)) {
+			return [];
+		}
+
+		if (!mayRepeat || !canSendAgain() || !host.budget.trySpend(request.service, now)) {
+			current.lastProgressAt = now;
+			return [];
+		}
+
+		host.registry.recordFailure(current.placement.endpoint.id, now);
+		const failure = createFailure('serverLost', 'the endpoint went silent');
+		return [...cancelCurrent(), ...closeSend('silent', '', now), ...send(now, failure)];
+	}
+
+	function getSilentAt(send: Send): Timestamp {
+		return send.lastProgressAt + getSilenceLimitMs(send);
+	}
+
+	function apply(event: RelayEvent, now: Timestamp): readonly RelayAction[] {
+		switch (event.kind) {
+			case 'started': {
+				return start(now);
+			}
+
+			case 'answerStarted': {
+				return event.sendId === current?.id ? startAnswer(event.head, now) : [];
+			}
+
+			case 'answerBytes': {
+				return event.sendId === current?.id ? addBytes(event.bytes, now) : [];
+			}
+
+			case 'answerEnded': {
+				return event.sendId === current?.id ? completeAnswer(now) : [];
+			}
+
+			case 'sendFailed': {
+				return event.sendId === current?.id ? handleSendFailure(event.wasSent, event.detail, now) : [];
+			}
+
+			case 'clientGone': {
+				hasEnded = true;
+				return [...cancelCurrent(), ...closeSend('clientGone', '', now), {kind: 'forgetRequest', key: request.key}];
+			}
+
+			case 'timePassed': {
+				return handleTime(now);
+			}
+		}
+	}
+
+	function handleSendFailure(wasSent: boolean, detail: string, now: Timestamp): readonly RelayAction[] {
+		if (wasSent) {
+			return handleLoss('broken', detail, now);
+		}
+
+		if (current !== undefined) {
+			host.registry.recordFailure(current.placement.endpoint.id, now);
+		}
+
+		const closing = closeSend('notRun', detail, now);
+		return [...closing, ...sendAgainOrEnd(runCount === 0 ? createNotRun('overloaded', detail) : createFailure('serverLost', detail), false, now)];
+	}
+
+	return {
+		step: (event, now) => hasEnded ? [] : apply(event, now),
+		getWakeAt: () => Math.min(request.deadlineAt, current === undefined ? Number.POSITIVE_INFINITY : getSilentAt(current)),
+		isEnded: () => hasEnded,
+	};
+}
--- a/packages/daemon/src/agent-daemon.ts
+++ b/packages/daemon/src/agent-daemon.ts
@@ -6,7 +6,7 @@
 import {createModelServer} from '@currantcross/endpoint/model-server';
 import {createAgentService} from '@currantcross/peer/agent-service';
 import {startPeerServer} from '@currantcross/peer/peer-server';
-import {createObjectApi} from '@currantcross/platform/object-api';
+import {createObjectApi} from '@currantcross/object-api/object-api';
 import {createAgentDriver, type AgentDriver, type ServerClient} from './agent-driver.js';
 import type {Daemon} from './daemon.js';
 import {createIncarnation} from './incarnation.js';
--- a/packages/daemon/src/claim-store.ts
+++ b/packages/daemon/src/claim-store.ts
@@ -9,9 +9,9 @@
 import type {Milliseconds} from '@currantcross/core/types';
 import type {SubmissionOutcome} from '@currantcross/core/log';
 import type {EntryPeerClient} from '@currantcross/peer/entry-peers';
-import type {EntryListing} from '@currantcross/platform/host-list';
-import {createLogDriver, type LogDriver} from '@currantcross/platform/log-driver';
-import type {ObjectApi} from '@currantcross/platform/object-api';
+import type {EntryListing} from '@currantcross/object-api/host-list';
+import {createLogDriver, type LogDriver} from '@currantcross/object-api/log-driver';
+import type {ObjectApi} from '@currantcross/object-api/object-api';
 
 export type ClaimStoreSettings = Readonly<{
 	/** Unique to this life of the process. */
--- a/packages/daemon/src/configuration-sync.ts
+++ b/packages/daemon/src/configuration-sync.ts
@@ -10,10 +10,10 @@
 import type {Random} from '@currantcross/core/random';
 import type {Milliseconds, Ticket} from '@currantcross/core/types';
 import type {EntryPeerClient} from '@currantcross/peer/entry-peers';
-import type {EntryListing} from '@currantcross/platform/host-list';
+import type {EntryListing} from '@currantcross/object-api/host-list';
 import type {SubmissionOutcome} from '@currantcross/core/log';
-import {createLogDriver, getEntryKey} from '@currantcross/platform/log-driver';
-import type {ObjectApi} from '@currantcross/platform/object-api';
+import {createLogDriver, getEntryKey} from '@currantcross/object-api/log-driver';
+import type {ObjectApi} from '@currantcross/object-api/object-api';
 import type {ApplyAnswer, InForce} from '@currantcross/operator/operator-types';
 
 export type ConfigurationSyncSettings = Readonly<{
--- a/packages/daemon/src/host-list-reader.ts
+++ b/packages/daemon/src/host-list-reader.ts
@@ -3,7 +3,7 @@
 */
 import {getErrorText} from '@currantcross/core/error-text';
 import type {Random} from '@currantcross/core/random';
-import {createHostListClient, type EntryListing, type HostList} from '@currantcross/platform/host-list';
+import {createHostListClient, type EntryListing, type HostList} from '@currantcross/object-api/host-list';
 import type {Logger} from './logger.js';
 
 export type HostListReaderHost = Readonly<{
--- a/packages/daemon/src/logger.ts
+++ b/packages/daemon/src/logger.ts
@@ -1,12 +1,16 @@
 /**
 Logs: one line of key=value pairs for each event. Never a key, a prompt or a body.
 */
+import process from 'node:process';
 import winston from 'winston';
+import {createLogLimiter} from './log-limiter.js';
 
 /** The events that are logged. */
 export type LogEventName
 	= | 'started' | 'stopping' | 'stopped' | 'requestEnded' | 'attemptStarted' | 'attemptEnded' | 'streamBroken'
-		| 'hostListFailed' | 'configurationInForce' | 'configurationRead' | 'probeFailed' | 'serverFailed' | 'orderSent' | 'internalError';
+		| 'hostListFailed' | 'configurationInForce' | 'configurationRead' | 'probeFailed' | 'serverFailed' | 'orderSent' | 'internalError'
+		| 'requestPlaced' | 'sendEnded' | 'requestRefused' | 'endpointChanged' | 'dependencyLost' | 'dependencyRegained'
+		| 'settingsReloaded' | 'settingsRefused' | 'clockJumped' | 'peerFound' | 'peerLost' | 'readinessChanged' | 'linesDropped';
 
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
@@ -37,22 +41,65 @@
 	return pairs.join(' ');
 }
 
-/** Creates a logger that writes to standard error. */
-export function createLogger(level: string, common: LogFields): Logger {
-	const logger = winston.createLogger({
+/** Lines of one event that may be written in a second; more than a host of the usual size handles requests. */
+const linesPerSecond = 300;
+
+/** How often lines that were left out are counted in a line of their own. */
+const droppedReportMs = 5000;
+
+/** Bytes that may wait for a slow reader of standard output before lines are left out. */
+const maximumWaitingBytes = 1_048_576;
+
+/**
+Creates a logger that writes to standard output and never waits: past a rate for each event, or while the reader is slow,
+lines are left out and counted.
+*/
+export function createBoundedLogger(level: string, common: LogFields): Logger {
+	const logger = createStreamLogger(level, []);
+	const limiter = createLogLimiter(linesPerSecond);
+
+	function write(lineLevel: LogLevel, event: LogEventName, fields: LogFields = {}): void {
+		const isSlow = process.stdout.writableLength > maximumWaitingBytes;
+		if (logger.isLevelEnabled(lineLevel) && !isSlow && limiter.tryTake(event, performance.now())) {
+			writeLine(logger, lineLevel, event, {...common, ...fields});
+		}
+	}
+
+	setInterval(() => {
+		for (const [event, lines] of limiter.takeDropped()) {
+			write('warn', 'linesDropped', {of: event, lines});
+		}
+	}, droppedReportMs).unref();
+	return createLevels(write);
+}
+
+type LogLevel = 'debug' | 'info' | 'warn' | 'error';
+
+function createStreamLogger(level: string, stderrLevels: readonly LogLevel[]): winston.Logger {
+	return winston.createLogger({
 		level,
 		format: winston.format.printf(({message}) => String(message)),
-		transports: [new winston.transports.Console({stderrLevels: ['error', 'warn', 'info', 'debug']})],
+		transports: [new winston.transports.Console({stderrLevels: [...stderrLevels]})],
 	});
+}
+
+function writeLine(logger: winston.Logger, level: LogLevel, event: LogEventName, fields: LogFields): void {
+	logger.log(level, formatLogLine({
+		time: new Date().toISOString(), level, event, ...fields,
+	}));
+}
 
-	function write(lineLevel: 'debug' | 'info' | 'warn' | 'error', event: LogEventName, fields: LogFields = {}): void {
+/** Creates a logger that writes to standard error. */
+export function createLogger(level: string, common: LogFields): Logger {
+	const logger = createStreamLogger(level, ['error', 'warn', 'info', 'debug']);
+	return createLevels((lineLevel, event, fields) => {
 		if (logger.isLevelEnabled(lineLevel)) {
-			logger.log(lineLevel, formatLogLine({
-				time: new Date().toISOString(), level: lineLevel, event, ...common, ...fields,
-			}));
+			writeLine(logger, lineLevel, event, {...common, ...fields});
 		}
-	}
+	});
+}
 
+function createLevels(write: (level: LogLevel, event: LogEventName, fields?: LogFields) => void): Logger {
 	return {
 		debug(event, fields) {
 			write('debug', event, fields);
--- a/packages/daemon/src/order-handler.ts
+++ b/packages/daemon/src/order-handler.ts
@@ -7,8 +7,8 @@
 import {getErrorText} from '@currantcross/core/error-text';
 import {createOrderGate, type Order, type OrderOutcome} from '@currantcross/core/order-gate';
 import type {ModelServer} from '@currantcross/endpoint/model-server';
-import {readLease} from '@currantcross/platform/lease-driver';
-import type {ObjectApi} from '@currantcross/platform/object-api';
+import {readLease} from '@currantcross/object-api/lease-driver';
+import type {ObjectApi} from '@currantcross/object-api/object-api';
 
 export type OrderHandler = Readonly<{
 	/** Applies an order after those that came before. Never throws. */
--- a/packages/daemon/src/order-reconciler.ts
+++ b/packages/daemon/src/order-reconciler.ts
@@ -9,8 +9,8 @@
 import type {WantedState} from '@currantcross/core/order-gate';
 import type {PoolName, ServerName} from '@currantcross/core/types';
 import type {AgentClient} from '@currantcross/peer/agent-client';
-import {startLease, type LeaseDriver} from '@currantcross/platform/lease-driver';
-import type {ObjectApi} from '@currantcross/platform/object-api';
+import {startLease, type LeaseDriver} from '@currantcross/object-api/lease-driver';
+import type {ObjectApi} from '@currantcross/object-api/object-api';
 import type {Logger} from './logger.js';
 
 export type OrderReconcilerHost = Readonly<{
--- /dev/null
+++ b/packages/gateway/src/gateway-hosts.ts
@@ -0,0 +1,65 @@
+/**
+What a gateway asks of its surroundings: the form that callers and endpoints speak, and the platform that tells of the
+configuration, the endpoints and the other gateways. An adapter supplies both.
+*/
+import type {IncomingHttpHeaders} from 'node:http';
+import type {Failure} from '@currantcross/core/errors';
+import type {
+	EndpointAnswerHead, ListedEndpoint, PromptSize, RawHeaders, ServingConfiguration,
+} from '@currantcross/core/gateway/gateway-types';
+import type {Milliseconds} from '@currantcross/core/types';
+
+/** The head of a caller's request, decoded. */
+export type CallerHead = Readonly<{
+	requestId: string;
+	credential: string | undefined;
+	/** How long the caller waits. */
+	remainingMs: Milliseconds | undefined;
+	lastEventId: string | undefined;
+	prompt: PromptSize | undefined;
+}>;
+
+/** What the gateway adds to a request on its way to an endpoint. */
+export type SendHead = Readonly<{
+	remainingMs: Milliseconds;
+	/** Id of the only endpoint that may run the request. */
+	endpointId: string;
+	organisation: string | undefined;
+	/** Addresses of the endpoints that read parts of the prompt. */
+	helperAddresses: readonly string[];
+	lastEventId: string | undefined;
+}>;
+
+/** The headers of callers and endpoints. */
+export type Dialect = Readonly<{
+	/** Names, in lower case, of the headers that are not passed on to endpoints as the caller sent them. */
+	ownedHeaders: ReadonlySet<string>;
+	parseCallerHead(headers: IncomingHttpHeaders): CallerHead;
+	formatSendHead(head: SendHead): RawHeaders;
+	parseAnswerHead(status: number, headers: IncomingHttpHeaders): EndpointAnswerHead;
+	/** Returns the headers of a failure that the gateway itself answers. */
+	formatFailureHead(failure: Failure, requestId: string): RawHeaders;
+}>;
+
+/** Names a state of the platform's store; later states have greater ones. */
+export type Revision = number;
+
+export type ConfigurationReading = Readonly<{
+	revision: Revision;
+	/** `undefined` says that the one read before is still the newest. */
+	configuration: ServingConfiguration | undefined;
+}>;
+
+/** Another gateway. */
+export type GatewayListing = Readonly<{name: string; peerUrl: string}>;
+
+/** The platform. Calls reject when the platform does not answer in time or in its form. */
+export type PlatformHost = Readonly<{
+	readConfiguration(): Promise<ConfigurationReading>;
+	/** Waits until the configuration changes after the revision, or the time is over. */
+	watchConfiguration(after: Revision, waitMs: Milliseconds): Promise<ConfigurationReading>;
+	listEndpoints(): Promise<readonly ListedEndpoint[]>;
+	listGateways(): Promise<readonly GatewayListing[]>;
+	registerGateway(listing: GatewayListing): Promise<void>;
+	close(): void;
+}>;
--- /dev/null
+++ b/packages/gateway/src/metrics.ts
@@ -0,0 +1,81 @@
+/**
+Counters and latency histograms, served as text on an address of the settings.
+*/
+import http, {type Server} from 'node:http';
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
+import type {SocketAddress} from './settings.js';
+
+export type GatewayMetrics = Readonly<{
+	recordRequest(outcome: string, durationMs: number): void;
+	recordFirstEvent(durationMs: number): void;
+	recordSend(result: string): void;
+	recordStoreCall(call: string, outcome: string): void;
+	getText(): Promise<string>;
+}>;
+
+const millisecondsPerSecond = 1000;
+
+/** Bounds of the histograms in seconds; they cover the objectives and time limits of short and long prompts. */
+const durationBucketsS = [0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3, 5, 10, 15];
+
+/** Creates the metrics of one gateway. */
+export function createGatewayMetrics(getOpenRequests: () => number): GatewayMetrics {
+	const registry = new Registry();
+	const registers = [registry];
+	const requests = new Histogram({
+		name: 'currantcross_request_seconds', help: 'Time from arrival to the end of the answer', labelNames: ['outcome'], buckets: durationBucketsS, registers,
+	});
+	const firstEvents = new Histogram({
+		name: 'currantcross_first_event_seconds', help: 'Time from arrival to the first event', buckets: durationBucketsS, registers,
+	});
+	const sends = new Counter({
+		name: 'currantcross_sends_total', help: 'Sends to endpoints by how they ended', labelNames: ['result'], registers,
+	});
+	const storeCalls = new Counter({
+		name: 'currantcross_platform_calls_total', help: 'Calls to the platform', labelNames: ['call', 'outcome'], registers,
+	});
+	registry.registerMetric(new Gauge({
+		name: 'currantcross_open_requests',
+		help: 'Requests that are open',
+		registers: [],
+		collect() {
+			this.set(getOpenRequests());
+		},
+	}));
+	return {
+		recordRequest(outcome, durationMs) {
+			requests.observe({outcome}, durationMs / millisecondsPerSecond);
+		},
+		recordFirstEvent(durationMs) {
+			firstEvents.observe(durationMs / millisecondsPerSecond);
+		},
+		recordSend(result) {
+			sends.inc({result});
+		},
+		recordStoreCall(call, outcome) {
+			storeCalls.inc({call, outcome});
+		},
+		getText: async () => registry.metrics(),
+	};
+}
+
+/** Starts a server that answers each GET by what `getAnswer` returns. */
+export async function startStatusServer(
+	address: SocketAddress,
+	getAnswer: () => Promise<Readonly<{status: number; text: string}>>,
+): Promise<Server> {
+	const server = http.createServer((message, response) => {
+		message.resume();
+		void getAnswer().then(({status, text}) => {
+			response.writeHead(status, {'content-type': 'text/plain'});
+			response.end(text);
+		});
+	});
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(address, resolve);
+	});
+	return server;
+}
--- a/scripts/check-names.js
+++ b/scripts/check-names.js
@@ -29,7 +29,7 @@
 	return verbs.some(verb => name === verb || (name.startsWith(verb) && /[A-Z]/v.test(name[verb.length])));
 }
 
-const wrong = listSources('packages').flatMap(file => {
+const wrong = ['packages', 'platform'].flatMap(directory => listSources(directory)).flatMap(file => {
 	const text = readFileSync(file, 'utf8');
 	const names = [...text.matchAll(/^\s*(?:export )?(?:async )?function \*? ?(?<name>[a-zA-Z]+)/gmv)].map(match => match.groups.name);
 	return names.filter(name => !hasKnownVerb(name)).map(name => `${file}: ${name}`);
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,6 +1,11 @@
 /** XO's rules, and where the house style gives way or goes further; CONTRIBUTING.md says why. */
 const xoConfig = [
 	{ignores: ['**/gen/**', '**/dist/**', 'docs/**']},
+	{
+		// The platform's configuration names some fields with underscores.
+		files: ['platform/src/configuration-codec.ts'],
+		rules: {'@typescript-eslint/naming-convention': 'off'},
+	},
 	{
 		// The OpenAI form names its fields with underscores.
 		files: [
