Never end a broken answer as whole

An answer without length ends with its connection; undici ends one that is reset as if it were whole, and one that its server cut off by a plain close was given a length of its own on the way to the caller. Ruled out: the event splitter (the requests were no streams). Change: a reset fails the send, and an answer without length is passed on without length.

--- a/packages/core/src/gateway/gateway-types.ts
+++ b/packages/core/src/gateway/gateway-types.ts
@@ -132,6 +132,8 @@
 	faultyAddress: string | undefined;
 	/** Whether the body is encoded, which no endpoint does. */
 	isEncoded: boolean;
+	/** Whether the answer ends with its connection, so that a broken one looks whole. */
+	isUndelimited: boolean;
 	/** When the endpoint would take the request, if it says so. */
 	retryAfterMs: Milliseconds | undefined;
 }>;
--- a/packages/core/src/gateway/relay-types.ts
+++ b/packages/core/src/gateway/relay-types.ts
@@ -33,7 +33,14 @@
 		lastEventId: string | undefined;
 	}>
 	| Readonly<{kind: 'cancelSend'; sendId: SendId}>
-	| Readonly<{kind: 'startAnswer'; key: RequestKey; status: number; headers: RawHeaders}>
+	| Readonly<{
+		kind: 'startAnswer';
+		key: RequestKey;
+		status: number;
+		headers: RawHeaders;
+		/** Whether the answer's end is marked by the end of its connection alone. */
+		isUndelimited: boolean;
+	}>
 	| Readonly<{kind: 'writeAnswer'; key: RequestKey; bytes: Uint8Array}>
 	| Readonly<{kind: 'endAnswer'; key: RequestKey; outcome: AnswerOutcome}>
 	/** Closes the caller's connection, since the answer that began can't be completed. */
--- a/packages/core/src/gateway/relayed-request.ts
+++ b/packages/core/src/gateway/relayed-request.ts
@@ -92,6 +92,7 @@
 	let current: Send | undefined;
 	let savedFailure: SavedAnswer | undefined;
 	let hasStartedAnswer = false;
+	let isAnswerUndelimited = false;
 	let {lastEventId} = request;
 	let firstEventAt: Timestamp | undefined;
 	let hasEnded = false;
@@ -225,9 +226,10 @@
 
 	function getAnswerActions({head, chunks}: SavedAnswer): readonly RelayAction[] {
 		const length = chunks.reduce((sum, chunk) => sum + chunk.length, 0);
+		const framing = head.isUndelimited ? [] : ['Content-Length', String(length)];
 		return [
 			{
-				kind: 'startAnswer', key: request.key, status: head.status, headers: [...head.headers, 'Content-Length', String(length)],
+				kind: 'startAnswer', key: request.key, status: head.status, headers: [...head.headers, ...framing], isUndelimited: head.isUndelimited,
 			},
 			...chunks.map((bytes): RelayAction => ({kind: 'writeAnswer', key: request.key, bytes})),
 			createEndAction(head.status),
@@ -366,8 +368,9 @@
 		}
 
 		hasStartedAnswer = true;
+		isAnswerUndelimited = head.isUndelimited;
 		return [{
-			kind: 'startAnswer', key: request.key, status: head.status, headers: head.headers,
+			kind: 'startAnswer', key: request.key, status: head.status, headers: head.headers, isUndelimited: head.isUndelimited,
 		}];
 	}
 
@@ -404,8 +407,13 @@
 			return handleLoss('broken', 'the stream ended inside an event', now);
 		}
 
+		const actions = [...closeSend('answered', `status ${head.status}`, now), ...startStream(head)];
+		if (head.isUndelimited && !isAnswerUndelimited) {
+			return [...actions, ...end(createFailure('serverLost', 'the stream has no certain end'))];
+		}
+
 		hasEnded = true;
-		return [...closeSend('answered', `status ${head.status}`, now), ...startStream(head), createEndAction(head.status)];
+		return [...actions, createEndAction(head.status)];
 	}
 
 	/** An endpoint that fails requests is not avoided: failing is often the request's own doing. */
--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -10,8 +10,11 @@
 /** A whole request. */
 export type ReceivedRequest = Readonly<{message: IncomingMessage; head: CallerHead; body: Uint8Array}>;
 
+/** The head of an answer. One without delimiters is passed on as it is, since only its sender knows where it ends. */
+export type AnswerStart = Readonly<{status: number; headers: RawHeaders; isUndelimited: boolean}>;
+
 export type CallerExchange = ReceivedRequest & Readonly<{
-	startAnswer(status: number, headers: RawHeaders): void;
+	startAnswer(start: AnswerStart): void;
 	write(bytes: Uint8Array): void;
 	end(): void;
 	/** Breaks the connection, so that the answer does not look complete. */
@@ -65,7 +68,12 @@
 
 	return {
 		...request,
-		startAnswer(status, headers) {
+		startAnswer({status, headers, isUndelimited}) {
+			if (isUndelimited) {
+				response.setHeader('connection', 'close');
+				response.removeHeader('transfer-encoding');
+			}
+
 			writeHead(status, headers);
 			response.flushHeaders();
 		},
--- a/packages/gateway/src/endpoint-client.ts
+++ b/packages/gateway/src/endpoint-client.ts
@@ -2,9 +2,12 @@
 HTTP client of the endpoints: sends requests over kept connections and reports what comes back.
 */
 import type {IncomingHttpHeaders} from 'node:http';
+import process from 'node:process';
 import type {RawHeaders} from '@currantcross/core/gateway/gateway-types';
 import type {SendId} from '@currantcross/core/gateway/relay-types';
-import {type Dispatcher, errors, Pool} from 'undici';
+import {
+	buildConnector, type Dispatcher, errors, Pool,
+} from 'undici';
 
 /** A request as it goes to an endpoint. */
 export type EndpointSend = Readonly<{
@@ -60,12 +63,35 @@
 export function createEndpointClient(): EndpointClient {
 	const pools = new Map<string, Pool>();
 	const openSends = new Map<SendId, OpenSend>();
+	const connect = buildConnector({
+		timeout: connectTimeoutMs, keepAlive: true, keepAliveInitialDelay: 1000, autoSelectFamily: false,
+	});
+	let isHandlingReset = false;
+
+	/**
+	Connects, and marks the moment in which a reset is handled: undici then ends an answer without length as if it were
+	complete.
+	*/
+	function openConnection(options: buildConnector.Options, callback: buildConnector.Callback): void {
+		connect(options, (...[error, socket]) => {
+			if (error !== null) { // eslint-disable-line @typescript-eslint/no-restricted-types -- undici's form
+				callback(error, socket);
+				return;
+			}
+
+			socket.on('error', () => {
+				isHandlingReset = true;
+				process.nextTick(() => {
+					isHandlingReset = false;
+				});
+			});
+			callback(error, socket);
+		});
+	}
 
 	function getPool(address: string): Pool {
 		const pool = pools.get(address) ?? new Pool(`http://${address}`, {
-			connect: {
-				timeout: connectTimeoutMs, keepAlive: true, keepAliveInitialDelay: 1000, autoSelectFamily: false,
-			},
+			connect: openConnection,
 			keepAliveTimeout: idleTimeoutMs,
 			keepAliveTimeoutThreshold: idleMarginMs,
 			headersTimeout: 0,
@@ -104,7 +130,11 @@
 			},
 			onResponseEnd() {
 				openSends.delete(sendId);
-				listener.onEnd();
+				if (isHandlingReset) {
+					listener.onFailure(true, 'ECONNRESET');
+				} else {
+					listener.onEnd();
+				}
 			},
 			onResponseError(_controller, error) {
 				openSends.delete(sendId);
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -79,7 +79,7 @@
 			}
 
 			case 'startAnswer': {
-				openRequests.get(action.key)?.exchange.startAnswer(action.status, action.headers);
+				openRequests.get(action.key)?.exchange.startAnswer(action);
 				return;
 			}
 
