Test the gateway's decisions in virtual time

Change: tests of routes, configuration age, endpoints, further sends, events, load, placement and of one request's whole course; fixtures for embedders.

--- /dev/null
+++ b/packages/core/src/gateway/gateway-fixtures.ts
@@ -0,0 +1,124 @@
+/**
+A small deployment for tests of the gateway's decisions and for those who embed them.
+*/
+import type {
+	EndpointAnswerHead, EngineProfile, GatewayRequest, ListedEndpoint, ServedRoute, ServingConfiguration,
+} from './gateway-types.js';
+import type {GatewaySettings} from './gateway.js';
+import {defaultEndpointRegistrySettings} from './endpoint-registry.js';
+
+/** An engine of the size that the deployments run today. */
+export const fixtureEngine: EngineProfile = {
+	slots: 11,
+	memoryTokens: 405_000,
+	stepsPerPass: 34,
+	stepMs: 1.31,
+	stepMsPerWriter: 0.0013,
+	stepMsPerThousandTokens: 0.002_13,
+	readTokensPerMs: 154,
+	readMsPerMillionPairs: 0.162,
+	chunkTokens: 2048,
+};
+
+const commonRoute = {
+	host: 'a.example', isPublic: false, services: [{service: 'models', weight: 1}],
+} as const;
+
+export const fixtureStream: ServedRoute = {
+	...commonRoute,
+	name: 'ask',
+	prefix: '/ask/',
+	kind: 'streaming',
+	timeoutMs: 10_000,
+	objectiveMs: 300,
+	maximumEndpoints: 2,
+	isResumable: true,
+	longestPauseMs: 250,
+};
+
+export const fixtureAction: ServedRoute = {
+	...commonRoute,
+	name: 'book',
+	prefix: '/book/',
+	kind: 'nonIdempotent',
+	timeoutMs: 1000,
+	objectiveMs: 200,
+	maximumEndpoints: 1,
+	isResumable: false,
+	longestPauseMs: 0,
+	services: [{service: 'shop', weight: 1}],
+};
+
+export const fixtureLookup: ServedRoute = {
+	...fixtureAction, name: 'look', prefix: '/look/', kind: 'idempotent', maximumEndpoints: 2,
+};
+
+export const fixtureKey = 'key-1';
+
+export const fixtureConfiguration: ServingConfiguration = {
+	version: 1,
+	routes: [fixtureStream, fixtureAction, fixtureLookup],
+	services: new Map([
+		['models', {name: 'models', maximumConnections: 300, engine: fixtureEngine}],
+		['shop', {name: 'shop', maximumConnections: 100, engine: undefined}],
+	]),
+	organisationsByKey: new Map([[fixtureKey, 'club']]),
+	limits: {maximumBodyBytes: 1_000_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000},
+};
+
+/** Returns endpoints of a service, in two data centres by turns. */
+export function createFixtureEndpoints(service: string, count: number): readonly ListedEndpoint[] {
+	return Array.from({length: count}, (_, index) => ({
+		id: `${service}-${index}`,
+		service,
+		address: `10.0.${service.length}.${index}:80`,
+		dataCentre: index % 2 === 0 ? 'east' : 'west',
+		slots: service === 'models' ? 11 : 6,
+		state: 'ready' as const,
+		bornAt: 1,
+	}));
+}
+
+export const fixtureGatewaySettings: GatewaySettings = {
+	name: 'gateway-1',
+	dataCentre: 'east',
+	configuration: {maximumKeyAgeMs: 4000, maximumAbsenceAgeMs: 2500},
+	endpoints: defaultEndpointRegistrySettings,
+	budget: {
+		ratio: 0.2, fixedSends: 100, windowMs: 10_000, usedShare: 0.75,
+	},
+};
+
+/** Returns a request of a route that arrived at `arrivedAt`. */
+export function createFixtureRequest(route: ServedRoute, changes: Partial<GatewayRequest> = {}): GatewayRequest {
+	const arrivedAt = changes.arrivedAt ?? 0;
+	return {
+		key: 1,
+		requestId: 'r-1',
+		route,
+		service: route.services[0]?.service ?? '',
+		organisation: 'club',
+		credential: fixtureKey,
+		deadlineAt: arrivedAt + route.timeoutMs,
+		arrivedAt,
+		prompt: route.kind === 'streaming' ? {promptTokens: 5000, maximumTokens: 1000} : undefined,
+		lastEventId: undefined,
+		...changes,
+	};
+}
+
+/** Returns the head of a whole and valid answer. */
+export function createFixtureHead(changes: Partial<EndpointAnswerHead> = {}): EndpointAnswerHead {
+	return {
+		status: 200,
+		headers: [],
+		requestId: 'r-1',
+		hasStamp: true,
+		isNotRun: false,
+		faultyAddress: undefined,
+		isEncoded: false,
+		isUndelimited: false,
+		retryAfterMs: undefined,
+		...changes,
+	};
+}
--- /dev/null
+++ b/packages/core/src/gateway/placement.test.ts
@@ -0,0 +1,80 @@
+import {describe, expect, test} from 'vitest';
+import {getReadMs} from './engine-timing.js';
+import {createFixtureEndpoints, fixtureEngine} from './gateway-fixtures.js';
+import type {EndpointLoad, Writer} from './load-view.js';
+import {
+	findPromptPlacement, findServicePlacement, type Candidate, type PromptDemand,
+} from './placement.js';
+
+const idle: EndpointLoad = {
+	requests: 0, readMs: 0, readers: 0, writers: [], memoryTokens: 0,
+};
+const shortWriter: Writer = {longestPauseMs: 250, promptTokens: 5000};
+
+function createLoad(writers: readonly Writer[], readMs = 0): EndpointLoad {
+	return {
+		...idle, writers, requests: writers.length, readMs, readers: readMs > 0 ? 1 : 0, memoryTokens: writers.length * 5000,
+	};
+}
+
+function createCandidates(loads: readonly EndpointLoad[]): readonly Candidate[] {
+	return createFixtureEndpoints('models', loads.length).map((endpoint, index) => ({endpoint, load: loads[index] ?? idle}));
+}
+
+const shortPrompt: PromptDemand = {
+	promptTokens: 5000, objectiveMs: 300, longestPauseMs: 250, remainingMs: 10_000,
+};
+const longPrompt: PromptDemand = {
+	promptTokens: 182_000, objectiveMs: 3000, longestPauseMs: 1000, remainingMs: 15_000,
+};
+
+describe('timing', () => {
+	test.each([[5000, 34], [45_000, 456], [182_000, 3865]])('%i tokens are read in %i ms', (tokens, ms) => {
+		expect(Math.round(getReadMs(fixtureEngine, tokens))).toBe(ms);
+	});
+});
+
+describe('short prompts beside long ones', () => {
+	test('join other short ones, so that servers stay free for reading', () => {
+		const placement = findPromptPlacement(fixtureEngine, createCandidates([idle, createLoad([shortWriter, shortWriter]), idle]), shortPrompt);
+		expect(placement?.endpoint.id).toBe('models-1');
+	});
+
+	test('avoid a server that reads a long prompt', () => {
+		const placement = findPromptPlacement(fixtureEngine, createCandidates([createLoad([shortWriter], 800), idle]), shortPrompt);
+		expect(placement?.endpoint.id).toBe('models-1');
+	});
+
+	test('avoid a server without a free slot', () => {
+		const full = createLoad(Array.from({length: 11}, () => shortWriter));
+		expect(findPromptPlacement(fixtureEngine, createCandidates([full, idle]), shortPrompt)?.endpoint.id).toBe('models-1');
+	});
+});
+
+describe('long prompts beside short ones', () => {
+	test('are read together by servers without short writers', () => {
+		const busy = createLoad([shortWriter, shortWriter, shortWriter]);
+		const placement = findPromptPlacement(fixtureEngine, createCandidates([busy, idle, idle, busy, idle, idle, idle]), longPrompt);
+		const used = [placement?.endpoint.id, ...placement?.helpers.map(({id}) => id) ?? []];
+		expect(used).not.toContain('models-0');
+		expect(used).not.toContain('models-3');
+		expect(placement?.firstEventMs).toBeLessThan(longPrompt.objectiveMs);
+	});
+
+	test('are spread wide when every server has short writers, so that no pause is lost', () => {
+		const placement = findPromptPlacement(
+			fixtureEngine,
+			createCandidates(Array.from({length: 21}, () => createLoad([shortWriter, shortWriter]))),
+			{...longPrompt, promptTokens: 120_000},
+		);
+		expect(placement?.readMs).toBeLessThan(shortPrompt.longestPauseMs);
+	});
+});
+
+describe('business requests', () => {
+	test('go to the endpoint with the least work, in the same data centre if equal', () => {
+		const candidates = createCandidates([createLoad([shortWriter]), idle, idle]);
+		expect(findServicePlacement(candidates, 'west')?.endpoint.id).toBe('models-1');
+		expect(findServicePlacement(candidates, 'east')?.endpoint.id).toBe('models-2');
+	});
+});
--- /dev/null
+++ b/packages/core/src/gateway/relayed-request.test.ts
@@ -0,0 +1,250 @@
+import {Buffer} from 'node:buffer';
+import {describe, expect, test} from 'vitest';
+import {createGateway, type Gateway} from './gateway.js';
+import {
+	createFixtureEndpoints, createFixtureHead, createFixtureRequest, fixtureAction, fixtureConfiguration, fixtureGatewaySettings,
+	fixtureLookup, fixtureStream,
+} from './gateway-fixtures.js';
+import type {GatewayRequest, ServedRoute} from './gateway-types.js';
+import type {RelayAction, RelayEvent} from './relay-types.js';
+
+type Run = Readonly<{
+	gateway: Gateway;
+	step(event: RelayEvent, now: number): readonly string[];
+	submit(request: GatewayRequest): readonly string[];
+	/** Returns the id of the newest send. */
+	getSendId(): number;
+}>;
+
+function formatAction(action: RelayAction): readonly string[] {
+	switch (action.kind) {
+		case 'send': {
+			return [`send ${action.endpoint.service}${action.lastEventId === undefined ? '' : ` after ${action.lastEventId}`}`];
+		}
+
+		case 'cancelSend': {
+			return ['cancel'];
+		}
+
+		case 'startAnswer': {
+			return [`start ${action.status}${action.isUndelimited ? ' undelimited' : ''}`];
+		}
+
+		case 'writeAnswer': {
+			return [`write ${Buffer.from(action.bytes).toString().trim().replaceAll('\n', '|')}`];
+		}
+
+		case 'endAnswer': {
+			return ['end'];
+		}
+
+		case 'breakAnswer': {
+			return ['break'];
+		}
+
+		case 'failRequest': {
+			return [`fail ${action.failure.kind} ran=${action.failure.ran}`];
+		}
+
+		case 'forgetRequest': {
+			return ['forget'];
+		}
+
+		case 'publishWork':
+		case 'reportEndpoint':
+		case 'reportDecision': {
+			return [];
+		}
+	}
+}
+
+function createRun(): Run {
+	const gateway = createGateway(fixtureGatewaySettings);
+	let sendId = 0;
+	gateway.step({kind: 'configurationVerified', configuration: fixtureConfiguration, verifiedAt: 0}, 0);
+	gateway.step({kind: 'endpointsListed', endpoints: [...createFixtureEndpoints('models', 4), ...createFixtureEndpoints('shop', 3)]}, 0);
+
+	function format(actions: readonly RelayAction[]): readonly string[] {
+		for (const action of actions) {
+			if (action.kind === 'send') {
+				sendId = action.sendId;
+			}
+		}
+
+		return actions.flatMap(action => formatAction(action));
+	}
+
+	return {
+		gateway,
+		step: (event, now) => format(gateway.step({kind: 'requestChanged', key: 1, event}, now)),
+		submit: request => format(gateway.step({kind: 'requestArrived', request}, request.arrivedAt)),
+		getSendId: () => sendId,
+	};
+}
+
+function start(route: ServedRoute, changes: Partial<GatewayRequest> = {}): Run {
+	const run = createRun();
+	run.submit(createFixtureRequest(route, changes));
+	return run;
+}
+
+function getBytes(text: string): Uint8Array {
+	return Buffer.from(text);
+}
+
+function answer(run: Run, text: string, changes: Parameters<typeof createFixtureHead>[0] = {}, now = 10): readonly string[] {
+	const sendId = run.getSendId();
+	return [
+		...run.step({kind: 'answerStarted', sendId, head: createFixtureHead(changes)}, now),
+		...run.step({kind: 'answerBytes', sendId, bytes: getBytes(text)}, now),
+		...run.step({kind: 'answerEnded', sendId}, now),
+	];
+}
+
+const events = (...ids: readonly number[]): string => ids.map(id => `id: ${id}\ndata: x\n\n`).join('');
+
+describe('an action that may not be repeated', () => {
+	test('is answered by its endpoint', () => {
+		expect(answer(start(fixtureAction), 'done')).toEqual(['start 200', 'write done', 'end']);
+	});
+
+	test('is not sent again after its connection broke, and is not called unrun', () => {
+		const run = start(fixtureAction);
+		expect(run.step({
+			kind: 'sendFailed', sendId: run.getSendId(), wasSent: true, detail: 'ECONNRESET',
+		}, 10)).toEqual(['fail serverLost ran=unknown']);
+	});
+
+	test('is sent again when nothing can have reached the endpoint', () => {
+		const run = start(fixtureAction);
+		expect(run.step({
+			kind: 'sendFailed', sendId: run.getSendId(), wasSent: false, detail: 'ECONNREFUSED',
+		}, 10)).toEqual(['send shop']);
+	});
+
+	test('is sent again when the endpoint says that it did not run it', () => {
+		const run = start(fixtureAction);
+		expect(run.step({kind: 'answerStarted', sendId: run.getSendId(), head: createFixtureHead({status: 503, isNotRun: true, hasStamp: false})}, 10)).toEqual(['send shop']);
+	});
+
+	test('is refused as not run when every endpoint says so', () => {
+		const run = start(fixtureAction);
+		let actions: readonly string[] = [];
+		for (let index = 0; index < 3; index += 1) {
+			actions = run.step({kind: 'answerStarted', sendId: run.getSendId(), head: createFixtureHead({status: 503, isNotRun: true, hasStamp: false})}, 10);
+		}
+
+		expect(actions).toEqual(['fail overloaded ran=no']);
+	});
+
+	test('gets its endpoint\'s failure as it is', () => {
+		expect(answer(start(fixtureAction), 'oops', {status: 500})).toEqual(['start 500', 'write oops', 'end']);
+	});
+
+	test('ends at its deadline without a claim that it did not run', () => {
+		const run = start(fixtureAction);
+		expect(run.gateway.step({kind: 'timePassed'}, 1000).flatMap(action => formatAction(action))).toEqual(['cancel', 'fail deadlineExceeded ran=unknown']);
+	});
+
+	test('is not sent when its key was verified too long ago', () => {
+		const run = createRun();
+		expect(run.submit(createFixtureRequest(fixtureAction, {arrivedAt: 4001}))).toEqual(['fail platformUnavailable ran=no']);
+	});
+});
+
+describe('an idempotent request', () => {
+	test('is sent again after a failure, and gets the first failure when the second send fails too', () => {
+		const run = start(fixtureLookup);
+		expect(answer(run, 'oops', {status: 500})).toEqual(['send shop']);
+		expect(run.step({
+			kind: 'sendFailed', sendId: run.getSendId(), wasSent: true, detail: 'reset',
+		}, 20)).toEqual(['start 500', 'write oops', 'end']);
+	});
+
+	test('is not run by more endpoints than its route allows', () => {
+		const run = start(fixtureLookup);
+		run.step({
+			kind: 'sendFailed', sendId: run.getSendId(), wasSent: true, detail: 'reset',
+		}, 10);
+		expect(run.step({
+			kind: 'sendFailed', sendId: run.getSendId(), wasSent: true, detail: 'reset',
+		}, 20)).toEqual(['fail serverLost ran=unknown']);
+	});
+
+	test('is sent again when its endpoint goes silent', () => {
+		const run = start({...fixtureLookup, timeoutMs: 5000});
+		expect(run.gateway.step({kind: 'timePassed'}, 899).flatMap(action => formatAction(action))).toEqual([]);
+		expect(run.gateway.step({kind: 'timePassed'}, 901).flatMap(action => formatAction(action))).toEqual(['cancel', 'send shop']);
+	});
+
+	test.each([
+		['an answer to another request', {requestId: 'r-2'}],
+		['an answer without proof of its origin', {hasStamp: false}],
+		['an encoded answer', {isEncoded: true}],
+	])('does not get %s', (_, changes) => {
+		const run = start(fixtureLookup);
+		expect(run.step({kind: 'answerStarted', sendId: run.getSendId(), head: createFixtureHead(changes)}, 10)).toEqual(['cancel', 'send shop']);
+	});
+
+	test('gets an answer without length as one without length', () => {
+		expect(answer(start(fixtureLookup), 'half', {isUndelimited: true})).toEqual(['start 200 undelimited', 'write half', 'end']);
+	});
+});
+
+describe('a stream', () => {
+	test('passes whole events on as they come', () => {
+		const run = start(fixtureStream);
+		const sendId = run.getSendId();
+		run.step({kind: 'answerStarted', sendId, head: createFixtureHead()}, 10);
+		expect(run.step({kind: 'answerBytes', sendId, bytes: getBytes('id: 1\nda')}, 20)).toEqual([]);
+		expect(run.step({kind: 'answerBytes', sendId, bytes: getBytes('ta: x\n\nid: 2\n')}, 30)).toEqual(['start 200', 'write id: 1|data: x']);
+	});
+
+	test('goes on after its last whole event at another endpoint', () => {
+		const run = start(fixtureStream);
+		const sendId = run.getSendId();
+		run.step({kind: 'answerStarted', sendId, head: createFixtureHead()}, 10);
+		run.step({kind: 'answerBytes', sendId, bytes: getBytes(`${events(1, 2)}id: 3\nda`)}, 20);
+		expect(run.step({
+			kind: 'sendFailed', sendId, wasSent: true, detail: 'reset',
+		}, 30)).toEqual(['send models after 2']);
+		expect(answer(run, events(3, 4), {}, 40)).toEqual(['write id: 3|data: x', 'write id: 4|data: x', 'end']);
+	});
+
+	test('drops an answer that skips an event', () => {
+		const run = start(fixtureStream);
+		const sendId = run.getSendId();
+		run.step({kind: 'answerStarted', sendId, head: createFixtureHead()}, 10);
+		expect(run.step({kind: 'answerBytes', sendId, bytes: getBytes(events(1, 3))}, 20)).toEqual(['start 200', 'write id: 1|data: x', 'cancel', 'send models after 1']);
+	});
+
+	test('that ends inside an event is not whole', () => {
+		const run = start({...fixtureStream, maximumEndpoints: 1});
+		expect(answer(run, `${events(1)}id: 2\n`)).toEqual(['start 200', 'write id: 1|data: x', 'break']);
+	});
+
+	test('that may not be resumed is broken off', () => {
+		const run = start({...fixtureStream, isResumable: false});
+		const sendId = run.getSendId();
+		run.step({kind: 'answerStarted', sendId, head: createFixtureHead()}, 10);
+		run.step({kind: 'answerBytes', sendId, bytes: getBytes(events(1))}, 20);
+		expect(run.step({
+			kind: 'sendFailed', sendId, wasSent: true, detail: 'reset',
+		}, 30)).toEqual(['break']);
+	});
+
+	test('that was resumed has no certain end when the end is not delimited', () => {
+		const run = start(fixtureStream);
+		const sendId = run.getSendId();
+		run.step({kind: 'answerStarted', sendId, head: createFixtureHead()}, 10);
+		run.step({kind: 'answerBytes', sendId, bytes: getBytes(events(1))}, 20);
+		run.step({
+			kind: 'sendFailed', sendId, wasSent: true, detail: 'reset',
+		}, 30);
+		expect(answer(run, events(2), {isUndelimited: true}, 40)).toEqual(['write id: 2|data: x', 'break']);
+	});
+
+	test('is cancelled when its caller leaves', () => {
+		expect(start(fixtureStream).step({kind: 'clientGone'}, 10)).toEqual(['cancel', 'forget']);
+	});
+});
--- a/packages/gateway/src/endpoint-client.ts
+++ b/packages/gateway/src/endpoint-client.ts
@@ -74,7 +74,7 @@
 	*/
 	function openConnection(options: buildConnector.Options, callback: buildConnector.Callback): void {
 		connect(options, (...[error, socket]) => {
-			if (error !== null) { // eslint-disable-line @typescript-eslint/no-restricted-types -- undici's form
+			if (error !== null) {
 				callback(error, socket);
 				return;
 			}
