--- a/packages/core/src/gateway/relay-types.ts
+++ b/packages/core/src/gateway/relay-types.ts
@@ -61,7 +61,13 @@
 export type SendResult = 'answered' | 'notRun' | 'replaced' | 'failedStatus' | 'corrupt' | 'broken' | 'silent' | 'deadline' | 'clientGone';
 
 /** What the caller got. */
-export type AnswerOutcome = Readonly<{status: number; sends: number; firstEventMs: Milliseconds | undefined}>;
+export type AnswerOutcome = Readonly<{
+	status: number;
+	sends: number;
+	firstEventMs: Milliseconds | undefined;
+	/** Longest time between two events of a stream. */
+	longestPauseMs: Milliseconds;
+}>;
 
 export type GatewayEvent
 	= | Readonly<{kind: 'requestArrived'; request: GatewayRequest}>
--- a/packages/core/src/gateway/relayed-request.ts
+++ b/packages/core/src/gateway/relayed-request.ts
@@ -95,6 +95,8 @@
 	let isAnswerUndelimited = false;
 	let {lastEventId} = request;
 	let firstEventAt: Timestamp | undefined;
+	let previousEventAt: Timestamp | undefined;
+	let longestPauseMs: Milliseconds = 0;
 	let hasEnded = false;
 
 	function getSilenceLimitMs(send: Send): Milliseconds {
@@ -238,7 +240,11 @@
 
 	function createEndAction(status: number): RelayAction {
 		const firstEventMs = firstEventAt === undefined ? undefined : firstEventAt - request.arrivedAt;
-		return {kind: 'endAnswer', key: request.key, outcome: {status, sends: sendCount, firstEventMs}};
+		return {
+			kind: 'endAnswer', key: request.key, outcome: {
+				status, sends: sendCount, firstEventMs, longestPauseMs,
+			},
+		};
 	}
 
 	/** Sends the request again where that is allowed, else ends it. */
@@ -350,6 +356,8 @@
 		}
 
 		lastEventId = event.id ?? lastEventId;
+		longestPauseMs = Math.max(longestPauseMs, now - (previousEventAt ?? now));
+		previousEventAt = now;
 		const actions: RelayAction[] = [];
 		if (!current.hasEvents) {
 			current.hasEvents = true;
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -143,10 +143,11 @@
 	}
 
 	function reportAnswer(open: OpenRequest | undefined, outcome: AnswerOutcome): void {
-		const {status, sends, firstEventMs} = outcome;
+		const {status, sends, firstEventMs, longestPauseMs} = outcome;
 		host.logger.info('requestEnded', {
 			request: open?.request.requestId, route: open?.request.route.name, outcome: 'answered', status, sends, ageMs: getAgeMs(open),
 			firstEventMs: firstEventMs === undefined ? undefined : Math.round(firstEventMs),
+			longestPauseMs: firstEventMs === undefined ? undefined : Math.round(longestPauseMs),
 			tokens: open?.request.prompt?.promptTokens,
 		});
 		host.metrics.recordRequest('answered', getAgeMs(open) ?? 0);
