--- a/packages/core/src/gateway/placement.ts
+++ b/packages/core/src/gateway/placement.ts
@@ -59,6 +59,8 @@
 const lastSlotCost = 0.8;
 /** Cost of a prompt that does not fit beside what the server holds, where the newest request is preempted. */
 const memoryCost = 3;
+/** Wait beyond its objective that costs a request as much again as being late; callers give up in about that time. */
+const abandonMs: Milliseconds = 1000;
 /** Mean time that a request holds a slot, for the wait when all are taken. */
 const usualHoldMs: Milliseconds = 2000;
 
@@ -144,7 +146,7 @@
 
 /** Returns the cost that a candidate adds by what it delays the whole request. */
 function getDelayCost(weight: number, readyMs: Milliseconds, demand: PromptDemand): number {
-	const lateCost = weight * getLoss(readyMs, demand.objectiveMs);
+	const lateCost = weight * (getLoss(readyMs, demand.objectiveMs) + (Math.max(0, readyMs - demand.objectiveMs) / abandonMs));
 	return readyMs > demand.remainingMs ? lateCost + (2 * weight) : lateCost;
 }
 
