Send a silent request again only when its endpoint lost it

Ruled out: dead servers (all of them answered other requests meanwhile). Change: a request is lost when its endpoint was not heard at all since, or answered a request sent later.

--- a/packages/core/src/gateway/endpoint-registry.ts
+++ b/packages/core/src/gateway/endpoint-registry.ts
@@ -39,6 +39,13 @@
 	findByAddress(address: string): ListedEndpoint | undefined;
 	recordFailure(id: EndpointId, now: Timestamp): void;
 	recordSuccess(id: EndpointId): void;
+	/** Records that a request which was sent at `sentAt` got bytes of its answer. */
+	recordProgress(id: EndpointId, sentAt: Timestamp, now: Timestamp): void;
+	/**
+	Returns whether a request that has heard nothing since `quietSince` seems lost: the endpoint was not heard at all, or
+	it answered requests that were sent later. An endpoint that is only busy answers older requests first.
+	*/
+	isLost(id: EndpointId, quietSince: Timestamp): boolean;
 	/** Records that another endpoint answers at this one's address. */
 	recordReplaced(id: EndpointId): void;
 	hasList(): boolean;
@@ -49,8 +56,14 @@
 	failures: number;
 	pausedUntil: Timestamp;
 	isReplaced: boolean;
+	heardAt: Timestamp;
+	/** When the newest of the requests was sent that got bytes. */
+	newestAnsweredSentAt: Timestamp;
 };
 
+/** How much later a request must have been sent to have overtaken another one; about two passes. */
+const overtakeMs: Milliseconds = 200;
+
 /** Creates a registry that has read no list yet. */
 export function createEndpointRegistry(settings: EndpointRegistrySettings): EndpointRegistry {
 	const known = new Map<EndpointId, KnownEndpoint>();
@@ -62,7 +75,12 @@
 		const before = known.get(listed.id);
 		if (before?.listed.bornAt !== listed.bornAt || before.listed.address !== listed.address) {
 			known.set(listed.id, {
-				listed, failures: 0, pausedUntil: Number.NEGATIVE_INFINITY, isReplaced: false,
+				listed,
+				failures: 0,
+				pausedUntil: Number.NEGATIVE_INFINITY,
+				isReplaced: false,
+				heardAt: Number.NEGATIVE_INFINITY,
+				newestAnsweredSentAt: Number.NEGATIVE_INFINITY,
 			});
 			return {kind: listed.state === 'ready' ? 'added' : 'draining', id: listed.id, address: listed.address};
 		}
@@ -124,6 +142,17 @@
 				endpoint.failures = 0;
 			}
 		},
+		recordProgress(id, sentAt, now) {
+			const endpoint = known.get(id);
+			if (endpoint !== undefined) {
+				endpoint.heardAt = now;
+				endpoint.newestAnsweredSentAt = Math.max(endpoint.newestAnsweredSentAt, sentAt);
+			}
+		},
+		isLost(id, quietSince) {
+			const endpoint = known.get(id);
+			return endpoint === undefined || endpoint.heardAt <= quietSince || endpoint.newestAnsweredSentAt > quietSince + overtakeMs;
+		},
 		recordReplaced(id) {
 			const endpoint = known.get(id);
 			if (endpoint !== undefined) {
--- a/packages/core/src/gateway/load-view.ts
+++ b/packages/core/src/gateway/load-view.ts
@@ -62,10 +62,21 @@
 /** Longest time that a request is believed to be open without news of its end. */
 const maximumWorkAgeMs = 40_000;
 
+/** Time until a server begins to read a prompt that was sent: about one pass. */
+const passMs: Milliseconds = 100;
+/** Share of the reading that a request is taken to need until its first event comes. */
+const leastReceiverShare = 0.25;
+
 const idleLoad: EndpointLoad = {
 	requests: 0, readMs: 0, readers: 0, writers: [], memoryTokens: 0,
 };
 
+/** Returns the reading that an endpoint still has to do for a request without a first event. */
+function getRemainingReadMs(work: Work, ageMs: Milliseconds, isReceiver: boolean): Milliseconds {
+	const remainingMs = Math.min(work.readMs, work.readMs + passMs - ageMs);
+	return Math.max(remainingMs, isReceiver ? work.readMs * leastReceiverShare : 0);
+}
+
 /** Creates a view without requests. */
 export function createLoadView(): LoadView {
 	const worksByGateway = new Map<GatewayName, Map<WorkId, TrackedWork>>();
@@ -161,7 +172,7 @@
 
 				if (!isWriting) {
 					readers += 1;
-					readMs += Math.max(work.readMs / 4, work.readMs - ageMs);
+					readMs += getRemainingReadMs(work, ageMs, work.endpoint === endpoint);
 				} else if (work.endpoint === endpoint) {
 					writers.push(work);
 				}
--- a/packages/core/src/gateway/relayed-request.ts
+++ b/packages/core/src/gateway/relayed-request.ts
@@ -54,6 +54,8 @@
 	objectiveFactor: 2.5,
 	/** Multiple of the longest pause, between events. */
 	pauseFactor: 4,
+	/** Pause between looks at a request that is silent but not lost. */
+	recheckMs: 250,
 } as const;
 
 const okStatus = 200;
@@ -67,7 +69,11 @@
 	readonly splitter: EventSplitter;
 	readonly chunks: Uint8Array[];
 	head: EndpointAnswerHead | undefined;
+	readonly sentAt: Timestamp;
+	/** When bytes came last, or the request was sent. */
 	lastProgressAt: Timestamp;
+	/** When to look again whether the request is lost. */
+	checkAt: Timestamp;
 	hasEvents: boolean;
 };
 
@@ -142,8 +148,9 @@
 		sendCount += 1;
 		runCount += 1;
 		current = {
-			id: sendId, placement, splitter: createEventSplitter(), chunks: [], head: undefined, lastProgressAt: now, hasEvents: false,
+			id: sendId, placement, splitter: createEventSplitter(), chunks: [], head: undefined, sentAt: now, lastProgressAt: now, checkAt: now, hasEvents: false,
 		};
+		current.checkAt = now + getSilenceLimitMs(current);
 		excluded.add(placement.endpoint.id);
 		return [
 			{
@@ -315,7 +322,7 @@
 		}
 
 		current.head = head;
-		current.lastProgressAt = now;
+		recordProgress(current, now);
 		return [];
 	}
 
@@ -324,7 +331,7 @@
 			return [];
 		}
 
-		current.lastProgressAt = now;
+		recordProgress(current, now);
 		if (!isStreamAnswer(request, current.head)) {
 			current.chunks.push(bytes);
 			return [];
@@ -438,22 +445,26 @@
 			return [...cancelCurrent(), ...closeSend('deadline', '', now), ...end(createFailure('deadlineExceeded'))];
 		}
 
-		if (current === undefined || now < getSilentAt(current)) {
+		if (current === undefined || now < current.checkAt) {
 			return [];
 		}
 
-		if (!mayRepeat || !canSendAgain() || !host.budget.trySpend(request.service, now)) {
-			current.lastProgressAt = now;
+		const {placement, lastProgressAt} = current;
+		const isLost = mayRepeat && canSendAgain() && host.registry.isLost(placement.endpoint.id, lastProgressAt);
+		if (!isLost || !host.budget.trySpend(request.service, now)) {
+			current.checkAt = now + silenceLimits.recheckMs;
 			return [];
 		}
 
-		host.registry.recordFailure(current.placement.endpoint.id, now);
+		host.registry.recordFailure(placement.endpoint.id, now);
 		const failure = createFailure('serverLost', 'the endpoint went silent');
 		return [...cancelCurrent(), ...closeSend('silent', '', now), ...send(now, failure)];
 	}
 
-	function getSilentAt(send: Send): Timestamp {
-		return send.lastProgressAt + getSilenceLimitMs(send);
+	function recordProgress(send: Send, now: Timestamp): void {
+		send.lastProgressAt = now;
+		send.checkAt = now + getSilenceLimitMs(send);
+		host.registry.recordProgress(send.placement.endpoint.id, send.sentAt, now);
 	}
 
 	function apply(event: RelayEvent, now: Timestamp): readonly RelayAction[] {
@@ -504,7 +515,7 @@
 
 	return {
 		step: (event, now) => hasEnded ? [] : apply(event, now),
-		getWakeAt: () => Math.min(request.deadlineAt, current === undefined ? Number.POSITIVE_INFINITY : getSilentAt(current)),
+		getWakeAt: () => Math.min(request.deadlineAt, current?.checkAt ?? Number.POSITIVE_INFINITY),
 		isEnded: () => hasEnded,
 	};
 }
