Prefer servers of the own data centre, and read parts one after the other

Parts waiting at one server were taken to be read all at once. Ruled out: first events (19 late of 864) and pauses behind reads (35) as the greater part.

--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -72,6 +72,7 @@
 			objectiveMs: request.route.objectiveMs,
 			longestPauseMs: request.route.longestPauseMs,
 			remainingMs: request.deadlineAt - now,
+			dataCentre: settings.dataCentre,
 		});
 	}
 
--- a/packages/core/src/gateway/load-view.ts
+++ b/packages/core/src/gateway/load-view.ts
@@ -4,6 +4,7 @@
 Gateways exchange starts, first events and ends of their requests. The view of a peer's requests lags by the exchange;
 the requests of a peer that has gone silent are dropped.
 */
+import {LRUCache} from 'lru-cache';
 import type {Milliseconds, Timestamp, TokenCount} from '../types.js';
 import type {EndpointId} from './gateway-types.js';
 
@@ -63,24 +64,41 @@
 const maximumWorkAgeMs = 40_000;
 
 /** Time until a server begins to read a prompt that was sent: about one pass. */
-const passMs: Milliseconds = 100;
+const passMs: Milliseconds = 60;
 /** Share of the reading that a request is taken to need until its first event comes. */
 const leastReceiverShare = 0.25;
 
+/** Endpoints whose last reading is remembered; more than any fleet has. */
+const rememberedEndpoints = 20_000;
+
 const idleLoad: EndpointLoad = {
 	requests: 0, readMs: 0, readers: 0, writers: [], memoryTokens: 0,
 };
 
-/** Returns the reading that an endpoint still has to do for a request without a first event. */
-function getRemainingReadMs(work: Work, ageMs: Milliseconds, isReceiver: boolean): Milliseconds {
-	const remainingMs = Math.min(work.readMs, work.readMs + passMs - ageMs);
-	return Math.max(remainingMs, isReceiver ? work.readMs * leastReceiverShare : 0);
+/** A part of a prompt that an endpoint has still to read, as far as is known. */
+type UnreadPart = Readonly<{startedAt: Timestamp; readMs: Milliseconds; isReceiver: boolean}>;
+
+/**
+Returns the reading that an endpoint still has to do. It reads one part after the other, from the later of a part's
+arrival and the last time that a part was known to be done.
+*/
+function getBacklogMs(parts: readonly UnreadPart[], readDoneAt: Timestamp, now: Timestamp): Milliseconds {
+	let doneAt = readDoneAt;
+	let unreadMs = 0;
+	for (const {startedAt, readMs, isReceiver} of parts.toSorted((left, right) => left.startedAt - right.startedAt)) {
+		doneAt = Math.max(doneAt, startedAt + passMs) + readMs;
+		// A request without a first event is not read yet, whatever the estimate says.
+		unreadMs += isReceiver ? readMs * leastReceiverShare : 0;
+	}
+
+	return Math.max(unreadMs, parts.length === 0 ? 0 : doneAt - now);
 }
 
 /** Creates a view without requests. */
 export function createLoadView(): LoadView {
 	const worksByGateway = new Map<GatewayName, Map<WorkId, TrackedWork>>();
 	const worksByEndpoint = new Map<EndpointId, Set<TrackedWork>>();
+	const readDoneAt = new LRUCache<EndpointId, Timestamp>({max: rememberedEndpoints});
 
 	function getGatewayWorks(gateway: GatewayName): Map<WorkId, TrackedWork> {
 		const works = worksByGateway.get(gateway) ?? new Map<WorkId, TrackedWork>();
@@ -131,6 +149,7 @@
 					const tracked = worksByGateway.get(gateway)?.get(change.id);
 					if (tracked !== undefined) {
 						tracked.isWriting = true;
+						readDoneAt.set(tracked.work.endpoint, now);
 					}
 
 					return;
@@ -155,8 +174,7 @@
 			}
 
 			let requests = 0;
-			let readMs = 0;
-			let readers = 0;
+			const unread: UnreadPart[] = [];
 			let memoryTokens = 0;
 			const writers: Writer[] = [];
 			for (const {work, startedAt, isWriting} of works) {
@@ -171,15 +189,15 @@
 				}
 
 				if (!isWriting) {
-					readers += 1;
-					readMs += getRemainingReadMs(work, ageMs, work.endpoint === endpoint);
+					unread.push({startedAt, readMs: work.readMs, isReceiver: work.endpoint === endpoint});
 				} else if (work.endpoint === endpoint) {
 					writers.push(work);
 				}
 			}
 
+			const readMs = getBacklogMs(unread, readDoneAt.get(endpoint) ?? Number.NEGATIVE_INFINITY, now);
 			return {
-				requests, readMs, readers, writers, memoryTokens,
+				requests, readMs, readers: unread.length, writers, memoryTokens,
 			};
 		},
 		getWorks(gateway) {
--- a/packages/core/src/gateway/placement.ts
+++ b/packages/core/src/gateway/placement.ts
@@ -19,6 +19,8 @@
 	objectiveMs: Milliseconds;
 	longestPauseMs: Milliseconds;
 	remainingMs: Milliseconds;
+	/** Where the request came in. */
+	dataCentre: string;
 }>;
 
 export type Placement = Readonly<{
@@ -53,6 +55,8 @@
 
 /** Cost of the first short prompt on a server, which makes the server worse for reading long ones. */
 const firstShortWriterCost = 0.3;
+/** Share of an answer's value that is lost between data centres, where a lost packet delays an event. */
+const remoteCost = 0.12;
 /** Cost of one more server that reads. */
 const readerCost = 0.03;
 /** Cost of the last free slot, which another gateway may take at the same moment. */
@@ -121,6 +125,10 @@
 	const passMs = getWritingPassMs(engine, load.writers.length + 1, getContextTokens(load.writers) + demand.promptTokens);
 	let cost = getWritersLoss(engine, load, readMs);
 	cost += weight * getLoss(passMs + load.readMs, demand.longestPauseMs);
+	if (candidate.endpoint.dataCentre !== demand.dataCentre) {
+		cost += weight * remoteCost;
+	}
+
 	if (load.requests >= engine.slots - 1) {
 		cost += lastSlotCost;
 	}
--- a/packages/core/src/gateway/relay-types.ts
+++ b/packages/core/src/gateway/relay-types.ts
@@ -30,6 +30,8 @@
 		endpoint: ListedEndpoint;
 		helpers: readonly ListedEndpoint[];
 		remainingMs: Milliseconds;
+		/** Rank in the endpoint's queue; 0 is first. */
+		rank: number;
 		lastEventId: string | undefined;
 	}>
 	| Readonly<{kind: 'cancelSend'; sendId: SendId}>
--- a/packages/core/src/gateway/relayed-request.ts
+++ b/packages/core/src/gateway/relayed-request.ts
@@ -58,6 +58,9 @@
 	recheckMs: 250,
 } as const;
 
+/** Ranks that endpoints tell apart. */
+const queueRanks = 10;
+
 const okStatus = 200;
 const firstErrorStatus = 300;
 const firstServerErrorStatus = 500;
@@ -87,6 +90,16 @@
 	return id !== undefined && /^\d+$/v.test(id) ? Number(id) : undefined;
 }
 
+/**
+Returns the rank of a request in the queue of a full endpoint.
+
+Requests are ranked at random: when there are a few more than can be served in time, those few wait long and the others
+not at all, where a common queue would make everybody late.
+*/
+function getQueueRank(request: GatewayRequest): number {
+	return request.key % queueRanks;
+}
+
 /** Creates the machine of one request. */
 export function createRelayedRequest(request: GatewayRequest, host: RelayHost): RelayedRequest {
 	const {route} = request;
@@ -177,7 +190,7 @@
 				},
 			}, now),
 			{
-				kind: 'send', key: request.key, sendId, endpoint: placement.endpoint, helpers: placement.helpers, remainingMs, lastEventId,
+				kind: 'send', key: request.key, sendId, endpoint: placement.endpoint, helpers: placement.helpers, remainingMs, rank: getQueueRank(request), lastEventId,
 			},
 		];
 	}
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -191,7 +191,7 @@
 			return;
 		}
 
-		const {key, sendId, endpoint, helpers, remainingMs, lastEventId} = action;
+		const {key, sendId, endpoint, helpers, remainingMs, rank, lastEventId} = action;
 		const {message, body} = open.exchange;
 		const headers = [
 			...getForwardedHeaders(message.rawHeaders, message.headers.connection, host.dialect.ownedHeaders),
@@ -200,6 +200,7 @@
 				endpointId: endpoint.id,
 				organisation: open.request.organisation,
 				helperAddresses: helpers.map(({address}) => address),
+				rank,
 				lastEventId,
 			}),
 		];
--- a/packages/gateway/src/gateway-hosts.ts
+++ b/packages/gateway/src/gateway-hosts.ts
@@ -25,6 +25,8 @@
 	/** Id of the only endpoint that may run the request. */
 	endpointId: string;
 	organisation: string | undefined;
+	/** Rank in the endpoint's queue, from 0, which is first, to 9. */
+	rank: number;
 	/** Addresses of the endpoints that read parts of the prompt. */
 	helperAddresses: readonly string[];
 	lastEventId: string | undefined;
