Set memory aside at several servers for the largest prompts

A caller's patience, which sets what waiting costs, grows with its objective. Ruled out for now: one long hold without renewals, which would outlive a gateway that dies.

--- a/packages/core/src/gateway/gateway-fixtures.ts
+++ b/packages/core/src/gateway/gateway-fixtures.ts
@@ -81,6 +81,7 @@
 
 export const fixtureGatewaySettings: GatewaySettings = {
 	name: 'gateway-1',
+	incarnation: 'life-1',
 	dataCentre: 'east',
 	configuration: {maximumKeyAgeMs: 4000, maximumAbsenceAgeMs: 2500},
 	endpoints: defaultEndpointRegistrySettings,
--- a/packages/core/src/gateway/gateway-parts.test.ts
+++ b/packages/core/src/gateway/gateway-parts.test.ts
@@ -188,7 +188,7 @@
 
 describe('the view of the load', () => {
 	const work: Work = {
-		id: 1, endpoint: 'a', helpers: ['b'], promptTokens: 100_000, readMs: 400, longestPauseMs: 600,
+		id: 1, endpoint: 'a', helpers: [{endpoint: 'b', reservedTokens: 0}], promptTokens: 100_000, readMs: 400, longestPauseMs: 600,
 	};
 
 	test('counts reading at each endpoint and writing at one', () => {
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -17,12 +17,16 @@
 import {
 	findPromptPlacement, findServicePlacement, getCandidates, type Placement,
 } from './placement.js';
-import type {GatewayEvent, RelayAction, RelayEvent} from './relay-types.js';
+import type {
+	GatewayEvent, RelayAction, RelayEvent, SendId,
+} from './relay-types.js';
 import {createRelayedRequest, type PlacementDecision, type RelayedRequest} from './relayed-request.js';
 import {createSendBudget, type SendBudgetSettings} from './send-budget.js';
 
 export type GatewaySettings = Readonly<{
 	name: GatewayName;
+	/** Names this life of the gateway's process. */
+	incarnation: string;
 	dataCentre: string;
 	configuration: ConfigurationStateSettings;
 	endpoints: EndpointRegistrySettings;
@@ -99,6 +103,7 @@
 			sendCount += 1;
 			return sendCount;
 		},
+		createReservationId: (sendId: SendId, index: number) => `${settings.name}.${settings.incarnation}.${sendId}.${index}`,
 		choosePlacement,
 		checkCredential: (request: GatewayRequest, now: Timestamp) => configuration.checkCredential(request.route, request.credential, now),
 		recordWork(change: Parameters<typeof load.applyChange>[1], now: Timestamp) {
--- a/packages/core/src/gateway/load-view.ts
+++ b/packages/core/src/gateway/load-view.ts
@@ -14,12 +14,15 @@
 /** Name of a gateway. */
 export type GatewayName = string;
 
+/** An endpoint that reads a part of a prompt, and the memory that is set aside there for it. */
+export type WorkHelper = Readonly<{endpoint: EndpointId; reservedTokens: TokenCount}>;
+
 /** A request that an endpoint was sent. */
 export type Work = Readonly<{
 	id: WorkId;
 	endpoint: EndpointId;
 	/** Endpoints that read parts of the prompt. */
-	helpers: readonly EndpointId[];
+	helpers: readonly WorkHelper[];
 	promptTokens: TokenCount;
 	/** Time that each of the endpoints reads. */
 	readMs: Milliseconds;
@@ -75,6 +78,19 @@
 	requests: 0, readMs: 0, readers: 0, writers: [], memoryTokens: 0,
 };
 
+function getEndpoints(work: Work): readonly EndpointId[] {
+	return [work.endpoint, ...work.helpers.map(({endpoint}) => endpoint)];
+}
+
+/** Returns the memory that a request takes at one of its endpoints: what no other endpoint sets aside lies at the first. */
+function getMemoryTokens(work: Work, endpoint: EndpointId): TokenCount {
+	if (work.endpoint === endpoint) {
+		return work.promptTokens - work.helpers.reduce((sum, {reservedTokens}) => sum + reservedTokens, 0);
+	}
+
+	return work.helpers.find(helper => helper.endpoint === endpoint)?.reservedTokens ?? 0;
+}
+
 /** A part of a prompt that an endpoint has still to read, as far as is known. */
 type UnreadPart = Readonly<{startedAt: Timestamp; readMs: Milliseconds; isReceiver: boolean}>;
 
@@ -113,7 +129,7 @@
 	}
 
 	function removeFromEndpoints(tracked: TrackedWork): void {
-		for (const endpoint of [tracked.work.endpoint, ...tracked.work.helpers]) {
+		for (const endpoint of getEndpoints(tracked.work)) {
 			const works = worksByEndpoint.get(endpoint);
 			works?.delete(tracked);
 			if (works?.size === 0) {
@@ -138,7 +154,7 @@
 					removeWork(gateway, change.work.id);
 					const tracked: TrackedWork = {work: change.work, startedAt: now, isWriting: false};
 					getGatewayWorks(gateway).set(change.work.id, tracked);
-					for (const endpoint of [change.work.endpoint, ...change.work.helpers]) {
+					for (const endpoint of getEndpoints(change.work)) {
 						addToEndpoint(endpoint, tracked);
 					}
 
@@ -183,10 +199,8 @@
 					continue;
 				}
 
-				if (work.endpoint === endpoint) {
-					requests += 1;
-					memoryTokens += work.promptTokens;
-				}
+				requests += work.endpoint === endpoint ? 1 : 0;
+				memoryTokens += getMemoryTokens(work, endpoint);
 
 				if (!isWriting) {
 					unread.push({startedAt, readMs: work.readMs, isReceiver: work.endpoint === endpoint});
--- a/packages/core/src/gateway/placement.test.ts
+++ b/packages/core/src/gateway/placement.test.ts
@@ -55,7 +55,7 @@
 	test('are read together by servers without short writers', () => {
 		const busy = createLoad([shortWriter, shortWriter, shortWriter]);
 		const placement = findPromptPlacement(fixtureEngine, createCandidates([busy, idle, idle, busy, idle, idle, idle]), longPrompt);
-		const used = [placement?.endpoint.id, ...placement?.helpers.map(({id}) => id) ?? []];
+		const used = [placement?.endpoint.id, ...placement?.helpers.map(({endpoint}) => endpoint.id) ?? []];
 		expect(used).not.toContain('models-0');
 		expect(used).not.toContain('models-3');
 		expect(placement?.firstEventMs).toBeLessThan(longPrompt.objectiveMs);
@@ -71,6 +71,32 @@
 	});
 });
 
+describe('prompts beyond one server', () => {
+	const hugePrompt = {...longPrompt, promptTokens: 800_000};
+	const free = createCandidates(Array.from({length: 12}, () => idle));
+
+	test('are held by several servers, whose memory is set aside', () => {
+		const placement = findPromptPlacement(fixtureEngine, free, hugePrompt);
+		const reserved = placement?.helpers.map(({reservedTokens}) => reservedTokens) ?? [];
+		expect(Math.max(...reserved)).toBeLessThan(fixtureEngine.memoryTokens);
+		expect(hugePrompt.promptTokens - reserved.reduce((sum, tokens) => sum + tokens, 0)).toBeLessThan(fixtureEngine.memoryTokens);
+		expect(placement?.firstEventMs).toBeLessThan(hugePrompt.remainingMs);
+	});
+
+	test('have no place where all servers together have too little memory', () => {
+		expect(findPromptPlacement(fixtureEngine, free.slice(0, 2), hugePrompt)).toBeUndefined();
+	});
+
+	test('leave out servers whose memory is taken', () => {
+		const full = {...idle, requests: 1, memoryTokens: 400_000};
+		const candidates = createCandidates([idle, full, idle, full, idle, idle, idle, idle, idle, idle, idle, idle]);
+		const placement = findPromptPlacement(fixtureEngine, candidates, hugePrompt);
+		const holders = placement?.helpers.filter(({reservedTokens}) => reservedTokens > 0).map(({endpoint}) => endpoint.id);
+		expect(holders).not.toContain('models-1');
+		expect(holders).not.toContain('models-3');
+	});
+});
+
 describe('business requests', () => {
 	test('go to the endpoint with the least work, in the same data centre if equal', () => {
 		const candidates = createCandidates([createLoad([shortWriter]), idle, idle]);
--- a/packages/core/src/gateway/placement.ts
+++ b/packages/core/src/gateway/placement.ts
@@ -23,10 +23,13 @@
 	dataCentre: string;
 }>;
 
+/** An endpoint that helps to read, and the memory to set aside there; 0 where the part is handed over once it is read. */
+export type Helper = Readonly<{endpoint: ListedEndpoint; reservedTokens: TokenCount}>;
+
 export type Placement = Readonly<{
 	endpoint: ListedEndpoint;
 	/** Endpoints that read parts of the prompt beside the one that receives it. */
-	helpers: readonly ListedEndpoint[];
+	helpers: readonly Helper[];
 	/** Time that each of the endpoints reads. */
 	readMs: Milliseconds;
 	/** Predicted time to the first event. */
@@ -61,10 +64,14 @@
 const readerCost = 0.03;
 /** Cost of the last free slot, which another gateway may take at the same moment. */
 const lastSlotCost = 0.8;
-/** Cost of a prompt that does not fit beside what the server holds, where the newest request is preempted. */
-const memoryCost = 3;
-/** Wait beyond its objective that costs a request as much again as being late; callers give up in about that time. */
-const abandonMs: Milliseconds = 1000;
+/** Cost of memory that has to be set aside at another server, as a share of the request's value. */
+const reservationCost = 0.05;
+/** Share of a server's memory that is planned for; the rest is for answers as they grow and for what is not yet known. */
+const plannedMemoryShare = 0.93;
+/** Least memory that is worth a reservation. */
+const leastReservedTokens: TokenCount = 8000;
+/** Least wait after which callers leave a stream without events, and its multiples of the aims. */
+const patience = {leastMs: 2000, objectives: 4, pauses: 8} as const;
 /** Mean time that a request holds a slot, for the wait when all are taken. */
 const usualHoldMs: Milliseconds = 2000;
 
@@ -133,8 +140,8 @@
 		cost += lastSlotCost;
 	}
 
-	if (load.memoryTokens + demand.promptTokens > engine.memoryTokens) {
-		cost += memoryCost * weight;
+	if (getFreeTokens(engine, load) < demand.promptTokens) {
+		cost += weight * reservationCost;
 	}
 
 	if (demand.longestPauseMs <= shortPauseMs && !hasShortWriter(load)) {
@@ -152,9 +159,14 @@
 	return left.cost - right.cost;
 }
 
+/** Returns how long a caller waits for the first event. */
+function getPatienceMs({objectiveMs, longestPauseMs}: PromptDemand): Milliseconds {
+	return Math.max(patience.leastMs, objectiveMs * patience.objectives, longestPauseMs * patience.pauses);
+}
+
 /** Returns the cost that a candidate adds by what it delays the whole request. */
 function getDelayCost(weight: number, readyMs: Milliseconds, demand: PromptDemand): number {
-	const lateCost = weight * (getLoss(readyMs, demand.objectiveMs) + (Math.max(0, readyMs - demand.objectiveMs) / abandonMs));
+	const lateCost = weight * (getLoss(readyMs, demand.objectiveMs) + (Math.max(0, readyMs - demand.objectiveMs) / getPatienceMs(demand)));
 	return readyMs > demand.remainingMs ? lateCost + (2 * weight) : lateCost;
 }
 
@@ -166,7 +178,8 @@
 ): Option | undefined {
 	const weight = getLateWeight(demand.promptTokens);
 	const readMs = getReadMs(engine, demand.promptTokens) / (helperCount + 1);
-	const receivers = candidates.map((candidate): Part => {
+	const fitting = helperCount > 0 ? candidates : candidates.filter(({load}) => getFreeTokens(engine, load) >= demand.promptTokens);
+	const receivers = fitting.map((candidate): Part => {
 		const readyMs = getPartReadMs(engine, candidate.load, readMs) + getSlotWaitMs(engine, candidate.load);
 		return {candidate, readyMs, cost: getReceiverCost(engine, candidate, demand, readMs) + getDelayCost(weight, readyMs, demand)};
 	});
@@ -186,17 +199,46 @@
 		return undefined;
 	}
 
+	const reserved = getReservedTokens(engine, demand.promptTokens, [receiver, ...helpers].map(({candidate}) => candidate));
+	if (reserved === undefined) {
+		return undefined;
+	}
+
 	const parts = [receiver, ...helpers];
 	const firstEventMs = Math.max(...parts.map(({readyMs}) => readyMs));
 	const harm = parts.reduce((sum, part) => sum + part.cost - getDelayCost(weight, part.readyMs, demand), 0);
 	return {
 		placement: {
-			endpoint: receiver.candidate.endpoint, helpers: helpers.map(({candidate}) => candidate.endpoint), readMs, firstEventMs,
+			endpoint: receiver.candidate.endpoint, helpers: helpers.map(({candidate}, index) => ({endpoint: candidate.endpoint, reservedTokens: reserved[index] ?? 0})), readMs, firstEventMs,
 		},
-		cost: harm + getDelayCost(weight, firstEventMs, demand) + (helperCount * readerCost),
+		cost: harm + getDelayCost(weight, firstEventMs, demand) + (helperCount * readerCost)
+			+ (reserved.filter(tokens => tokens > 0).length * reservationCost * weight),
 	};
 }
 
+function getFreeTokens(engine: EngineProfile, load: EndpointLoad): TokenCount {
+	return Math.max(0, (engine.memoryTokens * plannedMemoryShare) - load.memoryTokens);
+}
+
+/**
+Returns the memory to set aside at each helper, so that the rest fits at the receiver, the first of the candidates; or
+`undefined` when all of them together have too little.
+*/
+function getReservedTokens(engine: EngineProfile, promptTokens: TokenCount, [receiver, ...helpers]: readonly Candidate[]): readonly TokenCount[] | undefined {
+	let missing = promptTokens - (receiver === undefined ? 0 : getFreeTokens(engine, receiver.load));
+	const reserved = helpers.map(({load}) => {
+		const free = getFreeTokens(engine, load);
+		if (missing <= 0 || free < leastReservedTokens) {
+			return 0;
+		}
+
+		const tokens = Math.ceil(Math.min(free, Math.max(missing, leastReservedTokens)));
+		missing -= tokens;
+		return tokens;
+	});
+	return missing > 0 ? undefined : reserved;
+}
+
 function findCheapest<Item extends Readonly<{cost: number}>>(items: readonly Item[]): Item | undefined {
 	let best: Item | undefined;
 	for (const item of items) {
--- a/packages/core/src/gateway/relay-types.ts
+++ b/packages/core/src/gateway/relay-types.ts
@@ -8,6 +8,10 @@
 	EndpointAnswerHead, GatewayRequest, ListedEndpoint, RawHeaders, RequestKey, ServingConfiguration,
 } from './gateway-types.js';
 import type {GatewayName, WorkChange} from './load-view.js';
+import type {Reservation, ReservationId} from './memory-reservation.js';
+
+/** An endpoint that helps with a send, and the memory that is set aside for it there. */
+export type HelperSend = Readonly<{address: string; reservationId: ReservationId | undefined}>;
 
 /** Identifies one send of a request. */
 export type SendId = number;
@@ -19,6 +23,7 @@
 		| Readonly<{kind: 'answerEnded'; sendId: SendId}>
 	/** The connection failed; `wasSent` is false only if nothing can have reached the endpoint. */
 		| Readonly<{kind: 'sendFailed'; sendId: SendId; wasSent: boolean; detail: string}>
+		| Readonly<{kind: 'memoryAnswered'; reservationId: ReservationId; isHeld: boolean}>
 		| Readonly<{kind: 'clientGone'}>
 		| Readonly<{kind: 'timePassed'}>;
 
@@ -28,12 +33,15 @@
 		key: RequestKey;
 		sendId: SendId;
 		endpoint: ListedEndpoint;
-		helpers: readonly ListedEndpoint[];
+		helpers: readonly HelperSend[];
 		remainingMs: Milliseconds;
 		/** Rank in the endpoint's queue; 0 is first. */
 		rank: number;
 		lastEventId: string | undefined;
 	}>
+	/** Sets memory aside, or renews that. */
+	| Readonly<{kind: 'reserveMemory'; key: RequestKey; reservation: Reservation}>
+	| Readonly<{kind: 'releaseMemory'; reservation: Reservation}>
 	| Readonly<{kind: 'cancelSend'; sendId: SendId}>
 	| Readonly<{
 		kind: 'startAnswer';
@@ -56,11 +64,11 @@
 
 /** A decision on a request, with the inputs that made it, for the log. */
 export type RelayDecision
-	= | Readonly<{kind: 'placed'; sendId: SendId; endpoint: string; helpers: number; firstEventMs: Milliseconds; candidates: number}>
+	= | Readonly<{kind: 'placed'; sendId: SendId; endpoint: string; helpers: number; reservations: number; firstEventMs: Milliseconds; candidates: number}>
 		| Readonly<{kind: 'sendEnded'; sendId: SendId; endpoint: string; result: SendResult; mayHaveRun: boolean; detail: string}>;
 
 /** How a send ended. */
-export type SendResult = 'answered' | 'notRun' | 'replaced' | 'failedStatus' | 'corrupt' | 'broken' | 'silent' | 'deadline' | 'clientGone';
+export type SendResult = 'answered' | 'notRun' | 'replaced' | 'noMemory' | 'failedStatus' | 'corrupt' | 'broken' | 'silent' | 'deadline' | 'clientGone';
 
 /** What the caller got. */
 export type AnswerOutcome = Readonly<{
--- a/packages/core/src/gateway/relayed-request.test.ts
+++ b/packages/core/src/gateway/relayed-request.test.ts
@@ -22,6 +22,14 @@
 			return [`send ${action.endpoint.service}${action.lastEventId === undefined ? '' : ` after ${action.lastEventId}`}`];
 		}
 
+		case 'reserveMemory': {
+			return [`reserve ${action.reservation.tokens}`];
+		}
+
+		case 'releaseMemory': {
+			return ['release'];
+		}
+
 		case 'cancelSend': {
 			return ['cancel'];
 		}
@@ -191,6 +199,63 @@
 	});
 });
 
+describe('a prompt that needs the memory of several servers', () => {
+	const prompt = {promptTokens: 700_000, maximumTokens: 1000};
+	const route = {
+		...fixtureStream, timeoutMs: 15_000, objectiveMs: 3000, longestPauseMs: 1000,
+	};
+	const getReservationId = (sendId: number, index: number): string => `gateway-1.life-1.${sendId}.${index}`;
+
+	function submit(): Readonly<{run: Run; actions: readonly string[]; ids: readonly string[]}> {
+		const run = createRun();
+		const actions = run.submit(createFixtureRequest(route, {prompt}));
+		return {run, actions, ids: actions.map((_, index) => getReservationId(1, index))};
+	}
+
+	function answerMemory(run: Run, reservationId: string, isHeld: boolean, now: number): readonly string[] {
+		return run.step({kind: 'memoryAnswered', reservationId, isHeld}, now);
+	}
+
+	test('is sent once all memory is held, and frees it at the end', () => {
+		const {run, actions, ids} = submit();
+		expect(actions.every(action => action.startsWith('reserve '))).toBe(true);
+		const last = ids.map(id => answerMemory(run, id, true, 10)).at(-1);
+		expect(last).toEqual(['send models']);
+		expect(answer(run, events(1), {}, 20)).toEqual(['start 200', 'write id: 1|data: x', ...ids.map(() => 'release'), 'end']);
+	});
+
+	test('renews its memory while it runs', () => {
+		const {run, actions, ids} = submit();
+		for (const id of ids) {
+			answerMemory(run, id, true, 10);
+		}
+
+		expect(run.gateway.step({kind: 'timePassed'}, 1199).flatMap(action => formatAction(action))).toEqual([]);
+		expect(run.gateway.step({kind: 'timePassed'}, 1200).flatMap(action => formatAction(action))).toEqual(actions);
+	});
+
+	test('frees what it got when a part is refused, and is called unrun', () => {
+		const {run, ids} = submit();
+		const last = ids.map((id, index) => answerMemory(run, id, index > 0, 10)).at(-1);
+		expect(last?.slice(0, ids.length)).toEqual(ids.map(() => 'release'));
+		expect(last?.slice(ids.length).every(action => action.startsWith('reserve '))).toBe(true);
+		let actions: readonly string[] = [];
+		for (let sendId = 2; sendId <= 4; sendId += 1) {
+			for (let index = 0; index < 3; index += 1) {
+				actions = [...actions, ...answerMemory(run, getReservationId(sendId, index), false, 20)];
+			}
+		}
+
+		expect(actions.at(-1)).toBe('fail overloaded ran=no');
+	});
+
+	test('gives up memory that is not answered in time', () => {
+		const {run, ids} = submit();
+		const actions = run.gateway.step({kind: 'timePassed'}, 401).flatMap(action => formatAction(action));
+		expect(actions.slice(0, ids.length)).toEqual(ids.map(() => 'release'));
+	});
+});
+
 describe('a stream', () => {
 	test('passes whole events on as they come', () => {
 		const run = start(fixtureStream);
--- a/packages/core/src/gateway/relayed-request.ts
+++ b/packages/core/src/gateway/relayed-request.ts
@@ -11,6 +11,9 @@
 import {createEventSplitter, type EventSplitter, type StreamEvent} from './event-splitter.js';
 import type {EndpointAnswerHead, EndpointId, GatewayRequest} from './gateway-types.js';
 import type {WorkChange} from './load-view.js';
+import {
+	createMemoryReservation, reservationHoldMs, type MemoryReservation, type ReservationId,
+} from './memory-reservation.js';
 import type {Placement} from './placement.js';
 import type {
 	RelayAction, RelayEvent, SendId, SendResult,
@@ -22,6 +25,8 @@
 	registry: EndpointRegistry;
 	budget: SendBudget;
 	createSendId(): SendId;
+	/** Returns an id that no other reservation of any gateway has. */
+	createReservationId(sendId: SendId, index: number): ReservationId;
 	/** Chooses endpoints, or says why there are none. */
 	choosePlacement(request: GatewayRequest, excluded: ReadonlySet<EndpointId>, now: Timestamp): PlacementDecision;
 	checkCredential(request: GatewayRequest, now: Timestamp): Failure | undefined;
@@ -42,6 +47,10 @@
 
 /** Sends beyond the route's limit of endpoints that may be refused as not run. */
 const maximumRefusedSends = 3;
+/** Groups of endpoints that are asked for memory before a prompt is refused. */
+const maximumFailedReservations = 3;
+/** Longest wait for memory to be set aside; the first event is due within seconds. */
+const reservationTimeoutMs: Milliseconds = 400;
 /** Least time that is worth a send. */
 const shortestSendMs: Milliseconds = 30;
 
@@ -71,6 +80,8 @@
 	readonly placement: Placement;
 	readonly splitter: EventSplitter;
 	readonly chunks: Uint8Array[];
+	/** Memory at other endpoints that the request needs; it is sent once that is held. */
+	readonly memory: MemoryReservation | undefined;
 	head: EndpointAnswerHead | undefined;
 	readonly sentAt: Timestamp;
 	/** When bytes came last, or the request was sent. */
@@ -106,6 +117,7 @@
 	const mayRepeat = route.kind === 'idempotent' || (route.kind === 'streaming' && route.isResumable);
 	const excluded = new Set<EndpointId>();
 	let sendCount = 0;
+	let failedReservations = 0;
 	/** Endpoints that may have run the request. */
 	let runCount = 0;
 	let current: Send | undefined;
@@ -161,9 +173,9 @@
 		sendCount += 1;
 		runCount += 1;
 		current = {
-			id: sendId, placement, splitter: createEventSplitter(), chunks: [], head: undefined, sentAt: now, lastProgressAt: now, checkAt: now, hasEvents: false,
+			id: sendId, placement, splitter: createEventSplitter(), chunks: [], memory: createMemory(placement, sendId, now), head: undefined, sentAt: now, lastProgressAt: now, checkAt: now, hasEvents: false,
 		};
-		current.checkAt = now + getSilenceLimitMs(current);
+		current.checkAt = now + (current.memory === undefined ? getSilenceLimitMs(current) : reservationTimeoutMs);
 		excluded.add(placement.endpoint.id);
 		return [
 			{
@@ -174,6 +186,7 @@
 					sendId,
 					endpoint: placement.endpoint.id,
 					helpers: placement.helpers.length,
+					reservations: current.memory?.reservations.length ?? 0,
 					firstEventMs: Math.round(placement.firstEventMs),
 					candidates: decision.candidates,
 				},
@@ -183,18 +196,80 @@
 				work: {
 					id: sendId,
 					endpoint: placement.endpoint.id,
-					helpers: placement.helpers.map(({id}) => id),
+					helpers: placement.helpers.map(({endpoint, reservedTokens}) => ({endpoint: endpoint.id, reservedTokens})),
 					promptTokens: request.prompt?.promptTokens ?? 0,
 					readMs: placement.readMs,
 					longestPauseMs: route.longestPauseMs,
 				},
 			}, now),
-			{
-				kind: 'send', key: request.key, sendId, endpoint: placement.endpoint, helpers: placement.helpers, remainingMs, rank: getQueueRank(request), lastEventId,
-			},
+			...current.memory === undefined ? dispatchSend(current, now) : reserve(current.memory),
 		];
 	}
 
+	function createMemory(placement: Placement, sendId: SendId, now: Timestamp): MemoryReservation | undefined {
+		const reservations = placement.helpers.flatMap(({endpoint, reservedTokens}, index) => reservedTokens === 0
+			? []
+			: [{
+				id: host.createReservationId(sendId, index), endpoint, tokens: reservedTokens, holdMs: reservationHoldMs,
+			}]);
+		return reservations.length === 0 ? undefined : createMemoryReservation(reservations, now);
+	}
+
+	function reserve(memory: MemoryReservation): readonly RelayAction[] {
+		return memory.reservations.map((reservation): RelayAction => ({kind: 'reserveMemory', key: request.key, reservation}));
+	}
+
+	/** Sends the request to its endpoint, once its memory is held. */
+	function dispatchSend({id, placement, memory}: Send, now: Timestamp): readonly RelayAction[] {
+		const helpers = placement.helpers.map(({endpoint}) => ({
+			address: endpoint.address,
+			reservationId: memory?.reservations.find(reservation => reservation.endpoint === endpoint)?.id,
+		}));
+		return [{
+			kind: 'send', key: request.key, sendId: id, endpoint: placement.endpoint, helpers, remainingMs: request.deadlineAt - now, rank: getQueueRank(request), lastEventId,
+		}];
+	}
+
+	function recordMemory(reservationId: ReservationId, isHeld: boolean, now: Timestamp): readonly RelayAction[] {
+		if (current?.memory?.getState() !== 'waiting') {
+			return [];
+		}
+
+		switch (current.memory.recordAnswer(reservationId, isHeld)) {
+			case 'waiting': {
+				return [];
+			}
+
+			case 'held': {
+				current.checkAt = now + getSilenceLimitMs(current);
+				return dispatchSend(current, now);
+			}
+
+			case 'failed': {
+				return handleMemoryFailure(current, current.memory, now);
+			}
+		}
+	}
+
+	/** Gives up a send that has not begun, and tries other endpoints. */
+	function handleMemoryFailure({placement}: Send, memory: MemoryReservation, now: Timestamp): readonly RelayAction[] {
+		failedReservations += 1;
+		excluded.delete(placement.endpoint.id);
+		for (const {id} of memory.getFailedEndpoints()) {
+			excluded.add(id);
+		}
+
+		const closing = closeSend('noMemory', memory.getFailedEndpoints().map(({id}) => id).join(','), now);
+		const failure = runCount === 0 ? createNotRun('overloaded', 'no memory is free') : createFailure('serverLost');
+		return [...closing, ...(failedReservations > maximumFailedReservations ? end(failure) : send(now, failure))];
+	}
+
+	/** Renews the memory of the current send where that is due. */
+	function renewMemory(now: Timestamp): readonly RelayAction[] {
+		const renewals = current?.memory?.takeRenewals(now) ?? [];
+		return renewals.map((reservation): RelayAction => ({kind: 'reserveMemory', key: request.key, reservation}));
+	}
+
 	function recordWork(change: WorkChange, now: Timestamp): readonly RelayAction[] {
 		host.recordWork(change, now);
 		return [{kind: 'publishWork', change}];
@@ -212,12 +287,14 @@
 		}
 
 		current = undefined;
-		if (result === 'notRun' || result === 'replaced') {
+		const hasNotRun = result === 'notRun' || result === 'replaced' || result === 'noMemory';
+		if (hasNotRun) {
 			runCount -= 1;
 		}
 
 		return [
 			...recordWork({kind: 'ended', id: closed.id}, now),
+			...closed.memory?.reservations.map((reservation): RelayAction => ({kind: 'releaseMemory', reservation})) ?? [],
 			{
 				kind: 'reportDecision',
 				key: request.key,
@@ -226,7 +303,7 @@
 					sendId: closed.id,
 					endpoint: closed.placement.endpoint.id,
 					result,
-					mayHaveRun: result !== 'notRun' && result !== 'replaced',
+					mayHaveRun: !hasNotRun,
 					detail,
 				},
 			},
@@ -458,15 +535,20 @@
 			return [...cancelCurrent(), ...closeSend('deadline', '', now), ...end(createFailure('deadlineExceeded'))];
 		}
 
+		const renewals = renewMemory(now);
 		if (current === undefined || now < current.checkAt) {
-			return [];
+			return renewals;
+		}
+
+		if (current.memory !== undefined && current.memory.getState() !== 'held') {
+			return handleMemoryFailure(current, current.memory, now);
 		}
 
 		const {placement, lastProgressAt} = current;
 		const isLost = mayRepeat && canSendAgain() && host.registry.isLost(placement.endpoint.id, lastProgressAt);
 		if (!isLost || !host.budget.trySpend(request.service, now)) {
 			current.checkAt = now + silenceLimits.recheckMs;
-			return [];
+			return renewals;
 		}
 
 		host.registry.recordFailure(placement.endpoint.id, now);
@@ -502,6 +584,10 @@
 				return event.sendId === current?.id ? handleSendFailure(event.wasSent, event.detail, now) : [];
 			}
 
+			case 'memoryAnswered': {
+				return recordMemory(event.reservationId, event.isHeld, now);
+			}
+
 			case 'clientGone': {
 				hasEnded = true;
 				return [...cancelCurrent(), ...closeSend('clientGone', '', now), {kind: 'forgetRequest', key: request.key}];
@@ -528,7 +614,7 @@
 
 	return {
 		step: (event, now) => hasEnded ? [] : apply(event, now),
-		getWakeAt: () => Math.min(request.deadlineAt, current?.checkAt ?? Number.POSITIVE_INFINITY),
+		getWakeAt: () => Math.min(request.deadlineAt, current?.checkAt ?? Number.POSITIVE_INFINITY, current?.memory?.getRenewAt() ?? Number.POSITIVE_INFINITY),
 		isEnded: () => hasEnded,
 	};
 }
--- a/packages/daemon/src/logger.ts
+++ b/packages/daemon/src/logger.ts
@@ -10,7 +10,8 @@
 	= | 'started' | 'stopping' | 'stopped' | 'requestEnded' | 'attemptStarted' | 'attemptEnded' | 'streamBroken'
 		| 'hostListFailed' | 'configurationInForce' | 'configurationRead' | 'probeFailed' | 'serverFailed' | 'orderSent' | 'internalError'
 		| 'requestPlaced' | 'sendEnded' | 'requestRefused' | 'endpointChanged' | 'dependencyLost' | 'dependencyRegained'
-		| 'settingsReloaded' | 'settingsRefused' | 'clockJumped' | 'peerFound' | 'peerLost' | 'readinessChanged' | 'linesDropped';
+		| 'settingsReloaded' | 'settingsRefused' | 'clockJumped' | 'peerFound' | 'peerLost' | 'readinessChanged' | 'linesDropped'
+		| 'orderRefused' | 'orderFailed';
 
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
--- a/packages/gateway/src/endpoint-client.ts
+++ b/packages/gateway/src/endpoint-client.ts
@@ -8,6 +8,7 @@
 import {
 	buildConnector, type Dispatcher, errors, Pool,
 } from 'undici';
+import type {EndpointOrder} from './gateway-hosts.js';
 
 /** A request as it goes to an endpoint. */
 export type EndpointSend = Readonly<{
@@ -31,6 +32,8 @@
 
 export type EndpointClient = Readonly<{
 	send(send: EndpointSend, listener: EndpointListener): void;
+	/** Gives an order and returns the status of its answer. Rejects when there is none in time. */
+	order(address: string, order: EndpointOrder): Promise<number>;
 	/** Breaks off a send; its listener hears nothing more. */
 	cancel(sendId: SendId): void;
 	/** Closes the connections to addresses that are not listed any more, once they are idle. */
@@ -40,6 +43,8 @@
 
 /** Longest wait for a new connection; several times the delay between data centres. */
 const connectTimeoutMs = 400;
+/** Longest wait for the answer to an order; endpoints answer at once or not at all. */
+const orderTimeoutMs = 350;
 /** How long an idle connection is kept where the endpoint does not say how long it keeps it. */
 const idleTimeoutMs = 4000;
 /** Time before the endpoint's own idle timeout at which a connection is no longer used. */
@@ -153,6 +158,13 @@
 				method, path: target, headers: [...headers], body: body.length === 0 ? null : body,
 			}, createHandler(sendId, listener));
 		},
+		async order(address, {method, target, headers, body}) {
+			const response = await getPool(address).request({
+				method, path: target, headers: [...headers], body, signal: AbortSignal.timeout(orderTimeoutMs),
+			});
+			await response.body.dump();
+			return response.statusCode;
+		},
 		cancel(sendId) {
 			const open = openSends.get(sendId);
 			if (open !== undefined) {
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -7,6 +7,7 @@
 import {getWeightedService} from '@currantcross/core/gateway/route-table';
 import {getErrorText} from '@currantcross/core/error-text';
 import {createNotRun, type Failure} from '@currantcross/core/errors';
+import {createIncarnation} from '@currantcross/daemon/incarnation';
 import {createBoundedLogger} from '@currantcross/daemon/logger';
 import type {RouteGrant} from '@currantcross/core/gateway/configuration-state';
 import {createConnections, defaultConnectionSettings} from '@currantcross/peer/connections';
@@ -55,6 +56,7 @@
 	const logger = createBoundedLogger(settings.logLevel, {process: settings.name});
 	const gateway = createGateway({
 		name: settings.name,
+		incarnation: createIncarnation(),
 		dataCentre: settings.dataCentre,
 		configuration: {
 			maximumKeyAgeMs: settings.revocationMs === undefined ? undefined : settings.revocationMs - keyMarginMs,
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -8,11 +8,13 @@
 import type {
 	AnswerOutcome, GatewayEvent, RelayAction, RelayDecision, RelayEvent,
 } from '@currantcross/core/gateway/relay-types';
+import {getErrorText} from '@currantcross/core/error-text';
 import type {Failure} from '@currantcross/core/errors';
+import type {Reservation} from '@currantcross/core/gateway/memory-reservation';
 import type {Logger} from '@currantcross/daemon/logger';
 import {getForwardedHeaders, type CallerExchange} from './caller-exchange.js';
 import type {EndpointClient} from './endpoint-client.js';
-import type {Dialect} from './gateway-hosts.js';
+import type {Dialect, EndpointOrder} from './gateway-hosts.js';
 import type {GatewayMetrics} from './metrics.js';
 
 export type GatewayDriverHost = Readonly<{
@@ -30,6 +32,8 @@
 	close(): void;
 }>;
 
+const okStatus = 200;
+
 type OpenRequest = Readonly<{request: GatewayRequest; exchange: CallerExchange}>;
 
 /** Creates the driver of one gateway. */
@@ -73,6 +77,16 @@
 				return;
 			}
 
+			case 'reserveMemory': {
+				void performReservation(action.key, action.reservation);
+				return;
+			}
+
+			case 'releaseMemory': {
+				void performRelease(action.reservation);
+				return;
+			}
+
 			case 'cancelSend': {
 				host.client.cancel(action.sendId);
 				return;
@@ -168,9 +182,11 @@
 		const request = openRequests.get(key)?.request.requestId;
 		switch (decision.kind) {
 			case 'placed': {
-				const {sendId, endpoint, helpers, firstEventMs, candidates} = decision;
+				const {
+					sendId, endpoint, helpers, reservations, firstEventMs, candidates,
+				} = decision;
 				host.logger.info('requestPlaced', {
-					request, sendId, endpoint, helpers, firstEventMs, candidates, configurationAgeMs: Math.round(gateway.getConfigurationAgeMs(performance.now())),
+					request, sendId, endpoint, helpers, reservations, firstEventMs, candidates, configurationAgeMs: Math.round(gateway.getConfigurationAgeMs(performance.now())),
 				});
 				return;
 			}
@@ -185,6 +201,34 @@
 		}
 	}
 
+	async function performReservation(key: RequestKey, reservation: Reservation): Promise<void> {
+		const isHeld = await giveOrder(reservation, host.dialect.formatReservation(reservation));
+		dispatchRequest(key, {kind: 'memoryAnswered', reservationId: reservation.id, isHeld});
+	}
+
+	/** Frees memory; without an answer it is tried once more, and then left to the end of its hold. */
+	async function performRelease(reservation: Reservation): Promise<void> {
+		const order = host.dialect.formatRelease(reservation);
+		if (!await giveOrder(reservation, order)) {
+			await giveOrder(reservation, order);
+		}
+	}
+
+	async function giveOrder({endpoint, id}: Reservation, order: EndpointOrder): Promise<boolean> {
+		try {
+			const status = await host.client.order(endpoint.address, order);
+			if (status === okStatus) {
+				return true;
+			}
+
+			host.logger.info('orderRefused', {endpoint: endpoint.id, reservation: id, status});
+		} catch (error) {
+			host.logger.warn('orderFailed', {endpoint: endpoint.id, reservation: id, reason: getErrorText(error)});
+		}
+
+		return false;
+	}
+
 	function performSend(action: Extract<RelayAction, {kind: 'send'}>): void {
 		const open = openRequests.get(action.key);
 		if (open === undefined) {
@@ -199,7 +243,7 @@
 				remainingMs,
 				endpointId: endpoint.id,
 				organisation: open.request.organisation,
-				helperAddresses: helpers.map(({address}) => address),
+				helpers,
 				rank,
 				lastEventId,
 			}),
--- a/packages/gateway/src/gateway-hosts.ts
+++ b/packages/gateway/src/gateway-hosts.ts
@@ -7,6 +7,8 @@
 import type {
 	EndpointAnswerHead, ListedEndpoint, PromptSize, RawHeaders, ServingConfiguration,
 } from '@currantcross/core/gateway/gateway-types';
+import type {Reservation} from '@currantcross/core/gateway/memory-reservation';
+import type {HelperSend} from '@currantcross/core/gateway/relay-types';
 import type {Milliseconds} from '@currantcross/core/types';
 
 /** The head of a caller's request, decoded. */
@@ -27,18 +29,25 @@
 	organisation: string | undefined;
 	/** Rank in the endpoint's queue, from 0, which is first, to 9. */
 	rank: number;
-	/** Addresses of the endpoints that read parts of the prompt. */
-	helperAddresses: readonly string[];
+	/** Endpoints that read parts of the prompt. */
+	helpers: readonly HelperSend[];
 	lastEventId: string | undefined;
 }>;
 
-/** The headers of callers and endpoints. */
+/** An order to an endpoint, as HTTP carries it. */
+export type EndpointOrder = Readonly<{method: string; target: string; headers: RawHeaders; body: string}>;
+
+/** The form that callers and endpoints speak. */
 export type Dialect = Readonly<{
 	/** Names, in lower case, of the headers that are not passed on to endpoints as the caller sent them. */
 	ownedHeaders: ReadonlySet<string>;
 	parseCallerHead(headers: IncomingHttpHeaders): CallerHead;
 	formatSendHead(head: SendHead): RawHeaders;
 	parseAnswerHead(status: number, headers: IncomingHttpHeaders): EndpointAnswerHead;
+	/** Returns the order that sets memory aside at an endpoint, or renews that. */
+	formatReservation(reservation: Reservation): EndpointOrder;
+	/** Returns the order that frees memory which was set aside. */
+	formatRelease(reservation: Reservation): EndpointOrder;
 	/** Returns the headers of a failure that the gateway itself answers. */
 	formatFailureHead(failure: Failure, requestId: string): RawHeaders;
 }>;
--- a/packages/peer/src/gateway-peers.ts
+++ b/packages/peer/src/gateway-peers.ts
@@ -16,7 +16,7 @@
 }>;
 
 function formatWork(work: Work): wire.Work {
-	return create(wire.WorkSchema, {...work, helpers: [...work.helpers]});
+	return create(wire.WorkSchema, {...work, helpers: work.helpers.map(helper => ({...helper}))});
 }
 
 function formatChange(change: WorkChange): wire.WorkChange {
@@ -41,7 +41,7 @@
 			const {id, endpoint, helpers, promptTokens, readMs, longestPauseMs} = change.value;
 			return {
 				kind: 'started', work: {
-					id, endpoint, helpers, promptTokens, readMs, longestPauseMs,
+					id, endpoint, helpers: helpers.map(helper => ({endpoint: helper.endpoint, reservedTokens: helper.reservedTokens})), promptTokens, readMs, longestPauseMs,
 				},
 			};
 		}
