--- a/packages/core/src/gateway/relayed-request.ts
+++ b/packages/core/src/gateway/relayed-request.ts
@@ -173,7 +173,16 @@
 		sendCount += 1;
 		runCount += 1;
 		current = {
-			id: sendId, placement, splitter: createEventSplitter(), chunks: [], memory: createMemory(placement, sendId, now), head: undefined, sentAt: now, lastProgressAt: now, checkAt: now, hasEvents: false,
+			id: sendId,
+			placement,
+			splitter: createEventSplitter(),
+			chunks: [],
+			memory: createMemory(placement, sendId, now),
+			head: undefined,
+			sentAt: now,
+			lastProgressAt: now,
+			checkAt: now,
+			hasEvents: false,
 		};
 		current.checkAt = now + (current.memory === undefined ? getSilenceLimitMs(current) : reservationTimeoutMs);
 		excluded.add(placement.endpoint.id);
@@ -226,7 +235,14 @@
 			reservationId: memory?.reservations.find(reservation => reservation.endpoint === endpoint)?.id,
 		}));
 		return [{
-			kind: 'send', key: request.key, sendId: id, endpoint: placement.endpoint, helpers, remainingMs: request.deadlineAt - now, rank: getQueueRank(request), lastEventId,
+			kind: 'send',
+			key: request.key,
+			sendId: id,
+			endpoint: placement.endpoint,
+			helpers,
+			remainingMs: request.deadlineAt - now,
+			rank: getQueueRank(request),
+			lastEventId,
 		}];
 	}
 
@@ -265,7 +281,7 @@
 	}
 
 	/** Renews the memory of the current send where that is due. */
-	function renewMemory(now: Timestamp): readonly RelayAction[] {
+	function reserveAgain(now: Timestamp): readonly RelayAction[] {
 		const renewals = current?.memory?.takeRenewals(now) ?? [];
 		return renewals.map((reservation): RelayAction => ({kind: 'reserveMemory', key: request.key, reservation}));
 	}
@@ -535,7 +551,7 @@
 			return [...cancelCurrent(), ...closeSend('deadline', '', now), ...end(createFailure('deadlineExceeded'))];
 		}
 
-		const renewals = renewMemory(now);
+		const renewals = reserveAgain(now);
 		if (current === undefined || now < current.checkAt) {
 			return renewals;
 		}
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -124,9 +124,7 @@
 			}
 
 			case 'forgetRequest': {
-				const open = takeRequest(action.key);
-				host.logger.info('requestEnded', {request: open?.request.requestId, outcome: 'clientGone', ageMs: getAgeMs(open)});
-				host.metrics.recordRequest('clientGone', getAgeMs(open) ?? 0);
+				reportGone(takeRequest(action.key));
 				return;
 			}
 
@@ -146,6 +144,11 @@
 		}
 	}
 
+	function reportGone(open: OpenRequest | undefined): void {
+		host.logger.info('requestEnded', {request: open?.request.requestId, outcome: 'clientGone', ageMs: getAgeMs(open)});
+		host.metrics.recordRequest('clientGone', getAgeMs(open) ?? 0);
+	}
+
 	function takeRequest(key: RequestKey): OpenRequest | undefined {
 		const open = openRequests.get(key);
 		openRequests.delete(key);
@@ -202,19 +205,19 @@
 	}
 
 	async function performReservation(key: RequestKey, reservation: Reservation): Promise<void> {
-		const isHeld = await giveOrder(reservation, host.dialect.formatReservation(reservation));
+		const isHeld = await sendOrder(reservation, host.dialect.formatReservation(reservation));
 		dispatchRequest(key, {kind: 'memoryAnswered', reservationId: reservation.id, isHeld});
 	}
 
 	/** Frees memory; without an answer it is tried once more, and then left to the end of its hold. */
 	async function performRelease(reservation: Reservation): Promise<void> {
 		const order = host.dialect.formatRelease(reservation);
-		if (!await giveOrder(reservation, order)) {
-			await giveOrder(reservation, order);
+		if (!await sendOrder(reservation, order)) {
+			await sendOrder(reservation, order);
 		}
 	}
 
-	async function giveOrder({endpoint, id}: Reservation, order: EndpointOrder): Promise<boolean> {
+	async function sendOrder({endpoint, id}: Reservation, order: EndpointOrder): Promise<boolean> {
 		try {
 			const status = await host.client.order(endpoint.address, order);
 			if (status === okStatus) {
--- a/vitest.config.js
+++ b/vitest.config.js
@@ -8,7 +8,7 @@
 		alias: [{find: /^@currantcross\/(?<name>[^\/]+)\/(?<module>.+)$/v, replacement: `${packages}/$1/src/$2.ts`}],
 	},
 	test: {
-		include: ['packages/*/src/**/*.test.ts', 'tests/**/*.test.ts'],
+		include: ['packages/*/src/**/*.test.ts', 'platform/src/**/*.test.ts', 'tests/**/*.test.ts'],
 		testTimeout: 120_000,
 		hookTimeout: 120_000,
 		// Process tests start some twenty processes each.
