Keep servers free for short prompts while long ones are read

Random ranks made requests overtake each other, which was taken for loss. Ruled out: late news (predictions of the short prompts were right, and bad). Change: reading where too few servers are left for the short prompts costs what those lose; a request is overtaken only by one that is at least as long; ranks are gone again.

--- a/packages/core/src/gateway/endpoint-registry.ts
+++ b/packages/core/src/gateway/endpoint-registry.ts
@@ -4,7 +4,7 @@
 An endpoint that is draining or no longer listed gets no new work. After an outage of the list, an endpoint that is
 missing is kept for a short time, since entries may lapse during the outage and come back after it.
 */
-import type {Milliseconds, Timestamp} from '../types.js';
+import type {Milliseconds, Timestamp, TokenCount} from '../types.js';
 import type {EndpointId, ListedEndpoint} from './gateway-types.js';
 
 export type EndpointRegistrySettings = Readonly<{
@@ -39,31 +39,45 @@
 	findByAddress(address: string): ListedEndpoint | undefined;
 	recordFailure(id: EndpointId, now: Timestamp): void;
 	recordSuccess(id: EndpointId): void;
-	/** Records that a request which was sent at `sentAt` got bytes of its answer. */
-	recordProgress(id: EndpointId, sentAt: Timestamp, now: Timestamp): void;
+	/** Records that a request got bytes of its answer. */
+	recordProgress(id: EndpointId, work: SentWork, now: Timestamp): void;
 	/**
 	Returns whether a request that has heard nothing since `quietSince` seems lost: the endpoint was not heard at all, or
-	it answered requests that were sent later. An endpoint that is only busy answers older requests first.
+	it answered a request that was sent later and is at least as long. An endpoint that is only busy answers older ones first.
 	*/
-	isLost(id: EndpointId, quietSince: Timestamp): boolean;
+	isLost(id: EndpointId, work: SentWork, quietSince: Timestamp): boolean;
 	/** Records that another endpoint answers at this one's address. */
 	recordReplaced(id: EndpointId): void;
 	hasList(): boolean;
 }>;
 
+/** A request as it was sent; `promptTokens` is missing where other endpoints decide when it is answered. */
+export type SentWork = Readonly<{sentAt: Timestamp; promptTokens: TokenCount | undefined}>;
+
 type KnownEndpoint = {
 	listed: ListedEndpoint;
 	failures: number;
 	pausedUntil: Timestamp;
 	isReplaced: boolean;
 	heardAt: Timestamp;
-	/** When the newest of the requests was sent that got bytes. */
-	newestAnsweredSentAt: Timestamp;
+	/** Requests that got bytes, each newer and shorter than the one before. */
+	answered: readonly SentWork[];
 };
 
 /** How much later a request must have been sent to have overtaken another one; about two passes. */
 const overtakeMs: Milliseconds = 200;
 
+/** Adds a request, and drops those that are no newer and no longer. */
+function addAnswered(answered: readonly SentWork[], work: SentWork): readonly SentWork[] {
+	const {sentAt, promptTokens} = work;
+	if (promptTokens === undefined) {
+		return answered;
+	}
+
+	const isKnown = answered.some(other => other.sentAt >= sentAt && (other.promptTokens ?? 0) >= promptTokens);
+	return isKnown ? answered : [...answered.filter(other => other.sentAt > sentAt || (other.promptTokens ?? 0) > promptTokens), work];
+}
+
 /** Creates a registry that has read no list yet. */
 export function createEndpointRegistry(settings: EndpointRegistrySettings): EndpointRegistry {
 	const known = new Map<EndpointId, KnownEndpoint>();
@@ -80,7 +94,7 @@
 				pausedUntil: Number.NEGATIVE_INFINITY,
 				isReplaced: false,
 				heardAt: Number.NEGATIVE_INFINITY,
-				newestAnsweredSentAt: Number.NEGATIVE_INFINITY,
+				answered: [],
 			});
 			return {kind: listed.state === 'ready' ? 'added' : 'draining', id: listed.id, address: listed.address};
 		}
@@ -142,16 +156,22 @@
 				endpoint.failures = 0;
 			}
 		},
-		recordProgress(id, sentAt, now) {
+		recordProgress(id, work, now) {
 			const endpoint = known.get(id);
 			if (endpoint !== undefined) {
 				endpoint.heardAt = now;
-				endpoint.newestAnsweredSentAt = Math.max(endpoint.newestAnsweredSentAt, sentAt);
+				endpoint.answered = addAnswered(endpoint.answered, work);
 			}
 		},
-		isLost(id, quietSince) {
+		isLost(id, work, quietSince) {
 			const endpoint = known.get(id);
-			return endpoint === undefined || endpoint.heardAt <= quietSince || endpoint.newestAnsweredSentAt > quietSince + overtakeMs;
+			if (endpoint === undefined || endpoint.heardAt <= quietSince) {
+				return true;
+			}
+
+			const {promptTokens} = work;
+			return promptTokens !== undefined
+				&& endpoint.answered.some(other => other.sentAt > quietSince + overtakeMs && (other.promptTokens ?? 0) >= promptTokens);
 		},
 		recordReplaced(id) {
 			const endpoint = known.get(id);
--- a/packages/core/src/gateway/placement.ts
+++ b/packages/core/src/gateway/placement.ts
@@ -62,6 +62,16 @@
 const remoteCost = 0.12;
 /** Cost of one more server that reads. */
 const readerCost = 0.03;
+/** Reading time at which a server is no place for short prompts. */
+const blockingReadMs: Milliseconds = 250;
+/** Share of the slots that short prompts fill before they need one more server. */
+const shortFillShare = 0.6;
+/** Share of the servers that is kept free for short prompts which are still to come. */
+const spareServerShare = 0.2;
+/** Cost of a missing server in a second: the weight of the short prompts that come to one. */
+const blockedServerCost = 6;
+const millisecondsPerSecond = 1000;
+
 /** Cost of the last free slot, which another gateway may take at the same moment. */
 const lastSlotCost = 0.8;
 /** Cost of memory that has to be set aside at another server, as a share of the request's value. */
@@ -211,11 +221,29 @@
 		placement: {
 			endpoint: receiver.candidate.endpoint, helpers: helpers.map(({candidate}, index) => ({endpoint: candidate.endpoint, reservedTokens: reserved[index] ?? 0})), readMs, firstEventMs,
 		},
-		cost: harm + getDelayCost(weight, firstEventMs, demand) + (helperCount * readerCost)
+		cost: harm + getDelayCost(weight, firstEventMs, demand) + (helperCount * readerCost) + getBlockingCost(engine, candidates, parts, readMs)
 			+ (reserved.filter(tokens => tokens > 0).length * reservationCost * weight),
 	};
 }
 
+/** Returns how many servers the short prompts need that are open now. */
+function getServersForShort(engine: EngineProfile, candidates: readonly Candidate[]): number {
+	const requests = candidates.reduce((sum, {load}) => sum + (hasShortWriter(load) ? load.requests : 0), 0);
+	return (requests / (engine.slots * shortFillShare)) + (candidates.length * spareServerShare);
+}
+
+/** Returns the cost of reading on so many servers that too few are left for short prompts that come meanwhile. */
+function getBlockingCost(engine: EngineProfile, candidates: readonly Candidate[], parts: readonly Part[], readMs: Milliseconds): number {
+	if (readMs < blockingReadMs) {
+		return 0;
+	}
+
+	const readers = new Set(parts.map(({candidate}) => candidate));
+	const free = candidates.filter(candidate => !readers.has(candidate) && candidate.load.readMs < blockingReadMs).length;
+	const missing = Math.max(0, getServersForShort(engine, candidates) - free);
+	return missing * readMs / millisecondsPerSecond * blockedServerCost;
+}
+
 function getFreeTokens(engine: EngineProfile, load: EndpointLoad): TokenCount {
 	return Math.max(0, (engine.memoryTokens * plannedMemoryShare) - load.memoryTokens);
 }
--- a/packages/core/src/gateway/relay-types.ts
+++ b/packages/core/src/gateway/relay-types.ts
@@ -35,8 +35,6 @@
 		endpoint: ListedEndpoint;
 		helpers: readonly HelperSend[];
 		remainingMs: Milliseconds;
-		/** Rank in the endpoint's queue; 0 is first. */
-		rank: number;
 		lastEventId: string | undefined;
 	}>
 	/** Sets memory aside, or renews that. */
--- a/packages/core/src/gateway/relayed-request.ts
+++ b/packages/core/src/gateway/relayed-request.ts
@@ -7,7 +7,7 @@
 */
 import {createNotRun, type ErrorKind, type Failure} from '../errors.js';
 import type {Milliseconds, Timestamp} from '../types.js';
-import type {EndpointRegistry} from './endpoint-registry.js';
+import type {EndpointRegistry, SentWork} from './endpoint-registry.js';
 import {createEventSplitter, type EventSplitter, type StreamEvent} from './event-splitter.js';
 import type {EndpointAnswerHead, EndpointId, GatewayRequest} from './gateway-types.js';
 import type {WorkChange} from './load-view.js';
@@ -67,9 +67,6 @@
 	recheckMs: 250,
 } as const;
 
-/** Ranks that endpoints tell apart. */
-const queueRanks = 10;
-
 const okStatus = 200;
 const firstErrorStatus = 300;
 const firstServerErrorStatus = 500;
@@ -101,16 +98,6 @@
 	return id !== undefined && /^\d+$/v.test(id) ? Number(id) : undefined;
 }
 
-/**
-Returns the rank of a request in the queue of a full endpoint.
-
-Requests are ranked at random: when there are a few more than can be served in time, those few wait long and the others
-not at all, where a common queue would make everybody late.
-*/
-function getQueueRank(request: GatewayRequest): number {
-	return request.key % queueRanks;
-}
-
 /** Creates the machine of one request. */
 export function createRelayedRequest(request: GatewayRequest, host: RelayHost): RelayedRequest {
 	const {route} = request;
@@ -241,7 +228,6 @@
 			endpoint: placement.endpoint,
 			helpers,
 			remainingMs: request.deadlineAt - now,
-			rank: getQueueRank(request),
 			lastEventId,
 		}];
 	}
@@ -561,7 +547,7 @@
 		}
 
 		const {placement, lastProgressAt} = current;
-		const isLost = mayRepeat && canSendAgain() && host.registry.isLost(placement.endpoint.id, lastProgressAt);
+		const isLost = mayRepeat && canSendAgain() && host.registry.isLost(placement.endpoint.id, getSentWork(current), lastProgressAt);
 		if (!isLost || !host.budget.trySpend(request.service, now)) {
 			current.checkAt = now + silenceLimits.recheckMs;
 			return renewals;
@@ -572,10 +558,15 @@
 		return [...cancelCurrent(), ...closeSend('silent', '', now), ...send(now, failure)];
 	}
 
+	/** Returns what tells whether other requests overtook this one; the time of one that is split depends on others. */
+	function getSentWork({placement, sentAt}: Send): SentWork {
+		return {sentAt, promptTokens: placement.helpers.length === 0 ? request.prompt?.promptTokens ?? 0 : undefined};
+	}
+
 	function recordProgress(send: Send, now: Timestamp): void {
 		send.lastProgressAt = now;
 		send.checkAt = now + getSilenceLimitMs(send);
-		host.registry.recordProgress(send.placement.endpoint.id, send.sentAt, now);
+		host.registry.recordProgress(send.placement.endpoint.id, getSentWork(send), now);
 	}
 
 	function apply(event: RelayEvent, now: Timestamp): readonly RelayAction[] {
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -238,7 +238,7 @@
 			return;
 		}
 
-		const {key, sendId, endpoint, helpers, remainingMs, rank, lastEventId} = action;
+		const {key, sendId, endpoint, helpers, remainingMs, lastEventId} = action;
 		const {message, body} = open.exchange;
 		const headers = [
 			...getForwardedHeaders(message.rawHeaders, message.headers.connection, host.dialect.ownedHeaders),
@@ -247,7 +247,6 @@
 				endpointId: endpoint.id,
 				organisation: open.request.organisation,
 				helpers,
-				rank,
 				lastEventId,
 			}),
 		];
--- a/packages/gateway/src/gateway-hosts.ts
+++ b/packages/gateway/src/gateway-hosts.ts
@@ -27,8 +27,6 @@
 	/** Id of the only endpoint that may run the request. */
 	endpointId: string;
 	organisation: string | undefined;
-	/** Rank in the endpoint's queue, from 0, which is first, to 9. */
-	rank: number;
 	/** Endpoints that read parts of the prompt. */
 	helpers: readonly HelperSend[];
 	lastEventId: string | undefined;
