Refuse at once a prompt that its caller would not wait for

Ruled out: raising the limit of sends (repeats were a fifth of the load already). Change: a prompt whose first event is predicted beyond 0.7 of its caller's patience is refused as not run, with the predicted time to come back.

--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -15,7 +15,7 @@
 } from './gateway-types.js';
 import {createLoadView, type GatewayName, type Work} from './load-view.js';
 import {
-	findPromptPlacement, findServicePlacement, getCandidates, type Placement,
+	findPromptPlacement, findServicePlacement, getCandidates, getPatienceMs, type Placement,
 } from './placement.js';
 import type {
 	GatewayEvent, RelayAction, RelayEvent, SendId,
@@ -48,6 +48,8 @@
 	getOwnWorks(): ReadonlyArray<Readonly<{work: Work; isWriting: boolean}>>;
 }>;
 
+/** Share of a caller's patience beyond which a first event is predicted to come too late to be of use. */
+const usedPatienceShare = 0.7;
 /** When a caller should come back that found no endpoint. */
 const noEndpointRetryMs: Milliseconds = 400;
 
@@ -88,9 +90,9 @@
 			return refuse(createNotRun('overloaded', 'no endpoint is available', noEndpointRetryMs));
 		}
 
-		if (placement.firstEventMs > request.deadlineAt - now) {
-			const retryAfterMs = Math.max(noEndpointRetryMs, placement.firstEventMs - (request.deadlineAt - now));
-			return refuse(createNotRun('deadlineUnreachable', undefined, retryAfterMs));
+		const usefulMs = Math.min(request.deadlineAt - now, getPatienceMs(request.route) * usedPatienceShare);
+		if (placement.firstEventMs > usefulMs) {
+			return refuse(createNotRun('deadlineUnreachable', undefined, Math.max(noEndpointRetryMs, placement.firstEventMs)));
 		}
 
 		return {kind: 'placed', placement, candidates: endpoints.length};
--- a/packages/core/src/gateway/placement.ts
+++ b/packages/core/src/gateway/placement.ts
@@ -170,7 +170,7 @@
 }
 
 /** Returns how long a caller waits for the first event. */
-function getPatienceMs({objectiveMs, longestPauseMs}: PromptDemand): Milliseconds {
+export function getPatienceMs({objectiveMs, longestPauseMs}: Pick<PromptDemand, 'objectiveMs' | 'longestPauseMs'>): Milliseconds {
 	return Math.max(patience.leastMs, objectiveMs * patience.objectives, longestPauseMs * patience.pauses);
 }
 
--- a/packages/core/src/gateway/relayed-request.test.ts
+++ b/packages/core/src/gateway/relayed-request.test.ts
@@ -70,7 +70,7 @@
 	const gateway = createGateway(fixtureGatewaySettings);
 	let sendId = 0;
 	gateway.step({kind: 'configurationVerified', configuration: fixtureConfiguration, verifiedAt: 0}, 0);
-	gateway.step({kind: 'endpointsListed', endpoints: [...createFixtureEndpoints('models', 4), ...createFixtureEndpoints('shop', 3)]}, 0);
+	gateway.step({kind: 'endpointsListed', endpoints: [...createFixtureEndpoints('models', 8), ...createFixtureEndpoints('shop', 3)]}, 0);
 
 	function format(actions: readonly RelayAction[]): readonly string[] {
 		for (const action of actions) {
@@ -241,7 +241,7 @@
 		expect(last?.slice(ids.length).every(action => action.startsWith('reserve '))).toBe(true);
 		let actions: readonly string[] = [];
 		for (let sendId = 2; sendId <= 4; sendId += 1) {
-			for (let index = 0; index < 3; index += 1) {
+			for (let index = 0; index < 7; index += 1) {
 				actions = [...actions, ...answerMemory(run, getReservationId(sendId, index), false, 20)];
 			}
 		}
@@ -256,6 +256,23 @@
 	});
 });
 
+describe('a full pool', () => {
+	test('refuses at once a prompt whose first event would come when its caller is about to leave', () => {
+		const run = createRun();
+		const works = Array.from({length: 8 * 30}, (_, index) => ({
+			id: index, endpoint: `models-${index % 8}`, helpers: [], promptTokens: 5000, readMs: 34, longestPauseMs: 250,
+		}));
+		for (const work of works) {
+			run.gateway.step({kind: 'peerWorkChanged', gateway: 'gateway-2', change: {kind: 'started', work}}, 0);
+			run.gateway.step({kind: 'peerWorkChanged', gateway: 'gateway-2', change: {kind: 'writing', id: work.id}}, 0);
+		}
+
+		expect(run.submit(createFixtureRequest(fixtureStream))).toEqual(['fail deadlineUnreachable ran=no']);
+		run.gateway.step({kind: 'peerLost', gateway: 'gateway-2'}, 0);
+		expect(run.submit(createFixtureRequest(fixtureStream))).toEqual(['send models']);
+	});
+});
+
 describe('a stream', () => {
 	test('passes whole events on as they come', () => {
 		const run = start(fixtureStream);
