Note a try that was not kept: placements that aim at a caller's patience

Cause: a huge prompt is refused when its best placement comes too late, though a wider one might not. The test of failed reservations gets a pool in which another group is left.

--- a/packages/core/src/gateway/relayed-request.test.ts
+++ b/packages/core/src/gateway/relayed-request.test.ts
@@ -70,7 +70,7 @@
 	const gateway = createGateway(fixtureGatewaySettings);
 	let sendId = 0;
 	gateway.step({kind: 'configurationVerified', configuration: fixtureConfiguration, verifiedAt: 0}, 0);
-	gateway.step({kind: 'endpointsListed', endpoints: [...createFixtureEndpoints('models', 8), ...createFixtureEndpoints('shop', 3)]}, 0);
+	gateway.step({kind: 'endpointsListed', endpoints: [...createFixtureEndpoints('models', 16), ...createFixtureEndpoints('shop', 3)]}, 0);
 
 	function format(actions: readonly RelayAction[]): readonly string[] {
 		for (const action of actions) {
@@ -241,7 +241,7 @@
 		expect(last?.slice(ids.length).every(action => action.startsWith('reserve '))).toBe(true);
 		let actions: readonly string[] = [];
 		for (let sendId = 2; sendId <= 4; sendId += 1) {
-			for (let index = 0; index < 7; index += 1) {
+			for (let index = 0; index < 15; index += 1) {
 				actions = [...actions, ...answerMemory(run, getReservationId(sendId, index), false, 20)];
 			}
 		}
@@ -259,8 +259,8 @@
 describe('a full pool', () => {
 	test('refuses at once a prompt whose first event would come when its caller is about to leave', () => {
 		const run = createRun();
-		const works = Array.from({length: 8 * 30}, (_, index) => ({
-			id: index, endpoint: `models-${index % 8}`, helpers: [], promptTokens: 5000, readMs: 34, longestPauseMs: 250,
+		const works = Array.from({length: 16 * 30}, (_, index) => ({
+			id: index, endpoint: `models-${index % 16}`, helpers: [], promptTokens: 5000, readMs: 34, longestPauseMs: 250,
 		}));
 		for (const work of works) {
 			run.gateway.step({kind: 'peerWorkChanged', gateway: 'gateway-2', change: {kind: 'started', work}}, 0);
