--- a/packages/core/src/gateway/endpoint-registry.ts
+++ b/packages/core/src/gateway/endpoint-registry.ts
@@ -41,11 +41,15 @@
 	recordSuccess(id: EndpointId): void;
 	/** Records that a request got bytes of its answer. */
 	recordProgress(id: EndpointId, work: SentWork, now: Timestamp): void;
+	/** Records that an endpoint answered a probe. */
+	recordAlive(id: EndpointId, now: Timestamp): void;
+	/** Returns whether the endpoint gave any sign of life since. */
+	isHeardSince(id: EndpointId, since: Timestamp): boolean;
 	/**
-	Returns whether a request that has heard nothing since `quietSince` seems lost: the endpoint was not heard at all, or
-	it answered a request that was sent later and is at least as long. An endpoint that is only busy answers older ones first.
+	Returns whether the endpoint answered a request that was sent after `since` and is at least as long. An endpoint that
+	is only busy answers older requests first.
 	*/
-	isLost(id: EndpointId, work: SentWork, quietSince: Timestamp): boolean;
+	isOvertaken(id: EndpointId, work: SentWork, since: Timestamp): boolean;
 	/** Records that another endpoint answers at this one's address. */
 	recordReplaced(id: EndpointId): void;
 	hasList(): boolean;
@@ -163,15 +167,17 @@
 				endpoint.answered = addAnswered(endpoint.answered, work);
 			}
 		},
-		isLost(id, work, quietSince) {
+		recordAlive(id, now) {
 			const endpoint = known.get(id);
-			if (endpoint === undefined || endpoint.heardAt <= quietSince) {
-				return true;
+			if (endpoint !== undefined) {
+				endpoint.heardAt = now;
 			}
-
-			const {promptTokens} = work;
+		},
+		isHeardSince: (id, since) => (known.get(id)?.heardAt ?? Number.NEGATIVE_INFINITY) > since,
+		isOvertaken(id, {promptTokens}, since) {
+			const answered = known.get(id)?.answered ?? [];
 			return promptTokens !== undefined
-				&& endpoint.answered.some(other => other.sentAt > quietSince + overtakeMs && (other.promptTokens ?? 0) >= promptTokens);
+				&& answered.some(other => other.sentAt > since + overtakeMs && (other.promptTokens ?? 0) >= promptTokens);
 		},
 		recordReplaced(id) {
 			const endpoint = known.get(id);
--- a/packages/core/src/gateway/gateway-parts.test.ts
+++ b/packages/core/src/gateway/gateway-parts.test.ts
@@ -106,22 +106,23 @@
 		expect(registry.getAvailable('models', 1199)).toHaveLength(1);
 	});
 
-	test('that are silent lose a request, and busy ones do not', () => {
+	test('are heard by their answers and by probes', () => {
 		const registry = createEndpointRegistry(defaultEndpointRegistrySettings);
 		registry.applyList(endpoints, 0);
-		const work = {sentAt: 100, promptTokens: 5000};
-		expect(registry.isLost('models-0', work, 100)).toBe(true);
+		expect(registry.isHeardSince('models-0', 100)).toBe(false);
 		registry.recordProgress('models-0', {sentAt: 50, promptTokens: 5000}, 900);
-		expect(registry.isLost('models-0', work, 100)).toBe(false);
+		expect(registry.isHeardSince('models-0', 100)).toBe(true);
+		registry.recordAlive('models-0', 1500);
+		expect(registry.isHeardSince('models-0', 1000)).toBe(true);
 	});
 
 	test('that answer later requests have lost an older one', () => {
 		const registry = createEndpointRegistry(defaultEndpointRegistrySettings);
 		registry.applyList(endpoints, 0);
 		registry.recordProgress('models-0', {sentAt: 400, promptTokens: 3000}, 900);
-		expect(registry.isLost('models-0', {sentAt: 100, promptTokens: 3000}, 100)).toBe(true);
-		expect(registry.isLost('models-0', {sentAt: 100, promptTokens: 50_000}, 100)).toBe(false);
-		expect(registry.isLost('models-0', {sentAt: 100, promptTokens: undefined}, 100)).toBe(false);
+		expect(registry.isOvertaken('models-0', {sentAt: 100, promptTokens: 3000}, 100)).toBe(true);
+		expect(registry.isOvertaken('models-0', {sentAt: 100, promptTokens: 50_000}, 100)).toBe(false);
+		expect(registry.isOvertaken('models-0', {sentAt: 100, promptTokens: undefined}, 100)).toBe(false);
 	});
 
 	test('of another life start without a past', () => {
--- a/packages/core/src/gateway/load-view.ts
+++ b/packages/core/src/gateway/load-view.ts
@@ -47,6 +47,8 @@
 	readMs: Milliseconds;
 	/** Requests that are being read for, here or with this endpoint's help. */
 	readers: number;
+	/** Requests of other endpoints that this one helps to read. */
+	helped: number;
 	writers: readonly Writer[];
 	/** Tokens that the requests hold in memory. */
 	memoryTokens: TokenCount;
@@ -75,7 +77,7 @@
 const rememberedEndpoints = 20_000;
 
 const idleLoad: EndpointLoad = {
-	requests: 0, readMs: 0, readers: 0, writers: [], memoryTokens: 0,
+	requests: 0, readMs: 0, readers: 0, helped: 0, writers: [], memoryTokens: 0,
 };
 
 function getEndpoints(work: Work): readonly EndpointId[] {
@@ -211,7 +213,12 @@
 
 			const readMs = getBacklogMs(unread, readDoneAt.get(endpoint) ?? Number.NEGATIVE_INFINITY, now);
 			return {
-				requests, readMs, readers: unread.length, writers, memoryTokens,
+				requests,
+				readMs,
+				readers: unread.length,
+				helped: unread.filter(({isReceiver}) => !isReceiver).length,
+				writers,
+				memoryTokens,
 			};
 		},
 		getWorks(gateway) {
--- a/packages/core/src/gateway/placement.test.ts
+++ b/packages/core/src/gateway/placement.test.ts
@@ -7,7 +7,7 @@
 } from './placement.js';
 
 const idle: EndpointLoad = {
-	requests: 0, readMs: 0, readers: 0, writers: [], memoryTokens: 0,
+	requests: 0, readMs: 0, readers: 0, helped: 0, writers: [], memoryTokens: 0,
 };
 const shortWriter: Writer = {longestPauseMs: 250, promptTokens: 5000};
 
@@ -61,6 +61,14 @@
 		expect(placement?.firstEventMs).toBeLessThan(longPrompt.objectiveMs);
 	});
 
+	test('are not read with the help of servers that help as many as they can', () => {
+		const helping = {...idle, helped: 11, readers: 11};
+		const placement = findPromptPlacement(fixtureEngine, createCandidates([idle, helping, helping, idle, idle, idle]), longPrompt);
+		const helpers = placement?.helpers.map(({endpoint}) => endpoint.id);
+		expect(helpers).not.toContain('models-1');
+		expect(helpers).not.toContain('models-2');
+	});
+
 	test('are spread wide when every server has short writers, so that no pause is lost', () => {
 		const placement = findPromptPlacement(
 			fixtureEngine,
--- a/packages/core/src/gateway/placement.ts
+++ b/packages/core/src/gateway/placement.ts
@@ -74,8 +74,11 @@
 
 /** Cost of the last free slot, which another gateway may take at the same moment. */
 const lastSlotCost = 0.8;
-/** Cost of memory that has to be set aside at another server, as a share of the request's value. */
+/** Cost of memory that has to be set aside at another server: of its orders, and as a share of the request's value. */
+const leastReservationCost = 0.3;
 const reservationCost = 0.05;
+/** Requests that a server can help with at once are as many as its slots; so many are left to what is not known yet. */
+const spareHelps = 3;
 /** Share of a server's memory that is planned for; the rest is for answers as they grow and for what is not yet known. */
 const plannedMemoryShare = 0.93;
 /** Least memory that is worth a reservation. */
@@ -151,7 +154,7 @@
 	}
 
 	if (getFreeTokens(engine, load) < demand.promptTokens) {
-		cost += weight * reservationCost;
+		cost += leastReservationCost + (weight * reservationCost);
 	}
 
 	if (demand.longestPauseMs <= shortPauseMs && !hasShortWriter(load)) {
@@ -200,7 +203,7 @@
 
 	const others = helperCount === 0
 		? []
-		: candidates.filter(candidate => candidate !== receiver.candidate).map((candidate): Part => {
+		: candidates.filter(candidate => candidate !== receiver.candidate && candidate.load.helped < engine.slots - spareHelps).map((candidate): Part => {
 			const readyMs = getPartReadMs(engine, candidate.load, readMs);
 			return {candidate, readyMs, cost: getWritersLoss(engine, candidate.load, readMs) + getDelayCost(weight, readyMs, demand)};
 		});
--- a/packages/core/src/gateway/relay-types.ts
+++ b/packages/core/src/gateway/relay-types.ts
@@ -24,6 +24,8 @@
 	/** The connection failed; `wasSent` is false only if nothing can have reached the endpoint. */
 		| Readonly<{kind: 'sendFailed'; sendId: SendId; wasSent: boolean; detail: string}>
 		| Readonly<{kind: 'memoryAnswered'; reservationId: ReservationId; isHeld: boolean}>
+	/** A probe of the send's endpoint was answered. */
+		| Readonly<{kind: 'probeAnswered'; sendId: SendId}>
 		| Readonly<{kind: 'clientGone'}>
 		| Readonly<{kind: 'timePassed'}>;
 
@@ -40,6 +42,8 @@
 	/** Sets memory aside, or renews that. */
 	| Readonly<{kind: 'reserveMemory'; key: RequestKey; reservation: Reservation}>
 	| Readonly<{kind: 'releaseMemory'; reservation: Reservation}>
+	/** Asks the send's endpoint for a sign of life. */
+	| Readonly<{kind: 'probeEndpoint'; key: RequestKey; sendId: SendId; endpoint: ListedEndpoint}>
 	| Readonly<{kind: 'cancelSend'; sendId: SendId}>
 	| Readonly<{
 		kind: 'startAnswer';
--- a/packages/core/src/gateway/relayed-request.test.ts
+++ b/packages/core/src/gateway/relayed-request.test.ts
@@ -30,6 +30,10 @@
 			return ['release'];
 		}
 
+		case 'probeEndpoint': {
+			return ['probe'];
+		}
+
 		case 'cancelSend': {
 			return ['cancel'];
 		}
@@ -182,7 +186,15 @@
 	test('is sent again when its endpoint goes silent', () => {
 		const run = start({...fixtureLookup, timeoutMs: 5000});
 		expect(run.gateway.step({kind: 'timePassed'}, 899).flatMap(action => formatAction(action))).toEqual([]);
-		expect(run.gateway.step({kind: 'timePassed'}, 901).flatMap(action => formatAction(action))).toEqual(['cancel', 'send shop']);
+		expect(run.gateway.step({kind: 'timePassed'}, 901).flatMap(action => formatAction(action))).toEqual(['probe']);
+		expect(run.gateway.step({kind: 'timePassed'}, 1202).flatMap(action => formatAction(action))).toEqual(['cancel', 'send shop']);
+	});
+
+	test('is left with an endpoint that answers a probe', () => {
+		const run = start({...fixtureLookup, timeoutMs: 5000});
+		run.gateway.step({kind: 'timePassed'}, 901);
+		expect(run.step({kind: 'probeAnswered', sendId: run.getSendId()}, 910)).toEqual([]);
+		expect(run.gateway.step({kind: 'timePassed'}, 1202).flatMap(action => formatAction(action))).toEqual([]);
 	});
 
 	test.each([
@@ -256,6 +268,31 @@
 	});
 });
 
+describe('a helper that can not help', () => {
+	const prompt = {promptTokens: 180_000, maximumTokens: 1000};
+	const route = {
+		...fixtureStream, timeoutMs: 15_000, objectiveMs: 3000, longestPauseMs: 1000,
+	};
+
+	function refuse(run: Run, now: number): readonly RelayAction[] {
+		const head = createFixtureHead({
+			status: 503, isNotRun: true, hasStamp: false, faultyAddress: '10.0.6.3:80',
+		});
+		return run.gateway.step({kind: 'requestChanged', key: 1, event: {kind: 'answerStarted', sendId: run.getSendId(), head}}, now);
+	}
+
+	function getUsedAddresses(actions: readonly RelayAction[]): readonly string[] {
+		return actions.flatMap(action => action.kind === 'send' ? [action.endpoint.address, ...action.helpers.map(({address}) => address)] : []);
+	}
+
+	test('is left out for this request, and used for others when it was only busy', () => {
+		const run = start(route, {prompt});
+		expect(getUsedAddresses(refuse(run, 20))).not.toContain('10.0.6.3:80');
+		const others = Array.from({length: 16}, (_, index) => run.gateway.step({kind: 'requestArrived', request: createFixtureRequest(fixtureStream, {key: index + 2})}, 30));
+		expect(others.flatMap(actions => getUsedAddresses(actions)).length).toBe(16);
+	});
+});
+
 describe('a full pool', () => {
 	test('refuses at once a prompt whose first event would come when its caller is about to leave', () => {
 		const run = createRun();
--- a/packages/core/src/gateway/relayed-request.ts
+++ b/packages/core/src/gateway/relayed-request.ts
@@ -47,6 +47,8 @@
 
 /** Sends beyond the route's limit of endpoints that may be refused as not run. */
 const maximumRefusedSends = 3;
+/** Longest time in which an endpoint answers that a helper can't help now. */
+const quickRefusalMs: Milliseconds = 500;
 /** Groups of endpoints that are asked for memory before a prompt is refused. */
 const maximumFailedReservations = 3;
 /** Longest wait for memory to be set aside; the first event is due within seconds. */
@@ -64,7 +66,9 @@
 	/** Multiple of the longest pause, between events. */
 	pauseFactor: 4,
 	/** Pause between looks at a request that is silent but not lost. */
-	recheckMs: 250,
+	recheckMs: 500,
+	/** Wait for the answer to a probe; endpoints answer probes at once, beside their other work. */
+	probeMs: 300,
 } as const;
 
 const okStatus = 200;
@@ -85,6 +89,7 @@
 	lastProgressAt: Timestamp;
 	/** When to look again whether the request is lost. */
 	checkAt: Timestamp;
+	isProbed: boolean;
 	hasEvents: boolean;
 };
 
@@ -169,6 +174,7 @@
 			sentAt: now,
 			lastProgressAt: now,
 			checkAt: now,
+			isProbed: false,
 			hasEvents: false,
 		};
 		current.checkAt = now + (current.memory === undefined ? getSilenceLimitMs(current) : reservationTimeoutMs);
@@ -379,8 +385,12 @@
 		const faulty = head.faultyAddress === undefined ? undefined : host.registry.findByAddress(head.faultyAddress);
 		const isReplaced = head.status === misdirectedStatus;
 		if (faulty !== undefined && faulty.id !== endpointId) {
-			host.registry.recordFailure(faulty.id, now);
 			excluded.delete(endpointId);
+			excluded.add(faulty.id);
+			// A helper that is busy is named at once, and one that is dead after a stall.
+			if (now - refused.sentAt > quickRefusalMs) {
+				host.registry.recordFailure(faulty.id, now);
+			}
 		} else if (isReplaced) {
 			host.registry.recordReplaced(endpointId);
 		} else {
@@ -546,11 +556,34 @@
 			return handleMemoryFailure(current, current.memory, now);
 		}
 
-		const {placement, lastProgressAt} = current;
-		const isLost = mayRepeat && canSendAgain() && host.registry.isLost(placement.endpoint.id, getSentWork(current), lastProgressAt);
-		if (!isLost || !host.budget.trySpend(request.service, now)) {
-			current.checkAt = now + silenceLimits.recheckMs;
-			return renewals;
+		return [...renewals, ...checkSilence(current, now)];
+	}
+
+	/** Sends a silent request again if it is lost; an endpoint that was not heard lately is probed first. */
+	function checkSilence(silent: Send, now: Timestamp): readonly RelayAction[] {
+		const {placement, lastProgressAt, isProbed} = silent;
+		const {id} = placement.endpoint;
+		silent.checkAt = now + silenceLimits.recheckMs;
+		silent.isProbed = false;
+		if (!mayRepeat || !canSendAgain()) {
+			return [];
+		}
+
+		const isOvertaken = host.registry.isOvertaken(id, getSentWork(silent), lastProgressAt);
+		if (!isOvertaken && host.registry.isHeardSince(id, now - silenceLimits.minimumMs)) {
+			return [];
+		}
+
+		if (!isOvertaken && !isProbed) {
+			silent.isProbed = true;
+			silent.checkAt = now + silenceLimits.probeMs;
+			return [{
+				kind: 'probeEndpoint', key: request.key, sendId: silent.id, endpoint: placement.endpoint,
+			}];
+		}
+
+		if (!host.budget.trySpend(request.service, now)) {
+			return [];
 		}
 
 		host.registry.recordFailure(placement.endpoint.id, now);
@@ -591,6 +624,14 @@
 				return event.sendId === current?.id ? handleSendFailure(event.wasSent, event.detail, now) : [];
 			}
 
+			case 'probeAnswered': {
+				if (event.sendId === current?.id) {
+					host.registry.recordAlive(current.placement.endpoint.id, now);
+				}
+
+				return [];
+			}
+
 			case 'memoryAnswered': {
 				return recordMemory(event.reservationId, event.isHeld, now);
 			}
--- a/packages/gateway/src/endpoint-client.ts
+++ b/packages/gateway/src/endpoint-client.ts
@@ -160,7 +160,7 @@
 		},
 		async order(address, {method, target, headers, body}) {
 			const response = await getPool(address).request({
-				method, path: target, headers: [...headers], body, signal: AbortSignal.timeout(orderTimeoutMs),
+				method, path: target, headers: [...headers], ...(body === '' ? {} : {body}), signal: AbortSignal.timeout(orderTimeoutMs),
 			});
 			await response.body.dump();
 			return response.statusCode;
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -87,6 +87,11 @@
 				return;
 			}
 
+			case 'probeEndpoint': {
+				void performProbe(action);
+				return;
+			}
+
 			case 'cancelSend': {
 				host.client.cancel(action.sendId);
 				return;
@@ -209,6 +214,16 @@
 		dispatchRequest(key, {kind: 'memoryAnswered', reservationId: reservation.id, isHeld});
 	}
 
+	/** Any answer is a sign of life; without one, the request's own time runs out. */
+	async function performProbe({key, sendId, endpoint}: Extract<RelayAction, {kind: 'probeEndpoint'}>): Promise<void> {
+		try {
+			await host.client.order(endpoint.address, host.dialect.formatProbe());
+			dispatchRequest(key, {kind: 'probeAnswered', sendId});
+		} catch (error) {
+			host.logger.info('probeFailed', {endpoint: endpoint.id, sendId, reason: getErrorText(error)});
+		}
+	}
+
 	/** Frees memory; without an answer it is tried once more, and then left to the end of its hold. */
 	async function performRelease(reservation: Reservation): Promise<void> {
 		const order = host.dialect.formatRelease(reservation);
--- a/packages/gateway/src/gateway-hosts.ts
+++ b/packages/gateway/src/gateway-hosts.ts
@@ -46,6 +46,8 @@
 	formatReservation(reservation: Reservation): EndpointOrder;
 	/** Returns the order that frees memory which was set aside. */
 	formatRelease(reservation: Reservation): EndpointOrder;
+	/** Returns the call that an endpoint answers at once while it lives. */
+	formatProbe(): EndpointOrder;
 	/** Returns the headers of a failure that the gateway itself answers. */
 	formatFailureHead(failure: Failure, requestId: string): RawHeaders;
 }>;
