--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -15,8 +15,9 @@
 } from './gateway-types.js';
 import {createLoadView, type GatewayName, type Work} from './load-view.js';
 import {
-	findPromptPlacement, findServicePlacement, getCandidates, getPatienceMs, type Placement,
+	findPromptPlacement, findServicePlacement, getCandidates, type Placement,
 } from './placement.js';
+import {getPatienceMs} from './placement-cost.js';
 import type {
 	GatewayEvent, RelayAction, RelayEvent, SendId,
 } from './relay-types.js';
--- a/packages/core/src/gateway/placement.test.ts
+++ b/packages/core/src/gateway/placement.test.ts
@@ -2,9 +2,8 @@
 import {getReadMs} from './engine-timing.js';
 import {createFixtureEndpoints, fixtureEngine} from './gateway-fixtures.js';
 import type {EndpointLoad, Writer} from './load-view.js';
-import {
-	findPromptPlacement, findServicePlacement, type Candidate, type PromptDemand,
-} from './placement.js';
+import {findPromptPlacement, findServicePlacement} from './placement.js';
+import type {Candidate, PromptDemand} from './placement-cost.js';
 
 const idle: EndpointLoad = {
 	requests: 0, readMs: 0, readers: 0, helped: 0, writers: [], memoryTokens: 0,
