Watch the time of day alone for suspensions, and watch the configuration for one second at a time

Cause: an incident's logs showed clockJumped every 1.5 s on every gateway: the uptime that a process reads does not follow its own time there, and each alarm refused keys until the store had answered. Ruled out: stepped clocks (most alarms fell on quiet seconds). Watches of 1.5 s let the age of the knowledge pass the 2.5 s after which an unknown route is answered 503; with 1 s it stays below.

--- a/packages/gateway/src/clock-watch.ts
+++ b/packages/gateway/src/clock-watch.ts
@@ -1,44 +1,39 @@
 /**
 Notices when time has passed that the steady clock does not show: a host that was suspended has old knowledge which
-looks fresh.
+looks fresh. The time of day counts suspension, and moves for other reasons too; both are taken alike.
 */
-import os from 'node:os';
 import type {Milliseconds} from '@currantcross/core/types';
 
 export type ClockWatch = Readonly<{
-	/** Returns whether other clocks have moved against the steady one since the last call. */
+	/** Returns whether the time of day has moved against the steady clock since the last call. */
 	hasJumped(): boolean;
 }>;
 
-/** A clock besides the steady one, and the difference that is put down to its reading. */
-type OtherClock = Readonly<{read: () => Milliseconds; toleranceMs: Milliseconds}>;
-
-const millisecondsPerSecond = 1000;
+/** Clocks that a watch compares, in milliseconds. */
+export type Clocks = Readonly<{
+	getSteadyMs(): Milliseconds;
+	getTimeOfDayMs(): Milliseconds;
+}>;
 
-const otherClocks: readonly OtherClock[] = [
-	// Slewing moves the time of day by far less between two looks.
-	{read: () => Date.now(), toleranceMs: 400},
-	// The system's uptime, which counts suspension, may be given in whole seconds.
-	{read: () => os.uptime() * millisecondsPerSecond, toleranceMs: 1300},
-];
+/** Difference that is put down to slewing; what a host learns in a shorter suspension is not out of date. */
+const toleranceMs: Milliseconds = 400;
 
-function readOffsets(): readonly Milliseconds[] {
-	const steady = performance.now();
-	return otherClocks.map(({read}) => read() - steady);
-}
+/** The clocks of this process. */
+export const processClocks: Clocks = {getSteadyMs: () => performance.now(), getTimeOfDayMs: () => Date.now()};
 
 /** Creates a watch that starts with the clocks as they are. */
-export function createClockWatch(): ClockWatch {
-	let offsets = readOffsets();
+export function createClockWatch({getSteadyMs, getTimeOfDayMs}: Clocks): ClockWatch {
+	const getOffsetMs = (): Milliseconds => getTimeOfDayMs() - getSteadyMs();
+	let offsetMs = getOffsetMs();
 	return {
 		hasJumped() {
-			const current = readOffsets();
-			const isMoved = current.some((offset, index) => Math.abs(offset - (offsets[index] ?? offset)) > (otherClocks[index]?.toleranceMs ?? 0));
-			if (isMoved) {
-				offsets = current;
+			const currentMs = getOffsetMs();
+			if (Math.abs(currentMs - offsetMs) <= toleranceMs) {
+				return false;
 			}
 
-			return isMoved;
+			offsetMs = currentMs;
+			return true;
 		},
 	};
 }
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -15,7 +15,7 @@
 import {startPeerServer} from '@currantcross/peer/peer-server';
 import {startCallerServer} from './caller-server.js';
 import type {CallerExchange} from './caller-exchange.js';
-import {createClockWatch} from './clock-watch.js';
+import {createClockWatch, processClocks} from './clock-watch.js';
 import {createEndpointClient} from './endpoint-client.js';
 import {createGatewayDriver} from './gateway-driver.js';
 import type {
@@ -68,7 +68,7 @@
 	const metrics = createGatewayMetrics(gateway.getOpenRequestCount);
 	const client = createEndpointClient();
 	const connections = createConnections({...defaultConnectionSettings, sharedKey, tls: undefined});
-	const clockWatch = createClockWatch();
+	const clockWatch = createClockWatch(processClocks);
 	let requestCount = 0;
 	let stoppedAt: number | undefined;
 	let wasReady = false;
--- a/packages/gateway/src/platform-feed.ts
+++ b/packages/gateway/src/platform-feed.ts
@@ -29,7 +29,7 @@
 }>;
 
 /** How long a watch waits. A key works for some seconds after the last answer, which must cover two watches. */
-const watchWaitMs: Milliseconds = 1500;
+const watchWaitMs: Milliseconds = 1000;
 /** Pause between reads of the endpoints; well below the time that the platform gives to stop using one that leaves. */
 const endpointPollMs: Milliseconds = 700;
 const gatewayPollMs: Milliseconds = 3000;
