--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -93,7 +93,7 @@
 
 		const usefulMs = Math.min(request.deadlineAt - now, getPatienceMs(request.route) * usedPatienceShare);
 		if (placement.firstEventMs > usefulMs) {
-			return refuse(createNotRun('deadlineUnreachable', undefined, Math.max(noEndpointRetryMs, placement.firstEventMs)));
+			return refuse(createNotRun('deadlineUnreachable', undefined, Math.ceil(Math.max(noEndpointRetryMs, placement.firstEventMs))));
 		}
 
 		return {kind: 'placed', placement, candidates: endpoints.length};
--- a/packages/core/src/gateway/relayed-request.ts
+++ b/packages/core/src/gateway/relayed-request.ts
@@ -8,7 +8,7 @@
 import {createNotRun, type ErrorKind, type Failure} from '../errors.js';
 import type {Milliseconds, Timestamp} from '../types.js';
 import type {EndpointRegistry, SentWork} from './endpoint-registry.js';
-import {createEventSplitter, type EventSplitter, type StreamEvent} from './event-splitter.js';
+import {createEventSplitter, type StreamEvent} from './event-splitter.js';
 import type {EndpointAnswerHead, EndpointId, GatewayRequest} from './gateway-types.js';
 import type {WorkChange} from './load-view.js';
 import {
@@ -18,6 +18,9 @@
 import type {
 	RelayAction, RelayEvent, SendId, SendResult,
 } from './relay-types.js';
+import {
+	getSilenceLimitMs, isStreamAnswer, parseEventNumber, silenceLimits, type SavedAnswer, type Send,
+} from './relay-send.js';
 import type {SendBudget} from './send-budget.js';
 
 /** What a request needs of its gateway. */
@@ -56,53 +59,10 @@
 /** Least time that is worth a send. */
 const shortestSendMs: Milliseconds = 30;
 
-const silenceLimits = {
-	/** Shortest silence that is taken as a failure; passes of a busy server take up to half a second. */
-	minimumMs: 900,
-	/** Longest wait for a stream that has gone silent. */
-	maximumMs: 6000,
-	/** Multiple of the objective, for the first event. */
-	objectiveFactor: 2.5,
-	/** Multiple of the longest pause, between events. */
-	pauseFactor: 4,
-	/** Pause between looks at a request that is silent but not lost. */
-	recheckMs: 500,
-	/** Wait for the answer to a probe; endpoints answer probes at once, beside their other work. */
-	probeMs: 300,
-} as const;
-
-const okStatus = 200;
 const firstErrorStatus = 300;
 const firstServerErrorStatus = 500;
 const misdirectedStatus = 421;
 
-type Send = {
-	readonly id: SendId;
-	readonly placement: Placement;
-	readonly splitter: EventSplitter;
-	readonly chunks: Uint8Array[];
-	/** Memory at other endpoints that the request needs; it is sent once that is held. */
-	readonly memory: MemoryReservation | undefined;
-	head: EndpointAnswerHead | undefined;
-	readonly sentAt: Timestamp;
-	/** When bytes came last, or the request was sent. */
-	lastProgressAt: Timestamp;
-	/** When to look again whether the request is lost. */
-	checkAt: Timestamp;
-	isProbed: boolean;
-	hasEvents: boolean;
-};
-
-type SavedAnswer = Readonly<{head: EndpointAnswerHead; chunks: readonly Uint8Array[]}>;
-
-function isStreamAnswer(request: GatewayRequest, head: EndpointAnswerHead): boolean {
-	return request.route.kind === 'streaming' && head.status === okStatus;
-}
-
-function parseEventNumber(id: string | undefined): number | undefined {
-	return id !== undefined && /^\d+$/v.test(id) ? Number(id) : undefined;
-}
-
 /** Creates the machine of one request. */
 export function createRelayedRequest(request: GatewayRequest, host: RelayHost): RelayedRequest {
 	const {route} = request;
@@ -122,14 +82,6 @@
 	let longestPauseMs: Milliseconds = 0;
 	let hasEnded = false;
 
-	function getSilenceLimitMs(send: Send): Milliseconds {
-		const {minimumMs, maximumMs, objectiveFactor, pauseFactor} = silenceLimits;
-		const usualMs = send.hasEvents
-			? route.longestPauseMs * pauseFactor
-			: Math.max(route.objectiveMs * objectiveFactor, send.placement.firstEventMs * 2);
-		return Math.min(maximumMs, Math.max(minimumMs, usualMs));
-	}
-
 	function canSendAgain(): boolean {
 		if (sendCount >= route.maximumEndpoints + maximumRefusedSends || runCount >= route.maximumEndpoints) {
 			return false;
@@ -177,7 +129,7 @@
 			isProbed: false,
 			hasEvents: false,
 		};
-		current.checkAt = now + (current.memory === undefined ? getSilenceLimitMs(current) : reservationTimeoutMs);
+		current.checkAt = now + (current.memory === undefined ? getSilenceLimitMs(route, current) : reservationTimeoutMs);
 		excluded.add(placement.endpoint.id);
 		return [
 			{
@@ -249,7 +201,7 @@
 			}
 
 			case 'held': {
-				current.checkAt = now + getSilenceLimitMs(current);
+				current.checkAt = now + getSilenceLimitMs(route, current);
 				return dispatchSend(current, now);
 			}
 
@@ -598,7 +550,7 @@
 
 	function recordProgress(send: Send, now: Timestamp): void {
 		send.lastProgressAt = now;
-		send.checkAt = now + getSilenceLimitMs(send);
+		send.checkAt = now + getSilenceLimitMs(route, send);
 		host.registry.recordProgress(send.placement.endpoint.id, getSentWork(send), now);
 	}
 
