Read settings files in one place, and take the peers' key from the settings

Cause: two copies of one check, found by comparing the change with the tree; a key that stood in the code.

--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -2,8 +2,7 @@
 Settings of the daemons: JSON, checked whole, unknown keys refused. Keys are never in the settings, only their files.
 */
 import {readFileSync} from 'node:fs';
-import {getProblems} from '@currantcross/core/ticket';
-import {readJsonFile} from '@currantcross/operator/commands';
+import {readSettingsFile} from '@currantcross/operator/settings-file';
 import {UsageError} from '@currantcross/operator/usage-error';
 import {z} from 'zod';
 
@@ -83,13 +82,7 @@
 @throws UsageError that names the file, the key's path and what is wanted.
 */
 export function readSettings(file: string): DaemonSettings {
-	const result = settingsSchema.safeParse(readJsonFile(file));
-	if (result.success) {
-		return result.data;
-	}
-
-	const [problem] = getProblems(result.error);
-	throw new UsageError(`${file}: ${problem?.path ?? ''}: ${problem?.message ?? ''}`);
+	return readSettingsFile(file, settingsSchema);
 }
 
 /**
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -48,11 +48,9 @@
 const stopMarginMs = 400;
 const stopPollMs = 50;
 
-/** All gateways of a deployment run on hosts of its own network; the key keeps apart deployments that share one. */
-const sharedKey = 'currantcross-gateway';
-
 /** Starts a gateway and returns once it listens. */
 export async function startGatewayDaemon(settings: GatewayDaemonSettings, host: GatewayDaemonHost): Promise<GatewayDaemon> {
+	const {peerKey: sharedKey} = settings;
 	const logger = createBoundedLogger(settings.logLevel, {process: settings.name});
 	const gateway = createGateway({
 		name: settings.name,
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -1,9 +1,7 @@
 /**
 Settings of a gateway: JSON, checked whole, unknown keys refused.
 */
-import {getProblems} from '@currantcross/core/ticket';
-import {readJsonFile} from '@currantcross/operator/commands';
-import {UsageError} from '@currantcross/operator/usage-error';
+import {readSettingsFile} from '@currantcross/operator/settings-file';
 import {z} from 'zod';
 
 const addressPattern = /^(?<ip>[\d.]+):(?<port>\d+)$/v;
@@ -19,6 +17,8 @@
 	readinessAddress: addressSchema,
 	/** Where other gateways connect. */
 	peerAddress: addressSchema,
+	/** Keeps deployments apart that share a network; the same at all gateways of one. */
+	peerKey: z.string().min(1).default('currantcross'),
 	/** Where metrics are read. */
 	metricsAddress: addressSchema,
 	platformAddress: addressSchema,
@@ -50,11 +50,5 @@
 @throws UsageError that names the file, the key's path and what is wanted.
 */
 export function readGatewaySettings(file: string): GatewayDaemonSettings {
-	const result = settingsSchema.safeParse(readJsonFile(file));
-	if (result.success) {
-		return result.data;
-	}
-
-	const [problem] = getProblems(result.error);
-	throw new UsageError(`${file}: ${problem?.path ?? ''}: ${problem?.message ?? ''}`);
+	return readSettingsFile(file, settingsSchema);
 }
