Let a huge prompt that comes late anyway wait for a better moment

Change: a prompt that would be late, and by which others would lose, waits as long as it can still be answered in time.

--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -51,9 +51,24 @@
 
 /** Share of a caller's patience beyond which a first event is predicted to come too late to be of use. */
 const usedPatienceShare = 0.7;
+/** Harm to others, in short requests that come late, up to which a late prompt is read at once. */
+const maximumHarm = 2;
+/** Part of its predicted time that a deferred prompt keeps in reserve. */
+const deferralMargin = 1.3;
+/** Pause between looks for a better moment. */
+const deferralMs: Milliseconds = 200;
 /** When a caller should come back that found no endpoint. */
 const noEndpointRetryMs: Milliseconds = 400;
 
+/**
+Returns whether a prompt should wait: it comes late anyway, others would lose much by it now, and there is time to read it
+later.
+*/
+function isDeferred({route, arrivedAt, deadlineAt}: GatewayRequest, {firstEventMs, harm}: Placement, now: Timestamp): boolean {
+	const latestFirstEventAt = Math.min(deadlineAt, arrivedAt + (getPatienceMs(route) * usedPatienceShare));
+	return firstEventMs > route.objectiveMs && harm > maximumHarm && now + (firstEventMs * deferralMargin) < latestFirstEventAt;
+}
+
 /** Creates a gateway that knows nothing yet. */
 export function createGateway(settings: GatewaySettings): Gateway {
 	const configuration = createConfigurationState(settings.configuration);
@@ -91,6 +106,10 @@
 			return refuse(createNotRun('overloaded', 'no endpoint is available', noEndpointRetryMs));
 		}
 
+		if (isDeferred(request, placement, now)) {
+			return {kind: 'deferred', untilAt: now + deferralMs};
+		}
+
 		const usefulMs = Math.min(request.deadlineAt - now, getPatienceMs(request.route) * usedPatienceShare);
 		if (placement.firstEventMs > usefulMs) {
 			return refuse(createNotRun('deadlineUnreachable', undefined, Math.ceil(Math.max(noEndpointRetryMs, placement.firstEventMs))));
--- a/packages/core/src/gateway/placement-cost.ts
+++ b/packages/core/src/gateway/placement-cost.ts
@@ -153,7 +153,7 @@
 /** Returns how many servers the short prompts need that are open now. */
 function getServersForShort(engine: EngineProfile, candidates: readonly Candidate[]): number {
 	const requests = candidates.reduce((sum, {load}) => sum + (hasShortWriter(load) ? load.requests : 0), 0);
-	return (requests / (engine.slots * shortFillShare)) + (candidates.length * spareServerShare);
+	return requests === 0 ? 0 : (requests / (engine.slots * shortFillShare)) + (candidates.length * spareServerShare);
 }
 
 /** Returns the cost of reading on so many servers that too few are left for short prompts that come meanwhile. */
--- a/packages/core/src/gateway/placement.ts
+++ b/packages/core/src/gateway/placement.ts
@@ -27,6 +27,8 @@
 	readMs: Milliseconds;
 	/** Predicted time to the first event. */
 	firstEventMs: Milliseconds;
+	/** What other requests lose by it, in units of a short request that comes late. */
+	harm: number;
 }>;
 
 /** Most endpoints that may help, by the servers' protocol. */
@@ -86,12 +88,18 @@
 
 	const parts = [receiver, ...helpers];
 	const firstEventMs = Math.max(...parts.map(({readyMs}) => readyMs));
-	const harm = parts.reduce((sum, part) => sum + part.cost - getDelayCost(weight, part.readyMs, demand), 0);
+	const partsCost = parts.reduce((sum, part) => sum + part.cost - getDelayCost(weight, part.readyMs, demand), 0);
+	const blockingCost = getBlockingCost(engine, candidates, new Set(parts.map(({candidate}) => candidate)), readMs);
+	const harm = blockingCost + parts.reduce((sum, {candidate}) => sum + getWritersLoss(engine, candidate.load, readMs), 0);
 	return {
 		placement: {
-			endpoint: receiver.candidate.endpoint, helpers: helpers.map(({candidate}, index) => ({endpoint: candidate.endpoint, reservedTokens: reserved[index] ?? 0})), readMs, firstEventMs,
+			endpoint: receiver.candidate.endpoint,
+			helpers: helpers.map(({candidate}, index) => ({endpoint: candidate.endpoint, reservedTokens: reserved[index] ?? 0})),
+			readMs,
+			firstEventMs,
+			harm,
 		},
-		cost: harm + getDelayCost(weight, firstEventMs, demand) + (helperCount * readerCost) + getBlockingCost(engine, candidates, new Set(parts.map(({candidate}) => candidate)), readMs)
+		cost: partsCost + getDelayCost(weight, firstEventMs, demand) + (helperCount * readerCost) + blockingCost
 			+ (reserved.filter(tokens => tokens > 0).length * getReservationCost(weight)),
 	};
 }
@@ -125,7 +133,7 @@
 	return best === undefined
 		? undefined
 		: {
-			endpoint: best.endpoint, helpers: [], readMs: 0, firstEventMs: 0,
+			endpoint: best.endpoint, helpers: [], readMs: 0, firstEventMs: 0, harm: 0,
 		};
 }
 
--- a/packages/core/src/gateway/relayed-request.test.ts
+++ b/packages/core/src/gateway/relayed-request.test.ts
@@ -293,6 +293,46 @@
 	});
 });
 
+describe('a huge prompt that comes late anyway', () => {
+	const prompt = {promptTokens: 500_000, maximumTokens: 1000};
+	const route = {
+		...fixtureStream, timeoutMs: 15_000, objectiveMs: 3000, longestPauseMs: 1000,
+	};
+
+	/** Returns a pool whose servers all write short answers, and the ids of their requests. */
+	function startBusyPool(): Run {
+		const run = createRun();
+		for (let id = 0; id < 16 * 3; id += 1) {
+			const work = {
+				id, endpoint: `models-${id % 16}`, helpers: [], promptTokens: 5000, readMs: 34, longestPauseMs: 250,
+			};
+			run.gateway.step({kind: 'peerWorkChanged', gateway: 'gateway-2', change: {kind: 'started', work}}, 0);
+			run.gateway.step({kind: 'peerWorkChanged', gateway: 'gateway-2', change: {kind: 'writing', id}}, 0);
+		}
+
+		return run;
+	}
+
+	function step(run: Run, now: number): readonly string[] {
+		return run.gateway.step({kind: 'timePassed'}, now).flatMap(action => formatAction(action));
+	}
+
+	test('waits while short answers would be late by it, and is read once they have ended', () => {
+		const run = startBusyPool();
+		expect(run.submit(createFixtureRequest(route, {prompt}))).toEqual([]);
+		expect(step(run, 200)).toEqual([]);
+		run.gateway.step({kind: 'peerLost', gateway: 'gateway-2'}, 300);
+		expect(step(run, 400).length).toBeGreaterThan(0);
+	});
+
+	test('waits no longer than it can and still be answered', () => {
+		const run = startBusyPool();
+		run.submit(createFixtureRequest(route, {prompt}));
+		const startedAt = Array.from({length: 75}, (_, index) => (index + 1) * 200).find(now => step(run, now).length > 0);
+		expect(startedAt).toBeLessThan(6000);
+	});
+});
+
 describe('a full pool', () => {
 	test('refuses at once a prompt whose first event would come when its caller is about to leave', () => {
 		const run = createRun();
--- a/packages/core/src/gateway/relayed-request.ts
+++ b/packages/core/src/gateway/relayed-request.ts
@@ -39,6 +39,8 @@
 
 export type PlacementDecision
 	= | Readonly<{kind: 'placed'; placement: Placement; candidates: number}>
+	/** The request waits for a better moment. */
+		| Readonly<{kind: 'deferred'; untilAt: Timestamp}>
 		| Readonly<{kind: 'refused'; failure: Failure}>;
 
 export type RelayedRequest = Readonly<{
@@ -74,6 +76,8 @@
 	let runCount = 0;
 	let current: Send | undefined;
 	let savedFailure: SavedAnswer | undefined;
+	/** When a request that was deferred is placed. */
+	let waitsUntil = Number.POSITIVE_INFINITY;
 	let hasStartedAnswer = false;
 	let isAnswerUndelimited = false;
 	let {lastEventId} = request;
@@ -107,7 +111,13 @@
 			return end(runCount === 0 ? refusal : lastFailure ?? createFailure('serverLost'));
 		}
 
+		waitsUntil = Number.POSITIVE_INFINITY;
 		const decision = host.choosePlacement(request, excluded, now);
+		if (decision.kind === 'deferred') {
+			waitsUntil = decision.untilAt;
+			return [];
+		}
+
 		if (decision.kind === 'refused') {
 			return end(lastFailure ?? decision.failure);
 		}
@@ -499,6 +509,10 @@
 			return [...cancelCurrent(), ...closeSend('deadline', '', now), ...end(createFailure('deadlineExceeded'))];
 		}
 
+		if (now >= waitsUntil) {
+			return send(now, undefined);
+		}
+
 		const renewals = reserveAgain(now);
 		if (current === undefined || now < current.checkAt) {
 			return renewals;
@@ -614,7 +628,12 @@
 
 	return {
 		step: (event, now) => hasEnded ? [] : apply(event, now),
-		getWakeAt: () => Math.min(request.deadlineAt, current?.checkAt ?? Number.POSITIVE_INFINITY, current?.memory?.getRenewAt() ?? Number.POSITIVE_INFINITY),
+		getWakeAt: () => Math.min(
+			request.deadlineAt,
+			waitsUntil,
+			current?.checkAt ?? Number.POSITIVE_INFINITY,
+			current?.memory?.getRenewAt() ?? Number.POSITIVE_INFINITY,
+		),
 		isEnded: () => hasEnded,
 	};
 }
