--- a/packages/core/src/gateway/placement-cost.ts
+++ b/packages/core/src/gateway/placement-cost.ts
@@ -28,6 +28,11 @@
 /** Share of an aim at which a loss is certain. */
 const lostShare = 1.05;
 
+/** Loss of a whole aim used up, which lets the faster of two safe servers win. */
+const preferenceSlope = 0.02;
+/** Passes until a part is begun: half of the one under way, and its own. */
+const passesUntilRead = 1.5;
+
 /** Prompt length that weighs as much as the fixed part of a request's weight. */
 const tokensPerWeight = 8000;
 
@@ -76,10 +81,10 @@
 
 	const used = valueMs / aimMs;
 	if (used <= safeShare) {
-		return used * 0.02;
+		return used * preferenceSlope;
 	}
 
-	return Math.min(1, (used - safeShare) / (lostShare - safeShare)) + (used * 0.02);
+	return Math.min(1, (used - safeShare) / (lostShare - safeShare)) + (used * preferenceSlope);
 }
 
 function getContextTokens(writers: readonly Writer[]): TokenCount {
@@ -102,7 +107,7 @@
 /** Returns the predicted time until a part that is sent now is read. */
 export function getPartReadMs(engine: EngineProfile, load: EndpointLoad, readMs: Milliseconds): Milliseconds {
 	const passMs = getWritingPassMs(engine, load.writers.length, getContextTokens(load.writers));
-	return (passMs * 1.5) + load.readMs + readMs;
+	return (passMs * passesUntilRead) + load.readMs + readMs;
 }
 
 export function getSlotWaitMs(engine: EngineProfile, load: EndpointLoad): Milliseconds {
--- a/packages/core/src/gateway/placement.ts
+++ b/packages/core/src/gateway/placement.ts
@@ -31,6 +31,8 @@
 	harm: number;
 }>;
 
+/** Share of an endpoint's slots that the way to another data centre counts for. */
+const remoteLoadShare = 0.1;
 /** Most endpoints that may help, by the servers' protocol. */
 const maximumHelpers = 16;
 
@@ -127,7 +129,7 @@
 export function findServicePlacement(candidates: readonly Candidate[], dataCentre: string): Placement | undefined {
 	const ranked = candidates.map(({endpoint, load}) => ({
 		endpoint,
-		cost: (load.requests / Math.max(1, endpoint.slots)) + (endpoint.dataCentre === dataCentre ? 0 : 0.1),
+		cost: (load.requests / Math.max(1, endpoint.slots)) + (endpoint.dataCentre === dataCentre ? 0 : remoteLoadShare),
 	}));
 	const best = findCheapest(ranked);
 	return best === undefined
