--- a/packages/caller/src/http-server.ts
+++ b/packages/caller/src/http-server.ts
@@ -3,6 +3,7 @@
 */
 import {Buffer} from 'node:buffer';
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import {listen} from '@currantcross/core/listen';
 import createRouter from 'find-my-way';
 import VError from 'verror';
 
@@ -124,13 +125,9 @@
 		router.lookup(message, response);
 	});
 	server.keepAliveTimeout = 5000;
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(settings.port, settings.host, resolve);
-	});
-	const address = server.address();
+	const port = await listen(server, {host: settings.host, port: settings.port});
 	return {
-		port: typeof address === 'object' ? address?.port ?? 0 : 0,
+		port,
 		async close() {
 			await new Promise<void>(resolve => {
 				server.close(() => {
--- a/packages/core/src/gateway/gateway-fixtures.ts
+++ b/packages/core/src/gateway/gateway-fixtures.ts
@@ -17,7 +17,6 @@
 	stepMsPerThousandTokens: 0.002_13,
 	readTokensPerMs: 154,
 	readMsPerMillionPairs: 0.162,
-	chunkTokens: 2048,
 };
 
 const commonRoute = {
@@ -59,8 +58,8 @@
 	version: 1,
 	routes: [fixtureStream, fixtureAction, fixtureLookup],
 	services: new Map([
-		['models', {name: 'models', maximumConnections: 300, engine: fixtureEngine}],
-		['shop', {name: 'shop', maximumConnections: 100, engine: undefined}],
+		['models', {name: 'models', engine: fixtureEngine}],
+		['shop', {name: 'shop', engine: undefined}],
 	]),
 	organisationsByKey: new Map([[fixtureKey, 'club']]),
 	limits: {maximumBodyBytes: 1_000_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000},
--- a/packages/core/src/gateway/gateway-parts.test.ts
+++ b/packages/core/src/gateway/gateway-parts.test.ts
@@ -198,13 +198,13 @@
 	test('counts reading at each endpoint and writing at one', () => {
 		const view = createLoadView();
 		view.applyChange('g', {kind: 'started', work}, 0);
-		expect(view.getLoad('b', 60)).toMatchObject({requests: 0, readers: 1, readMs: 400});
-		expect(view.getLoad('b', 260)).toMatchObject({readers: 1, readMs: 200});
+		expect(view.getLoad('b', 60)).toMatchObject({requests: 0, helped: 1, readMs: 400});
+		expect(view.getLoad('b', 260)).toMatchObject({helped: 1, readMs: 200});
 		expect(view.getLoad('b', 1000)).toMatchObject({readMs: 0});
 		expect(view.getLoad('a', 1000)).toMatchObject({readMs: 100});
 		view.applyChange('g', {kind: 'writing', id: 1}, 500);
-		expect(view.getLoad('a', 500)).toMatchObject({requests: 1, readers: 0, memoryTokens: 100_000});
-		expect(view.getLoad('b', 500).readers).toBe(0);
+		expect(view.getLoad('a', 500)).toMatchObject({requests: 1, readMs: 0, memoryTokens: 100_000});
+		expect(view.getLoad('b', 500).helped).toBe(0);
 		view.applyChange('g', {kind: 'ended', id: 1}, 600);
 		expect(view.getLoad('a', 600).requests).toBe(0);
 	});
--- a/packages/core/src/gateway/gateway-types.ts
+++ b/packages/core/src/gateway/gateway-types.ts
@@ -52,12 +52,10 @@
 	readTokensPerMs: number;
 	/** Reading time for a million pairs of a token and an earlier one. */
 	readMsPerMillionPairs: Milliseconds;
-	chunkTokens: TokenCount;
 }>;
 
 export type ServedService = Readonly<{
 	name: string;
-	maximumConnections: number;
 	/** Present where the service's endpoints are model servers. */
 	engine: EngineProfile | undefined;
 }>;
--- a/packages/core/src/gateway/load-view.ts
+++ b/packages/core/src/gateway/load-view.ts
@@ -45,8 +45,6 @@
 	requests: number;
 	/** Reading that is still to be done, for own requests and as a helper. */
 	readMs: Milliseconds;
-	/** Requests that are being read for, here or with this endpoint's help. */
-	readers: number;
 	/** Requests of other endpoints that this one helps to read. */
 	helped: number;
 	writers: readonly Writer[];
@@ -77,7 +75,7 @@
 const rememberedEndpoints = 20_000;
 
 const idleLoad: EndpointLoad = {
-	requests: 0, readMs: 0, readers: 0, helped: 0, writers: [], memoryTokens: 0,
+	requests: 0, readMs: 0, helped: 0, writers: [], memoryTokens: 0,
 };
 
 function getEndpoints(work: Work): readonly EndpointId[] {
@@ -215,7 +213,6 @@
 			return {
 				requests,
 				readMs,
-				readers: unread.length,
 				helped: unread.filter(({isReceiver}) => !isReceiver).length,
 				writers,
 				memoryTokens,
--- a/packages/core/src/gateway/placement.test.ts
+++ b/packages/core/src/gateway/placement.test.ts
@@ -6,13 +6,13 @@
 import type {Candidate, PromptDemand} from './placement-cost.js';
 
 const idle: EndpointLoad = {
-	requests: 0, readMs: 0, readers: 0, helped: 0, writers: [], memoryTokens: 0,
+	requests: 0, readMs: 0, helped: 0, writers: [], memoryTokens: 0,
 };
 const shortWriter: Writer = {longestPauseMs: 250, promptTokens: 5000};
 
 function createLoad(writers: readonly Writer[], readMs = 0): EndpointLoad {
 	return {
-		...idle, writers, requests: writers.length, readMs, readers: readMs > 0 ? 1 : 0, memoryTokens: writers.length * 5000,
+		...idle, writers, requests: writers.length, readMs, memoryTokens: writers.length * 5000,
 	};
 }
 
@@ -61,7 +61,7 @@
 	});
 
 	test('are not read with the help of servers that help as many as they can', () => {
-		const helping = {...idle, helped: 11, readers: 11};
+		const helping = {...idle, helped: 11};
 		const placement = findPromptPlacement(fixtureEngine, createCandidates([idle, helping, helping, idle, idle, idle]), longPrompt);
 		const helpers = placement?.helpers.map(({endpoint}) => endpoint.id);
 		expect(helpers).not.toContain('models-1');
--- a/packages/core/src/gateway/relayed-request.ts
+++ b/packages/core/src/gateway/relayed-request.ts
@@ -12,7 +12,7 @@
 import type {EndpointAnswerHead, EndpointId, GatewayRequest} from './gateway-types.js';
 import type {WorkChange} from './load-view.js';
 import {
-	createMemoryReservation, reservationHoldMs, type MemoryReservation, type ReservationId,
+	createMemoryReservation, reservationHoldMs, type MemoryReservation, type Reservation, type ReservationId,
 } from './memory-reservation.js';
 import type {Placement} from './placement.js';
 import type {
@@ -166,7 +166,7 @@
 					longestPauseMs: route.longestPauseMs,
 				},
 			}, now),
-			...current.memory === undefined ? dispatchSend(current, now) : reserve(current.memory),
+			...current.memory === undefined ? dispatchSend(current, now) : reserve(current.memory.reservations),
 		];
 	}
 
@@ -179,8 +179,8 @@
 		return reservations.length === 0 ? undefined : createMemoryReservation(reservations, now);
 	}
 
-	function reserve(memory: MemoryReservation): readonly RelayAction[] {
-		return memory.reservations.map((reservation): RelayAction => ({kind: 'reserveMemory', key: request.key, reservation}));
+	function reserve(reservations: readonly Reservation[]): readonly RelayAction[] {
+		return reservations.map((reservation): RelayAction => ({kind: 'reserveMemory', key: request.key, reservation}));
 	}
 
 	/** Sends the request to its endpoint, once its memory is held. */
@@ -234,12 +234,6 @@
 		return [...closing, ...(failedReservations > maximumFailedReservations ? end(failure) : send(now, failure))];
 	}
 
-	/** Renews the memory of the current send where that is due. */
-	function reserveAgain(now: Timestamp): readonly RelayAction[] {
-		const renewals = current?.memory?.takeRenewals(now) ?? [];
-		return renewals.map((reservation): RelayAction => ({kind: 'reserveMemory', key: request.key, reservation}));
-	}
-
 	function recordWork(change: WorkChange, now: Timestamp): readonly RelayAction[] {
 		host.recordWork(change, now);
 		return [{kind: 'publishWork', change}];
@@ -513,7 +507,7 @@
 			return send(now, undefined);
 		}
 
-		const renewals = reserveAgain(now);
+		const renewals = reserve(current?.memory?.takeRenewals(now) ?? []);
 		if (current === undefined || now < current.checkAt) {
 			return renewals;
 		}
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -4,6 +4,7 @@
 import {Buffer} from 'node:buffer';
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import {createNotRun, type Failure} from '@currantcross/core/errors';
+import {listen} from '@currantcross/core/listen';
 import type {ServingLimits} from '@currantcross/core/gateway/gateway-types';
 import {createCallerExchange, type CallerExchange} from './caller-exchange.js';
 import type {CallerHead, Dialect} from './gateway-hosts.js';
@@ -23,13 +24,14 @@
 	/** Port on which the server listens. */
 	port: number;
 	setLimits(limits: ServingLimits): void;
-	/** Stops listening and closes idle connections. */
-	closeIdle(): void;
+	/** Stops listening and closes all connections. */
 	close(): void;
 }>;
 
 /** Largest head that is read. The platform's limit for callers lies below. */
 const maximumHeaderBytes = 65_536;
+/** New connections that wait for the process; the system's own limit lies above. */
+const connectionBacklog = 1024;
 const defaultMaximumBodyBytes = 8_388_608;
 /** Time beyond a caller's idle timeout for which a connection is kept, so that its last request does not cross the close. */
 const idleMarginMs = 2000;
@@ -116,22 +118,14 @@
 		});
 		void handle(message, response);
 	});
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen({...address, backlog: 1024}, resolve);
-	});
-	const bound = server.address();
+	const port = await listen(server, {...address, backlog: connectionBacklog});
 	return {
-		port: typeof bound === 'object' ? bound?.port ?? 0 : 0,
+		port,
 		setLimits(limits) {
 			maximumBodyBytes = limits.maximumBodyBytes;
 			server.headersTimeout = limits.headerTimeoutMs;
 			server.keepAliveTimeout = limits.idleTimeoutMs + idleMarginMs;
 		},
-		closeIdle() {
-			server.close();
-			server.closeIdleConnections();
-		},
 		close() {
 			server.close();
 			server.closeAllConnections();
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -2,6 +2,7 @@
 Counters and latency histograms, served as text on an address of the settings.
 */
 import http, {type Server} from 'node:http';
+import {listen} from '@currantcross/core/listen';
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
@@ -73,9 +74,6 @@
 			response.end(text);
 		});
 	});
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(address, resolve);
-	});
+	await listen(server, address);
 	return server;
 }
--- a/packages/gateway/src/platform-feed.ts
+++ b/packages/gateway/src/platform-feed.ts
@@ -43,6 +43,8 @@
 	const {platform, logger, metrics} = host;
 	const timers = new Set<NodeJS.Timeout>();
 	const closing = new AbortController();
+	/** Watches and reads of the configuration go to one store and fail together. */
+	const configurationDependency: Dependency = {name: 'configuration', isLost: false, failures: 0};
 	let revision: Revision | undefined;
 	let isRegistered = false;
 
@@ -94,17 +96,16 @@
 	}
 
 	async function keepConfiguration(): Promise<void> {
-		const dependency: Dependency = {name: 'configuration', isLost: false, failures: 0};
 		while (!closing.signal.aborted) {
 			const startedAt = performance.now();
 			// Each watch continues where the one before ended.
 			// eslint-disable-next-line no-await-in-loop
-			const reading = await call(dependency, readConfiguration);
+			const reading = await call(configurationDependency, readConfiguration);
 			if (reading === undefined) {
 				// The history may be gone, so that the next call reads everything.
 				revision = undefined;
 				// eslint-disable-next-line no-await-in-loop
-				await pause(getRetryMs(dependency));
+				await pause(getRetryMs(configurationDependency));
 			} else {
 				applyReading(reading, startedAt);
 			}
@@ -153,7 +154,7 @@
 		},
 		refresh() {
 			const startedAt = performance.now();
-			void call({name: 'configuration', isLost: false, failures: 0}, async () => platform.readConfiguration()).then(reading => {
+			void call(configurationDependency, async () => platform.readConfiguration()).then(reading => {
 				if (reading !== undefined) {
 					applyReading(reading, startedAt);
 				}
--- a/packages/peer/src/peer-server.ts
+++ b/packages/peer/src/peer-server.ts
@@ -4,6 +4,7 @@
 import http2, {type Http2SecureServer, type Http2Server} from 'node:http2';
 import type {ConnectRouter} from '@connectrpc/connect';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
+import {listen} from '@currantcross/core/listen';
 import {readTlsOptions, type TlsFiles} from './connections.js';
 import {createKeyChecker} from './shared-key.js';
 
@@ -48,13 +49,9 @@
 			session.destroy();
 		});
 	});
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(settings.port, settings.host, resolve);
-	});
-	const address = server.address();
+	const port = await listen(server, {host: settings.host, port: settings.port});
 	return {
-		port: typeof address === 'object' ? address?.port ?? 0 : 0,
+		port,
 		async close() {
 			await new Promise<void>(resolve => {
 				server.close(() => {
--- a/packages/standins/src/byte-relay.ts
+++ b/packages/standins/src/byte-relay.ts
@@ -2,6 +2,7 @@
 Relays bytes between two ends, and can go silent on the connections that exist: both ways dropped, neither closed.
 */
 import net from 'node:net';
+import {listen} from '@currantcross/core/listen';
 
 export type ByteRelay = Readonly<{
 	port: number;
@@ -44,12 +45,9 @@
 		openWay(connection, near, far);
 		openWay(connection, far, near);
 	});
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	const address = server.address();
+	const port = await listen(server, {host: '127.0.0.1', port: 0});
 	return {
-		port: typeof address === 'object' ? address?.port ?? 0 : 0,
+		port,
 		silence() {
 			for (const connection of connections) {
 				connection.isSilent = true;
--- a/packages/standins/src/platform-server-standin.ts
+++ b/packages/standins/src/platform-server-standin.ts
@@ -4,6 +4,7 @@
 */
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import {text} from 'node:stream/consumers';
+import {listen} from '@currantcross/core/listen';
 
 /** What a server does with the requests that it gets. */
 export type ServerBehaviour
@@ -143,12 +144,9 @@
 	const server = http.createServer((message, response) => {
 		void handle(message, response);
 	});
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	const bound = server.address();
+	const port = await listen(server, {host: '127.0.0.1', port: 0});
 	return {
-		address: `127.0.0.1:${typeof bound === 'object' ? bound?.port ?? 0 : 0}`,
+		address: `127.0.0.1:${port}`,
 		runs,
 		getReservations: () => [...reservations.keys()],
 		setBehaviour(next) {
--- a/packages/standins/src/platform-store-standin.ts
+++ b/packages/standins/src/platform-store-standin.ts
@@ -4,6 +4,7 @@
 */
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import {text} from 'node:stream/consumers';
+import {listen} from '@currantcross/core/listen';
 
 export type StoreFault = 'none' | 'busy' | 'silent' | 'reset';
 
@@ -150,12 +151,9 @@
 			}
 		}
 	});
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	const bound = server.address();
+	const port = await listen(server, {host: '127.0.0.1', port: 0});
 	return {
-		address: `127.0.0.1:${typeof bound === 'object' ? bound?.port ?? 0 : 0}`,
+		address: `127.0.0.1:${port}`,
 		put(kind, name, spec) {
 			write(kind, name, spec);
 		},
