Exchange work through a relay in each data centre where gateways are many

A profile showed the cost to lie in the messages, not in the changes.

Now up to eight gateways follow each other as before; beyond that each data centre's host with the most processor relays: it follows the others there and the relays of the other data centres, and all others follow it alone. A stream that tells of a gateway anew replaces what an older one told. When a relay is lost the next one is followed, and what the lost one told is kept for 2.5 s meanwhile. Streams that are not read begin anew beyond 20,000 changes.

Small sites follow each other as before.

--- a/packages/core/src/gateway/gateway-parts.test.ts
+++ b/packages/core/src/gateway/gateway-parts.test.ts
@@ -212,7 +212,7 @@
 	test('drops the requests of a gateway that is lost', () => {
 		const view = createLoadView();
 		view.applyChange('g', {kind: 'started', work}, 0);
-		view.removeGateway('g');
+		view.applyChange('g', {kind: 'reset'}, 0);
 		expect(view.getLoad('a', 0).requests).toBe(0);
 	});
 });
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -13,7 +13,7 @@
 import type {
 	EndpointId, GatewayRequest, ListedEndpoint, RequestKey, ServingConfiguration,
 } from './gateway-types.js';
-import {createLoadView, type GatewayName, type Work} from './load-view.js';
+import {createLoadView, type GatewayName, type WorkChange} from './load-view.js';
 import {
 	findPromptPlacement, findServicePlacement, getCandidates, type Placement,
 } from './placement.js';
@@ -46,7 +46,8 @@
 	/** Returns whether requests can be served. */
 	isReady(): boolean;
 	getOpenRequestCount(): number;
-	getOwnWorks(): ReadonlyArray<Readonly<{work: Work; isWriting: boolean}>>;
+	/** Returns the open work of a gateway, this one or another, as changes. */
+	getWorks(gateway: GatewayName): readonly WorkChange[];
 }>;
 
 /** Share of a caller's patience beyond which a first event is predicted to come too late to be of use. */
@@ -128,7 +129,7 @@
 		createReservationId: (sendId: SendId, index: number) => `${settings.name}.${settings.incarnation}.${sendId}.${index}`,
 		choosePlacement,
 		checkCredential: (request: GatewayRequest, now: Timestamp) => configuration.checkCredential(request.route, request.credential, now),
-		recordWork(change: Parameters<typeof load.applyChange>[1], now: Timestamp) {
+		recordWork(change: WorkChange, now: Timestamp) {
 			load.applyChange(settings.name, change, now);
 		},
 	};
@@ -184,12 +185,10 @@
 			}
 
 			case 'peerWorkChanged': {
-				load.applyChange(event.gateway, event.change, now);
-				return [];
-			}
+				for (const change of event.changes) {
+					load.applyChange(event.gateway, change, now);
+				}
 
-			case 'peerLost': {
-				load.removeGateway(event.gateway);
 				return [];
 			}
 
@@ -219,6 +218,6 @@
 		getConfigurationAgeMs: configuration.getAgeMs,
 		isReady: () => configuration.tryGet() !== undefined && registry.hasList(),
 		getOpenRequestCount: () => requests.size,
-		getOwnWorks: () => load.getWorks(settings.name),
+		getWorks: load.getWorks,
 	};
 }
--- a/packages/core/src/gateway/load-view.ts
+++ b/packages/core/src/gateway/load-view.ts
@@ -32,7 +32,9 @@
 
 /** A change to the requests of one gateway. */
 export type WorkChange
-	= | Readonly<{kind: 'started'; work: Work}>
+	/** All that was told of the gateway before is void; what follows is the whole picture. */
+	= | Readonly<{kind: 'reset'}>
+		| Readonly<{kind: 'started'; work: Work}>
 		| Readonly<{kind: 'writing'; id: WorkId}>
 		| Readonly<{kind: 'ended'; id: WorkId}>;
 
@@ -54,11 +56,9 @@
 
 export type LoadView = Readonly<{
 	applyChange(gateway: GatewayName, change: WorkChange, now: Timestamp): void;
-	/** Forgets all requests of a gateway. */
-	removeGateway(gateway: GatewayName): void;
 	getLoad(endpoint: EndpointId, now: Timestamp): EndpointLoad;
-	/** Returns the requests of one gateway, for a peer that has just connected. */
-	getWorks(gateway: GatewayName): ReadonlyArray<Readonly<{work: Work; isWriting: boolean}>>;
+	/** Returns the requests of one gateway as changes, for a peer that has just connected. */
+	getWorks(gateway: GatewayName): readonly WorkChange[];
 }>;
 
 type TrackedWork = {readonly work: Work; readonly startedAt: Timestamp; isWriting: boolean};
@@ -147,9 +147,22 @@
 		}
 	}
 
+	function removeGateway(gateway: GatewayName): void {
+		for (const tracked of worksByGateway.get(gateway)?.values() ?? []) {
+			removeFromEndpoints(tracked);
+		}
+
+		worksByGateway.delete(gateway);
+	}
+
 	return {
 		applyChange(gateway, change, now) {
 			switch (change.kind) {
+				case 'reset': {
+					removeGateway(gateway);
+					return;
+				}
+
 				case 'started': {
 					removeWork(gateway, change.work.id);
 					const tracked: TrackedWork = {work: change.work, startedAt: now, isWriting: false};
@@ -176,13 +189,6 @@
 				}
 			}
 		},
-		removeGateway(gateway) {
-			for (const tracked of worksByGateway.get(gateway)?.values() ?? []) {
-				removeFromEndpoints(tracked);
-			}
-
-			worksByGateway.delete(gateway);
-		},
 		getLoad(endpoint, now) {
 			const works = worksByEndpoint.get(endpoint);
 			if (works === undefined) {
@@ -219,7 +225,9 @@
 			};
 		},
 		getWorks(gateway) {
-			return [...worksByGateway.get(gateway)?.values() ?? []].map(({work, isWriting}) => ({work, isWriting}));
+			const works = [...worksByGateway.get(gateway)?.values() ?? []];
+			return works.flatMap(({work, isWriting}): readonly WorkChange[] =>
+				isWriting ? [{kind: 'started', work}, {kind: 'writing', id: work.id}] : [{kind: 'started', work}]);
 		},
 	};
 }
--- a/packages/core/src/gateway/relay-types.ts
+++ b/packages/core/src/gateway/relay-types.ts
@@ -90,7 +90,6 @@
 		| Readonly<{kind: 'configurationVerified'; configuration: ServingConfiguration | undefined; verifiedAt: Timestamp}>
 	/** Time may have passed that the steady clock does not show. */
 		| Readonly<{kind: 'clockJumped'}>
-		| Readonly<{kind: 'peerWorkChanged'; gateway: GatewayName; change: WorkChange}>
-		| Readonly<{kind: 'peerLost'; gateway: GatewayName}>
+		| Readonly<{kind: 'peerWorkChanged'; gateway: GatewayName; changes: readonly WorkChange[]}>
 		| Readonly<{kind: 'gatewayCountKnown'; count: number}>
 		| Readonly<{kind: 'timePassed'}>;
--- a/packages/core/src/gateway/relayed-request.test.ts
+++ b/packages/core/src/gateway/relayed-request.test.ts
@@ -306,8 +306,8 @@
 			const work = {
 				id, endpoint: `models-${id % 16}`, helpers: [], promptTokens: 5000, readMs: 34, longestPauseMs: 250,
 			};
-			run.gateway.step({kind: 'peerWorkChanged', gateway: 'gateway-2', change: {kind: 'started', work}}, 0);
-			run.gateway.step({kind: 'peerWorkChanged', gateway: 'gateway-2', change: {kind: 'writing', id}}, 0);
+			run.gateway.step({kind: 'peerWorkChanged', gateway: 'gateway-2', changes: [{kind: 'started', work}]}, 0);
+			run.gateway.step({kind: 'peerWorkChanged', gateway: 'gateway-2', changes: [{kind: 'writing', id}]}, 0);
 		}
 
 		return run;
@@ -321,7 +321,7 @@
 		const run = startBusyPool();
 		expect(run.submit(createFixtureRequest(route, {prompt}))).toEqual([]);
 		expect(step(run, 200)).toEqual([]);
-		run.gateway.step({kind: 'peerLost', gateway: 'gateway-2'}, 300);
+		run.gateway.step({kind: 'peerWorkChanged', gateway: 'gateway-2', changes: [{kind: 'reset'}]}, 300);
 		expect(step(run, 400).length).toBeGreaterThan(0);
 	});
 
@@ -340,12 +340,12 @@
 			id: index, endpoint: `models-${index % 16}`, helpers: [], promptTokens: 5000, readMs: 34, longestPauseMs: 250,
 		}));
 		for (const work of works) {
-			run.gateway.step({kind: 'peerWorkChanged', gateway: 'gateway-2', change: {kind: 'started', work}}, 0);
-			run.gateway.step({kind: 'peerWorkChanged', gateway: 'gateway-2', change: {kind: 'writing', id: work.id}}, 0);
+			run.gateway.step({kind: 'peerWorkChanged', gateway: 'gateway-2', changes: [{kind: 'started', work}]}, 0);
+			run.gateway.step({kind: 'peerWorkChanged', gateway: 'gateway-2', changes: [{kind: 'writing', id: work.id}]}, 0);
 		}
 
 		expect(run.submit(createFixtureRequest(fixtureStream))).toEqual(['fail deadlineUnreachable ran=no']);
-		run.gateway.step({kind: 'peerLost', gateway: 'gateway-2'}, 0);
+		run.gateway.step({kind: 'peerWorkChanged', gateway: 'gateway-2', changes: [{kind: 'reset'}]}, 0);
 		expect(run.submit(createFixtureRequest(fixtureStream))).toEqual(['send models']);
 	});
 });
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -71,11 +71,15 @@
 	let stoppedAt: number | undefined;
 	let wasReady = false;
 
+	const {name, dataCentre, processorShare} = settings;
+	const own: GatewayListing = {
+		name, dataCentre, processorShare, peerUrl: `http://${settings.peerAddress}`,
+	};
 	const exchange = createWorkExchange({
-		name: settings.name,
+		own,
 		connections,
 		logger,
-		getOwnWorks: gateway.getOwnWorks,
+		getWorks: gateway.getWorks,
 		dispatch(event) {
 			driver.dispatch(event);
 		},
@@ -197,7 +201,6 @@
 	});
 	const metricsServer = await startStatusServer(parseAddress(settings.metricsAddress), async () => ({status: 200, text: await metrics.getText()}));
 	const clockTimer = setInterval(checkClock, clockCheckMs);
-	const own: GatewayListing = {name: settings.name, peerUrl: `http://${settings.peerAddress}`};
 	feed.start(own);
 	logger.info('started', {role: 'gateway', caller: settings.callerAddress, dataCentre: settings.dataCentre});
 
--- a/packages/gateway/src/gateway-hosts.ts
+++ b/packages/gateway/src/gateway-hosts.ts
@@ -4,6 +4,7 @@
 */
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Failure} from '@currantcross/core/errors';
+import type {ExchangeMember} from '@currantcross/core/gateway/exchange-topology';
 import type {
 	EndpointAnswerHead, ListedEndpoint, PromptSize, RawHeaders, ServingConfiguration,
 } from '@currantcross/core/gateway/gateway-types';
@@ -61,8 +62,8 @@
 	configuration: ServingConfiguration | undefined;
 }>;
 
-/** Another gateway. */
-export type GatewayListing = Readonly<{name: string; peerUrl: string}>;
+/** A gateway as the others find it. */
+export type GatewayListing = ExchangeMember & Readonly<{peerUrl: string}>;
 
 /** The platform. Calls reject when the platform does not answer in time or in its form. */
 export type PlatformHost = Readonly<{
--- a/packages/gateway/src/platform-feed.test.ts
+++ b/packages/gateway/src/platform-feed.test.ts
@@ -60,7 +60,9 @@
 		onGateways: () => undefined,
 	});
 	feeds.push(feed);
-	feed.start({name: 'gateway-1', peerUrl: 'http://127.0.0.1:1'});
+	feed.start({
+		name: 'gateway-1', peerUrl: 'http://127.0.0.1:1', dataCentre: 'east', processorShare: 1,
+	});
 	feed.refresh();
 	feed.refresh();
 	await waitUntil(() => failures >= 4);
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -23,6 +23,8 @@
 	metricsAddress: addressSchema,
 	platformAddress: addressSchema,
 	logLevel: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
+	/** Share of a processor that the host has; hosts with more of it relay for others. */
+	processorShare: z.number().positive().default(1),
 	/** Time between SIGTERM and SIGKILL. */
 	graceMs: z.number().positive(),
 	/** Longest time for which a key works after it was taken away; absent where it need not stop. */
--- a/packages/gateway/src/work-exchange.ts
+++ b/packages/gateway/src/work-exchange.ts
@@ -1,96 +1,141 @@
 /**
-Exchanges open work with the other gateways: streams the own changes to whoever asks, and follows the streams of all
-others.
+Exchanges open work with the other gateways: streams the own work and what it relays to whoever asks, and follows the
+gateways that the topology names.
 */
 import type {GatewayEvent} from '@currantcross/core/gateway/relay-types';
-import type {Work, WorkChange} from '@currantcross/core/gateway/load-view';
+import {chooseFollowed, type ExchangeScope, type FollowChoice} from '@currantcross/core/gateway/exchange-topology';
+import type {GatewayName, WorkChange} from '@currantcross/core/gateway/load-view';
 import {getErrorText} from '@currantcross/core/error-text';
 import type {Milliseconds} from '@currantcross/core/types';
 import type {Logger} from '@currantcross/daemon/logger';
 import type {Connections} from '@currantcross/peer/connections';
-import {streamPeerWork, type GatewayPeerHost} from '@currantcross/peer/gateway-peers';
+import {streamPeerWork, type GatewayPeerHost, type GatewayWork} from '@currantcross/peer/gateway-peers';
 import type {GatewayListing} from './gateway-hosts.js';
+import {createWorkPublisher} from './work-publisher.js';
 
 export type WorkExchangeHost = Readonly<{
-	name: string;
+	own: GatewayListing;
 	connections: Connections;
 	logger: Logger;
 	dispatch(event: GatewayEvent): void;
-	getOwnWorks(): ReadonlyArray<Readonly<{work: Work; isWriting: boolean}>>;
+	/** Returns the open work of a gateway, this one or another. */
+	getWorks(gateway: GatewayName): readonly WorkChange[];
 }>;
 
 export type WorkExchange = GatewayPeerHost & Readonly<{
 	publish(change: WorkChange): void;
-	/** Follows these gateways and no others. */
+	/** Takes in which other gateways there are. */
 	setGateways(listings: readonly GatewayListing[]): void;
 	close(): void;
 }>;
 
-/** How long changes are collected into one batch; below the time in which a placement would go wrong. */
-const batchMs: Milliseconds = 12;
-/** Pause after which an empty batch says that the gateway lives. */
-const heartbeatMs: Milliseconds = 500;
 /** Silence after which a peer's stream is taken as broken; three heartbeats. */
 const silenceMs: Milliseconds = 1600;
 const retryMs: Milliseconds = 500;
+/** How long the work that a lost relay told of is kept; covers the change to another relay. */
+const relayedGraceMs: Milliseconds = 2500;
+/** How long a relay that was lost is avoided; it doubles with each further loss. */
+const unreachableMs: Milliseconds = 5000;
+const maximumUnreachableMs: Milliseconds = 60_000;
 
-type Subscriber = {changes: WorkChange[]; notify: (() => void) | undefined};
+const ownScopes: ReadonlySet<ExchangeScope> = new Set(['own', 'dataCentre', 'all']);
 
-type FollowedGateway = Readonly<{listing: GatewayListing; controller: AbortController}>;
+type FollowedGateway = Readonly<{choice: FollowChoice<GatewayListing>; controller: AbortController}>;
+
+/** One connection to a followed gateway. What a newer one tells of a gateway replaces what an older one told. */
+type Source = Readonly<{scope: ExchangeScope}>;
+
+type Loss = {count: number; avoidedUntil: number};
+
+/** Returns to which streams work is passed on that came in by a stream of the scope. */
+function getRelayedScopes(scope: ExchangeScope): ReadonlySet<ExchangeScope> {
+	switch (scope) {
+		case 'own': {
+			return new Set(['dataCentre', 'all']);
+		}
+
+		case 'dataCentre': {
+			return new Set(['all']);
+		}
+
+		case 'all': {
+			return new Set();
+		}
+	}
+}
 
 /** Creates the exchange of one gateway. */
 export function createWorkExchange(host: WorkExchangeHost): WorkExchange {
-	const subscribers = new Set<Subscriber>();
-	const followed = new Map<string, FollowedGateway>();
+	const followed = new Map<GatewayName, FollowedGateway>();
+	const sources = new Map<GatewayName, Source>();
+	const losses = new Map<GatewayName, Loss>();
+	const timers = new Set<NodeJS.Timeout>();
+	let listings: readonly GatewayListing[] = [];
+	let isClosed = false;
+
+	const publisher = createWorkPublisher({
+		getSnapshot(scope) {
+			const relayed = [...sources].filter(([, source]) => getRelayedScopes(source.scope).has(scope)).map(([gateway]) => gateway);
+			return [host.own.name, ...relayed].map(gateway => ({gateway, changes: [{kind: 'reset'}, ...host.getWorks(gateway)]}));
+		},
+		onRelayingChanged: applyTopology,
+	});
 
-	function getSnapshot(): WorkChange[] {
-		return host.getOwnWorks().flatMap(({work, isWriting}): readonly WorkChange[] =>
-			isWriting ? [{kind: 'started', work}, {kind: 'writing', id: work.id}] : [{kind: 'started', work}]);
+	function applyWork(source: Source, work: GatewayWork): void {
+		host.dispatch({kind: 'peerWorkChanged', ...work});
+		publisher.publish(work, getRelayedScopes(source.scope));
 	}
 
-	async function pause(ms: Milliseconds, signal: AbortSignal): Promise<void> {
-		await new Promise<void>(resolve => {
-			const timer = setTimeout(resolve, ms);
-			signal.addEventListener('abort', () => {
-				clearTimeout(timer);
-				resolve();
-			}, {once: true});
-		});
+	function takeWork(source: Source, work: GatewayWork): void {
+		if (work.gateway === host.own.name) {
+			return;
+		}
+
+		if (work.changes[0]?.kind === 'reset') {
+			sources.set(work.gateway, source);
+		}
+
+		if (sources.get(work.gateway) === source) {
+			applyWork(source, work);
+		}
 	}
 
-	async function waitForChange(subscriber: Subscriber): Promise<void> {
-		if (subscriber.changes.length > 0) {
+	/** Forgets all work that no newer source has told of. */
+	function removeSource(source: Source): void {
+		for (const [gateway, current] of sources) {
+			if (current === source) {
+				sources.delete(gateway);
+				applyWork(source, {gateway, changes: [{kind: 'reset'}]});
+			}
+		}
+	}
+
+	function expireSource(source: Source): void {
+		if (source.scope === 'own') {
+			removeSource(source);
 			return;
 		}
 
+		const timer = setTimeout(() => {
+			timers.delete(timer);
+			removeSource(source);
+		}, relayedGraceMs);
+		timers.add(timer);
+	}
+
+	async function pause(ms: Milliseconds, signal: AbortSignal): Promise<void> {
 		await new Promise<void>(resolve => {
-			const timer = setTimeout(resolve, heartbeatMs);
-			subscriber.notify = () => {
+			const timer = setTimeout(resolve, ms);
+			signal.addEventListener('abort', () => {
 				clearTimeout(timer);
-				setTimeout(resolve, batchMs);
-			};
+				resolve();
+			}, {once: true});
 		});
-		subscriber.notify = undefined;
-	}
-
-	async function * streamWork(signal: AbortSignal): AsyncGenerator<readonly WorkChange[]> {
-		const subscriber: Subscriber = {changes: getSnapshot(), notify: undefined};
-		subscribers.add(subscriber);
-		try {
-			while (!signal.aborted) {
-				const {changes} = subscriber;
-				subscriber.changes = [];
-				yield changes;
-				// eslint-disable-next-line no-await-in-loop -- batches go out one after the other
-				await waitForChange(subscriber);
-			}
-		} finally {
-			subscribers.delete(subscriber);
-		}
 	}
 
 	/** Follows one stream until it breaks or goes silent. */
-	async function receiveStream({listing, controller}: FollowedGateway): Promise<void> {
+	async function receiveStream({choice: {member, scope}, controller}: FollowedGateway): Promise<void> {
+		const source: Source = {scope};
 		const silence = new AbortController();
 		const signal = AbortSignal.any([controller.signal, silence.signal]);
 		let timer = setTimeout(() => {
@@ -98,28 +143,41 @@
 		}, silenceMs);
 		let hasSnapshot = false;
 		try {
-			for await (const changes of streamPeerWork(host.connections, listing.peerUrl, host.name, signal)) {
+			for await (const works of streamPeerWork(host.connections, member.peerUrl, {gateway: host.own.name, scope}, signal)) {
 				clearTimeout(timer);
 				timer = setTimeout(() => {
 					silence.abort();
 				}, silenceMs);
 				if (!hasSnapshot) {
 					hasSnapshot = true;
-					host.dispatch({kind: 'peerLost', gateway: listing.name});
-					host.logger.info('peerFound', {peer: listing.name, works: changes.length});
+					losses.delete(member.name);
+					host.logger.info('peerFound', {peer: member.name, scope, gateways: works.length});
 				}
 
-				for (const change of changes) {
-					host.dispatch({kind: 'peerWorkChanged', gateway: listing.name, change});
+				for (const work of works) {
+					takeWork(source, work);
 				}
 			}
 		} finally {
 			clearTimeout(timer);
+			expireSource(source);
+		}
+	}
+
+	function recordLoss({choice: {member, scope}}: FollowedGateway): void {
+		if (scope === 'own') {
+			return;
 		}
+
+		const count = losses.get(member.name)?.count ?? 0;
+		losses.set(member.name, {
+			count: count + 1, avoidedUntil: performance.now() + Math.min(maximumUnreachableMs, unreachableMs * (2 ** count)),
+		});
+		applyTopology();
 	}
 
 	async function keepFollowing(gateway: FollowedGateway): Promise<void> {
-		const {listing, controller} = gateway;
+		const {choice: {member, scope}, controller} = gateway;
 		let isLost = false;
 		while (!controller.signal.aborted) {
 			try {
@@ -128,47 +186,69 @@
 				isLost = false;
 			} catch (error) {
 				if (!isLost && !controller.signal.aborted) {
-					host.logger.warn('peerLost', {peer: listing.name, reason: getErrorText(error)});
+					host.logger.warn('peerLost', {peer: member.name, scope, reason: getErrorText(error)});
 				}
 
 				isLost = true;
 			}
 
-			host.dispatch({kind: 'peerLost', gateway: listing.name});
+			if (!controller.signal.aborted) {
+				recordLoss(gateway);
+			}
+
 			// eslint-disable-next-line no-await-in-loop
 			await pause(retryMs, controller.signal);
 		}
 	}
 
-	return {
-		streamWork,
-		publish(change) {
-			for (const subscriber of subscribers) {
-				subscriber.changes.push(change);
-				subscriber.notify?.();
-			}
-		},
-		setGateways(listings) {
-			const wanted = new Map(listings.map(listing => [listing.name, listing]));
-			for (const [name, gateway] of followed) {
-				if (wanted.get(name)?.peerUrl !== gateway.listing.peerUrl) {
-					gateway.controller.abort();
-					followed.delete(name);
-				}
+	/** Follows what the topology names, and nothing else. */
+	function applyTopology(): void {
+		if (isClosed) {
+			return;
+		}
+
+		const now = performance.now();
+		const choices = new Map(chooseFollowed({
+			own: host.own,
+			others: listings,
+			isUnreachable: name => (losses.get(name)?.avoidedUntil ?? 0) > now,
+			isAskedToRelay: publisher.isRelaying(),
+		}).map(choice => [choice.member.name, choice]));
+		for (const [name, {choice, controller}] of followed) {
+			const wanted = choices.get(name);
+			if (wanted?.scope !== choice.scope || wanted.member.peerUrl !== choice.member.peerUrl) {
+				followed.delete(name);
+				controller.abort();
 			}
+		}
 
-			for (const listing of listings) {
-				if (!followed.has(listing.name)) {
-					const gateway = {listing, controller: new AbortController()};
-					followed.set(listing.name, gateway);
-					void keepFollowing(gateway);
-				}
+		for (const [name, choice] of choices) {
+			if (!followed.has(name)) {
+				const gateway = {choice, controller: new AbortController()};
+				followed.set(name, gateway);
+				void keepFollowing(gateway);
 			}
+		}
+	}
+
+	return {
+		streamWork: publisher.streamWork,
+		publish(change) {
+			publisher.publish({gateway: host.own.name, changes: [change]}, ownScopes);
+		},
+		setGateways(others) {
+			listings = others;
+			applyTopology();
 		},
 		close() {
+			isClosed = true;
 			for (const {controller} of followed.values()) {
 				controller.abort();
 			}
+
+			for (const timer of timers) {
+				clearTimeout(timer);
+			}
 		},
 	};
 }
