Do not call a deferred request unrun that ran before

Cause: a request whose first send was lost, whose second was deferred to a better moment and was then refused, ended with the refusal's words, 503 and not run, though the first send may have run. Found by reading, while the generated tests were written; they do not reach the case, as few prompts are deferred there. Now how the last send failed is kept while the request waits. The test failed first.

Ruled out: actions, which are never deferred, so that no action can have been called unrun.

--- a/packages/core/src/gateway/relayed-request.test.ts
+++ b/packages/core/src/gateway/relayed-request.test.ts
@@ -1,5 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {describe, expect, test} from 'vitest';
+import {createNotRun} from '../errors.js';
+import {createEndpointRegistry} from './endpoint-registry.js';
 import {createGateway, type Gateway} from './gateway.js';
 import {
 	createFixtureEndpoints, createFixtureHead, createFixtureRequest, fixtureAction, fixtureConfiguration, fixtureGatewaySettings,
@@ -7,6 +9,8 @@
 } from './gateway-fixtures.js';
 import type {GatewayRequest, ServedRoute} from './gateway-types.js';
 import type {RelayAction, RelayEvent} from './relay-types.js';
+import {createRelayedRequest, type PlacementDecision} from './relayed-request.js';
+import {createSendBudget} from './send-budget.js';
 
 type Run = Readonly<{
 	gateway: Gateway;
@@ -407,3 +411,34 @@
 		expect(start(fixtureStream).step({kind: 'clientGone'}, 10)).toEqual(['cancel', 'forget']);
 	});
 });
+
+test('a request that ran, was deferred and then refused is not said to be unrun', () => {
+	const [endpoint] = createFixtureEndpoints('models', 1);
+	if (endpoint === undefined) {
+		throw new Error('an endpoint is needed');
+	}
+
+	const placement = {
+		endpoint, helpers: [], readMs: 10, firstEventMs: 10, harm: 0,
+	};
+	const decisions: PlacementDecision[] = [
+		{kind: 'placed', placement, candidates: 1},
+		{kind: 'deferred', untilAt: 300},
+		{kind: 'refused', failure: createNotRun('deadlineUnreachable')},
+	];
+	const request = createRelayedRequest(createFixtureRequest(fixtureStream), {
+		registry: createEndpointRegistry(fixtureGatewaySettings.endpoints),
+		budget: createSendBudget(fixtureGatewaySettings.budget),
+		createSendId: () => 1,
+		createReservationId: () => 'm',
+		choosePlacement: () => decisions.shift() ?? {kind: 'refused', failure: createNotRun('overloaded')},
+		checkCredential: () => undefined,
+		recordWork: () => undefined,
+	});
+	request.step({kind: 'started'}, 0);
+	request.step({
+		kind: 'sendFailed', sendId: 1, wasSent: true, detail: 'ECONNRESET',
+	}, 100);
+	const actions = request.step({kind: 'timePassed'}, 300);
+	expect(actions).toMatchObject([{kind: 'failRequest', failure: {kind: 'serverLost', ran: 'unknown'}}]);
+});
--- a/packages/core/src/gateway/relayed-request.ts
+++ b/packages/core/src/gateway/relayed-request.ts
@@ -78,6 +78,8 @@
 	let savedFailure: SavedAnswer | undefined;
 	/** When a request that was deferred is placed. */
 	let waitsUntil = Number.POSITIVE_INFINITY;
+	/** How the last send failed, where the next one is deferred. */
+	let deferredFailure: Failure | undefined;
 	let hasStartedAnswer = false;
 	let isAnswerUndelimited = false;
 	let {lastEventId} = request;
@@ -115,6 +117,7 @@
 		const decision = host.choosePlacement(request, excluded, now);
 		if (decision.kind === 'deferred') {
 			waitsUntil = decision.untilAt;
+			deferredFailure = lastFailure;
 			return [];
 		}
 
@@ -504,7 +507,7 @@
 		}
 
 		if (now >= waitsUntil) {
-			return send(now, undefined);
+			return send(now, deferredFailure);
 		}
 
 		const renewals = reserve(current?.memory?.takeRenewals(now) ?? []);
