Split what no single server holds, and spread short prompts where servers are plenty

Packing now costs in the measure in which servers without work are scarce (none from half of them on), and each gateway has an order of its own over servers that are equal for a short prompt.

--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -9,6 +9,7 @@
 import {
 	createConfigurationState, type ConfigurationStateSettings, type RouteGrant, type RouteRefusal,
 } from './configuration-state.js';
+import {createEndpointRanking} from './endpoint-ranking.js';
 import {createEndpointRegistry, type EndpointRegistrySettings} from './endpoint-registry.js';
 import type {
 	EndpointId, GatewayRequest, ListedEndpoint, RequestKey, ServingConfiguration,
@@ -76,6 +77,7 @@
 	const registry = createEndpointRegistry(settings.endpoints);
 	const budget = createSendBudget(settings.budget);
 	const load = createLoadView();
+	const getRank = createEndpointRanking(settings.name);
 	const requests = new Map<RequestKey, RelayedRequest>();
 	let sendCount = 0;
 
@@ -84,7 +86,7 @@
 	}
 
 	function findPlacement(request: GatewayRequest, endpoints: readonly ListedEndpoint[], excluded: ReadonlySet<EndpointId>, now: Timestamp): Placement | undefined {
-		const candidates = getCandidates(endpoints, excluded, id => load.getLoad(id, now));
+		const candidates = getCandidates(endpoints, excluded, id => ({load: load.getLoad(id, now), rank: getRank(id)}));
 		const engine = configuration.tryGet()?.services.get(request.service)?.engine;
 		if (engine === undefined || request.prompt === undefined) {
 			return findServicePlacement(candidates, settings.dataCentre);
--- a/packages/core/src/gateway/placement-cost.ts
+++ b/packages/core/src/gateway/placement-cost.ts
@@ -11,7 +11,12 @@
 import {getFreeTokens} from './placement-memory.js';
 
 /** An endpoint that may get a request, and what it has to do. */
-export type Candidate = Readonly<{endpoint: ListedEndpoint; load: EndpointLoad}>;
+export type Candidate = Readonly<{
+	endpoint: ListedEndpoint;
+	load: EndpointLoad;
+	/** From 0 to 1, lower is better; differs from gateway to gateway, so that not all choose the same of several equal ones. */
+	rank: number;
+}>;
 
 /** What a prompt asks of its placement. */
 export type PromptDemand = Readonly<{
@@ -30,6 +35,8 @@
 
 /** Loss of a whole aim used up, which lets the faster of two safe servers win. */
 const preferenceSlope = 0.02;
+/** Cost between the first and the last of servers that are equal otherwise; below that of any loss. */
+const rankCost = 0.04;
 /** Passes until a part is begun: half of the one under way, and its own. */
 const passesUntilRead = 1.5;
 
@@ -39,8 +46,10 @@
 /** Longest pause that marks a writer as one of a short prompt. */
 const shortPauseMs: Milliseconds = 300;
 
-/** Cost of the first short prompt on a server, which makes the server worse for reading long ones. */
+/** Cost of the first short prompt on a server where servers without work are scarce; the server becomes worse for reading long ones. */
 const firstShortWriterCost = 0.3;
+/** Share of the servers without work from which on they are not scarce; long prompts seldom read on more than half of them. */
+const amplyFreeShare = 0.5;
 /** Share of an answer's value that is lost between data centres, where a lost packet delays an event. */
 const remoteCost = 0.12;
 /** Cost of memory that has to be set aside at another server: of its orders, and as a share of the request's value. */
@@ -110,6 +119,11 @@
 	return (passMs * passesUntilRead) + load.readMs + readMs;
 }
 
+/** Returns the cost that tells apart servers which are equal otherwise. */
+export function getRankCost({rank}: Candidate): number {
+	return rank * rankCost;
+}
+
 export function getSlotWaitMs(engine: EngineProfile, load: EndpointLoad): Milliseconds {
 	const waiting = load.requests - engine.slots + 1;
 	return waiting <= 0 ? 0 : waiting * usualHoldMs / engine.slots;
@@ -119,7 +133,21 @@
 	return load.writers.some(({longestPauseMs}) => longestPauseMs > 0 && longestPauseMs <= shortPauseMs);
 }
 
-export function getReceiverCost(engine: EngineProfile, candidate: Candidate, demand: PromptDemand, readMs: Milliseconds): number {
+/** Returns how scarce servers without work are, from 0 to 1. */
+export function getScarcity(candidates: readonly Candidate[]): number {
+	const free = candidates.filter(({load}) => load.writers.length === 0 && load.readMs === 0).length;
+	return Math.max(0, 1 - (free / Math.max(1, candidates.length) / amplyFreeShare));
+}
+
+/** What a placement is weighed against beside its demand. */
+export type PlacementContext = Readonly<{
+	/** Time that each server reads. */
+	readMs: Milliseconds;
+	/** How scarce servers without work are, from 0 to 1. */
+	scarcity: number;
+}>;
+
+export function getReceiverCost(engine: EngineProfile, candidate: Candidate, demand: PromptDemand, {readMs, scarcity}: PlacementContext): number {
 	const {load} = candidate;
 	const weight = getLateWeight(demand.promptTokens);
 	const passMs = getWritingPassMs(engine, load.writers.length + 1, getContextTokens(load.writers) + demand.promptTokens);
@@ -137,8 +165,8 @@
 		cost += getReservationCost(weight);
 	}
 
-	if (demand.longestPauseMs <= shortPauseMs && !hasShortWriter(load)) {
-		cost += firstShortWriterCost;
+	if (demand.longestPauseMs <= shortPauseMs) {
+		cost += getRankCost(candidate) + (hasShortWriter(load) ? 0 : firstShortWriterCost * scarcity);
 	}
 
 	return cost;
--- a/packages/core/src/gateway/placement.ts
+++ b/packages/core/src/gateway/placement.ts
@@ -2,16 +2,15 @@
 Choice of the endpoints for a request.
 
 A prompt goes to the server, or is read by the group of servers, where the request itself and the requests already
-there lose least: a request loses when its first event or one of its pauses comes later than its route aims at. Short
-prompts are packed onto few servers, since writers cost each other little, and that leaves servers without writers for
-the reading of long prompts.
+there lose least: a request loses when its first event or one of its pauses comes later than its route aims at. Where
+servers without work are scarce, short prompts are packed onto few servers, since writers cost each other little, and that
+leaves servers without writers for the reading of long prompts; else they are spread.
 */
 import type {Milliseconds, TokenCount} from '../types.js';
 import {getReadMs} from './engine-timing.js';
 import type {EndpointId, EngineProfile, ListedEndpoint} from './gateway-types.js';
-import type {EndpointLoad} from './load-view.js';
 import {
-	getBlockingCost, getDelayCost, getLateWeight, getPartReadMs, getReceiverCost, getReservationCost, getSlotWaitMs, getWritersLoss,
+	getBlockingCost, getDelayCost, getLateWeight, getPartReadMs, getRankCost, getReceiverCost, getScarcity, getReservationCost, getSlotWaitMs, getWritersLoss,
 	type Candidate, type PromptDemand,
 } from './placement-cost.js';
 import {getFreeTokens, getReservedTokens} from './placement-memory.js';
@@ -39,7 +38,7 @@
 /** Numbers of helpers that are compared. */
 const helperCounts: readonly number[] = [0, 1, 2, 3, 4, 5, 6, 8, 10, 12, 14, maximumHelpers];
 
-/** Prompts below this reading time are never split; one chunk's time is the least that a part costs. */
+/** Prompts below this reading time are not split where one server holds them; one chunk's time is the least that a part costs. */
 const shortestSplitReadMs: Milliseconds = 120;
 
 /** Cost of one more server that reads. */
@@ -61,11 +60,12 @@
 	helperCount: number,
 ): Option | undefined {
 	const weight = getLateWeight(demand.promptTokens);
+	const scarcity = getScarcity(candidates);
 	const readMs = getReadMs(engine, demand.promptTokens) / (helperCount + 1);
 	const fitting = helperCount > 0 ? candidates : candidates.filter(({load}) => getFreeTokens(engine, load) >= demand.promptTokens);
 	const receivers = fitting.map((candidate): Part => {
 		const readyMs = getPartReadMs(engine, candidate.load, readMs) + getSlotWaitMs(engine, candidate.load);
-		return {candidate, readyMs, cost: getReceiverCost(engine, candidate, demand, readMs) + getDelayCost(weight, readyMs, demand)};
+		return {candidate, readyMs, cost: getReceiverCost(engine, candidate, demand, {readMs, scarcity}) + getDelayCost(weight, readyMs, demand)};
 	});
 	const receiver = findCheapest(receivers);
 	if (receiver === undefined) {
@@ -119,17 +119,20 @@
 
 /** Returns the best placement of a prompt, or `undefined` when there is no endpoint. */
 export function findPromptPlacement(engine: EngineProfile, candidates: readonly Candidate[], demand: PromptDemand): Placement | undefined {
+	const findOption = (counts: readonly number[]): Option | undefined =>
+		findCheapest(counts.flatMap(count => createOption(engine, candidates, demand, count) ?? []));
 	const isSplit = getReadMs(engine, demand.promptTokens) > shortestSplitReadMs;
-	const counts = isSplit ? helperCounts : [0];
-	const options = counts.flatMap(count => createOption(engine, candidates, demand, count) ?? []);
-	return findCheapest(options)?.placement;
+	// What no single server holds is split however fast it is read.
+	const option = isSplit ? findOption(helperCounts) : findOption([0]) ?? findOption(helperCounts);
+	return option?.placement;
 }
 
 /** Returns the endpoint of a service with the least work for its size; of equal ones, one in the same data centre. */
 export function findServicePlacement(candidates: readonly Candidate[], dataCentre: string): Placement | undefined {
-	const ranked = candidates.map(({endpoint, load}) => ({
-		endpoint,
-		cost: (load.requests / Math.max(1, endpoint.slots)) + (endpoint.dataCentre === dataCentre ? 0 : remoteLoadShare),
+	const ranked = candidates.map(candidate => ({
+		endpoint: candidate.endpoint,
+		cost: (candidate.load.requests / Math.max(1, candidate.endpoint.slots)) + getRankCost(candidate)
+			+ (candidate.endpoint.dataCentre === dataCentre ? 0 : remoteLoadShare),
 	}));
 	const best = findCheapest(ranked);
 	return best === undefined
@@ -143,7 +146,7 @@
 export function getCandidates(
 	endpoints: readonly ListedEndpoint[],
 	excluded: ReadonlySet<EndpointId>,
-	getLoad: (endpoint: EndpointId) => EndpointLoad,
+	describe: (endpoint: EndpointId) => Omit<Candidate, 'endpoint'>,
 ): readonly Candidate[] {
-	return endpoints.filter(({id}) => !excluded.has(id)).map(endpoint => ({endpoint, load: getLoad(endpoint.id)}));
+	return endpoints.filter(({id}) => !excluded.has(id)).map(endpoint => ({endpoint, ...describe(endpoint.id)}));
 }
--- a/packages/gateway/src/work-exchange.test.ts
+++ b/packages/gateway/src/work-exchange.test.ts
@@ -1,3 +1,4 @@
+import process from 'node:process';
 import {createLoadView, type Work, type WorkChange} from '@currantcross/core/gateway/load-view';
 import {createConnections, defaultConnectionSettings} from '@currantcross/peer/connections';
 import {registerGatewayService} from '@currantcross/peer/gateway-peers';
@@ -183,3 +184,21 @@
 		await waitUntil(() => knowsAll(others, new Map([['a-1', ''], ['a-2', '2,20'], ['a-3', '3'], ['b-1', '6'], ['b-3', '8,21']])));
 	});
 });
+
+test('following a gateway that is gone leaves nothing behind with each try', async () => {
+	const warnings: string[] = [];
+	const record = (warning: Error): void => {
+		warnings.push(warning.name);
+	};
+
+	process.on('warning', record);
+	const lost = await startPeer('gateway-1');
+	const listener = await startPeer('gateway-2');
+	await lost.stop();
+	introduce([listener, lost]);
+	await new Promise(resolve => {
+		setTimeout(resolve, 6500);
+	});
+	process.off('warning', record);
+	expect(warnings).toEqual([]);
+});
--- a/packages/gateway/src/work-exchange.ts
+++ b/packages/gateway/src/work-exchange.ts
@@ -125,11 +125,14 @@
 
 	async function pause(ms: Milliseconds, signal: AbortSignal): Promise<void> {
 		await new Promise<void>(resolve => {
-			const timer = setTimeout(resolve, ms);
-			signal.addEventListener('abort', () => {
+			const end = (): void => {
 				clearTimeout(timer);
+				signal.removeEventListener('abort', end);
 				resolve();
-			}, {once: true});
+			};
+
+			const timer = setTimeout(end, ms);
+			signal.addEventListener('abort', end);
 		});
 	}
 
--- a/packages/standins/src/platform-server-standin.ts
+++ b/packages/standins/src/platform-server-standin.ts
@@ -24,6 +24,8 @@
 	lastEventId: string | undefined;
 	helpers: string | undefined;
 	body: string;
+	/** Steady time at which it began, in milliseconds. */
+	at: number;
 }>;
 
 export type PlatformServerStandin = Readonly<{
@@ -37,6 +39,8 @@
 
 export type PlatformServerSettings = Readonly<{
 	instanceId: string;
+	/** 0 takes any free port. */
+	port?: number;
 	/** Events of each stream; business answers otherwise. */
 	eventCount: number | undefined;
 	eventPauseMs: number;
@@ -111,6 +115,7 @@
 			lastEventId: getHeader(message, 'last-event-id'),
 			helpers: getHeader(message, 'helpers'),
 			body,
+			at: performance.now(),
 		});
 		if (behaviour.kind === 'loseAnswer') {
 			message.socket.resetAndDestroy();
@@ -144,7 +149,7 @@
 	const server = http.createServer((message, response) => {
 		void handle(message, response);
 	});
-	const port = await listen(server, {host: '127.0.0.1', port: 0});
+	const port = await listen(server, {host: '127.0.0.1', port: settings.port ?? 0});
 	return {
 		address: `127.0.0.1:${port}`,
 		runs,
--- a/packages/standins/src/platform-store-standin.ts
+++ b/packages/standins/src/platform-store-standin.ts
@@ -20,6 +20,7 @@
 	compact(): void;
 	/** From now on, calls that accept stale data get that of this moment. */
 	freezeStaleReads(): void;
+	thawStaleReads(): void;
 	/** Returns how many lists of a kind were read, stale ones and others. */
 	getListCounts(kind: string): ListCounts;
 	/** Returns the names of a kind. */
@@ -203,6 +204,9 @@
 		freezeStaleReads() {
 			staleState = {revision, objects: new Map([...objects].map(([kind, named]) => [kind, [...named.values()]]))};
 		},
+		thawStaleReads() {
+			staleState = undefined;
+		},
 		getListCounts,
 		listNames: kind => [...getKind(kind).keys()],
 		close() {
