Give the soak's gateways ports that no outgoing connection takes

Ports came from the range that the system also gives to outgoing connections, so that one could also be taken while its gateway was down. Now they come from below that range, each process beginning elsewhere. Ruled out: a gateway that ends by itself (its log has the one line EADDRINUSE).

--- a/packages/soak/src/soak-gateways.ts
+++ b/packages/soak/src/soak-gateways.ts
@@ -48,12 +48,36 @@
 	});
 }
 
-async function getFreePort(): Promise<number> {
+/** Ports below those that the system gives to outgoing connections, so that none is taken while its gateway is down. */
+const firstPort = 18_000;
+const portCount = 12_000;
+/** Sets runs apart that go on at the same time. */
+const portsPerProcess = 37;
+let portNumber = process.pid * portsPerProcess;
+
+async function isPortFree(port: number): Promise<boolean> {
 	const server = net.createServer();
-	const port = await listen(server, {host: '127.0.0.1', port: 0});
+	try {
+		await listen(server, {host: '127.0.0.1', port});
+	} catch {
+		// In use; the next one is tried.
+		return false;
+	}
+
 	server.close();
 	await once(server, 'close');
-	return port;
+	return true;
+}
+
+async function takeFreePort(): Promise<number> {
+	for (;;) {
+		portNumber += 1;
+		const port = firstPort + (portNumber % portCount);
+		// eslint-disable-next-line no-await-in-loop
+		if (await isPortFree(port)) {
+			return port;
+		}
+	}
 }
 
 function startGateway(script: string, settingsFile: string, logFile: string): ChildProcess {
@@ -102,8 +126,13 @@
 	for (let index = 1; index <= settings.count; index += 1) {
 		const name = `gateway-${index}`;
 		// eslint-disable-next-line no-await-in-loop
-		const ports = await Promise.all([1, 2, 3, 4].map(async () => getFreePort()));
-		const [callerPort = 0, readinessPort = 0, peerPort = 0, metricsPort = 0] = ports;
+		const callerPort = await takeFreePort();
+		// eslint-disable-next-line no-await-in-loop
+		const readinessPort = await takeFreePort();
+		// eslint-disable-next-line no-await-in-loop
+		const peerPort = await takeFreePort();
+		// eslint-disable-next-line no-await-in-loop
+		const metricsPort = await takeFreePort();
 		// eslint-disable-next-line no-await-in-loop
 		const storeRelay = await startByteRelay(settings.storePort);
 		const settingsFile = path.join(settings.directory, `${name}.json`);
