Let the generated tests' budget bind, and play streams that may not be resumed

Cause: of six protections taken out one at a time (trials on a scratch copy), two left all ten properties standing: that an action is not sent again, since its route allowed one endpoint anyway, and the budget, which four free sends and twelve calls never reached. Now the action's route allows two endpoints, one send is free, and streams that may not be resumed are played.

--- a/packages/core/src/gateway/gateway-fault-world.ts
+++ b/packages/core/src/gateway/gateway-fault-world.ts
@@ -20,7 +20,7 @@
 
 export type ScriptedCall = Readonly<{
 	at: Timestamp;
-	kind: 'stream' | 'action' | 'lookup';
+	kind: 'stream' | 'plainStream' | 'action' | 'lookup';
 	promptTokens: number;
 	waitMs: Milliseconds;
 	/** When the caller leaves, after its arrival. */
@@ -75,6 +75,8 @@
 	lostStoreAt: Timestamp;
 }>;
 
+/** Further sends that are free; few, so that the budget binds. */
+export const worldFixedSends = 1;
 const verificationMs: Milliseconds = 1000;
 /** Long after the last call's time limit. */
 const worldEndMs: Milliseconds = 40_000;
@@ -84,8 +86,13 @@
 			return fixtureStream;
 		}
 
+		case 'plainStream': {
+			return {...fixtureStream, name: 'plain', isResumable: false};
+		}
+
 		case 'action': {
-			return fixtureAction;
+			// A route may allow several endpoints; an action still runs once.
+			return {...fixtureAction, maximumEndpoints: 2};
 		}
 
 		case 'lookup': {
@@ -100,7 +107,7 @@
 		key,
 		arrivedAt: call.at,
 		deadlineAt: call.at + Math.min(route.timeoutMs, call.waitMs),
-		prompt: call.kind === 'stream' ? {promptTokens: call.promptTokens, maximumTokens: 200} : undefined,
+		prompt: route.kind === 'streaming' ? {promptTokens: call.promptTokens, maximumTokens: 200} : undefined,
 	});
 }
 
@@ -110,7 +117,7 @@
 
 /** Plays a scenario to its end. */
 export function runGatewayScenario(scenario: GatewayScenario): WorldFacts {
-	const gateway = createGateway({...fixtureGatewaySettings, budget: {...fixtureGatewaySettings.budget, fixedSends: 4}});
+	const gateway = createGateway({...fixtureGatewaySettings, budget: {...fixtureGatewaySettings.budget, fixedSends: worldFixedSends}});
 	const tasks = new TinyQueue<Task>([], (left, right) => left.at - right.at || left.order - right.order);
 	const calls = new Map<RequestKey, CallFacts>();
 	const heldReservations = new Set<ReservationId>();
--- a/packages/core/src/gateway/gateway-properties.test.ts
+++ b/packages/core/src/gateway/gateway-properties.test.ts
@@ -11,7 +11,7 @@
 	getWorldAnswer, getWorldEvent, worldEventCount, type Conduct,
 } from './gateway-fault-conduct.js';
 import {
-	runGatewayScenario, type CallFacts, type GatewayScenario, type ScriptedCall, type WorldChange, type WorldFacts,
+	runGatewayScenario, worldFixedSends, type CallFacts, type GatewayScenario, type ScriptedCall, type WorldChange, type WorldFacts,
 } from './gateway-fault-world.js';
 
 const parameters = {
@@ -39,7 +39,7 @@
 
 const call: fc.Arbitrary<ScriptedCall> = fc.record({
 	at: time,
-	kind: fc.constantFrom('stream' as const, 'action' as const, 'lookup' as const),
+	kind: fc.constantFrom('stream' as const, 'plainStream' as const, 'action' as const, 'lookup' as const),
 	promptTokens: fc.constantFrom(1000, 5000, 45_000, 200_000, 600_000, 1_000_000),
 	waitMs: fc.integer({min: 20, max: 15_000}),
 	leavesAfterMs: fc.option(fc.integer({min: 0, max: 6000}), {nil: undefined, freq: 4}),
@@ -89,7 +89,7 @@
 	for (const start of further) {
 		const requests = calls.filter(({request: {arrivedAt}}) => arrivedAt >= start - windowMs && arrivedAt < start + windowMs);
 		const inWindow = further.filter(at => at >= start && at < start + windowMs);
-		expect(inWindow.length).toBeLessThanOrEqual((ratio * requests.length) + 4);
+		expect(inWindow.length).toBeLessThanOrEqual((ratio * requests.length) + worldFixedSends);
 	}
 }
 
@@ -103,7 +103,7 @@
 
 	test('that is not to be repeated runs at most once', () => {
 		checkCalls(({request, runs}) => {
-			if (request.route.kind === 'nonIdempotent') {
+			if (request.route.kind === 'nonIdempotent' || (request.route.kind === 'streaming' && !request.route.isResumable)) {
 				expect(runs.length).toBeLessThanOrEqual(1);
 			}
 		});
