--- a/packages/core/src/gateway/placement-cost.ts
+++ b/packages/core/src/gateway/placement-cost.ts
@@ -124,6 +124,7 @@
 	return rank * rankCost;
 }
 
+/** Returns the predicted wait for a slot. */
 export function getSlotWaitMs(engine: EngineProfile, load: EndpointLoad): Milliseconds {
 	const waiting = load.requests - engine.slots + 1;
 	return waiting <= 0 ? 0 : waiting * usualHoldMs / engine.slots;
@@ -139,7 +140,7 @@
 	return Math.max(0, 1 - (free / Math.max(1, candidates.length) / amplyFreeShare));
 }
 
-/** What a placement is weighed against beside its demand. */
+/** What the cost of a receiver depends on beside its own load. */
 export type PlacementContext = Readonly<{
 	/** Time that each server reads. */
 	readMs: Milliseconds;
@@ -147,6 +148,7 @@
 	scarcity: number;
 }>;
 
+/** Returns what a server's own writers and the prompt lose when the server receives it, but for the time until its first event. */
 export function getReceiverCost(engine: EngineProfile, candidate: Candidate, demand: PromptDemand, {readMs, scarcity}: PlacementContext): number {
 	const {load} = candidate;
 	const weight = getLateWeight(demand.promptTokens);
--- a/packages/gateway/src/work-publisher.ts
+++ b/packages/gateway/src/work-publisher.ts
@@ -23,8 +23,8 @@
 
 /** How long changes are collected into one batch; below the time in which a placement would go wrong. */
 const ownBatchMs: Milliseconds = 12;
-/** The same for the work of many gateways, where each batch holds more. */
-const relayedBatchMs: Milliseconds = 30;
+/** The same for the work of many gateways, which has come one way already. */
+const relayedBatchMs: Milliseconds = 10;
 /** Pause after which an empty batch says that the gateway lives. */
 const heartbeatMs: Milliseconds = 500;
 /** Changes that wait for a subscriber which does not read; it has to begin anew beyond that. */
