--- a/packages/soak/src/soak-gateways.ts
+++ b/packages/soak/src/soak-gateways.ts
@@ -3,7 +3,7 @@
 */
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
-import {openSync, writeFileSync} from 'node:fs';
+import {closeSync, openSync, writeFileSync} from 'node:fs';
 import http from 'node:http';
 import net from 'node:net';
 import path from 'node:path';
@@ -80,9 +80,24 @@
 	}
 }
 
+const children = new Set<ChildProcess>();
+
+// A run that fails leaves no gateway behind.
+process.on('exit', () => {
+	for (const child of children) {
+		child.kill('SIGKILL');
+	}
+});
+
 function startGateway(script: string, settingsFile: string, logFile: string): ChildProcess {
 	const log = openSync(logFile, 'a');
-	return spawn(process.execPath, [script, 'gateway', '--settings', settingsFile], {stdio: ['ignore', log, log]});
+	const child = spawn(process.execPath, [script, 'gateway', '--settings', settingsFile], {stdio: ['ignore', log, log]});
+	closeSync(log);
+	children.add(child);
+	child.once('exit', () => {
+		children.delete(child);
+	});
+	return child;
 }
 
 async function tryGetReadiness(port: number): Promise<number | undefined> {
--- a/packages/soak/src/soak.test.ts
+++ b/packages/soak/src/soak.test.ts
@@ -4,9 +4,10 @@
 
 const script = fileURLToPath(new URL('../../../platform/dist/main.js', import.meta.url));
 
-/** Seeds that once failed, each with its cause, and one for the short run of each check. */
+/** Seeds that once failed, each with its cause. */
 const seeds: ReadonlyArray<readonly [seed: number, cause: string]> = [
 	[1, 'prompts beyond one server were refused where they are read fast'],
+	[144, 'bytes overtook each other in the relay of the soak'],
 	[6, 'each retry to follow a lost gateway left a listener behind'],
 ];
 
--- a/packages/standins/src/byte-relay.ts
+++ b/packages/standins/src/byte-relay.ts
@@ -28,10 +28,13 @@
 
 type Connection = {readonly near: net.Socket; readonly far: net.Socket; isSilent: boolean};
 
+/** What comes one way of a connection, in order: nothing overtakes what came before. */
+type Lane = {readonly way: Way; readonly waiting: Array<Readonly<{dueAt: number; pass: () => void}>>};
+
 /** Starts a relay to a port on loopback. */
 export async function startByteRelay(targetPort: number): Promise<ByteRelay> {
 	const connections = new Set<Connection>();
-	let held: Array<Readonly<{way: Way; pass: () => void}>> = [];
+	const lanes = new Set<Lane>();
 	let fault: RelayFault = {kind: 'none'};
 	let connectionCount = 0;
 
@@ -39,28 +42,39 @@
 		return fault.kind === 'cut' && (fault.ways === 'both' || fault.ways === way);
 	}
 
-	/** Passes on what came one way: now, later, or once the cut is over. */
-	function deliver(way: Way, pass: () => void): void {
-		if (isCut(way)) {
-			held.push({way, pass});
-		} else if (fault.kind === 'delay') {
-			setTimeout(pass, fault.delayMs);
-		} else {
-			pass();
+	/** Passes on what is due and not held up. */
+	function deliverDue(lane: Lane): void {
+		for (let next = lane.waiting[0]; next !== undefined && !isCut(lane.way); next = lane.waiting[0]) {
+			const waitMs = next.dueAt - performance.now();
+			if (waitMs > 0) {
+				setTimeout(deliverDue, waitMs, lane);
+				return;
+			}
+
+			lane.waiting.shift();
+			next.pass();
 		}
 	}
 
+	function addToLane(lane: Lane, pass: () => void): void {
+		lane.waiting.push({dueAt: performance.now() + (fault.kind === 'delay' ? fault.delayMs : 0), pass});
+		deliverDue(lane);
+	}
+
 	function openWay(connection: Connection, way: Way): void {
+		const lane: Lane = {way, waiting: []};
+		lanes.add(lane);
 		const [from, to] = way === 'toTarget' ? [connection.near, connection.far] : [connection.far, connection.near];
 		from.on('data', data => {
-			deliver(way, () => {
+			addToLane(lane, () => {
 				if (!connection.isSilent && to.writable) {
 					to.write(data);
 				}
 			});
 		});
 		from.on('close', () => {
-			deliver(way, () => {
+			addToLane(lane, () => {
+				lanes.delete(lane);
 				if (!connection.isSilent) {
 					to.destroy();
 					connections.delete(connection);
@@ -85,10 +99,8 @@
 		port,
 		setFault(next) {
 			fault = next;
-			const released = held.filter(({way}) => !isCut(way));
-			held = held.filter(({way}) => isCut(way));
-			for (const {pass} of released) {
-				pass();
+			for (const lane of lanes) {
+				deliverDue(lane);
 			}
 		},
 		silence() {
