Let stand-ins of the operator and the callers speak for the soak

Cause: the soak's configuration and callers spelled the platform's names, which only platform/ and the stand-ins may know. The form of the configuration and of a caller's headers now lie in two stand-ins, and the soak says what it deploys in the project's words.

--- a/packages/soak/src/soak-callers.ts
+++ b/packages/soak/src/soak-callers.ts
@@ -4,7 +4,10 @@
 import {Buffer} from 'node:buffer';
 import http, {type IncomingMessage} from 'node:http';
 import type {Random} from '@currantcross/core/random';
-import {callDeadlineMs, steadyKey, type CallKind} from './soak-configuration.js';
+import {formatCallHeaders, hasServerProof} from '@currantcross/standins/platform-caller-standin';
+import {
+	callDeadlineMs, soakHost, steadyKey, type CallKind,
+} from './soak-configuration.js';
 import type {SoakGateway} from './soak-gateways.js';
 
 /** One request as its caller saw it. */
@@ -51,6 +54,23 @@
 /** Time beyond its time limit after which a caller gives up; a gateway that answers so late has broken its promise. */
 const giveUpMarginMs = 2500;
 
+function getPromptTokens(kind: CallKind): number | undefined {
+	switch (kind) {
+		case 'ask': {
+			return askTokens;
+		}
+
+		case 'archive': {
+			return archiveTokens;
+		}
+
+		case 'book':
+		case 'look': {
+			return undefined;
+		}
+	}
+}
+
 async function readBody(response: IncomingMessage): Promise<Readonly<{text: string; isComplete: boolean}>> {
 	const chunks: Uint8Array[] = [];
 	try {
@@ -77,7 +97,6 @@
 		const kind = kinds[random.getInteger(kinds.length)] ?? 'ask';
 		const key = random.getFraction() < 0.5 ? steadyKey : host.getKey();
 		const sentAt = performance.now();
-		const isStream = kind === 'ask' || kind === 'archive';
 		const hasLeft = random.getFraction() < leaveShare;
 		const request = http.request({
 			agent,
@@ -85,10 +104,9 @@
 			port: gateway.callerPort,
 			method: 'POST',
 			path: `/${kind}/${requestId}`,
-			headers: {
-				host: 'soak.example', 'request-id': requestId, 'deadline-ms': String(callDeadlineMs[kind]), credential: key,
-				...(isStream ? {'token-count': `${kind === 'archive' ? archiveTokens : askTokens},50`} : {}),
-			},
+			headers: formatCallHeaders({
+				host: soakHost, requestId, key, remainingMs: callDeadlineMs[kind], promptTokens: getPromptTokens(kind),
+			}),
 		});
 		if (hasLeft) {
 			setTimeout(() => {
@@ -113,7 +131,7 @@
 				...common,
 				endedAt: performance.now(),
 				status: response.statusCode,
-				hasStamp: response.headers['response-stamp'] !== undefined,
+				hasStamp: hasServerProof(response.headers),
 				retryAfter: response.headers['retry-after'],
 				isComplete,
 				text,
--- a/packages/soak/src/soak-configuration.ts
+++ b/packages/soak/src/soak-configuration.ts
@@ -1,6 +1,7 @@
 /**
-What the soak deploys: routes, keys and servers in the platform's form.
+What the soak deploys: routes, keys and bounds.
 */
+import {createOperatorConfiguration} from '@currantcross/standins/platform-operator-standin';
 
 /** Kinds of requests that callers send. */
 export type CallKind = 'ask' | 'archive' | 'book' | 'look';
@@ -27,45 +28,34 @@
 	retryWindowMs: 10_000,
 } as const;
 
-/** Timing of the stand-ins, which read any prompt at once. */
-const engine = {
-	slots: 11, kvCapacity: 1_000_000, stride: 34, step_ms: 0.1, per_seq_ms: 0, context_per_k: 0, read_per_s: 10_000_000, pairs_per_m: 0, chunk: 2048,
-};
-
-const common = {
-	host: 'soak.example', priority: 1, public: false, sticky: false, goalMs: 300,
-};
+/** Value of the `Host` header of all routes. */
+export const soakHost = 'soak.example';
+const memoryTokens = 1_000_000;
 
 /** Returns a configuration with these keys; its version also changes a time limit. */
 export function createSoakConfiguration(version: number, keys: readonly string[]): unknown {
 	const stream = {
-		...common, kind: 'streaming', attempts: 3, resumable: true, service: 'models',
-	};
-	return {
+		kind: 'streaming', service: 'models', maximumEndpoints: 3, objectiveMs: 300, longestPauseMs: 250,
+	} as const;
+	const business = {service: 'shop', objectiveMs: 300, longestPauseMs: 0} as const;
+	return createOperatorConfiguration({
 		version,
+		host: soakHost,
 		routes: [
+			{...stream, name: 'ask', timeoutMs: callDeadlineMs.ask + (version % 3)},
 			{
-				...stream, name: 'ask', pathPrefix: '/ask/', timeoutMs: callDeadlineMs.ask + (version % 3), gapAimMs: 250,
-			},
-			{
-				...stream, name: 'archive', pathPrefix: '/archive/', timeoutMs: callDeadlineMs.archive, gapAimMs: 1000, goalMs: 3000,
-			},
-			{
-				...common, name: 'book', pathPrefix: '/book/', kind: 'non_idempotent', attempts: 1, service: 'shop', timeoutMs: callDeadlineMs.book,
+				...stream, name: 'archive', timeoutMs: callDeadlineMs.archive, objectiveMs: 3000, longestPauseMs: 1000,
 			},
 			{
-				...common, name: 'look', pathPrefix: '/look/', kind: 'idempotent', attempts: 2, service: 'shop', timeoutMs: callDeadlineMs.look,
+				...business, name: 'book', kind: 'nonIdempotent', maximumEndpoints: 1, timeoutMs: callDeadlineMs.book,
 			},
-		],
-		services: [
 			{
-				name: 'models', healthPath: '/health', maxConns: 200, engine,
+				...business, name: 'look', kind: 'idempotent', maximumEndpoints: 2, timeoutMs: callDeadlineMs.look,
 			},
-			{name: 'shop', healthPath: '/health', maxConns: 200},
 		],
-		limits: {
-			maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
-		},
-		tenants: [{name: 'club', apiKeys: keys, priority: 1}],
-	};
+		models: {service: 'models', memoryTokens},
+		shop: 'shop',
+		organisation: 'club',
+		keys,
+	});
 }
--- a/xo.config.js
+++ b/xo.config.js
@@ -3,7 +3,7 @@
 	{ignores: ['**/gen/**', '**/dist/**', 'docs/**']},
 	{
 		// The platform's configuration names some fields with underscores.
-		files: ['platform/src/configuration-codec.ts', 'packages/soak/src/soak-configuration.ts'],
+		files: ['platform/src/configuration-codec.ts', 'packages/standins/src/platform-operator-standin.ts'],
 		rules: {'@typescript-eslint/naming-convention': 'off'},
 	},
 	{
