Log the checks of silent sends, and the memory reserved for each

Each outcome of a silence check is now logged once for a send: at most five lines for a send, none for a send that makes progress. requestPlaced names the endpoint and the tokens of each reservation. No decision changes.

--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -16,7 +16,7 @@
 } from './memory-reservation.js';
 import type {Placement} from './placement.js';
 import type {
-	GatewayAction, RequestEvent, SendId, SendResult,
+	GatewayAction, RequestEvent, SendId, SendResult, SilenceOutcome,
 } from './gateway-events.js';
 import {
 	getSilenceTimeoutMs, isStreamResponse, parseEventNumber, silenceTimeouts, type SavedResponse, type Send,
@@ -141,6 +141,7 @@
 			lastProgressAt: now,
 			checkAt: now,
 			isProbed: false,
+			reportedOutcomes: new Set(),
 			hasEvents: false,
 		};
 		current.checkAt = now + (current.memory === undefined ? getSilenceTimeoutMs(route, current) : reservationTimeoutMs);
@@ -154,7 +155,7 @@
 					sendId,
 					endpoint: placement.endpoint.id,
 					helpers: placement.helpers.length,
-					reservations: current.memory?.reservations.length ?? 0,
+					reservations: current.memory?.reservations ?? [],
 					firstEventMs: Math.round(placement.firstEventMs),
 					candidates: decision.candidates,
 				},
@@ -537,29 +538,50 @@
 		silentSend.checkAt = now + silenceTimeouts.recheckMs;
 		silentSend.isProbed = false;
 		if (!mayRepeat || !canRetry()) {
-			return [];
+			return reportSilence(silentSend, 'retryForbidden', now);
 		}
 
 		const isOvertaken = context.registry.isOvertaken(id, getSentRequest(silentSend), lastProgressAt);
 		if (!isOvertaken && context.registry.hasRespondedSince(id, now - silenceTimeouts.minimumMs)) {
-			return [];
+			return reportSilence(silentSend, 'endpointResponded', now);
 		}
 
 		if (!isOvertaken && !isProbed) {
 			silentSend.isProbed = true;
 			silentSend.checkAt = now + silenceTimeouts.probeMs;
-			return [{
-				kind: 'probeEndpoint', key: request.key, sendId: silentSend.id, endpoint: placement.endpoint,
-			}];
+			return [
+				...reportSilence(silentSend, 'probed', now),
+				{
+					kind: 'probeEndpoint', key: request.key, sendId: silentSend.id, endpoint: placement.endpoint,
+				},
+			];
 		}
 
 		if (!context.retryQuota.tryTake(request.service, now)) {
-			return [];
+			return reportSilence(silentSend, 'quotaExhausted', now);
 		}
 
 		context.registry.recordFailure(placement.endpoint.id, now);
 		const failure = createFailure('serverLost', 'the endpoint went silent');
-		return [...cancelCurrentSend(), ...closeSend('silent', '', now), ...send(now, failure)];
+		return [...reportSilence(silentSend, 'abandoned', now), ...cancelCurrentSend(), ...closeSend('silent', '', now), ...send(now, failure)];
+	}
+
+	/** Reports the outcome of a silence check, the first time that a send's checks have this outcome. */
+	function reportSilence({
+		id, placement, lastProgressAt, reportedOutcomes,
+	}: Send, outcome: SilenceOutcome, now: Timestamp): readonly GatewayAction[] {
+		if (reportedOutcomes.has(outcome)) {
+			return [];
+		}
+
+		reportedOutcomes.add(outcome);
+		return [{
+			kind: 'reportDecision',
+			key: request.key,
+			decision: {
+				kind: 'silenceChecked', sendId: id, endpoint: placement.endpoint.id, silentMs: Math.round(now - lastProgressAt), outcome,
+			},
+		}];
 	}
 
 	/** Returns a send's data for the overtaking check, without `promptTokens` if the prompt is split, since the response then also depends on the helpers. */
--- a/packages/core/src/gateway/gateway-events.ts
+++ b/packages/core/src/gateway/gateway-events.ts
@@ -66,10 +66,26 @@
 	| Readonly<{kind: 'reportEndpoint'; change: EndpointChange}>
 	| Readonly<{kind: 'reportDecision'; key: RequestKey; decision: ReportedDecision}>;
 
-/** A placement or the end of a send, for the log. */
+/** A decision about a send, for the log. */
 export type ReportedDecision
-	= | Readonly<{kind: 'placed'; sendId: SendId; endpoint: string; helpers: number; reservations: number; firstEventMs: Milliseconds; candidates: number}>
-		| Readonly<{kind: 'sendEnded'; sendId: SendId; endpoint: string; result: SendResult; mayHaveRun: boolean; detail: string}>;
+	= | Readonly<{
+		kind: 'placed';
+		sendId: SendId;
+		endpoint: string;
+		helpers: number;
+		reservations: readonly Reservation[];
+		firstEventMs: Milliseconds;
+		candidates: number;
+	}>
+	/** A send made no progress for `silentMs`. */
+	| Readonly<{kind: 'silenceChecked'; sendId: SendId; endpoint: string; silentMs: Milliseconds; outcome: SilenceOutcome}>
+	| Readonly<{kind: 'sendEnded'; sendId: SendId; endpoint: string; result: SendResult; mayHaveRun: boolean; detail: string}>;
+
+/**
+What follows from the check of a silent send: its endpoint is probed, the send is abandoned, or it is kept. A send is kept if
+its endpoint has responded recently, its request may not be sent again, or the retry quota is used up.
+*/
+export type SilenceOutcome = 'probed' | 'abandoned' | 'endpointResponded' | 'retryForbidden' | 'quotaExhausted';
 
 /** How a send ended; `replaced` means that another endpoint now responds at the address. */
 export type SendResult = 'answered' | 'notRun' | 'replaced' | 'noMemory' | 'failedStatus' | 'corrupt' | 'broken' | 'silent' | 'deadline' | 'clientGone';
--- a/packages/core/src/gateway/request-send.ts
+++ b/packages/core/src/gateway/request-send.ts
@@ -6,7 +6,7 @@
 import type {EndpointResponseHead, GatewayRequest, ServedRoute} from './gateway-types.js';
 import type {MemoryReservation} from './memory-reservation.js';
 import type {Placement} from './placement.js';
-import type {SendId} from './gateway-events.js';
+import type {SendId, SilenceOutcome} from './gateway-events.js';
 
 /** Timeouts of a send without progress, in milliseconds and as multiples of its route's latency targets. */
 export const silenceTimeouts = {
@@ -41,6 +41,8 @@
 	/** When to check next whether the send is lost. */
 	checkAt: Timestamp;
 	isProbed: boolean;
+	/** Outcomes of silence checks that were reported; each is reported once. */
+	readonly reportedOutcomes: Set<SilenceOutcome>;
 	hasEvents: boolean;
 };
 
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -38,6 +38,11 @@
 
 type OpenRequest = Readonly<{request: GatewayRequest; exchange: CallerExchange}>;
 
+/** Returns the endpoint and the tokens of each reservation, for the log. */
+function formatReservations(reservations: readonly Reservation[]): string | undefined {
+	return reservations.length === 0 ? undefined : reservations.map(({endpoint, tokens}) => `${endpoint.id}:${tokens}`).join(',');
+}
+
 /** Creates a driver for the gateway. */
 export function createGatewayDriver(gateway: Gateway, host: GatewayDriverHost): GatewayDriver {
 	const openRequests = new Map<RequestKey, OpenRequest>();
@@ -199,7 +204,16 @@
 					sendId, endpoint, helpers, reservations, firstEventMs, candidates,
 				} = decision;
 				host.logger.info('requestPlaced', {
-					request, sendId, endpoint, helpers, reservations, firstEventMs, candidates, configurationAgeMs: Math.round(gateway.getConfigurationAgeMs(performance.now())),
+					request, sendId, endpoint, helpers, reservations: formatReservations(reservations), firstEventMs, candidates,
+					configurationAgeMs: Math.round(gateway.getConfigurationAgeMs(performance.now())),
+				});
+				return;
+			}
+
+			case 'silenceChecked': {
+				const {sendId, endpoint, silentMs, outcome} = decision;
+				host.logger.info('silenceChecked', {
+					request, sendId, endpoint, silentMs, outcome,
 				});
 				return;
 			}
