Show in a test that memory stays reserved while a receiver hangs the request

In the simulation an endpoint may now hang: it reads the request, never begins it, and answers probes.

The simulation could not see the fault before: its streams had an objective of 300 ms, so that prompts long enough to reserve memory were refused, no endpoint hung, and nothing looked at whether reserved memory was used. It now has routes for long prompts.

--- a/packages/core/src/gateway/endpoint-behaviour.ts
+++ b/packages/core/src/gateway/endpoint-behaviour.ts
@@ -26,7 +26,9 @@
 	*/
 		| Readonly<{kind: 'truncate'; how: 'break' | 'silent' | 'end'; events: number; bytes: number; delayMs: Milliseconds}>
 		| Readonly<{kind: 'skipEvent'; delayMs: Milliseconds}>
-		| Readonly<{kind: 'silent'}>;
+		| Readonly<{kind: 'silent'}>
+	/** Reads the request, never begins to work on it, and goes on answering probes. */
+		| Readonly<{kind: 'hang'}>;
 
 /** An event that the endpoint causes, and its delay after the send. */
 export type BehaviourStep = Readonly<{afterMs: Milliseconds; event: RequestEvent}>;
@@ -51,7 +53,7 @@
 
 /** Returns whether an endpoint with this behaviour runs the request. */
 export function isRequestRun(behaviour: EndpointBehaviour): boolean {
-	return behaviour.kind !== 'refuse' && behaviour.kind !== 'misdirect' && behaviour.kind !== 'failConnection';
+	return behaviour.kind !== 'refuse' && behaviour.kind !== 'misdirect' && behaviour.kind !== 'failConnection' && behaviour.kind !== 'hang';
 }
 
 /** Returns the parts of a response: up to `count` of the remaining events, or the body of a response that isn't a stream. */
@@ -62,7 +64,7 @@
 		: [nonStreamBody];
 }
 
-function getEvents(send: ReceivedSend, behaviour: Exclude<EndpointBehaviour, {kind: 'silent'}>): readonly RequestEvent[] {
+function getEvents(send: ReceivedSend, behaviour: Exclude<EndpointBehaviour, {kind: 'silent' | 'hang'}>): readonly RequestEvent[] {
 	const {sendId} = send;
 	const end: RequestEvent = {kind: 'responseEnded', sendId};
 	const connectionReset: RequestEvent = {
@@ -122,7 +124,7 @@
 
 /** Returns all events that a send causes. */
 export function getBehaviourSteps(send: ReceivedSend, behaviour: EndpointBehaviour): readonly BehaviourStep[] {
-	if (behaviour.kind === 'silent') {
+	if (behaviour.kind === 'silent' || behaviour.kind === 'hang') {
 		return [];
 	}
 
--- a/packages/core/src/gateway/gateway-fault-simulation.ts
+++ b/packages/core/src/gateway/gateway-fault-simulation.ts
@@ -10,7 +10,7 @@
 import {getBehaviourSteps, isRequestRun, type EndpointBehaviour} from './endpoint-behaviour.js';
 import {
 	createFixtureEndpoints, createFixtureGatewayRequest, fixtureNonIdempotentRoute, fixtureConfiguration, fixtureGatewaySettings,
-	fixtureIdempotentRoute, fixtureStreamRoute,
+	fixtureIdempotentRoute, fixtureLongStreamRoute, fixtureStreamRoute,
 } from './gateway-fixtures.js';
 import type {
 	EndpointId, GatewayRequest, ListedEndpoint, RequestKey, ServedRoute,
@@ -21,7 +21,7 @@
 /** A request that a simulated caller makes. */
 export type ScriptedGatewayRequest = Readonly<{
 	at: Timestamp;
-	kind: 'stream' | 'nonResumableStream' | 'nonIdempotent' | 'idempotent';
+	kind: 'stream' | 'nonResumableStream' | 'longStream' | 'nonResumableLongStream' | 'nonIdempotent' | 'idempotent';
 	promptTokens: number;
 	/** Time from arrival to the caller's deadline. */
 	callerTimeoutMs: Milliseconds;
@@ -71,6 +71,8 @@
 	heldReservations: ReadonlySet<ReservationId>;
 	/** Reservations that were requested again after their release. */
 	reservationsAfterRelease: readonly ReservationId[];
+	/** Longest time for which a reservation was held before a request used it, or until its release if none did. */
+	longestUnusedMs: Milliseconds;
 	/** Ids of the requests that the other gateways still consider open at the end. */
 	openWorkIds: ReadonlySet<number>;
 	/** When each endpoint was first drained or removed. */
@@ -95,6 +97,14 @@
 			return {...fixtureStreamRoute, name: 'plain', isResumable: false};
 		}
 
+		case 'longStream': {
+			return fixtureLongStreamRoute;
+		}
+
+		case 'nonResumableLongStream': {
+			return {...fixtureLongStreamRoute, name: 'plainArchive', isResumable: false};
+		}
+
 		case 'nonIdempotent': {
 			// A route may allow several endpoints, but a request that isn't repeatable still runs once.
 			return {...fixtureNonIdempotentRoute, maximumEndpoints: 2};
@@ -128,6 +138,9 @@
 	const heldReservations = new Set<ReservationId>();
 	const releasedReservations = new Set<ReservationId>();
 	const reservationsAfterRelease: ReservationId[] = [];
+	/** When each reservation that no request has used yet was granted. */
+	const unusedReservations = new Map<ReservationId, Timestamp>();
+	let longestUnusedMs = 0;
 	const openWorkIds = new Set<number>();
 	const drainedAt = new Map<EndpointId, Timestamp>();
 	let endpoints: readonly ListedEndpoint[] = [...createFixtureEndpoints('models', 8), ...createFixtureEndpoints('shop', 3)];
@@ -180,6 +193,7 @@
 
 			case 'releaseMemory': {
 				heldReservations.delete(action.reservation.id);
+				endUnusedReservation(action.reservation.id);
 				releasedReservations.add(action.reservation.id);
 				return;
 			}
@@ -246,6 +260,12 @@
 		}
 	}
 
+	/** Ends the time for which a reservation is unused: a request uses it now, or it was released. */
+	function endUnusedReservation(id: ReservationId): void {
+		longestUnusedMs = Math.max(longestUnusedMs, now - (unusedReservations.get(id) ?? now));
+		unusedReservations.delete(id);
+	}
+
 	function performReservation(key: RequestKey, reservation: Reservation): void {
 		if (releasedReservations.has(reservation.id)) {
 			reservationsAfterRelease.push(reservation.id);
@@ -254,6 +274,10 @@
 		const isHeld = heldReservations.has(reservation.id) || scenario.grants[grantIndex % scenario.grants.length];
 		grantIndex += 1;
 		if (isHeld !== false) {
+			if (!heldReservations.has(reservation.id)) {
+				unusedReservations.set(reservation.id, now);
+			}
+
 			heldReservations.add(reservation.id);
 		}
 
@@ -278,6 +302,9 @@
 		record.openSends.add(action.sendId);
 		if (isRequestRun(behaviour)) {
 			record.runs.push({endpoint: action.endpoint.id, at: now});
+			for (const {reservationId} of action.helpers) {
+				endUnusedReservation(reservationId ?? '');
+			}
 		}
 
 		const {key, sendId, lastEventId} = action;
@@ -380,6 +407,6 @@
 	}
 
 	return {
-		records: [...records.values()], heldReservations, reservationsAfterRelease, openWorkIds, drainedAt, revokedAt, verificationLostAt,
+		records: [...records.values()], heldReservations, reservationsAfterRelease, longestUnusedMs, openWorkIds, drainedAt, revokedAt, verificationLostAt,
 	};
 }
--- a/packages/core/src/gateway/gateway-fixtures.ts
+++ b/packages/core/src/gateway/gateway-fixtures.ts
@@ -35,6 +35,11 @@
 	longestPauseMs: 250,
 };
 
+/** Route of prompts that are long enough to be split over several servers. */
+export const fixtureLongStreamRoute: ServedRoute = {
+	...fixtureStreamRoute, name: 'archive', prefix: '/archive/', timeoutMs: 15_000, objectiveMs: 4000, longestPauseMs: 1000,
+};
+
 export const fixtureNonIdempotentRoute: ServedRoute = {
 	...commonRoute,
 	name: 'book',
@@ -56,7 +61,7 @@
 
 export const fixtureConfiguration: ServingConfiguration = {
 	version: 1,
-	routes: [fixtureStreamRoute, fixtureNonIdempotentRoute, fixtureIdempotentRoute],
+	routes: [fixtureStreamRoute, fixtureLongStreamRoute, fixtureNonIdempotentRoute, fixtureIdempotentRoute],
 	services: new Map([
 		['models', {name: 'models', engine: fixtureEngine}],
 		['shop', {name: 'shop', engine: undefined}],
--- a/packages/core/src/gateway/gateway-properties.test.ts
+++ b/packages/core/src/gateway/gateway-properties.test.ts
@@ -35,13 +35,16 @@
 		delayMs,
 	}),
 	fc.constant({kind: 'silent' as const}),
+	fc.constant({kind: 'hang' as const}),
 );
 
+const scriptedKinds = ['stream', 'nonResumableStream', 'longStream', 'nonResumableLongStream', 'nonIdempotent', 'idempotent'] as const;
+
 const scriptedRequest: fc.Arbitrary<ScriptedGatewayRequest> = fc.record({
 	at: eventTime,
-	kind: fc.constantFrom('stream' as const, 'nonResumableStream' as const, 'nonIdempotent' as const, 'idempotent' as const),
+	kind: fc.constantFrom(...scriptedKinds),
 	promptTokens: fc.constantFrom(1000, 5000, 45_000, 200_000, 600_000, 1_000_000),
-	callerTimeoutMs: fc.integer({min: 20, max: 15_000}),
+	callerTimeoutMs: fc.oneof(fc.integer({min: 20, max: 15_000}), fc.constant(15_000)),
 	disconnectsAfterMs: fc.option(fc.integer({min: 0, max: 6000}), {nil: undefined, freq: 4}),
 });
 
@@ -66,6 +69,9 @@
 	}), parameters);
 }
 
+/** Time for which memory may be reserved without use, by the platform's rules. */
+const maximumUnusedMs = 9000;
+
 /** Returns the number of events in the text if it is a prefix of the complete stream, or -1. */
 function getEventCount(text: string): number {
 	let prefix = '';
@@ -185,4 +191,25 @@
 			expect([...openWorkIds]).toEqual([]);
 		}), parameters);
 	});
+
+	// Guards against memory that stays reserved at helpers while the receiver hangs the request and answers probes.
+	test.each(['longStream', 'nonResumableLongStream'] as const)('reserves no memory without use for a %s whose receiver hangs it and answers probes', kind => {
+		const {longestUnusedMs, records} = runGatewayScenario({
+			requests: [{
+				at: 0, kind, promptTokens: 600_000, callerTimeoutMs: 15_000, disconnectsAfterMs: undefined,
+			}],
+			behaviours: [{kind: 'hang'}],
+			grants: [true],
+			changes: [],
+		});
+		expect(records[0]?.sends.length).toBeGreaterThan(0);
+		expect(longestUnusedMs).toBeLessThan(maximumUnusedMs);
+	});
+
+	// Guards against memory that stays reserved at helpers while the receiver hangs the request and answers probes.
+	test('reserves no memory without use', () => {
+		fc.assert(fc.property(scenario, input => {
+			expect(runGatewayScenario(input).longestUnusedMs).toBeLessThan(maximumUnusedMs);
+		}), parameters);
+	});
 });
