Release memory that no request uses, and send the request elsewhere

Cause: the receiver read the prompt, never began it, and answered probes. An answered probe shows that an endpoint lives, and was taken as proof that the send progresses; a send that could not or need not be repeated was kept until its deadline. Its reservations were renewed every 1.2 s as long as the send was kept, so nothing bounded how long memory was held for a request that did not use it. The class: a hold whose only end is its owner's, where the owner waits for another part without a limit.

Evidence: silenceChecked probed, endpointResponded, then sendEnded deadline for the same send.

Change: while a send with reservations makes no progress, the holders are asked whether a request uses the memory. If one does not say so within 0.4 s, the send is abandoned and the request is sent elsewhere; where that is not allowed, it ends after 4.5 s, which leaves time for a lost release under the platform's limit of 9 s (memoryIdleMs of the settings, from the platform's bounds). The first check is due at the predicted first event, 1.5 s after the reservation at the earliest. Probes carry the report of the endpoint now; one action serves both checks.

--- a/packages/core/src/gateway/forwarded-request.test.ts
+++ b/packages/core/src/gateway/forwarded-request.test.ts
@@ -19,6 +19,8 @@
 	submit(request: GatewayRequest): readonly string[];
 	/** Returns the id of the latest send. */
 	getSendId(): number;
+	/** Returns the endpoint of the latest send. */
+	getEndpointId(): string;
 }>;
 
 function formatAction(action: GatewayAction): readonly string[] {
@@ -78,6 +80,7 @@
 function createHarness(): GatewayHarness {
 	const gateway = createGateway(fixtureGatewaySettings);
 	let sendId = 0;
+	let endpointId = '';
 	gateway.step({kind: 'configurationVerified', configuration: fixtureConfiguration, verifiedAt: 0}, 0);
 	gateway.step({kind: 'endpointsListed', endpoints: [...createFixtureEndpoints('models', 16), ...createFixtureEndpoints('shop', 3)]}, 0);
 
@@ -85,6 +88,7 @@
 		for (const action of actions) {
 			if (action.kind === 'send') {
 				sendId = action.sendId;
+				endpointId = action.endpoint.id;
 			}
 		}
 
@@ -96,6 +100,7 @@
 		step: (event, now) => format(gateway.step({kind: 'requestChanged', key: 1, event}, now)),
 		submit: request => format(gateway.step({kind: 'requestArrived', request}, request.arrivedAt)),
 		getSendId: () => sendId,
+		getEndpointId: () => endpointId,
 	};
 }
 
@@ -198,7 +203,7 @@
 	test('stays at its silent endpoint if the endpoint answers a probe', () => {
 		const harness = startRequest({...fixtureIdempotentRoute, timeoutMs: 5000});
 		harness.gateway.step({kind: 'timePassed'}, 901);
-		expect(harness.step({kind: 'probeAnswered', sendId: harness.getSendId()}, 910)).toEqual([]);
+		expect(harness.step({kind: 'probeAnswered', endpoint: harness.getEndpointId(), report: undefined}, 910)).toEqual([]);
 		expect(harness.gateway.step({kind: 'timePassed'}, 1202).flatMap(action => formatAction(action))).toEqual([]);
 	});
 
@@ -430,6 +435,7 @@
 	const request = createForwardedRequest(createFixtureGatewayRequest(fixtureStreamRoute), {
 		registry: createEndpointRegistry(fixtureGatewaySettings.endpoints),
 		retryQuota: createRetryQuota(fixtureGatewaySettings.retryQuota),
+		memoryIdleMs: 9000,
 		createSendId: () => 1,
 		createReservationId: () => 'm',
 		choosePlacement: () => decisions.shift() ?? {kind: 'refused', failure: createNotRunFailure('overloaded')},
--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -9,10 +9,12 @@
 import type {Milliseconds, Timestamp} from '../types.js';
 import type {EndpointRegistry, SentRequest} from './endpoint-registry.js';
 import {createEventSplitter, type StreamEvent} from './event-splitter.js';
-import type {EndpointResponseHead, EndpointId, GatewayRequest} from './gateway-types.js';
+import type {
+	EndpointId, EndpointReport, EndpointResponseHead, GatewayRequest, ListedEndpoint,
+} from './gateway-types.js';
 import type {WorkChange} from './load-view.js';
 import {
-	createMemoryReservation, reservationHoldMs, type MemoryReservation, type Reservation, type ReservationId,
+	createMemoryReservation, getMemoryUseLimits, reservationHoldMs, type MemoryReservation, type Reservation, type ReservationId,
 } from './memory-reservation.js';
 import type {Placement} from './placement.js';
 import type {
@@ -27,6 +29,8 @@
 export type RequestContext = Readonly<{
 	registry: EndpointRegistry;
 	retryQuota: RetryQuota;
+	/** Time for which the platform allows reserved memory to be unused. */
+	memoryIdleMs: Milliseconds;
 	createSendId(): SendId;
 	/** Returns a reservation id that is unique across all gateways. */
 	createReservationId(sendId: SendId, index: number): ReservationId;
@@ -181,7 +185,9 @@
 			: [{
 				id: context.createReservationId(sendId, index), endpoint, tokens: reservedTokens, holdMs: reservationHoldMs,
 			}]);
-		return reservations.length === 0 ? undefined : createMemoryReservation(reservations, now);
+		return reservations.length === 0
+			? undefined
+			: createMemoryReservation(reservations, getMemoryUseLimits(placement.firstEventMs, context.memoryIdleMs), now);
 	}
 
 	function reserve(reservations: readonly Reservation[]): readonly GatewayAction[] {
@@ -516,6 +522,13 @@
 			return send(now, deferredFailure);
 		}
 
+		if (current?.memory !== undefined) {
+			const memoryActions = checkMemoryUse(current.memory, now);
+			if (memoryActions.length > 0) {
+				return memoryActions;
+			}
+		}
+
 		const renewals = reserve(current?.memory?.takeDueRenewals(now) ?? []);
 		if (current === undefined || now < current.checkAt) {
 			return renewals;
@@ -528,6 +541,36 @@
 		return [...renewals, ...checkSilence(current, now)];
 	}
 
+	/** Checks whether the memory of a send without progress is used, and abandons the send if it isn't. */
+	function checkMemoryUse(memory: MemoryReservation, now: Timestamp): readonly GatewayAction[] {
+		const check = memory.takeUseCheck(now);
+		switch (check.kind) {
+			case 'none': {
+				return [];
+			}
+
+			case 'ask': {
+				return check.reservations.map(({endpoint}): GatewayAction => ({kind: 'probeEndpoint', key: request.key, endpoint}));
+			}
+
+			case 'unused': {
+				const mayRetry = canRetry() && context.retryQuota.tryTake(request.service, now);
+				return mayRetry || check.isOverdue ? abandonUnusedMemory(check.holders, mayRetry, now) : [];
+			}
+		}
+	}
+
+	function abandonUnusedMemory(holders: readonly ListedEndpoint[], mayRetry: boolean, now: Timestamp): readonly GatewayAction[] {
+		if (current === undefined) {
+			return [];
+		}
+
+		context.registry.recordFailure(current.placement.endpoint.id, now);
+		const closeActions = [...cancelCurrentSend(), ...closeSend('memoryUnused', holders.map(({id}) => id).join(','), now)];
+		const failure = createFailure('serverLost', 'the endpoint did not begin the request');
+		return [...closeActions, ...(mayRetry ? send(now, failure) : endWithFailure(failure))];
+	}
+
 	/**
 	Checks a send without recent progress. The request is sent again if its endpoint has begun to answer a later request of
 	at least its length, or doesn't answer a probe. The endpoint is probed only if nothing was received from it recently.
@@ -551,9 +594,7 @@
 			silentSend.checkAt = now + silenceTimeouts.probeMs;
 			return [
 				...reportSilence(silentSend, 'probed', now),
-				{
-					kind: 'probeEndpoint', key: request.key, sendId: silentSend.id, endpoint: placement.endpoint,
-				},
+				{kind: 'probeEndpoint', key: request.key, endpoint: placement.endpoint},
 			];
 		}
 
@@ -591,6 +632,7 @@
 
 	function recordProgress(send: Send, now: Timestamp): void {
 		send.lastProgressAt = now;
+		send.memory?.recordProgress(now);
 		send.checkAt = now + getSilenceTimeoutMs(route, send);
 		context.registry.recordProgress(send.placement.endpoint.id, getSentRequest(send), now);
 	}
@@ -618,10 +660,7 @@
 			}
 
 			case 'probeAnswered': {
-				if (event.sendId === current?.id) {
-					context.registry.recordProbeResponse(current.placement.endpoint.id, now);
-				}
-
+				recordProbeResponse(event.endpoint, event.report, now);
 				return [];
 			}
 
@@ -640,6 +679,13 @@
 		}
 	}
 
+	function recordProbeResponse(endpoint: EndpointId, report: EndpointReport | undefined, now: Timestamp): void {
+		context.registry.recordProbeResponse(endpoint, now);
+		for (const id of report?.usedReservations ?? []) {
+			current?.memory?.recordUse(id, now);
+		}
+	}
+
 	function handleSendFailure(wasSent: boolean, detail: string, now: Timestamp): readonly GatewayAction[] {
 		if (wasSent) {
 			return handleLostSend('broken', detail, now);
@@ -660,6 +706,7 @@
 			deferredUntil,
 			current?.checkAt ?? Number.POSITIVE_INFINITY,
 			current?.memory?.getRenewAt() ?? Number.POSITIVE_INFINITY,
+			current?.memory?.getUseCheckAt() ?? Number.POSITIVE_INFINITY,
 		),
 		isEnded: () => hasEnded,
 	};
--- a/packages/core/src/gateway/gateway-events.ts
+++ b/packages/core/src/gateway/gateway-events.ts
@@ -5,7 +5,7 @@
 import type {Milliseconds, Timestamp} from '../types.js';
 import type {EndpointChange} from './endpoint-registry.js';
 import type {
-	EndpointResponseHead, GatewayRequest, ListedEndpoint, RawHeaders, RequestKey, ServingConfiguration,
+	EndpointId, EndpointReport, EndpointResponseHead, GatewayRequest, ListedEndpoint, RawHeaders, RequestKey, ServingConfiguration,
 } from './gateway-types.js';
 import type {GatewayName, WorkChange} from './load-view.js';
 import type {Reservation, ReservationId} from './memory-reservation.js';
@@ -25,8 +25,8 @@
 	/** The connection failed. `wasSent` is false only if the request can't have reached the endpoint. */
 		| Readonly<{kind: 'sendFailed'; sendId: SendId; wasSent: boolean; detail: string}>
 		| Readonly<{kind: 'memoryAnswered'; reservationId: ReservationId; isHeld: boolean}>
-	/** The endpoint of the send answered a probe. */
-		| Readonly<{kind: 'probeAnswered'; sendId: SendId}>
+	/** An endpoint answered a probe; `report` is `undefined` if it can't be decoded. */
+		| Readonly<{kind: 'probeAnswered'; endpoint: EndpointId; report: EndpointReport | undefined}>
 		| Readonly<{kind: 'clientGone'}>
 		| Readonly<{kind: 'timePassed'}>;
 
@@ -44,8 +44,8 @@
 	/** Creates or renews a memory reservation. */
 	| Readonly<{kind: 'reserveMemory'; key: RequestKey; reservation: Reservation}>
 	| Readonly<{kind: 'releaseMemory'; reservation: Reservation}>
-	/** Probes whether the endpoint of a silent send is still alive. */
-	| Readonly<{kind: 'probeEndpoint'; key: RequestKey; sendId: SendId; endpoint: ListedEndpoint}>
+	/** Asks an endpoint for its report, which also shows that it is alive. */
+	| Readonly<{kind: 'probeEndpoint'; key: RequestKey; endpoint: ListedEndpoint}>
 	| Readonly<{kind: 'cancelSend'; sendId: SendId}>
 	| Readonly<{
 		kind: 'startResponse';
@@ -87,8 +87,11 @@
 */
 export type SilenceOutcome = 'probed' | 'abandoned' | 'endpointResponded' | 'retryForbidden' | 'quotaExhausted';
 
-/** How a send ended; `replaced` means that another endpoint now responds at the address. */
-export type SendResult = 'answered' | 'notRun' | 'replaced' | 'noMemory' | 'failedStatus' | 'corrupt' | 'broken' | 'silent' | 'deadline' | 'clientGone';
+/**
+How a send ended; `replaced` means that another endpoint now responds at the address, and `memoryUnused` that the receiver
+didn't begin a request for which other endpoints held memory.
+*/
+export type SendResult = 'answered' | 'notRun' | 'replaced' | 'noMemory' | 'memoryUnused' | 'failedStatus' | 'corrupt' | 'broken' | 'silent' | 'deadline' | 'clientGone';
 
 /** Summary of a completed response. */
 export type ResponseSummary = Readonly<{
--- a/packages/core/src/gateway/gateway-fault-simulation.ts
+++ b/packages/core/src/gateway/gateway-fault-simulation.ts
@@ -199,9 +199,10 @@
 			}
 
 			case 'probeEndpoint': {
-				const {key, sendId} = action;
+				const {key, endpoint} = action;
+				const usedReservations = new Set([...heldReservations].filter(id => !unusedReservations.has(id)));
 				schedule(now + 5, () => {
-					dispatch(key, {kind: 'probeAnswered', sendId});
+					dispatch(key, {kind: 'probeAnswered', endpoint: endpoint.id, report: {usedReservations}});
 				});
 				return;
 			}
--- a/packages/core/src/gateway/gateway-fixtures.ts
+++ b/packages/core/src/gateway/gateway-fixtures.ts
@@ -92,6 +92,7 @@
 	retryQuota: {
 		ratio: 0.2, fixedSends: 100, windowMs: 10_000, usedShare: 0.75,
 	},
+	memoryIdleMs: 9000,
 };
 
 /** Returns a request of the route; without changes it arrives at time 0. */
--- a/packages/core/src/gateway/gateway-types.ts
+++ b/packages/core/src/gateway/gateway-types.ts
@@ -113,6 +113,12 @@
 	lastEventId: string | undefined;
 }>;
 
+/** What an endpoint reports of its work, in response to a probe; some hundred milliseconds old. */
+export type EndpointReport = Readonly<{
+	/** Ids of the memory reservations that a request uses. */
+	usedReservations: ReadonlySet<string>;
+}>;
+
 /** Headers as alternating names and values. */
 export type RawHeaders = readonly string[];
 
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -33,6 +33,8 @@
 	configuration: ConfigurationStateSettings;
 	endpoints: EndpointRegistrySettings;
 	retryQuota: RetryQuotaSettings;
+	/** Time for which the platform allows reserved memory to be unused. */
+	memoryIdleMs: Milliseconds;
 }>;
 
 export type Gateway = Readonly<{
@@ -124,6 +126,7 @@
 	const context = {
 		registry,
 		retryQuota,
+		memoryIdleMs: settings.memoryIdleMs,
 		createSendId() {
 			sendCount += 1;
 			return sendCount;
--- a/packages/gateway/src/endpoint-client.ts
+++ b/packages/gateway/src/endpoint-client.ts
@@ -1,6 +1,7 @@
 /**
 HTTP client for endpoints. Sends requests over persistent connections and passes the responses to listeners.
 */
+import {Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders} from 'node:http';
 import process from 'node:process';
 import type {RawHeaders} from '@currantcross/core/gateway/gateway-types';
@@ -8,6 +9,7 @@
 import {
 	buildConnector, type Dispatcher, errors, Pool,
 } from 'undici';
+import VError from 'verror';
 import type {ControlRequest} from './gateway-hosts.js';
 
 /** A send: one transmission of a caller's request to an endpoint. A request that is retried has several sends. */
@@ -31,10 +33,12 @@
 	onFailure(wasSent: boolean, detail: string): void;
 }>;
 
+export type ControlResponse = Readonly<{status: number; body: string}>;
+
 export type EndpointClient = Readonly<{
 	send(request: EndpointRequest, listener: EndpointListener): void;
-	/** Sends a control request and returns the response status. Rejects on a timeout or connection error. */
-	sendControlRequest(address: string, request: ControlRequest): Promise<number>;
+	/** Sends a control request and returns the response. Rejects on a timeout, a connection error or a body that is too long. */
+	sendControlRequest(address: string, request: ControlRequest): Promise<ControlResponse>;
 	/** Aborts a send. Its listener is not called again. */
 	cancel(sendId: SendId): void;
 	/** Closes the connections to all other addresses once they are idle. */
@@ -59,6 +63,25 @@
 	'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'EMFILE', 'UND_ERR_CONNECT_TIMEOUT',
 ]);
 
+/** Maximum length of a control response; a report of all reservations of a server is far shorter. */
+const maximumControlBodyBytes = 65_536;
+
+/** Reads a control response's body as text. Throws if it is too long, which closes the connection. */
+async function readControlBody(body: AsyncIterable<Uint8Array>): Promise<string> {
+	const chunks: Uint8Array[] = [];
+	let length = 0;
+	for await (const chunk of body) {
+		length += chunk.length;
+		if (length > maximumControlBodyBytes) {
+			throw new VError('the body of a control response exceeds %d bytes', maximumControlBodyBytes);
+		}
+
+		chunks.push(chunk);
+	}
+
+	return Buffer.concat(chunks).toString();
+}
+
 /** A send whose response has not ended. `controller` is set when undici starts to write the request. */
 type OpenSend = {controller: Dispatcher.DispatchController | undefined; isCancelled: boolean};
 
@@ -165,8 +188,7 @@
 			const response = await getPool(address).request({
 				method, path: target, headers: [...headers], ...(body === '' ? {} : {body}), signal: AbortSignal.timeout(controlTimeoutMs),
 			});
-			await response.body.dump();
-			return response.statusCode;
+			return {status: response.statusCode, body: await readControlBody(response.body)};
 		},
 		cancel(sendId) {
 			const openSend = openSends.get(sendId);
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -67,6 +67,7 @@
 		},
 		endpoints: defaultEndpointRegistrySettings,
 		retryQuota: {...settings.retries, usedShare: usedRetryQuotaShare},
+		memoryIdleMs: settings.memoryIdleMs,
 	});
 	const metrics = createGatewayMetrics(gateway.getOpenRequestCount);
 	const client = createEndpointClient();
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -3,7 +3,7 @@
 that it returns.
 */
 import {Buffer} from 'node:buffer';
-import type {GatewayRequest, RequestKey} from '@currantcross/core/gateway/gateway-types';
+import type {GatewayRequest, ListedEndpoint, RequestKey} from '@currantcross/core/gateway/gateway-types';
 import type {Gateway} from '@currantcross/core/gateway/gateway';
 import type {WorkChange} from '@currantcross/core/gateway/load-view';
 import type {
@@ -96,7 +96,7 @@
 			}
 
 			case 'probeEndpoint': {
-				void performProbe(action);
+				void performProbe(action.key, action.endpoint);
 				return;
 			}
 
@@ -234,12 +234,18 @@
 	}
 
 	/** Probes an endpoint. Any response shows that it is alive; without one, the request's own timeout applies. */
-	async function performProbe({key, sendId, endpoint}: Extract<GatewayAction, {kind: 'probeEndpoint'}>): Promise<void> {
+	async function performProbe(key: RequestKey, endpoint: ListedEndpoint): Promise<void> {
+		const request = openRequests.get(key)?.request.requestId;
 		try {
-			await host.client.sendControlRequest(endpoint.address, host.wireFormat.formatProbe());
-			dispatchRelayEvent(key, {kind: 'probeAnswered', sendId});
+			const {body} = await host.client.sendControlRequest(endpoint.address, host.wireFormat.formatProbe());
+			const report = host.wireFormat.parseReport(body);
+			if (report === undefined) {
+				host.logger.warn('probeFailed', {request, endpoint: endpoint.id, reason: 'the response is not a report'});
+			}
+
+			dispatchRelayEvent(key, {kind: 'probeAnswered', endpoint: endpoint.id, report});
 		} catch (error) {
-			host.logger.info('probeFailed', {endpoint: endpoint.id, sendId, reason: getErrorText(error)});
+			host.logger.info('probeFailed', {request, endpoint: endpoint.id, reason: getErrorText(error)});
 		}
 	}
 
@@ -254,7 +260,7 @@
 	/** Sends a control request about a reservation. Returns whether the endpoint accepted it. */
 	async function sendControlRequest({endpoint, id}: Reservation, controlRequest: ControlRequest): Promise<boolean> {
 		try {
-			const status = await host.client.sendControlRequest(endpoint.address, controlRequest);
+			const {status} = await host.client.sendControlRequest(endpoint.address, controlRequest);
 			if (status === okStatus) {
 				return true;
 			}
--- a/packages/gateway/src/gateway-hosts.ts
+++ b/packages/gateway/src/gateway-hosts.ts
@@ -6,7 +6,7 @@
 import type {Failure} from '@currantcross/core/errors';
 import type {ExchangeMember} from '@currantcross/core/gateway/exchange-topology';
 import type {
-	EndpointResponseHead, ListedEndpoint, PromptSize, RawHeaders, ServingConfiguration,
+	EndpointReport, EndpointResponseHead, ListedEndpoint, PromptSize, RawHeaders, ServingConfiguration,
 } from '@currantcross/core/gateway/gateway-types';
 import type {Reservation} from '@currantcross/core/gateway/memory-reservation';
 import type {SendHelper} from '@currantcross/core/gateway/gateway-events';
@@ -47,8 +47,10 @@
 	formatReservation(reservation: Reservation): ControlRequest;
 	/** Returns the request that releases reserved memory. */
 	formatRelease(reservation: Reservation): ControlRequest;
-	/** Returns a request that a live endpoint answers immediately. */
+	/** Returns a request that a live endpoint answers immediately with its report. */
 	formatProbe(): ControlRequest;
+	/** Decodes the response body of a probe; returns `undefined` if it isn't a report. */
+	parseReport(body: string): EndpointReport | undefined;
 	/** Returns the headers of an error response that the gateway itself generates. */
 	formatFailureHead(failure: Failure, requestId: string): RawHeaders;
 }>;
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -30,6 +30,8 @@
 	graceMs: z.number().positive(),
 	/** Maximum time for which a revoked key is still accepted; absent if there is no such limit. */
 	revocationMs: z.number().positive().optional(),
+	/** Time for which endpoints may hold reserved memory that no request uses. */
+	memoryIdleMs: z.number().positive().default(9000),
 	/** Limit on sends beyond the first of each request: a ratio of the requests plus a fixed number for all gateways, per window. */
 	retries: z.strictObject({
 		ratio: z.number().min(0),
