Send a request again that its silent endpoint does not have

The probe's response is the endpoint's report, whose numbers of running and waiting requests were thrown away.

Change: a probed send whose endpoint reports no running and no waiting request is abandoned and sent elsewhere, within the route's limit and the retry quota. Business services send no report; for them a response means what it did.

Not covered: an endpoint that hangs requests and helps with the prefill of others reports the latter as running.

Result: the test failed before (its caller gave up after 2 s) and passes.

--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -573,7 +573,8 @@
 
 	/**
 	Checks a send without recent progress. The request is sent again if its endpoint has begun to answer a later request of
-	at least its length, or doesn't answer a probe. The endpoint is probed only if nothing was received from it recently.
+	at least its length, or doesn't answer a probe, or reports that it has no open request. The endpoint is probed only if
+	nothing was received from it recently.
 	*/
 	function checkSilence(silentSend: Send, now: Timestamp): readonly GatewayAction[] {
 		const {placement, lastProgressAt, isProbed} = silentSend;
@@ -598,13 +599,23 @@
 			];
 		}
 
+		return abandonSilentSend(silentSend, 'the endpoint went silent', now);
+	}
+
+	/** Sends the request of a silent send to another endpoint if the retry quota allows it. */
+	function abandonSilentSend(silentSend: Send, detail: string, now: Timestamp): readonly GatewayAction[] {
+		silentSend.isProbed = false;
 		if (!context.retryQuota.tryTake(request.service, now)) {
 			return reportSilence(silentSend, 'quotaExhausted', now);
 		}
 
-		context.registry.recordFailure(placement.endpoint.id, now);
-		const failure = createFailure('serverLost', 'the endpoint went silent');
-		return [...reportSilence(silentSend, 'abandoned', now), ...cancelCurrentSend(), ...closeSend('silent', '', now), ...send(now, failure)];
+		context.registry.recordFailure(silentSend.placement.endpoint.id, now);
+		return [
+			...reportSilence(silentSend, 'abandoned', now),
+			...cancelCurrentSend(),
+			...closeSend('silent', detail, now),
+			...send(now, createFailure('serverLost', detail)),
+		];
 	}
 
 	/** Reports the outcome of a silence check, the first time that a send's checks have this outcome. */
@@ -632,6 +643,7 @@
 
 	function recordProgress(send: Send, now: Timestamp): void {
 		send.lastProgressAt = now;
+		send.isProbed = false;
 		send.memory?.recordProgress(now);
 		send.checkAt = now + getSilenceTimeoutMs(route, send);
 		context.registry.recordProgress(send.placement.endpoint.id, getSentRequest(send), now);
@@ -660,8 +672,7 @@
 			}
 
 			case 'probeAnswered': {
-				recordProbeResponse(event.endpoint, event.report, now);
-				return [];
+				return handleProbeResponse(event.endpoint, event.report, now);
 			}
 
 			case 'memoryAnswered': {
@@ -679,11 +690,16 @@
 		}
 	}
 
-	function recordProbeResponse(endpoint: EndpointId, report: EndpointReport | undefined, now: Timestamp): void {
+	/** Records an endpoint's report, and abandons a silent send if its endpoint has no open request. */
+	function handleProbeResponse(endpoint: EndpointId, report: EndpointReport | undefined, now: Timestamp): readonly GatewayAction[] {
 		context.registry.recordProbeResponse(endpoint, now);
 		for (const id of report?.usedReservations ?? []) {
 			current?.memory?.recordUse(id, now);
 		}
+
+		return current?.isProbed === true && current.placement.endpoint.id === endpoint && report?.openRequests === 0
+			? abandonSilentSend(current, 'the endpoint has no open request', now)
+			: [];
 	}
 
 	function handleSendFailure(wasSent: boolean, detail: string, now: Timestamp): readonly GatewayAction[] {
--- a/packages/core/src/gateway/gateway-fault-simulation.ts
+++ b/packages/core/src/gateway/gateway-fault-simulation.ts
@@ -13,7 +13,7 @@
 	fixtureIdempotentRoute, fixtureLongStreamRoute, fixtureStreamRoute,
 } from './gateway-fixtures.js';
 import type {
-	EndpointId, GatewayRequest, ListedEndpoint, RequestKey, ServedRoute,
+	EndpointId, EndpointReport, GatewayRequest, ListedEndpoint, RequestKey, ServedRoute,
 } from './gateway-types.js';
 import type {Reservation, ReservationId} from './memory-reservation.js';
 import type {GatewayAction, RequestEvent, SendId} from './gateway-events.js';
@@ -138,6 +138,8 @@
 	const heldReservations = new Set<ReservationId>();
 	const releasedReservations = new Set<ReservationId>();
 	const reservationsAfterRelease: ReservationId[] = [];
+	/** Endpoint of each send that it has begun to work on. */
+	const begunSends = new Map<SendId, EndpointId>();
 	/** When each reservation that no request has used yet was granted. */
 	const unusedReservations = new Map<ReservationId, Timestamp>();
 	let longestUnusedMs = 0;
@@ -200,9 +202,9 @@
 
 			case 'probeEndpoint': {
 				const {key, endpoint} = action;
-				const usedReservations = new Set([...heldReservations].filter(id => !unusedReservations.has(id)));
+				const report = getReport(endpoint.id);
 				schedule(now + 5, () => {
-					dispatch(key, {kind: 'probeAnswered', endpoint: endpoint.id, report: {usedReservations}});
+					dispatch(key, {kind: 'probeAnswered', endpoint: endpoint.id, report});
 				});
 				return;
 			}
@@ -261,6 +263,14 @@
 		}
 	}
 
+	function getReport(endpoint: EndpointId): EndpointReport {
+		const openSends = [...records.values()].flatMap(record => [...record.openSends]);
+		return {
+			openRequests: openSends.filter(id => begunSends.get(id) === endpoint).length,
+			usedReservations: new Set([...heldReservations].filter(id => !unusedReservations.has(id))),
+		};
+	}
+
 	/** Ends the time for which a reservation is unused: a request uses it now, or it was released. */
 	function endUnusedReservation(id: ReservationId): void {
 		longestUnusedMs = Math.max(longestUnusedMs, now - (unusedReservations.get(id) ?? now));
@@ -302,6 +312,7 @@
 		});
 		record.openSends.add(action.sendId);
 		if (isRequestRun(behaviour)) {
+			begunSends.set(action.sendId, action.endpoint.id);
 			record.runs.push({endpoint: action.endpoint.id, at: now});
 			for (const {reservationId} of action.helpers) {
 				endUnusedReservation(reservationId ?? '');
--- a/packages/core/src/gateway/gateway-properties.test.ts
+++ b/packages/core/src/gateway/gateway-properties.test.ts
@@ -206,6 +206,21 @@
 		expect(longestUnusedMs).toBeLessThan(maximumUnusedMs);
 	});
 
+	// Guards against requests that stay at an endpoint that hangs them and answers probes, until the caller gives up.
+	test('sends a stream again that its endpoint hangs, soon enough for its caller', () => {
+		const request = {
+			kind: 'stream', promptTokens: 5000, callerTimeoutMs: 15_000, disconnectsAfterMs: 2000,
+		} as const;
+		// The second request raises the retry quota to one retry.
+		const {records} = runGatewayScenario({
+			requests: [{...request, at: 0}, {...request, at: 10}],
+			behaviours: [{kind: 'hang'}, {kind: 'serve', delayMs: 100}, {kind: 'serve', delayMs: 100}],
+			grants: [true],
+			changes: [],
+		});
+		expect(records[0]?.finalOutcomes).toMatchObject([{outcome: {kind: 'answered', status: 200}}]);
+	});
+
 	// Guards against memory that stays reserved at helpers while the receiver hangs the request and answers probes.
 	test('reserves no memory without use', () => {
 		fc.assert(fc.property(scenario, input => {
