Bound what a faulty endpoint may send, and close its connection

With a stand-in that sends as fast as it is read, one call made the process grow by 460 MB until the caller's deadline, a client took 537 MB from one response, a client waited without end on informational responses, and a refusal whose body did not end kept its connection after the request had long been answered elsewhere.

Cause: a send's memory and connection ended with the response or with the request's deadline, and a refused send was closed without its connection.

Change: a response body may have 8 MiB, an event 256 KiB, a control response 64 KiB, and 10 informational responses may come before the final one; beyond that the connection is closed and the send has failed. The rest of a refusal is ignored for 0.5 s, so that the connection can be reused as before, and then the connection is closed.

Heads, trailers and garbage were bounded by the HTTP parser already; chunk extensions are not stored and end with the silence check.

Seen, not changed: after an aborted send the HTTP client opens a connection that no request uses, and closes it after its idle timeout of 4 s.

--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -21,7 +21,7 @@
 	GatewayAction, RequestEvent, SendId, SendResult, SilenceOutcome,
 } from './gateway-events.js';
 import {
-	getSilenceTimeoutMs, isStreamResponse, parseEventNumber, silenceTimeouts, type SavedResponse, type Send,
+	getSilenceTimeoutMs, isStreamResponse, maximumEventBytes, parseEventNumber, silenceTimeouts, type SavedResponse, type Send,
 } from './request-send.js';
 import type {RetryQuota} from './retry-quota.js';
 
@@ -372,8 +372,8 @@
 		return [...closeActions, ...retryOrEnd(failure, true, now)];
 	}
 
-	function cancelCurrentSend(): readonly GatewayAction[] {
-		return current === undefined ? [] : [{kind: 'cancelSend', sendId: current.id}];
+	function cancelCurrentSend(how: 'abort' | 'drain' = 'abort'): readonly GatewayAction[] {
+		return current === undefined ? [] : [{kind: 'cancelSend', sendId: current.id, how}];
 	}
 
 	function startResponse(head: EndpointResponseHead, now: Timestamp): readonly GatewayAction[] {
@@ -382,7 +382,7 @@
 		}
 
 		if (head.isNotRun || head.status === misdirectedStatus) {
-			return handleRefusal(head, now);
+			return [...cancelCurrentSend('drain'), ...handleRefusal(head, now)];
 		}
 
 		if (head.requestId !== undefined && head.requestId !== request.requestId) {
@@ -419,7 +419,9 @@
 			actions.push(...eventActions);
 		}
 
-		return actions;
+		return current.splitter.getIncompleteByteCount() > maximumEventBytes
+			? [...actions, ...cancelCurrentSend(), ...handleLostSend('corrupt', 'an event exceeds the maximum length', now)]
+			: actions;
 	}
 
 	/** Delivers an event to the caller; returns `undefined` if its number doesn't follow the last one. */
--- a/packages/core/src/gateway/request-send.ts
+++ b/packages/core/src/gateway/request-send.ts
@@ -24,6 +24,9 @@
 	probeMs: 300,
 } as const;
 
+/** Maximum length of an event; a longer one is not an event, but bytes without end. */
+export const maximumEventBytes = 262_144;
+
 const okStatus = 200;
 
 /** One send of a request to an endpoint, and the response received so far. */
--- a/packages/gateway/src/endpoint-client.test.ts
+++ b/packages/gateway/src/endpoint-client.test.ts
@@ -1,11 +1,20 @@
 import {Buffer} from 'node:buffer';
 import net, {type Socket} from 'node:net';
 import {once} from 'node:events';
-import {afterEach, expect, test} from 'vitest';
+import {
+	afterEach, expect, test, vi,
+} from 'vitest';
+import {startEndlessServer} from '@currantcross/standins/endless-server-standin';
 import {createEndpointClient, type EndpointClient} from './endpoint-client.js';
 
 type Outcome = Readonly<{kind: 'ended'; text: string}> | Readonly<{kind: 'failed'; wasSent: boolean}>;
 
+/** Interval between the bytes of a slow response. */
+const slowByteMs = 20;
+
+/** Limit on the bytes that an endless response may transfer, including the buffers of both sockets. */
+const maximumEndlessBytes = 32 * 1024 * 1024;
+
 const closers: Array<() => void> = [];
 
 afterEach(() => {
@@ -91,3 +100,90 @@
 	await once(server, 'close');
 	expect(await sendRequest(createClient(), `127.0.0.1:${port}`)).toEqual({kind: 'failed', wasSent: false});
 });
+
+// Guards against a faulty endpoint whose bytes without end fill the memory or keep the connection.
+test.each(['garbage', 'header', 'headers', 'informational', 'trailers', 'body'] as const)('fails an endless response (%s) and closes the connection', async kind => {
+	const endpoint = await startEndlessServer(kind);
+	closers.push(endpoint.close);
+	expect(await sendRequest(createClient(), endpoint.address)).toEqual({kind: 'failed', wasSent: true});
+	await vi.waitFor(() => {
+		expect(endpoint.getOpenConnectionCount()).toBe(0);
+	});
+	expect(endpoint.getSentByteCount()).toBeLessThan(maximumEndlessBytes);
+});
+
+// Guards against a faulty endpoint whose answer to a probe has no end.
+test('rejects a control request whose response has no end, and closes the connection', async () => {
+	const endpoint = await startEndlessServer('body');
+	closers.push(endpoint.close);
+	const probe = {
+		method: 'GET', target: '/', headers: [], body: '',
+	};
+	await expect(createClient().sendControlRequest(endpoint.address, probe)).rejects.toThrow('exceeds');
+	await vi.waitFor(() => {
+		expect(endpoint.getOpenConnectionCount()).toBe(0);
+	});
+});
+
+/** Sends a request whose response is cancelled by draining once its head has arrived. */
+async function sendAndDrain(client: EndpointClient, address: string, sendId: number): Promise<void> {
+	await new Promise<void>(resolve => {
+		client.send({
+			sendId, address, method: 'GET', target: '/', headers: ['Host', 'a.example'], body: new Uint8Array(0),
+		}, {
+			onHead() {
+				client.cancel(sendId, 'drain');
+				resolve();
+			},
+			onBytes: () => undefined,
+			onEnd: () => undefined,
+			onFailure: () => undefined,
+		});
+	});
+}
+
+// Guards against a refusal whose slow body has no end and keeps the connection for good.
+test('closes the connection of a drained response that does not end', async () => {
+	let isClosed = false;
+	const address = await startEndpoint(socket => {
+		socket.write('HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n\r\n');
+		const timer = setInterval(() => {
+			socket.write('x');
+		}, slowByteMs);
+		socket.once('close', () => {
+			isClosed = true;
+			clearInterval(timer);
+		});
+	});
+	await sendAndDrain(createClient(), address, 1);
+	await vi.waitFor(() => {
+		expect(isClosed).toBe(true);
+	});
+});
+
+test('reuses the connection of a drained response that ends soon', async () => {
+	let connections = 0;
+	const server = net.createServer(socket => {
+		connections += 1;
+		socket.on('data', () => {
+			socket.write('HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy');
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	closers.push(() => {
+		server.close();
+	});
+	const address = server.address();
+	const client = createClient();
+	for (const sendId of [1, 2, 3]) {
+		// eslint-disable-next-line no-await-in-loop -- the connection is free only after the response has ended
+		await sendAndDrain(client, `127.0.0.1:${typeof address === 'object' ? address?.port ?? 0 : 0}`, sendId);
+		// eslint-disable-next-line no-await-in-loop
+		await new Promise(resolve => {
+			setTimeout(resolve, slowByteMs);
+		});
+	}
+
+	expect(connections).toBe(1);
+});
--- a/packages/gateway/src/endpoint-client.ts
+++ b/packages/gateway/src/endpoint-client.ts
@@ -39,8 +39,8 @@
 	send(request: EndpointRequest, listener: EndpointListener): void;
 	/** Sends a control request and returns the response. Rejects on a timeout, a connection error or a body that is too long. */
 	sendControlRequest(address: string, request: ControlRequest): Promise<ControlResponse>;
-	/** Aborts a send. Its listener is not called again. */
-	cancel(sendId: SendId): void;
+	/** Ends a send, whose listener is not called again: aborts it at once, or only if its response doesn't end soon. */
+	cancel(sendId: SendId, how: 'abort' | 'drain'): void;
 	/** Closes the connections to all other addresses once they are idle. */
 	closePoolsExcept(addresses: ReadonlySet<string>): void;
 	close(): void;
@@ -63,6 +63,12 @@
 	'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'EMFILE', 'UND_ERR_CONNECT_TIMEOUT',
 ]);
 
+/** Maximum length of a response body, which the gateway may have to hold until it is complete. */
+const maximumResponseBytes = 8_388_608;
+/** Time for which the rest of a response that is not needed may take, before the connection is closed. */
+const drainTimeoutMs = 500;
+/** Maximum number of informational responses before the final one. */
+const maximumInformationalResponses = 10;
 /** Maximum length of a control response; a report of all reservations of a server is far shorter. */
 const maximumControlBodyBytes = 65_536;
 
@@ -83,7 +89,15 @@
 }
 
 /** A send whose response has not ended. `controller` is set when undici starts to write the request. */
-type OpenSend = {controller: Dispatcher.DispatchController | undefined; isCancelled: boolean};
+type OpenSend = {
+	controller: Dispatcher.DispatchController | undefined;
+	isCancelled: boolean;
+	drainTimer: NodeJS.Timeout | undefined;
+};
+
+function abortSend(openSend: OpenSend): void {
+	openSend.controller?.abort(new errors.RequestAbortedError());
+}
 
 function getErrorCode(error: Error): string {
 	const {code} = error as Readonly<{code?: unknown}>; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
@@ -128,6 +142,7 @@
 			headersTimeout: 0,
 			bodyTimeout: 0,
 			pipelining: 1,
+			maxResponseSize: maximumResponseBytes,
 		});
 		pools.set(address, pool);
 		return pool;
@@ -140,27 +155,41 @@
 	}
 
 	function createHandler(sendId: SendId, listener: EndpointListener): Dispatcher.DispatchHandler {
-		const openSend: OpenSend = {controller: undefined, isCancelled: false};
+		const openSend: OpenSend = {controller: undefined, isCancelled: false, drainTimer: undefined};
 		openSends.set(sendId, openSend);
 		let hasStarted = false;
+		let informationalResponses = 0;
 		return {
 			onRequestStart(controller) {
 				hasStarted = true;
 				openSend.controller = controller;
 				if (openSend.isCancelled) {
-					controller.abort(new errors.RequestAbortedError());
+					abortSend(openSend);
 				}
 			},
-			onResponseStart(_controller, status, headers) {
+			onResponseStart(controller, status, headers) {
 				if (status >= lowestFinalStatus) {
 					listener.onHead(status, headers);
+					return;
+				}
+
+				informationalResponses += 1;
+				if (informationalResponses > maximumInformationalResponses) {
+					controller.abort(new VError('the endpoint sent more than %d informational responses', maximumInformationalResponses));
 				}
 			},
 			onResponseData(_controller, bytes) {
-				listener.onBytes(bytes);
+				if (!openSend.isCancelled) {
+					listener.onBytes(bytes);
+				}
 			},
 			onResponseEnd() {
 				openSends.delete(sendId);
+				clearTimeout(openSend.drainTimer);
+				if (openSend.isCancelled) {
+					return;
+				}
+
 				if (isHandlingReset) {
 					listener.onFailure(true, 'ECONNRESET');
 				} else {
@@ -169,6 +198,7 @@
 			},
 			onResponseError(_controller, error) {
 				openSends.delete(sendId);
+				clearTimeout(openSend.drainTimer);
 				if (!openSend.isCancelled) {
 					const code = getErrorCode(error);
 					listener.onFailure(hasStarted || !connectErrorCodes.has(code), code);
@@ -190,12 +220,23 @@
 			});
 			return {status: response.statusCode, body: await readControlBody(response.body)};
 		},
-		cancel(sendId) {
+		cancel(sendId, how) {
 			const openSend = openSends.get(sendId);
-			if (openSend !== undefined) {
-				openSends.delete(sendId);
-				openSend.isCancelled = true;
-				openSend.controller?.abort(new errors.RequestAbortedError());
+			if (openSend === undefined) {
+				return;
+			}
+
+			openSends.delete(sendId);
+			openSend.isCancelled = true;
+			switch (how) {
+				case 'abort': {
+					abortSend(openSend);
+					return;
+				}
+
+				case 'drain': {
+					openSend.drainTimer = setTimeout(abortSend, drainTimeoutMs, openSend);
+				}
 			}
 		},
 		closePoolsExcept(addresses) {
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -101,7 +101,7 @@
 			}
 
 			case 'cancelSend': {
-				host.client.cancel(action.sendId);
+				host.client.cancel(action.sendId, action.how);
 				return;
 			}
 
--- /dev/null
+++ b/packages/standins/src/endless-server-standin.ts
@@ -0,0 +1,115 @@
+/**
+Stand-in for a faulty server that sends bytes without end, as fast as its client reads them, until the client closes the
+connection.
+*/
+import {Buffer} from 'node:buffer';
+import net, {type Socket} from 'node:net';
+import {listen} from '@currantcross/core/listen';
+
+/** Where the endless bytes are: in the head of the response, before or instead of it, or in its body. */
+export type EndlessResponse = 'garbage' | 'header' | 'headers' | 'informational' | 'trailers' | 'chunkExtension' | 'body' | 'event' | 'refusal';
+
+export type EndlessServerStandin = Readonly<{
+	address: string;
+	/** Returns the number of open connections on which a response is sent. */
+	getOpenConnectionCount(): number;
+	/** Returns the number of bytes that clients or the buffers of the operating system have taken. */
+	getSentByteCount(): number;
+	close(): void;
+}>;
+
+const blockBytes = 65_536;
+const requestIdPattern = /^request-id: *(?<id>\S+)/imv;
+
+/** Returns the start of the response, and the block that is repeated after it. */
+function getResponse(kind: EndlessResponse, requestId: string): Readonly<{start: string; block: string}> {
+	const head = `HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nResponse-Stamp: stamp-endless\r\n`;
+	const filler = 'x'.repeat(blockBytes);
+	const chunked = `${head}Transfer-Encoding: chunked\r\n\r\n`;
+	switch (kind) {
+		case 'garbage': {
+			return {start: '', block: filler};
+		}
+
+		case 'header': {
+			return {start: `${head}X-Long: `, block: filler};
+		}
+
+		case 'headers': {
+			return {start: head, block: 'X-More: x\r\n'.repeat(1000)};
+		}
+
+		case 'informational': {
+			return {start: '', block: 'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n'.repeat(1000)};
+		}
+
+		case 'trailers': {
+			return {start: `${chunked}0\r\n`, block: 'X-More: x\r\n'.repeat(1000)};
+		}
+
+		case 'chunkExtension': {
+			return {start: `${chunked}5;`, block: filler};
+		}
+
+		case 'body': {
+			return {start: `${head}\r\n`, block: filler};
+		}
+
+		case 'event': {
+			return {start: `${head}Content-Type: text/event-stream\r\n\r\ndata: `, block: filler};
+		}
+
+		case 'refusal': {
+			return {start: `HTTP/1.1 503 Service Unavailable\r\nRequest-Id: ${requestId}\r\nNot-Run: 1\r\n\r\n`, block: filler};
+		}
+	}
+}
+
+/** Starts a server that answers each connection with an endless response, once it has received the first bytes. */
+export async function startEndlessServer(kind: EndlessResponse): Promise<EndlessServerStandin> {
+	const sockets = new Set<Socket>();
+	const sendingSockets = new Set<Socket>();
+	let sentByteCount = 0;
+
+	function writeEndlessly(socket: Socket, block: Uint8Array): void {
+		while (!socket.destroyed && socket.write(block)) {
+			sentByteCount += block.length;
+		}
+
+		socket.once('drain', () => {
+			sentByteCount += block.length;
+			// Other work of the process gets its turn between blocks.
+			setImmediate(writeEndlessly, socket, block);
+		});
+	}
+
+	const server = net.createServer(socket => {
+		sockets.add(socket);
+		socket.on('error', () => {
+			// The client has closed the connection; `close` follows.
+		});
+		socket.once('close', () => {
+			sockets.delete(socket);
+			sendingSockets.delete(socket);
+		});
+		socket.once('data', (bytes: Uint8Array) => {
+			sendingSockets.add(socket);
+			const requestId = requestIdPattern.exec(Buffer.from(bytes).toString('latin1'))?.groups?.id ?? '';
+			const {start, block} = getResponse(kind, requestId);
+			socket.write(start);
+			writeEndlessly(socket, Buffer.from(block));
+		});
+	});
+	const port = await listen(server, {host: '127.0.0.1', port: 0});
+	return {
+		address: `127.0.0.1:${port}`,
+		getOpenConnectionCount: () => sendingSockets.size,
+		getSentByteCount: () => sentByteCount,
+		close() {
+			server.close();
+			for (const socket of sockets) {
+				socket.destroy();
+			}
+		},
+	};
+}
