Refuse a request whose body does not arrive by its deadline

A caller that stopped in the middle of its body kept its connection and the received part for good: reading a body had no limit of time.

Change: a body that has not arrived by the caller's deadline (30 s if it stated none) is answered 504, not run, and the connection is closed.

Result: the test failed before (no answer within its limit of 120 s) and passes.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -34,6 +34,8 @@
 const connectionBacklog = 1024;
 /** Body limit until the first configuration arrives. */
 const defaultMaximumBodyBytes = 8_388_608;
+/** Time for which a body may take to arrive if the caller has stated no deadline. */
+const defaultBodyTimeoutMs = 30_000;
 /** Added to the callers' idle timeout, so that no connection is closed while a caller sends a request on it. */
 const keepAliveMarginMs = 2000;
 
@@ -76,7 +78,15 @@
 			return;
 		}
 
+		const bodyTimer = setTimeout(() => {
+			refuseUnfinishedBody(message, response, head);
+		}, head.remainingMs ?? defaultBodyTimeoutMs);
 		const result = await readBody(message, maximumBodyBytes);
+		clearTimeout(bodyTimer);
+		if (response.headersSent) {
+			return;
+		}
+
 		switch (result.kind) {
 			case 'aborted': {
 				return;
@@ -93,6 +103,15 @@
 		}
 	}
 
+	/** Refuses a request whose body didn't arrive in time, and closes the connection, on which the rest may still follow. */
+	function refuseUnfinishedBody(message: IncomingMessage, response: ServerResponse, head: CallerHead): void {
+		response.setHeader('connection', 'close');
+		response.once('finish', () => {
+			message.socket.destroySoon();
+		});
+		refuseRequest(message, response, head, createNotRunFailure('deadlineExceeded', 'the body did not arrive'));
+	}
+
 	function refuseRequest(message: IncomingMessage, response: ServerResponse, head: CallerHead, failure: Failure): void {
 		host.recordRefusal(head, failure);
 		createCallerExchange({message, head, body: new Uint8Array(0)}, response, host).fail(failure);
