--- a/packages/standins/src/platform-server-standin.ts
+++ b/packages/standins/src/platform-server-standin.ts
@@ -16,7 +16,9 @@
 	/** Resets the connection in the middle of the event that follows this many. */
 		| Readonly<{kind: 'breakStream'; afterEvents: number}>
 		/** Never responds. */
-		| Readonly<{kind: 'silent'}>;
+		| Readonly<{kind: 'silent'}>
+	/** Reads requests and never begins them, but answers orders and probes. */
+		| Readonly<{kind: 'hang'}>;
 
 /** A request that a server started to run. */
 export type RunRecord = Readonly<{
@@ -59,6 +61,7 @@
 	const runs: RunRecord[] = [];
 	const reservations = new Map<string, NodeJS.Timeout>();
 	let behaviour: ServerBehaviour = {kind: 'serve'};
+	let runningCount = 0;
 
 	function releaseReservation(id: string): void {
 		clearTimeout(reservations.get(id));
@@ -77,6 +80,13 @@
 		response.end('{"free":400000}');
 	}
 
+	function sendReport(response: ServerResponse): void {
+		response.writeHead(200, {'content-type': 'application/json'});
+		response.end(JSON.stringify({
+			waiting: 0, running: runningCount, tickets: [...reservations.keys()].map(id => ({id, state: 'held'})),
+		}));
+	}
+
 	function getCommonHeaders(message: IncomingMessage): Record<string, string> {
 		return {'request-id': getHeader(message, 'request-id') ?? '', 'response-stamp': `stamp-${settings.instanceId}`};
 	}
@@ -105,6 +115,10 @@
 
 	async function runRequest(message: IncomingMessage, response: ServerResponse): Promise<void> {
 		const body = await text(message);
+		if (behaviour.kind === 'hang') {
+			return;
+		}
+
 		if (behaviour.kind === 'refuse') {
 			response.writeHead(503, {'not-run': '1'});
 			response.end();
@@ -126,7 +140,9 @@
 			response.writeHead(200, getCommonHeaders(message));
 			response.end(`done ${body}`);
 		} else {
+			runningCount += 1;
 			await streamEvents(message, response, settings.eventCount);
+			runningCount -= 1;
 		}
 	}
 
@@ -140,6 +156,11 @@
 			return;
 		}
 
+		if (message.url === '/currantcross/report') {
+			sendReport(response);
+			return;
+		}
+
 		if (getHeader(message, 'expect-instance') !== settings.instanceId) {
 			response.writeHead(421, {'instance-id': settings.instanceId});
 			response.end();
