Keep checks of unused memory apart where the platform's limit is low

Cause, found by reading: with a limit below 5.4 s the time until the first check became 0. Holders would have been asked again as soon as they had answered, and a send that had just begun would have been abandoned.

Change: the first check is due 1.5 s after the reservation at the earliest, whatever the limit.

Result: the test failed before (0 ms) and passes.

--- a/packages/core/src/gateway/gateway-parts.test.ts
+++ b/packages/core/src/gateway/gateway-parts.test.ts
@@ -8,6 +8,7 @@
 	createFixtureEndpoints, fixtureNonIdempotentRoute, fixtureConfiguration, fixtureApiKey,
 } from './gateway-fixtures.js';
 import {createLoadView, type OpenWork} from './load-view.js';
+import {getMemoryUseLimits} from './memory-reservation.js';
 import {createRouteTable, getWeightedService} from './route-table.js';
 import {createRetryQuota} from './retry-quota.js';
 
@@ -135,6 +136,23 @@
 	});
 });
 
+describe('getMemoryUseLimits', () => {
+	// Guards against checks without a pause, and sends abandoned at once, on a platform whose limit is below the hold time.
+	test.each([
+		{
+			idleMs: 9000, firstEventMs: 2800, checkAfterMs: 2800, maximumUnusedMs: 3600,
+		},
+		{
+			idleMs: 9000, firstEventMs: 9000, checkAfterMs: 3600, maximumUnusedMs: 3600,
+		},
+		{
+			idleMs: 3000, firstEventMs: 2800, checkAfterMs: 1500, maximumUnusedMs: 1500,
+		},
+	])('the limits for $firstEventMs ms to the first event and $idleMs ms without use', ({idleMs, firstEventMs, ...limits}) => {
+		expect(getMemoryUseLimits(firstEventMs, idleMs)).toEqual(limits);
+	});
+});
+
 describe('createRetryQuota', () => {
 	test('retries of three gateways stay within the shared limit in every window', () => {
 		fc.assert(fc.property(
--- a/packages/core/src/gateway/memory-reservation.ts
+++ b/packages/core/src/gateway/memory-reservation.ts
@@ -79,7 +79,7 @@
 unused for `idleMs`. A release that is lost leaves the memory reserved for the hold time.
 */
 export function getMemoryUseLimits(firstEventMs: Milliseconds, idleMs: Milliseconds): MemoryUseLimits {
-	const maximumUnusedMs = Math.max(0, idleMs - reservationHoldMs - releaseMarginMs);
+	const maximumUnusedMs = Math.max(minimumCheckAfterMs, idleMs - reservationHoldMs - releaseMarginMs);
 	return {checkAfterMs: Math.min(Math.max(minimumCheckAfterMs, firstEventMs), maximumUnusedMs), maximumUnusedMs};
 }
 
