--- a/packages/core/src/gateway/forwarded-request.test.ts
+++ b/packages/core/src/gateway/forwarded-request.test.ts
@@ -42,7 +42,7 @@
 		}
 
 		case 'cancelSend': {
-			return [action.how === 'abort' ? 'cancel' : 'drain'];
+			return [action.how === 'abort' ? 'cancel' : 'discard'];
 		}
 
 		case 'startResponse': {
@@ -146,7 +146,7 @@
 
 	test('is sent again if its endpoint states that it has not run it', () => {
 		const harness = startRequest(fixtureNonIdempotentRoute);
-		expect(harness.step({kind: 'responseStarted', sendId: harness.getSendId(), head: createFixtureHead({status: 503, isNotRun: true, hasStamp: false})}, 10)).toEqual(['drain', 'send shop']);
+		expect(harness.step({kind: 'responseStarted', sendId: harness.getSendId(), head: createFixtureHead({status: 503, isNotRun: true, hasStamp: false})}, 10)).toEqual(['discard', 'send shop']);
 	});
 
 	test('fails as not run if every endpoint refuses it as not run', () => {
@@ -156,7 +156,7 @@
 			actions = harness.step({kind: 'responseStarted', sendId: harness.getSendId(), head: createFixtureHead({status: 503, isNotRun: true, hasStamp: false})}, 10);
 		}
 
-		expect(actions).toEqual(['drain', 'fail overloaded ran=no']);
+		expect(actions).toEqual(['discard', 'fail overloaded ran=no']);
 	});
 
 	test('forwards the error response of its endpoint unchanged', () => {
--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -24,6 +24,7 @@
 	getSilenceTimeoutMs, isStreamResponse, maximumEventBytes, parseEventNumber, silenceTimeouts, type SavedResponse, type Send,
 } from './request-send.js';
 import type {RetryQuota} from './retry-quota.js';
+import {createPlacementReport, createSendEndReport, createSilenceReports} from './send-reports.js';
 
 /** Services that the gateway provides to its requests. */
 export type RequestContext = Readonly<{
@@ -151,19 +152,7 @@
 		current.checkAt = now + (current.memory === undefined ? getSilenceTimeoutMs(route, current) : reservationTimeoutMs);
 		excluded.add(placement.endpoint.id);
 		return [
-			{
-				kind: 'reportDecision',
-				key: request.key,
-				decision: {
-					kind: 'placed',
-					sendId,
-					endpoint: placement.endpoint.id,
-					helpers: placement.helpers.length,
-					reservations: current.memory?.reservations ?? [],
-					firstEventMs: Math.round(placement.firstEventMs),
-					candidates: decision.candidates,
-				},
-			},
+			createPlacementReport(request.key, current, decision.candidates),
 			...recordWork({
 				kind: 'started',
 				work: {
@@ -271,18 +260,7 @@
 		return [
 			...recordWork({kind: 'ended', id: closedSend.id}, now),
 			...closedSend.memory?.reservations.map((reservation): GatewayAction => ({kind: 'releaseMemory', reservation})) ?? [],
-			{
-				kind: 'reportDecision',
-				key: request.key,
-				decision: {
-					kind: 'sendEnded',
-					sendId: closedSend.id,
-					endpoint: closedSend.placement.endpoint.id,
-					result,
-					mayHaveRun: !isKnownNotRun,
-					detail,
-				},
-			},
+			createSendEndReport(request.key, closedSend, {result, mayHaveRun: !isKnownNotRun, detail}),
 		];
 	}
 
@@ -372,7 +350,7 @@
 		return [...closeActions, ...retryOrEnd(failure, true, now)];
 	}
 
-	function cancelCurrentSend(how: 'abort' | 'drain' = 'abort'): readonly GatewayAction[] {
+	function cancelCurrentSend(how: 'abort' | 'discard' = 'abort'): readonly GatewayAction[] {
 		return current === undefined ? [] : [{kind: 'cancelSend', sendId: current.id, how}];
 	}
 
@@ -382,7 +360,7 @@
 		}
 
 		if (head.isNotRun || head.status === misdirectedStatus) {
-			return [...cancelCurrentSend('drain'), ...handleRefusal(head, now)];
+			return [...cancelCurrentSend('discard'), ...handleRefusal(head, now)];
 		}
 
 		if (head.requestId !== undefined && head.requestId !== request.requestId) {
@@ -620,22 +598,8 @@
 		];
 	}
 
-	/** Reports the outcome of a silence check, the first time that a send's checks have this outcome. */
-	function reportSilence({
-		id, placement, lastProgressAt, reportedOutcomes,
-	}: Send, outcome: SilenceOutcome, now: Timestamp): readonly GatewayAction[] {
-		if (reportedOutcomes.has(outcome)) {
-			return [];
-		}
-
-		reportedOutcomes.add(outcome);
-		return [{
-			kind: 'reportDecision',
-			key: request.key,
-			decision: {
-				kind: 'silenceChecked', sendId: id, endpoint: placement.endpoint.id, silentMs: Math.round(now - lastProgressAt), outcome,
-			},
-		}];
+	function reportSilence(silentSend: Send, outcome: SilenceOutcome, now: Timestamp): readonly GatewayAction[] {
+		return createSilenceReports(request.key, silentSend, outcome, now - silentSend.lastProgressAt);
 	}
 
 	/** Returns a send's data for the overtaking check, without `promptTokens` if the prompt is split, since the response then also depends on the helpers. */
--- a/packages/core/src/gateway/gateway-events.ts
+++ b/packages/core/src/gateway/gateway-events.ts
@@ -46,8 +46,8 @@
 	| Readonly<{kind: 'releaseMemory'; reservation: Reservation}>
 	/** Asks an endpoint for its report, which also shows that it is alive. */
 	| Readonly<{kind: 'probeEndpoint'; key: RequestKey; endpoint: ListedEndpoint}>
-	/** Ends a send: aborts it, or ignores the rest of its response, so that the connection can be reused if that ends soon. */
-	| Readonly<{kind: 'cancelSend'; sendId: SendId; how: 'abort' | 'drain'}>
+	/** Ends a send: aborts it, or discards the rest of its response, so that the connection can be reused if that ends soon. */
+	| Readonly<{kind: 'cancelSend'; sendId: SendId; how: 'abort' | 'discard'}>
 	| Readonly<{
 		kind: 'startResponse';
 		key: RequestKey;
--- a/packages/core/src/gateway/gateway-types.ts
+++ b/packages/core/src/gateway/gateway-types.ts
@@ -115,7 +115,7 @@
 
 /** What an endpoint reports of its work, in response to a probe; some hundred milliseconds old. */
 export type EndpointReport = Readonly<{
-	/** Number of requests that run or wait at the endpoint. */
+	/** Number of requests that run or wait at the endpoint, including those that it helps with. */
 	openRequests: number;
 	/** Ids of the memory reservations that a request uses. */
 	usedReservations: ReadonlySet<string>;
--- a/packages/core/src/gateway/request-send.ts
+++ b/packages/core/src/gateway/request-send.ts
@@ -24,7 +24,7 @@
 	probeMs: 300,
 } as const;
 
-/** Maximum length of an event; a longer one is not an event, but bytes without end. */
+/** Maximum length of an event; a longer one is taken for an endless response. */
 export const maximumEventBytes = 262_144;
 
 const okStatus = 200;
--- /dev/null
+++ b/packages/core/src/gateway/send-reports.ts
@@ -0,0 +1,60 @@
+/**
+Actions that report decisions about sends, for the log.
+*/
+import type {Milliseconds} from '../types.js';
+import type {GatewayAction, SendResult, SilenceOutcome} from './gateway-events.js';
+import type {RequestKey} from './gateway-types.js';
+import type {Send} from './request-send.js';
+
+/** Returns the report of a send's placement, which was chosen among `candidates` endpoints. */
+export function createPlacementReport(key: RequestKey, {id, placement, memory}: Send, candidates: number): GatewayAction {
+	return {
+		kind: 'reportDecision',
+		key,
+		decision: {
+			kind: 'placed',
+			sendId: id,
+			endpoint: placement.endpoint.id,
+			helpers: placement.helpers.length,
+			reservations: memory?.reservations ?? [],
+			firstEventMs: Math.round(placement.firstEventMs),
+			candidates,
+		},
+	};
+}
+
+/** Returns the report of how a send ended. */
+export function createSendEndReport(
+	key: RequestKey,
+	{id, placement}: Send,
+	outcome: Readonly<{result: SendResult; mayHaveRun: boolean; detail: string}>,
+): GatewayAction {
+	return {
+		kind: 'reportDecision',
+		key,
+		decision: {
+			kind: 'sendEnded', sendId: id, endpoint: placement.endpoint.id, ...outcome,
+		},
+	};
+}
+
+/** Returns the report of a silence check, the first time that a send's checks have this outcome. */
+export function createSilenceReports(
+	key: RequestKey,
+	{id, placement, reportedOutcomes}: Send,
+	outcome: SilenceOutcome,
+	silentMs: Milliseconds,
+): readonly GatewayAction[] {
+	if (reportedOutcomes.has(outcome)) {
+		return [];
+	}
+
+	reportedOutcomes.add(outcome);
+	return [{
+		kind: 'reportDecision',
+		key,
+		decision: {
+			kind: 'silenceChecked', sendId: id, endpoint: placement.endpoint.id, silentMs: Math.round(silentMs), outcome,
+		},
+	}];
+}
--- a/packages/gateway/src/endpoint-client.test.ts
+++ b/packages/gateway/src/endpoint-client.test.ts
@@ -4,7 +4,7 @@
 import {
 	afterEach, expect, test, vi,
 } from 'vitest';
-import {startEndlessServer} from '@currantcross/standins/endless-server-standin';
+import {startEndlessServer} from '@currantcross/standins/platform-endless-server-standin';
 import {createEndpointClient, type EndpointClient} from './endpoint-client.js';
 
 type Outcome = Readonly<{kind: 'ended'; text: string}> | Readonly<{kind: 'failed'; wasSent: boolean}>;
@@ -101,7 +101,7 @@
 	expect(await sendRequest(createClient(), `127.0.0.1:${port}`)).toEqual({kind: 'failed', wasSent: false});
 });
 
-// Guards against a faulty endpoint whose bytes without end fill the memory or keep the connection.
+// Guards against a faulty endpoint whose endless response fills the memory or keeps the connection.
 test.each(['garbage', 'header', 'headers', 'informational', 'trailers', 'body'] as const)('fails an endless response (%s) and closes the connection', async kind => {
 	const endpoint = await startEndlessServer(kind);
 	closers.push(endpoint.close);
@@ -112,8 +112,8 @@
 	expect(endpoint.getSentByteCount()).toBeLessThan(maximumEndlessBytes);
 });
 
-// Guards against a faulty endpoint whose answer to a probe has no end.
-test('rejects a control request whose response has no end, and closes the connection', async () => {
+// Guards against a faulty endpoint whose endless response to a probe fills the memory.
+test('rejects a control request with an endless response, and closes the connection', async () => {
 	const endpoint = await startEndlessServer('body');
 	closers.push(endpoint.close);
 	const probe = {
@@ -125,14 +125,14 @@
 	});
 });
 
-/** Sends a request whose response is cancelled by draining once its head has arrived. */
-async function sendAndDrain(client: EndpointClient, address: string, sendId: number): Promise<void> {
+/** Sends a request whose response is discarded once its head has arrived. */
+async function sendAndDiscard(client: EndpointClient, address: string, sendId: number): Promise<void> {
 	await new Promise<void>(resolve => {
 		client.send({
 			sendId, address, method: 'GET', target: '/', headers: ['Host', 'a.example'], body: new Uint8Array(0),
 		}, {
 			onHead() {
-				client.cancel(sendId, 'drain');
+				client.cancel(sendId, 'discard');
 				resolve();
 			},
 			onBytes: () => undefined,
@@ -143,7 +143,7 @@
 }
 
 // Guards against a refusal whose slow body has no end and keeps the connection for good.
-test('closes the connection of a drained response that does not end', async () => {
+test('closes the connection of a discarded response that does not end', async () => {
 	let isClosed = false;
 	const address = await startEndpoint(socket => {
 		socket.write('HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n\r\n');
@@ -155,13 +155,14 @@
 			clearInterval(timer);
 		});
 	});
-	await sendAndDrain(createClient(), address, 1);
+	await sendAndDiscard(createClient(), address, 1);
 	await vi.waitFor(() => {
 		expect(isClosed).toBe(true);
 	});
 });
 
-test('reuses the connection of a drained response that ends soon', async () => {
+// Guards against a new connection for each refusal of a busy endpoint.
+test('reuses the connection of a discarded response that ends soon', async () => {
 	let connections = 0;
 	const server = net.createServer(socket => {
 		connections += 1;
@@ -178,7 +179,7 @@
 	const client = createClient();
 	for (const sendId of [1, 2, 3]) {
 		// eslint-disable-next-line no-await-in-loop -- the connection is free only after the response has ended
-		await sendAndDrain(client, `127.0.0.1:${typeof address === 'object' ? address?.port ?? 0 : 0}`, sendId);
+		await sendAndDiscard(client, `127.0.0.1:${typeof address === 'object' ? address?.port ?? 0 : 0}`, sendId);
 		// eslint-disable-next-line no-await-in-loop
 		await new Promise(resolve => {
 			setTimeout(resolve, slowByteMs);
--- a/packages/gateway/src/endpoint-client.ts
+++ b/packages/gateway/src/endpoint-client.ts
@@ -39,8 +39,8 @@
 	send(request: EndpointRequest, listener: EndpointListener): void;
 	/** Sends a control request and returns the response. Rejects on a timeout, a connection error or a body that is too long. */
 	sendControlRequest(address: string, request: ControlRequest): Promise<ControlResponse>;
-	/** Ends a send, whose listener is not called again: aborts it at once, or only if its response doesn't end soon. */
-	cancel(sendId: SendId, how: 'abort' | 'drain'): void;
+	/** Ends a send, whose listener is not called again: aborts it at once, or, to discard its response, only if that doesn't end soon. */
+	cancel(sendId: SendId, how: 'abort' | 'discard'): void;
 	/** Closes the connections to all other addresses once they are idle. */
 	closePoolsExcept(addresses: ReadonlySet<string>): void;
 	close(): void;
@@ -65,8 +65,8 @@
 
 /** Maximum length of a response body, which the gateway may have to hold until it is complete. */
 const maximumResponseBytes = 8_388_608;
-/** Time for which the rest of a response that is not needed may take, before the connection is closed. */
-const drainTimeoutMs = 500;
+/** Timeout of the rest of a discarded response, after which the connection is closed. */
+const discardTimeoutMs = 500;
 /** Maximum number of informational responses before the final one. */
 const maximumInformationalResponses = 10;
 /** Maximum length of a control response; a report of all reservations of a server is far shorter. */
@@ -92,10 +92,10 @@
 type OpenSend = {
 	controller: Dispatcher.DispatchController | undefined;
 	isCancelled: boolean;
-	drainTimer: NodeJS.Timeout | undefined;
+	discardTimer: NodeJS.Timeout | undefined;
 };
 
-function abortSend(openSend: OpenSend): void {
+function cancelOpenSend(openSend: OpenSend): void {
 	openSend.controller?.abort(new errors.RequestAbortedError());
 }
 
@@ -155,7 +155,7 @@
 	}
 
 	function createHandler(sendId: SendId, listener: EndpointListener): Dispatcher.DispatchHandler {
-		const openSend: OpenSend = {controller: undefined, isCancelled: false, drainTimer: undefined};
+		const openSend: OpenSend = {controller: undefined, isCancelled: false, discardTimer: undefined};
 		openSends.set(sendId, openSend);
 		let hasStarted = false;
 		let informationalResponses = 0;
@@ -164,7 +164,7 @@
 				hasStarted = true;
 				openSend.controller = controller;
 				if (openSend.isCancelled) {
-					abortSend(openSend);
+					cancelOpenSend(openSend);
 				}
 			},
 			onResponseStart(controller, status, headers) {
@@ -185,7 +185,7 @@
 			},
 			onResponseEnd() {
 				openSends.delete(sendId);
-				clearTimeout(openSend.drainTimer);
+				clearTimeout(openSend.discardTimer);
 				if (openSend.isCancelled) {
 					return;
 				}
@@ -198,7 +198,7 @@
 			},
 			onResponseError(_controller, error) {
 				openSends.delete(sendId);
-				clearTimeout(openSend.drainTimer);
+				clearTimeout(openSend.discardTimer);
 				if (!openSend.isCancelled) {
 					const code = getErrorCode(error);
 					listener.onFailure(hasStarted || !connectErrorCodes.has(code), code);
@@ -230,12 +230,12 @@
 			openSend.isCancelled = true;
 			switch (how) {
 				case 'abort': {
-					abortSend(openSend);
+					cancelOpenSend(openSend);
 					return;
 				}
 
-				case 'drain': {
-					openSend.drainTimer = setTimeout(abortSend, drainTimeoutMs, openSend);
+				case 'discard': {
+					openSend.discardTimer = setTimeout(cancelOpenSend, discardTimeoutMs, openSend);
 				}
 			}
 		},
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -8,6 +8,9 @@
 
 const addressSchema = z.string().regex(addressPattern, 'must be IP:PORT');
 
+/** The limit of the users' platform on reserved memory that no request uses. */
+const defaultMemoryIdleMs = 9000;
+
 const settingsSchema = z.strictObject({
 	name: z.string().min(1),
 	dataCentre: z.string().min(1),
@@ -31,7 +34,7 @@
 	/** Maximum time for which a revoked key is still accepted; absent if there is no such limit. */
 	revocationMs: z.number().positive().optional(),
 	/** Time for which endpoints may hold reserved memory that no request uses. */
-	memoryIdleMs: z.number().positive().default(9000),
+	memoryIdleMs: z.number().positive().default(defaultMemoryIdleMs),
 	/** Limit on sends beyond the first of each request: a ratio of the requests plus a fixed number for all gateways, per window. */
 	retries: z.strictObject({
 		ratio: z.number().min(0),
--- a/packages/standins/src/endless-server-standin.ts
+++ b/packages/standins/src/platform-endless-server-standin.ts
@@ -1,12 +1,12 @@
 /**
-Stand-in for a faulty server that sends bytes without end, as fast as its client reads them, until the client closes the
-connection.
+Stand-in for a faulty server of the platform whose response has no end: it sends as fast as its client reads, until the
+client closes the connection.
 */
 import {Buffer} from 'node:buffer';
 import net, {type Socket} from 'node:net';
 import {listen} from '@currantcross/core/listen';
 
-/** Where the endless bytes are: in the head of the response, before or instead of it, or in its body. */
+/** The part of the response that has no end; `garbage` is not HTTP, and `refusal` has an endless body. */
 export type EndlessResponse = 'garbage' | 'header' | 'headers' | 'informational' | 'trailers' | 'chunkExtension' | 'body' | 'event' | 'refusal';
 
 export type EndlessServerStandin = Readonly<{
