Let the simulation see a refused send until its response has ended

Cause: since the rest of a refusal is discarded, the simulation took a refused send for closed at once, and the property that no endpoint processes a request after it has ended no longer covered refusals.

Change: only an aborted send is closed at once, as before the change.

--- a/packages/core/src/gateway/gateway-fault-simulation.ts
+++ b/packages/core/src/gateway/gateway-fault-simulation.ts
@@ -181,8 +181,10 @@
 			}
 
 			case 'cancelSend': {
-				for (const record of records.values()) {
-					record.openSends.delete(action.sendId);
+				if (action.how === 'abort') {
+					for (const record of records.values()) {
+						record.openSends.delete(action.sendId);
+					}
 				}
 
 				return;
