Log what is known of unused memory and of unusable reports

Cause, found by reading: a send whose memory was known to be unused, and which could not be sent again, was kept without a line until its limit. A model server's response to a probe that is no report was logged at a level that is off. A connection ended for its informational responses was logged as VError.

Change: silenceChecked says quotaExhausted or retryForbidden in the first case; probeFailed warns in the second, for model servers only, since business services send no reports; the third has a name of its own.

--- a/packages/core/src/gateway/forwarded-request.test.ts
+++ b/packages/core/src/gateway/forwarded-request.test.ts
@@ -271,6 +271,20 @@
 		expect(actions.at(-1)).toBe('fail overloaded ran=no');
 	});
 
+	// Guards against memory that is known to be unused and is held further without a line in the log.
+	test('reports that unused memory is held further if the request may not be sent again', () => {
+		const harness = createHarness();
+		harness.submit(createFixtureGatewayRequest({...route, isResumable: false}, {prompt}));
+		for (let index = 0; index < 16; index += 1) {
+			answerReservation(harness, getReservationId(1, index), true, 10);
+		}
+
+		const actions = [3000, 3401].flatMap(now => harness.gateway.step({kind: 'timePassed'}, now));
+		expect(actions).toContainEqual(expect.objectContaining({
+			kind: 'reportDecision', decision: expect.objectContaining({kind: 'silenceChecked', outcome: 'retryForbidden'}) as unknown,
+		}));
+	});
+
 	test('releases its reservations if they are not answered in time', () => {
 		const {harness, ids} = submit();
 		const actions = harness.gateway.step({kind: 'timePassed'}, 401).flatMap(action => formatAction(action));
--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -503,7 +503,7 @@
 		}
 
 		if (current?.memory !== undefined) {
-			const memoryActions = checkMemoryUse(current.memory, now);
+			const memoryActions = checkMemoryUse(current, current.memory, now);
 			if (memoryActions.length > 0) {
 				return memoryActions;
 			}
@@ -522,7 +522,7 @@
 	}
 
 	/** Checks whether the memory of a send without progress is used, and abandons the send if it isn't. */
-	function checkMemoryUse(memory: MemoryReservation, now: Timestamp): readonly GatewayAction[] {
+	function checkMemoryUse(silentSend: Send, memory: MemoryReservation, now: Timestamp): readonly GatewayAction[] {
 		const check = memory.takeUseCheck(now);
 		switch (check.kind) {
 			case 'none': {
@@ -535,17 +535,16 @@
 
 			case 'unused': {
 				const mayRetry = canRetry() && context.retryQuota.tryTake(request.service, now);
-				return mayRetry || check.isOverdue ? abandonUnusedMemory(check.holders, mayRetry, now) : [];
+				return mayRetry || check.isOverdue
+					? abandonUnusedMemory(silentSend, check.holders, mayRetry, now)
+					: reportSilence(silentSend, canRetry() ? 'quotaExhausted' : 'retryForbidden', now);
 			}
 		}
 	}
 
-	function abandonUnusedMemory(holders: readonly ListedEndpoint[], mayRetry: boolean, now: Timestamp): readonly GatewayAction[] {
-		if (current === undefined) {
-			return [];
-		}
-
-		context.registry.recordFailure(current.placement.endpoint.id, now);
+	/** Ends a send whose memory is unused. The request is sent again if it may be, or else ends. */
+	function abandonUnusedMemory({placement}: Send, holders: readonly ListedEndpoint[], mayRetry: boolean, now: Timestamp): readonly GatewayAction[] {
+		context.registry.recordFailure(placement.endpoint.id, now);
 		const closeActions = [...cancelCurrentSend(), ...closeSend('memoryUnused', holders.map(({id}) => id).join(','), now)];
 		const failure = createFailure('serverLost', 'the endpoint did not begin the request');
 		return [...closeActions, ...(mayRetry ? send(now, failure) : endWithFailure(failure))];
--- a/packages/core/src/gateway/gateway-fault-simulation.ts
+++ b/packages/core/src/gateway/gateway-fault-simulation.ts
@@ -181,12 +181,7 @@
 			}
 
 			case 'cancelSend': {
-				if (action.how === 'abort') {
-					for (const record of records.values()) {
-						record.openSends.delete(action.sendId);
-					}
-				}
-
+				cancelSend(action);
 				return;
 			}
 
@@ -279,6 +274,17 @@
 		unusedReservations.delete(id);
 	}
 
+	/** Closes an aborted send; a discarded response goes on to its end. */
+	function cancelSend({sendId, how}: Extract<GatewayAction, {kind: 'cancelSend'}>): void {
+		if (how === 'discard') {
+			return;
+		}
+
+		for (const record of records.values()) {
+			record.openSends.delete(sendId);
+		}
+	}
+
 	function performReservation(key: RequestKey, reservation: Reservation): void {
 		if (releasedReservations.has(reservation.id)) {
 			reservationsAfterRelease.push(reservation.id);
--- a/packages/gateway/src/endpoint-client.ts
+++ b/packages/gateway/src/endpoint-client.ts
@@ -175,7 +175,7 @@
 
 				informationalResponses += 1;
 				if (informationalResponses > maximumInformationalResponses) {
-					controller.abort(new VError('the endpoint sent more than %d informational responses', maximumInformationalResponses));
+					controller.abort(new VError({name: 'TooManyInformationalResponses'}, 'the endpoint sent more than %d informational responses', maximumInformationalResponses));
 				}
 			},
 			onResponseData(_controller, bytes) {
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -233,14 +233,15 @@
 		dispatchRelayEvent(key, {kind: 'memoryAnswered', reservationId: reservation.id, isHeld});
 	}
 
-	/** Probes an endpoint. Any response shows that it is alive; business services send no report. Without a response, the request's own timeout applies. */
+	/** Probes an endpoint. Any response shows that it is alive; only model servers send reports. Without a response, the request's own timeout applies. */
 	async function performProbe(key: RequestKey, endpoint: ListedEndpoint): Promise<void> {
 		const request = openRequests.get(key)?.request.requestId;
 		try {
 			const {body} = await host.client.sendControlRequest(endpoint.address, host.wireFormat.formatProbe());
 			const report = host.wireFormat.parseReport(body);
-			if (report === undefined) {
-				host.logger.debug('probeFailed', {request, endpoint: endpoint.id, reason: 'the response is not a report'});
+			const hasEngine = gateway.tryGetConfiguration()?.services.get(endpoint.service)?.engine !== undefined;
+			if (report === undefined && hasEngine) {
+				host.logger.warn('probeFailed', {request, endpoint: endpoint.id, reason: 'the response is not a report'});
 			}
 
 			dispatchRelayEvent(key, {kind: 'probeAnswered', endpoint: endpoint.id, report});
