Close the connection of a caller that reads nothing of its response

Change: once a response is complete and not yet sent, the connection is closed if the caller reads nothing of it for the configured idle timeout. A caller that reads slowly is not affected.

--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -52,11 +52,19 @@
 	return forwarded;
 }
 
-/** Creates the exchange for a received request. While `isDraining` returns true, responses carry `Connection: close`. */
+export type CallerExchangeHost = Readonly<{
+	wireFormat: WireFormat;
+	/** While it returns true, responses carry `Connection: close`. */
+	isDraining(): boolean;
+	/** Returns the time for which a caller may read nothing of a complete response before its connection is closed. */
+	getIdleTimeoutMs(): number;
+}>;
+
+/** Creates the exchange for a received request. */
 export function createCallerExchange(
 	request: ReceivedRequest,
 	response: ServerResponse,
-	host: Readonly<{wireFormat: WireFormat; isDraining(): boolean}>,
+	host: CallerExchangeHost,
 ): CallerExchange {
 	const {message, head} = request;
 
@@ -88,6 +96,13 @@
 		},
 		end() {
 			response.end();
+			if (!response.writableFinished) {
+				message.socket.setTimeout(host.getIdleTimeoutMs());
+				// Runs before the server sets its own timeout for idle connections.
+				response.prependOnceListener('finish', () => {
+					message.socket.setTimeout(0);
+				});
+			}
 		},
 		breakConnection() {
 			message.socket.destroy();
--- /dev/null
+++ b/packages/gateway/src/caller-server.test.ts
@@ -0,0 +1,72 @@
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import net from 'node:net';
+import {afterEach, expect, test} from 'vitest';
+import {startCallerServer, type CallerServer} from './caller-server.js';
+import type {WireFormat} from './gateway-hosts.js';
+
+const idleTimeoutMs = 200;
+/** More than the buffers of both sockets hold. */
+const responseBytes = 32 * 1024 * 1024;
+
+const closers: Array<() => void> = [];
+
+afterEach(() => {
+	for (const close of closers.splice(0)) {
+		close();
+	}
+});
+
+/** Starts a server that answers each request at once with `responseBytes` bytes. */
+async function startServer(): Promise<CallerServer> {
+	const wireFormat: Pick<WireFormat, 'parseCallerHead'> = {
+		parseCallerHead: () => ({
+			requestId: 'r-1', credential: undefined, remainingMs: undefined, lastEventId: undefined, prompt: undefined,
+		}),
+	};
+	const server = await startCallerServer({host: '127.0.0.1', port: 0}, {
+		wireFormat: wireFormat as WireFormat, // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the other members are not used
+		isDraining: () => false,
+		checkHead: () => undefined,
+		handleRequest(exchange) {
+			exchange.startResponse({status: 200, headers: ['Content-Length', String(responseBytes)], isUndelimited: false});
+			exchange.write(Buffer.alloc(responseBytes));
+			exchange.end();
+			return () => undefined;
+		},
+		recordRefusal: () => undefined,
+	});
+	server.setLimits({maximumBodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs});
+	closers.push(server.close);
+	return server;
+}
+
+/** Sends a request, reads nothing of the response for `pauseMs`, and returns the number of bytes that are received after that. */
+async function readAfter(port: number, pauseMs: number): Promise<number> {
+	const socket = net.connect(port, '127.0.0.1');
+	closers.push(() => {
+		socket.destroy();
+	});
+	socket.write('GET / HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n\r\n');
+	await new Promise(resolve => {
+		setTimeout(resolve, pauseMs);
+	});
+	let receivedBytes = 0;
+	socket.on('error', () => undefined);
+	socket.on('data', bytes => {
+		receivedBytes += bytes.length;
+	});
+	await once(socket, 'close');
+	return receivedBytes;
+}
+
+// Guards against a caller that reads nothing and keeps its connection and a complete response in memory for good.
+test('closes the connection of a caller that reads nothing of a complete response for the idle timeout', async () => {
+	const {port} = await startServer();
+	expect(await readAfter(port, 5 * idleTimeoutMs)).toBeLessThan(responseBytes);
+});
+
+test('delivers a complete response to a caller that pauses for less than the idle timeout', async () => {
+	const {port} = await startServer();
+	expect(await readAfter(port, idleTimeoutMs / 4)).toBeGreaterThan(responseBytes);
+});
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -36,6 +36,8 @@
 const defaultMaximumBodyBytes = 8_388_608;
 /** Time for which a body may take to arrive if the caller has stated no deadline. */
 const defaultBodyTimeoutMs = 30_000;
+/** Idle timeout until the first configuration arrives. */
+const defaultIdleTimeoutMs = 30_000;
 /** Added to the callers' idle timeout, so that no connection is closed while a caller sends a request on it. */
 const keepAliveMarginMs = 2000;
 
@@ -68,6 +70,10 @@
 /** Starts the server and returns once it listens. */
 export async function startCallerServer(address: SocketAddress, host: CallerServerHost): Promise<CallerServer> {
 	let maximumBodyBytes = defaultMaximumBodyBytes;
+	let idleTimeoutMs = defaultIdleTimeoutMs;
+	const exchangeHost = {
+		wireFormat: host.wireFormat, isDraining: () => host.isDraining(), getIdleTimeoutMs: () => idleTimeoutMs,
+	};
 
 	async function receiveRequest(message: IncomingMessage, response: ServerResponse): Promise<void> {
 		const arrivedAt = performance.now();
@@ -98,7 +104,7 @@
 			}
 
 			case 'complete': {
-				startRequest(createCallerExchange({message, head, body: result.body}, response, host), response, arrivedAt);
+				startRequest(createCallerExchange({message, head, body: result.body}, response, exchangeHost), response, arrivedAt);
 			}
 		}
 	}
@@ -114,7 +120,7 @@
 
 	function refuseRequest(message: IncomingMessage, response: ServerResponse, head: CallerHead, failure: Failure): void {
 		host.recordRefusal(head, failure);
-		createCallerExchange({message, head, body: new Uint8Array(0)}, response, host).fail(failure);
+		createCallerExchange({message, head, body: new Uint8Array(0)}, response, exchangeHost).fail(failure);
 	}
 
 	function startRequest(exchange: CallerExchange, response: ServerResponse, arrivedAt: number): void {
@@ -143,6 +149,7 @@
 		port,
 		setLimits(limits) {
 			maximumBodyBytes = limits.maximumBodyBytes;
+			idleTimeoutMs = limits.idleTimeoutMs;
 			server.headersTimeout = limits.headerTimeoutMs;
 			server.keepAliveTimeout = limits.idleTimeoutMs + keepAliveMarginMs;
 		},
