--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -152,7 +152,7 @@
 		current.checkAt = now + (current.memory === undefined ? getSilenceTimeoutMs(route, current) : reservationTimeoutMs);
 		excluded.add(placement.endpoint.id);
 		return [
-			createPlacementReport(request.key, current, decision.candidates),
+			createPlacementReport(request, current, decision.candidates),
 			...recordWork({
 				kind: 'started',
 				work: {
--- a/packages/core/src/gateway/gateway-events.ts
+++ b/packages/core/src/gateway/gateway-events.ts
@@ -5,7 +5,7 @@
 import type {Milliseconds, Timestamp} from '../types.js';
 import type {EndpointChange} from './endpoint-registry.js';
 import type {
-	EndpointId, EndpointReport, EndpointResponseHead, GatewayRequest, ListedEndpoint, RawHeaders, RequestKey, ServingConfiguration,
+	EndpointId, EndpointReport, EndpointResponseHead, GatewayRequest, ListedEndpoint, RawHeaders, RequestKey, SegmentId, ServingConfiguration,
 } from './gateway-types.js';
 import type {GatewayName, WorkChange} from './load-view.js';
 import type {Reservation, ReservationId} from './memory-reservation.js';
@@ -77,10 +77,11 @@
 		reservations: readonly Reservation[];
 		firstEventMs: Milliseconds;
 		candidates: number;
+		sharedSegments: readonly SegmentId[];
 	}>
 	/** A send made no progress for `silentMs`. */
 	| Readonly<{kind: 'silenceChecked'; sendId: SendId; endpoint: string; silentMs: Milliseconds; outcome: SilenceOutcome}>
-	| Readonly<{kind: 'sendEnded'; sendId: SendId; endpoint: string; result: SendResult; mayHaveRun: boolean; detail: string}>;
+	| Readonly<{kind: 'sendEnded'; sendId: SendId; endpoint: string; result: SendResult; mayHaveRun: boolean; hasEvents: boolean; detail: string}>;
 
 /**
 What follows from the check of a silent send: its endpoint is probed, the send is abandoned, or it is kept. A send is kept if
--- a/packages/core/src/gateway/gateway-fixtures.ts
+++ b/packages/core/src/gateway/gateway-fixtures.ts
@@ -108,6 +108,7 @@
 		deadlineAt: arrivedAt + route.timeoutMs,
 		arrivedAt,
 		prompt: route.kind === 'streaming' ? {promptTokens: 5000, maximumTokens: 1000} : undefined,
+		sharedSegments: [],
 		lastEventId: undefined,
 		...changes,
 	};
--- a/packages/core/src/gateway/gateway-types.ts
+++ b/packages/core/src/gateway/gateway-types.ts
@@ -92,6 +92,9 @@
 	startedAt: number;
 }>;
 
+/** Identifies a segment of a prompt by its content; requests whose prompts contain the same segment name the same id. */
+export type SegmentId = string;
+
 /** Length of a prompt, and the maximum length of its response. */
 export type PromptSize = Readonly<{promptTokens: TokenCount; maximumTokens: TokenCount}>;
 
@@ -109,6 +112,8 @@
 	deadlineAt: Timestamp;
 	arrivedAt: Timestamp;
 	prompt: PromptSize | undefined;
+	/** Segments of the prompt that other requests may share, in order; the prompt's own segment at its end is left out. */
+	sharedSegments: readonly SegmentId[];
 	/** Id of the last event that the caller received in an earlier response. */
 	lastEventId: string | undefined;
 }>;
--- a/packages/core/src/gateway/send-reports.ts
+++ b/packages/core/src/gateway/send-reports.ts
@@ -3,14 +3,14 @@
 */
 import type {Milliseconds} from '../types.js';
 import type {GatewayAction, SendResult, SilenceOutcome} from './gateway-events.js';
-import type {RequestKey} from './gateway-types.js';
+import type {GatewayRequest, RequestKey} from './gateway-types.js';
 import type {Send} from './request-send.js';
 
 /** Returns the report of a send's placement, which was chosen among `candidates` endpoints. */
-export function createPlacementReport(key: RequestKey, {id, placement, memory}: Send, candidates: number): GatewayAction {
+export function createPlacementReport(request: GatewayRequest, {id, placement, memory}: Send, candidates: number): GatewayAction {
 	return {
 		kind: 'reportDecision',
-		key,
+		key: request.key,
 		decision: {
 			kind: 'placed',
 			sendId: id,
@@ -19,6 +19,7 @@
 			reservations: memory?.reservations ?? [],
 			firstEventMs: Math.round(placement.firstEventMs),
 			candidates,
+			sharedSegments: request.sharedSegments,
 		},
 	};
 }
@@ -26,14 +27,14 @@
 /** Returns the report of how a send ended. */
 export function createSendEndReport(
 	key: RequestKey,
-	{id, placement}: Send,
+	{id, placement, hasEvents}: Send,
 	outcome: Readonly<{result: SendResult; mayHaveRun: boolean; detail: string}>,
 ): GatewayAction {
 	return {
 		kind: 'reportDecision',
 		key,
 		decision: {
-			kind: 'sendEnded', sendId: id, endpoint: placement.endpoint.id, ...outcome,
+			kind: 'sendEnded', sendId: id, endpoint: placement.endpoint.id, hasEvents, ...outcome,
 		},
 	};
 }
--- a/packages/gateway/src/caller-server.test.ts
+++ b/packages/gateway/src/caller-server.test.ts
@@ -21,7 +21,7 @@
 async function startServer(): Promise<CallerServer> {
 	const wireFormat: Pick<WireFormat, 'parseCallerHead'> = {
 		parseCallerHead: () => ({
-			requestId: 'r-1', credential: undefined, remainingMs: undefined, lastEventId: undefined, prompt: undefined,
+			requestId: 'r-1', credential: undefined, remainingMs: undefined, lastEventId: undefined, prompt: undefined, sharedSegments: [],
 		}),
 	};
 	const server = await startCallerServer({host: '127.0.0.1', port: 0}, {
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -173,6 +173,7 @@
 			deadlineAt: arrivedAt + Math.min(route.timeoutMs, head.remainingMs ?? route.timeoutMs),
 			arrivedAt,
 			prompt: head.prompt,
+			sharedSegments: head.sharedSegments,
 			lastEventId: head.lastEventId,
 		}, callerExchange);
 	}
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -3,7 +3,9 @@
 that it returns.
 */
 import {Buffer} from 'node:buffer';
-import type {GatewayRequest, ListedEndpoint, RequestKey} from '@currantcross/core/gateway/gateway-types';
+import type {
+	GatewayRequest, ListedEndpoint, RequestKey, SegmentId,
+} from '@currantcross/core/gateway/gateway-types';
 import type {Gateway} from '@currantcross/core/gateway/gateway';
 import type {WorkChange} from '@currantcross/core/gateway/load-view';
 import type {
@@ -35,6 +37,8 @@
 }>;
 
 const okStatus = 200;
+/** Maximum number of segments in one line of the log. */
+const maximumLoggedSegments = 16;
 
 type OpenRequest = Readonly<{request: GatewayRequest; exchange: CallerExchange}>;
 
@@ -43,6 +47,11 @@
 	return reservations.length === 0 ? undefined : reservations.map(({endpoint, tokens}) => `${endpoint.id}:${tokens}`).join(',');
 }
 
+/** Returns the ids of the first segments, for the log. */
+function formatSegments(segments: readonly SegmentId[]): string | undefined {
+	return segments.length === 0 ? undefined : segments.slice(0, maximumLoggedSegments).join(',');
+}
+
 /** Creates a driver for the gateway. */
 export function createGatewayDriver(gateway: Gateway, host: GatewayDriverHost): GatewayDriver {
 	const openRequests = new Map<RequestKey, OpenRequest>();
@@ -201,10 +210,10 @@
 		switch (decision.kind) {
 			case 'placed': {
 				const {
-					sendId, endpoint, helpers, reservations, firstEventMs, candidates,
+					sendId, endpoint, helpers, reservations, firstEventMs, candidates, sharedSegments,
 				} = decision;
 				host.logger.info('requestPlaced', {
-					request, sendId, endpoint, helpers, reservations: formatReservations(reservations), firstEventMs, candidates,
+					request, sendId, endpoint, helpers, reservations: formatReservations(reservations), firstEventMs, candidates, segments: formatSegments(sharedSegments),
 					configurationAgeMs: Math.round(gateway.getConfigurationAgeMs(performance.now())),
 				});
 				return;
@@ -219,10 +228,10 @@
 			}
 
 			case 'sendEnded': {
-				const {sendId, endpoint, result, mayHaveRun, detail} = decision;
+				const {sendId, endpoint, result, mayHaveRun, hasEvents, detail} = decision;
 				host.metrics.recordSend(result);
 				host.logger.info('sendEnded', {
-					request, sendId, endpoint, result, mayHaveRun, detail: detail === '' ? undefined : detail,
+					request, sendId, endpoint, result, mayHaveRun, hasEvents, detail: detail === '' ? undefined : detail,
 				});
 			}
 		}
--- a/packages/gateway/src/gateway-hosts.ts
+++ b/packages/gateway/src/gateway-hosts.ts
@@ -6,7 +6,7 @@
 import type {Failure} from '@currantcross/core/errors';
 import type {ExchangeMember} from '@currantcross/core/gateway/exchange-topology';
 import type {
-	EndpointReport, EndpointResponseHead, ListedEndpoint, PromptSize, RawHeaders, ServingConfiguration,
+	EndpointReport, EndpointResponseHead, ListedEndpoint, PromptSize, RawHeaders, SegmentId, ServingConfiguration,
 } from '@currantcross/core/gateway/gateway-types';
 import type {Reservation} from '@currantcross/core/gateway/memory-reservation';
 import type {SendHelper} from '@currantcross/core/gateway/gateway-events';
@@ -20,6 +20,7 @@
 	remainingMs: Milliseconds | undefined;
 	lastEventId: string | undefined;
 	prompt: PromptSize | undefined;
+	sharedSegments: readonly SegmentId[];
 }>;
 
 /** Values that the gateway adds to the headers of a request to an endpoint. */
