Show in a test that requests which crash servers reach one server after the other

A simulation of several gateways, with servers that crash when they begin to answer a prompt that contains a certain segment, and callers whose sound requests share all but that segment. It checks the platform's bounds over all gateways: at most three requests with the segment from 3 s after the fifth crash on, and sound requests that begin at least half as often as before.

--- /dev/null
+++ b/packages/core/src/gateway/fleet-checks.ts
@@ -0,0 +1,65 @@
+/**
+Checks of the platform's bounds on requests whose prompts crash servers, over all gateways of a simulation.
+*/
+import type {Timestamp} from '../types.js';
+import type {SegmentId} from './gateway-types.js';
+import {stableWindowMs, type FleetRequestRecord, type FleetResult} from './fleet-simulation.js';
+
+/** The crash under a segment after which the bounds apply. */
+const boundedCrashNumber = 5;
+/** Number of requests with a crash segment that may reach servers once the bound applies. */
+const maximumLateArrivals = 3;
+/** Minimum number of requests on either side of a comparison. */
+const minimumComparedRequests = 20;
+/** Minimum share of sound requests that begin, relative to the time before the first crash. */
+const minimumRelativeShare = 0.5;
+
+/** Returns when servers crashed under a segment, in order. */
+function getCrashTimes({crashes}: FleetResult, segment: SegmentId): readonly Timestamp[] {
+	return crashes.filter(({segments}) => segments.includes(segment)).map(({at}) => at);
+}
+
+/** Returns how many requests with the segment reached servers later than the window after the fifth crash, from gateways in touch. */
+function countLateArrivals(result: FleetResult, segment: SegmentId): number {
+	const boundedCrashAt = getCrashTimes(result, segment)[boundedCrashNumber - 1];
+	if (boundedCrashAt === undefined) {
+		return 0;
+	}
+
+	return result.records.filter(({segments}) => segments.includes(segment))
+		.flatMap(({arrivals, gatewayIndex}) => arrivals.filter(at => at > boundedCrashAt + stableWindowMs && result.isInTouch(gatewayIndex, at)))
+		.length;
+}
+
+function getBegunShare(records: readonly FleetRequestRecord[]): number {
+	return records.filter(({hasBegun}) => hasBegun).length / records.length;
+}
+
+/** Returns whether sound requests begin less than half as often, while requests with the segment still come, as before the first crash. */
+function isSoundTrafficLost(result: FleetResult, segment: SegmentId): boolean {
+	const crashTimes = getCrashTimes(result, segment);
+	const lastCrashAt = crashTimes[boundedCrashNumber - 1] ?? crashTimes.at(-1);
+	if (lastCrashAt === undefined) {
+		return false;
+	}
+
+	const firstCrashAt = result.crashes[0]?.at ?? 0;
+	const lastRequestAt = result.records.findLast(({segments}) => segments.includes(segment))?.sentAt ?? 0;
+	const soundRecords = result.records.filter(({segments, isRepeat, gatewayIndex, sentAt}) =>
+		!isRepeat && !segments.some(other => result.crashSegments.includes(other)) && result.isInTouch(gatewayIndex, sentAt));
+	const compared = soundRecords.filter(({sentAt}) => sentAt > lastCrashAt + (2 * stableWindowMs) && sentAt < lastRequestAt);
+	const usual = soundRecords.filter(({sentAt}) => sentAt < firstCrashAt - stableWindowMs);
+	return compared.length >= minimumComparedRequests && usual.length >= minimumComparedRequests
+		&& getBegunShare(compared) < minimumRelativeShare * getBegunShare(usual);
+}
+
+/** Returns the bounds that a simulation broke, in words. */
+export function findCrashViolations(result: FleetResult): readonly string[] {
+	return result.crashSegments.flatMap(segment => {
+		const lateArrivals = countLateArrivals(result, segment);
+		return [
+			...(lateArrivals > maximumLateArrivals ? [`${lateArrivals} requests with ${segment} reached servers after the bound`] : []),
+			...(isSoundTrafficLost(result, segment) ? [`sound requests began less than half as often beside ${segment}`] : []),
+		];
+	});
+}
--- /dev/null
+++ b/packages/core/src/gateway/fleet-properties.test.ts
@@ -0,0 +1,44 @@
+/**
+Bounds on requests whose prompts crash servers, over all gateways, under random restarts and cuts. The seed is fixed so that
+every run gives the same result; CURRANTCROSS_SEED and CURRANTCROSS_RUNS set another seed and number of runs.
+*/
+import process from 'node:process';
+import fc from 'fast-check';
+import {describe, expect, test} from 'vitest';
+import {findCrashViolations} from './fleet-checks.js';
+import {runFleetScenario, type FleetDisruption, type FleetScenario} from './fleet-simulation.js';
+
+const parameters = {
+	seed: Number(process.env.CURRANTCROSS_SEED ?? '20261204'),
+	numRuns: Math.ceil(Number(process.env.CURRANTCROSS_RUNS ?? '500') / 10),
+};
+
+const disruption: fc.Arbitrary<FleetDisruption> = fc.record({
+	kind: fc.constantFrom('restart' as const, 'cutFromPeers' as const, 'cutFromStore' as const),
+	at: fc.integer({min: 0, max: 25_000}),
+	gatewayIndex: fc.nat(5),
+	durationMs: fc.integer({min: 200, max: 6000}),
+});
+
+const scenario: fc.Arbitrary<FleetScenario> = fc.record({
+	seed: fc.nat(),
+	gatewayCount: fc.integer({min: 1, max: 6}),
+	crashSegments: fc.array(fc.record({startsAt: fc.integer({min: 4500, max: 12_000}), perSecond: fc.constantFrom(0.5, 1, 3, 8)}), {minLength: 1, maxLength: 3}),
+	disruptions: fc.array(disruption, {maxLength: 5}),
+});
+
+describe('gateways whose servers crash on a segment of a prompt', () => {
+	// Guards against requests with a segment that crashes servers being sent to one server after the other.
+	test('stop sending requests with the segment, and serve those that share all other segments', () => {
+		expect(findCrashViolations(runFleetScenario({
+			seed: 1, gatewayCount: 5, crashSegments: [{startsAt: 6000, perSecond: 3}], disruptions: [],
+		}))).toEqual([]);
+	});
+
+	// Guards against the same with several such segments, while gateways restart or are cut off from each other or the store.
+	test('stop sending such requests under random restarts and cuts', () => {
+		fc.assert(fc.property(scenario, input => {
+			expect(findCrashViolations(runFleetScenario(input))).toEqual([]);
+		}), parameters);
+	});
+});
--- /dev/null
+++ b/packages/core/src/gateway/fleet-simulation.ts
@@ -0,0 +1,420 @@
+/**
+Simulation of several gateways for the property tests: runs them in virtual time against servers that crash on segments of
+prompts, while gateways restart or are cut off from each other or from the store. Records what callers and servers observe.
+*/
+import TinyQueue from 'tinyqueue';
+import {createRandom, type Random} from '../random.js';
+import type {Milliseconds, Timestamp} from '../types.js';
+import {createFleetServers} from './fleet-servers.js';
+import {createGateway, type Gateway} from './gateway.js';
+import type {GatewayAction, GatewayEvent, SendId} from './gateway-events.js';
+import {
+	createFixtureGatewayRequest, fixtureConfiguration, fixtureGatewaySettings, fixtureStreamRoute,
+} from './gateway-fixtures.js';
+import type {RequestKey, SegmentId} from './gateway-types.js';
+
+/** Callers send `perSecond` requests whose prompts contain the segment, from `startsAt` on. */
+export type CrashSegment = Readonly<{startsAt: Timestamp; perSecond: number}>;
+
+export type FleetDisruption = Readonly<{
+	kind: 'restart' | 'cutFromPeers' | 'cutFromStore';
+	at: Timestamp;
+	gatewayIndex: number;
+	durationMs: Milliseconds;
+}>;
+
+export type FleetScenario = Readonly<{
+	seed: number;
+	gatewayCount: number;
+	crashSegments: readonly CrashSegment[];
+	disruptions: readonly FleetDisruption[];
+}>;
+
+/** What the caller and the servers of a request observed. */
+export type FleetRequestRecord = {
+	readonly sentAt: Timestamp;
+	readonly gatewayIndex: number;
+	readonly segments: readonly SegmentId[];
+	/** Whether the caller repeats a request that failed. */
+	readonly isRepeat: boolean;
+	/** When a server received the request. */
+	readonly arrivals: Timestamp[];
+	/** Whether a server began to answer the request. */
+	hasBegun: boolean;
+	isAnswered: boolean;
+};
+
+export type FleetCrash = Readonly<{at: Timestamp; segments: readonly SegmentId[]}>;
+
+export type FleetResult = Readonly<{
+	records: readonly FleetRequestRecord[];
+	crashes: readonly FleetCrash[];
+	crashSegments: readonly SegmentId[];
+	/** Returns whether a gateway ran and reached the store for the whole window before a time. */
+	isInTouch(gatewayIndex: number, at: Timestamp): boolean;
+}>;
+
+/** Time for which a gateway must have run and reached the store before bounds apply to it. */
+export const stableWindowMs: Milliseconds = 3000;
+/** End of the requests; the last ones end within the rest of the simulation. */
+const requestsEndAt: Timestamp = 28_000;
+const simulationEndAt: Timestamp = 32_000;
+const soundPerSecond = 24;
+const sharedSegmentCount = 8;
+const exchangeDelayMs: Milliseconds = 20;
+/** Time after which gateways notice that a stream between them is cut. */
+const exchangeTimeoutMs: Milliseconds = 1600;
+const storeDelayMs: Milliseconds = 8;
+const endpointPollMs: Milliseconds = 500;
+const verificationMs: Milliseconds = 1000;
+/** Delay after which a caller repeats a failed request at another gateway. */
+const repeatDelayMs: Milliseconds = 300;
+const millisecondsPerSecond = 1000;
+
+type SimulatedGateway = {
+	readonly index: number;
+	readonly name: string;
+	/** `undefined` while the process is not running. */
+	gateway: Gateway | undefined;
+	startCount: number;
+	isCutFromPeers: boolean;
+	isCutFromStore: boolean;
+	/** Intervals in which the process did not run or did not reach the store. */
+	readonly outages: Array<Readonly<{from: Timestamp; to: Timestamp}>>;
+	readonly openRequests: Map<RequestKey, FleetRequestRecord>;
+};
+
+type Task = Readonly<{at: Timestamp; order: number; run(): void}>;
+
+/** Returns the segments of a prompt: one that all prompts begin with, one that some share, and the crash segment, if any, at any place. */
+function drawSegments(random: Random, crashSegment: SegmentId | undefined): readonly SegmentId[] {
+	const segments = ['first', `shared-${random.getInteger(sharedSegmentCount)}`, `shared-${random.getInteger(sharedSegmentCount)}`];
+	return crashSegment === undefined ? segments : segments.toSpliced(random.getInteger(segments.length + 1), 0, crashSegment);
+}
+
+/** Returns random times at a mean rate, in order. */
+function drawTimes(random: Random, from: Timestamp, perSecond: number): readonly Timestamp[] {
+	const times: Timestamp[] = [];
+	for (let at = from; at < requestsEndAt; at += -Math.log(1 - random.getFraction()) * millisecondsPerSecond / perSecond) {
+		times.push(at);
+	}
+
+	return times;
+}
+
+/** Runs a scenario to its end. */
+export function runFleetScenario(scenario: FleetScenario): FleetResult {
+	const random = createRandom(scenario.seed);
+	const tasks = new TinyQueue<Task>([], (left, right) => left.at - right.at || left.order - right.order);
+	const crashSegments = scenario.crashSegments.map((_, index) => `crash-${index}`);
+	const records: FleetRequestRecord[] = [];
+	const crashes: FleetCrash[] = [];
+	const gateways: SimulatedGateway[] = Array.from({length: scenario.gatewayCount}, (_, index) => ({
+		index, name: `gateway-${index}`, gateway: undefined, startCount: 0, isCutFromPeers: false, isCutFromStore: false, outages: [], openRequests: new Map(),
+	}));
+	let now: Timestamp = 0;
+	let taskCount = 0;
+	let requestCount = 0;
+
+	function schedule(delayMs: Milliseconds, run: () => void): void {
+		taskCount += 1;
+		tasks.push({at: now + delayMs, order: taskCount, run});
+	}
+
+	const servers = createFleetServers({
+		random,
+		crashSegments: new Set(crashSegments),
+		getNow: () => now,
+		schedule,
+		onCrash(segments) {
+			crashes.push({at: now, segments});
+		},
+	});
+
+	/** Returns a send's id that is unique among all gateways. */
+	function formatSendId(simulated: SimulatedGateway, sendId: SendId): string {
+		return `${simulated.index}.${simulated.startCount}.${sendId}`;
+	}
+
+	function dispatch(simulated: SimulatedGateway, event: GatewayEvent): void {
+		for (const action of simulated.gateway?.step(event, now) ?? []) {
+			perform(simulated, action);
+		}
+	}
+
+	/** Schedules a task of a gateway process, which is dropped if the process has ended by then. */
+	function scheduleFor(simulated: SimulatedGateway, delayMs: Milliseconds, run: () => void): void {
+		const {startCount} = simulated;
+		schedule(delayMs, () => {
+			if (simulated.startCount === startCount && simulated.gateway !== undefined) {
+				run();
+			}
+		});
+	}
+
+	function hasPath(left: SimulatedGateway, right: SimulatedGateway): boolean {
+		return left !== right && !left.isCutFromPeers && !right.isCutFromPeers && left.gateway !== undefined && right.gateway !== undefined;
+	}
+
+	function sendToPeer(from: SimulatedGateway, to: SimulatedGateway, changes: Extract<GatewayEvent, {kind: 'peerWorkChanged'}>['changes']): void {
+		scheduleFor(to, exchangeDelayMs, () => {
+			dispatch(to, {kind: 'peerWorkChanged', gateway: from.name, changes});
+		});
+	}
+
+	function sendSnapshot(from: SimulatedGateway, to: SimulatedGateway): void {
+		if (hasPath(from, to)) {
+			sendToPeer(from, to, [{kind: 'reset'}, ...from.gateway?.getOpenWorkChanges(from.name) ?? []]);
+		}
+	}
+
+	function exchangeSnapshots(simulated: SimulatedGateway): void {
+		for (const peer of gateways) {
+			sendSnapshot(simulated, peer);
+			sendSnapshot(peer, simulated);
+		}
+	}
+
+	function endRequest(simulated: SimulatedGateway, key: RequestKey, isAnswered: boolean): void {
+		const record = simulated.openRequests.get(key);
+		simulated.openRequests.delete(key);
+		if (record === undefined) {
+			return;
+		}
+
+		record.isAnswered = isAnswered;
+		if (!isAnswered && !record.isRepeat) {
+			schedule(repeatDelayMs, () => {
+				startRequest(record.segments, true);
+			});
+		}
+	}
+
+	function performSend(simulated: SimulatedGateway, action: Extract<GatewayAction, {kind: 'send'}>): void {
+		const record = simulated.openRequests.get(action.key);
+		if (record === undefined) {
+			return;
+		}
+
+		servers.receive(action.endpoint, {
+			id: formatSendId(simulated, action.sendId),
+			sendId: action.sendId,
+			segments: record.segments,
+			lastEventId: action.lastEventId,
+			onArrived() {
+				record.arrivals.push(now);
+			},
+			onBegun() {
+				record.hasBegun = true;
+			},
+			dispatch(event) {
+				scheduleFor(simulated, 0, () => {
+					dispatch(simulated, {kind: 'requestChanged', key: action.key, event});
+				});
+			},
+		});
+	}
+
+	function perform(simulated: SimulatedGateway, action: GatewayAction): void {
+		switch (action.kind) {
+			case 'send': {
+				performSend(simulated, action);
+				return;
+			}
+
+			case 'cancelSend': {
+				servers.abort(formatSendId(simulated, action.sendId));
+				return;
+			}
+
+			case 'probeEndpoint': {
+				const {key, endpoint} = action;
+				if (servers.isUp(endpoint.id)) {
+					scheduleFor(simulated, storeDelayMs, () => {
+						dispatch(simulated, {
+							kind: 'requestChanged', key, event: {kind: 'probeAnswered', endpoint: endpoint.id, report: {openRequests: 1, usedReservations: new Set()}},
+						});
+					});
+				}
+
+				return;
+			}
+
+			case 'endResponse': {
+				endRequest(simulated, action.key, true);
+				return;
+			}
+
+			case 'breakResponse':
+			case 'failRequest':
+			case 'forgetRequest': {
+				endRequest(simulated, action.key, false);
+				return;
+			}
+
+			case 'reserveMemory':
+			case 'releaseMemory':
+			case 'startResponse':
+			case 'writeResponse':
+			case 'reportEndpoint':
+			case 'reportDecision': {
+				return;
+			}
+
+			case 'publishWork': {
+				for (const peer of gateways) {
+					if (hasPath(simulated, peer)) {
+						sendToPeer(simulated, peer, [action.change]);
+					}
+				}
+			}
+		}
+	}
+
+	function startRequest(segments: readonly SegmentId[], isRepeat: boolean): void {
+		const running = gateways.filter(({gateway}) => gateway !== undefined);
+		const simulated = running[random.getInteger(Math.max(1, running.length))];
+		if (simulated === undefined) {
+			return;
+		}
+
+		requestCount += 1;
+		const record: FleetRequestRecord = {
+			sentAt: now, gatewayIndex: simulated.index, segments, isRepeat, arrivals: [], hasBegun: false, isAnswered: false,
+		};
+		records.push(record);
+		simulated.openRequests.set(requestCount, record);
+		dispatch(simulated, {
+			kind: 'requestArrived', request: createFixtureGatewayRequest(fixtureStreamRoute, {key: requestCount, arrivedAt: now, sharedSegments: segments}),
+		});
+	}
+
+	function keepListing(simulated: SimulatedGateway): void {
+		if (simulated.isCutFromStore) {
+			dispatch(simulated, {kind: 'endpointListFailed'});
+		} else {
+			dispatch(simulated, {kind: 'endpointsListed', endpoints: servers.getListed()});
+		}
+
+		scheduleFor(simulated, endpointPollMs, () => {
+			keepListing(simulated);
+		});
+	}
+
+	function keepVerifying(simulated: SimulatedGateway): void {
+		if (!simulated.isCutFromStore) {
+			dispatch(simulated, {kind: 'configurationVerified', configuration: fixtureConfiguration, verifiedAt: now});
+		}
+
+		scheduleFor(simulated, verificationMs, () => {
+			keepVerifying(simulated);
+		});
+	}
+
+	function startGateway(simulated: SimulatedGateway): void {
+		simulated.startCount += 1;
+		simulated.gateway = createGateway({...fixtureGatewaySettings, name: simulated.name, incarnation: `life-${simulated.startCount}`});
+		dispatch(simulated, {kind: 'gatewayCountKnown', count: gateways.length});
+		keepVerifying(simulated);
+		keepListing(simulated);
+		exchangeSnapshots(simulated);
+	}
+
+	function resetPeers(simulated: SimulatedGateway): void {
+		for (const peer of gateways) {
+			if (peer !== simulated) {
+				sendToPeer(simulated, peer, [{kind: 'reset'}]);
+				sendToPeer(peer, simulated, [{kind: 'reset'}]);
+			}
+		}
+	}
+
+	function applyDisruption({kind, gatewayIndex, durationMs}: FleetDisruption): void {
+		const simulated = gateways[gatewayIndex % gateways.length];
+		if (simulated?.gateway === undefined) {
+			return;
+		}
+
+		switch (kind) {
+			case 'restart': {
+				simulated.outages.push({from: now, to: now + durationMs});
+				simulated.gateway = undefined;
+				for (const key of simulated.openRequests.keys()) {
+					endRequest(simulated, key, false);
+				}
+
+				resetPeers(simulated);
+				schedule(durationMs, () => {
+					startGateway(simulated);
+				});
+				return;
+			}
+
+			case 'cutFromPeers': {
+				simulated.isCutFromPeers = true;
+				scheduleFor(simulated, exchangeTimeoutMs, () => {
+					resetPeers(simulated);
+				});
+				schedule(Math.max(durationMs, exchangeTimeoutMs + exchangeDelayMs), () => {
+					simulated.isCutFromPeers = false;
+					exchangeSnapshots(simulated);
+				});
+				return;
+			}
+
+			case 'cutFromStore': {
+				simulated.outages.push({from: now, to: now + durationMs});
+				simulated.isCutFromStore = true;
+				schedule(durationMs, () => {
+					simulated.isCutFromStore = false;
+				});
+			}
+		}
+	}
+
+	function scheduleRequests(times: readonly Timestamp[], crashSegment: SegmentId | undefined): void {
+		for (const at of times) {
+			schedule(at, () => {
+				startRequest(drawSegments(random, crashSegment), false);
+			});
+		}
+	}
+
+	for (const simulated of gateways) {
+		startGateway(simulated);
+	}
+
+	scheduleRequests(drawTimes(random, 0, soundPerSecond), undefined);
+	for (const [index, {startsAt, perSecond}] of scenario.crashSegments.entries()) {
+		scheduleRequests(drawTimes(random, startsAt, perSecond), crashSegments[index]);
+	}
+
+	for (const disruption of scenario.disruptions) {
+		schedule(disruption.at, () => {
+			applyDisruption(disruption);
+		});
+	}
+
+	while (now < simulationEndAt) {
+		const taskAt = tasks.peek()?.at ?? Number.POSITIVE_INFINITY;
+		const wakeTimes = gateways.map(({gateway}) => gateway?.tryGetWakeAt() ?? Number.POSITIVE_INFINITY);
+		const wakeAt = Math.min(...wakeTimes);
+		now = Math.max(now, Math.min(taskAt, wakeAt, simulationEndAt));
+		if (taskAt <= wakeAt) {
+			tasks.pop()?.run();
+		} else {
+			for (const [index, simulated] of gateways.entries()) {
+				if ((wakeTimes[index] ?? 0) <= now) {
+					dispatch(simulated, {kind: 'timePassed'});
+				}
+			}
+		}
+	}
+
+	return {
+		records,
+		crashes,
+		crashSegments,
+		isInTouch: (gatewayIndex, at) => !(gateways[gatewayIndex]?.outages ?? []).some(({from, to}) => from <= at && to >= at - stableWindowMs),
+	};
+}
