--- a/packages/core/src/gateway/fleet-simulation.ts
+++ b/packages/core/src/gateway/fleet-simulation.ts
@@ -156,15 +156,15 @@
 		return left !== right && !left.isCutFromPeers && !right.isCutFromPeers && left.gateway !== undefined && right.gateway !== undefined;
 	}
 
-	function sendToPeer(from: SimulatedGateway, to: SimulatedGateway, changes: Extract<GatewayEvent, {kind: 'peerWorkChanged'}>['changes']): void {
+	function sendToPeer(from: SimulatedGateway, to: SimulatedGateway, changes: Extract<GatewayEvent, {kind: 'peerChanged'}>['changes']): void {
 		scheduleFor(to, exchangeDelayMs, () => {
-			dispatch(to, {kind: 'peerWorkChanged', gateway: from.name, changes});
+			dispatch(to, {kind: 'peerChanged', gateway: from.name, changes});
 		});
 	}
 
 	function sendSnapshot(from: SimulatedGateway, to: SimulatedGateway): void {
 		if (hasPath(from, to)) {
-			sendToPeer(from, to, [{kind: 'reset'}, ...from.gateway?.getOpenWorkChanges(from.name) ?? []]);
+			sendToPeer(from, to, [{kind: 'reset'}, ...from.gateway?.getSnapshot(from.name) ?? []]);
 		}
 	}
 
@@ -261,7 +261,7 @@
 				return;
 			}
 
-			case 'publishWork': {
+			case 'publishChange': {
 				for (const peer of gateways) {
 					if (hasPath(simulated, peer)) {
 						sendToPeer(simulated, peer, [action.change]);
--- a/packages/core/src/gateway/forwarded-request.test.ts
+++ b/packages/core/src/gateway/forwarded-request.test.ts
@@ -69,7 +69,7 @@
 			return ['forget'];
 		}
 
-		case 'publishWork':
+		case 'publishChange':
 		case 'reportEndpoint':
 		case 'reportDecision': {
 			return [];
@@ -330,8 +330,8 @@
 			const work = {
 				id, endpoint: `models-${id % 16}`, helpers: [], promptTokens: 5000, readMs: 34, longestPauseMs: 250,
 			};
-			harness.gateway.step({kind: 'peerWorkChanged', gateway: 'gateway-2', changes: [{kind: 'started', work}]}, 0);
-			harness.gateway.step({kind: 'peerWorkChanged', gateway: 'gateway-2', changes: [{kind: 'writing', id}]}, 0);
+			harness.gateway.step({kind: 'peerChanged', gateway: 'gateway-2', changes: [{kind: 'started', work}]}, 0);
+			harness.gateway.step({kind: 'peerChanged', gateway: 'gateway-2', changes: [{kind: 'writing', id}]}, 0);
 		}
 
 		return harness;
@@ -345,7 +345,7 @@
 		const harness = startBusyGateway();
 		expect(harness.submit(createFixtureGatewayRequest(route, {prompt}))).toEqual([]);
 		expect(step(harness, 200)).toEqual([]);
-		harness.gateway.step({kind: 'peerWorkChanged', gateway: 'gateway-2', changes: [{kind: 'reset'}]}, 300);
+		harness.gateway.step({kind: 'peerChanged', gateway: 'gateway-2', changes: [{kind: 'reset'}]}, 300);
 		expect(step(harness, 400).length).toBeGreaterThan(0);
 	});
 
@@ -364,12 +364,12 @@
 			id: index, endpoint: `models-${index % 16}`, helpers: [], promptTokens: 5000, readMs: 34, longestPauseMs: 250,
 		}));
 		for (const work of openWork) {
-			harness.gateway.step({kind: 'peerWorkChanged', gateway: 'gateway-2', changes: [{kind: 'started', work}]}, 0);
-			harness.gateway.step({kind: 'peerWorkChanged', gateway: 'gateway-2', changes: [{kind: 'writing', id: work.id}]}, 0);
+			harness.gateway.step({kind: 'peerChanged', gateway: 'gateway-2', changes: [{kind: 'started', work}]}, 0);
+			harness.gateway.step({kind: 'peerChanged', gateway: 'gateway-2', changes: [{kind: 'writing', id: work.id}]}, 0);
 		}
 
 		expect(harness.submit(createFixtureGatewayRequest(fixtureStreamRoute))).toEqual(['fail deadlineUnreachable ran=no']);
-		harness.gateway.step({kind: 'peerWorkChanged', gateway: 'gateway-2', changes: [{kind: 'reset'}]}, 0);
+		harness.gateway.step({kind: 'peerChanged', gateway: 'gateway-2', changes: [{kind: 'reset'}]}, 0);
 		expect(harness.submit(createFixtureGatewayRequest(fixtureStreamRoute))).toEqual(['send models']);
 	});
 });
--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -236,7 +236,7 @@
 
 	function recordWork(change: WorkChange, now: Timestamp): readonly GatewayAction[] {
 		context.recordWork(change, now);
-		return [{kind: 'publishWork', change}];
+		return [{kind: 'publishChange', change}];
 	}
 
 	/** Creates a failure that is reported as not run only if no endpoint may have run the request. */
--- a/packages/core/src/gateway/gateway-events.ts
+++ b/packages/core/src/gateway/gateway-events.ts
@@ -7,8 +7,9 @@
 import type {
 	EndpointId, EndpointReport, EndpointResponseHead, GatewayRequest, ListedEndpoint, RawHeaders, RequestKey, SegmentId, ServingConfiguration,
 } from './gateway-types.js';
-import type {GatewayName, WorkChange} from './load-view.js';
+import type {GatewayName} from './load-view.js';
 import type {Reservation, ReservationId} from './memory-reservation.js';
+import type {PeerChange} from './peer-changes.js';
 
 /** An endpoint that helps with the prefill of a send, and the memory reservation there, if any. */
 export type SendHelper = Readonly<{address: string; reservationId: ReservationId | undefined}>;
@@ -63,7 +64,7 @@
 	| Readonly<{kind: 'failRequest'; key: RequestKey; failure: Failure}>
 	/** Releases the resources of a request whose caller has disconnected. */
 	| Readonly<{kind: 'forgetRequest'; key: RequestKey}>
-	| Readonly<{kind: 'publishWork'; change: WorkChange}>
+	| Readonly<{kind: 'publishChange'; change: PeerChange}>
 	| Readonly<{kind: 'reportEndpoint'; change: EndpointChange}>
 	| Readonly<{kind: 'reportDecision'; key: RequestKey; decision: ReportedDecision}>;
 
@@ -114,6 +115,6 @@
 		| Readonly<{kind: 'configurationVerified'; configuration: ServingConfiguration | undefined; verifiedAt: Timestamp}>
 	/** Time may have passed that the monotonic clock didn't count, for example while the host was suspended. */
 		| Readonly<{kind: 'clockJumped'}>
-		| Readonly<{kind: 'peerWorkChanged'; gateway: GatewayName; changes: readonly WorkChange[]}>
+		| Readonly<{kind: 'peerChanged'; gateway: GatewayName; changes: readonly PeerChange[]}>
 		| Readonly<{kind: 'gatewayCountKnown'; count: number}>
 		| Readonly<{kind: 'timePassed'}>;
--- a/packages/core/src/gateway/gateway-fault-simulation.ts
+++ b/packages/core/src/gateway/gateway-fault-simulation.ts
@@ -249,7 +249,7 @@
 				return;
 			}
 
-			case 'publishWork': {
+			case 'publishChange': {
 				const {change} = action;
 				if (change.kind === 'started') {
 					openWorkIds.add(change.work.id);
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -23,6 +23,7 @@
 	GatewayEvent, GatewayAction, RequestEvent, SendId,
 } from './gateway-events.js';
 import {createForwardedRequest, type PlacementDecision, type ForwardedRequest} from './forwarded-request.js';
+import type {PeerChange} from './peer-changes.js';
 import {createRetryQuota, type RetryQuotaSettings} from './retry-quota.js';
 
 export type GatewaySettings = Readonly<{
@@ -49,8 +50,8 @@
 	/** Returns whether the configuration and the list of endpoints are known, so that requests can be served. */
 	isReady(): boolean;
 	getOpenRequestCount(): number;
-	/** Returns the open requests of this or another gateway as a list of changes. */
-	getOpenWorkChanges(gateway: GatewayName): readonly WorkChange[];
+	/** Returns the changes that recreate the open requests of this or another gateway. */
+	getSnapshot(gateway: GatewayName): readonly PeerChange[];
 }>;
 
 /** Share of the estimated client timeout within which the first event must be predicted to arrive. */
@@ -189,7 +190,7 @@
 				return [];
 			}
 
-			case 'peerWorkChanged': {
+			case 'peerChanged': {
 				for (const change of event.changes) {
 					load.applyChange(event.gateway, change, now);
 				}
@@ -223,6 +224,6 @@
 		getConfigurationAgeMs: configuration.getAgeMs,
 		isReady: () => configuration.tryGet() !== undefined && registry.hasList(),
 		getOpenRequestCount: () => requests.size,
-		getOpenWorkChanges: load.getOpenWorkChanges,
+		getSnapshot: load.getOpenWorkChanges,
 	};
 }
--- /dev/null
+++ b/packages/core/src/gateway/peer-changes.ts
@@ -0,0 +1,7 @@
+/**
+What gateways tell each other: changes to their open requests, and what they learn about endpoints and prompts.
+*/
+import type {WorkChange} from './load-view.js';
+
+/** A message from one gateway to the others. */
+export type PeerChange = WorkChange;
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -85,13 +85,13 @@
 		self,
 		connections,
 		logger,
-		getOpenWorkChanges: gateway.getOpenWorkChanges,
+		getSnapshot: gateway.getSnapshot,
 		dispatch(event) {
 			driver.dispatch(event);
 		},
 	});
 	const driver = createGatewayDriver(gateway, {
-		client, wireFormat: host.wireFormat, logger, metrics, publishWork: workExchange.publish,
+		client, wireFormat: host.wireFormat, logger, metrics, publishChange: workExchange.publish,
 	});
 	const feed = createPlatformFeed({
 		platform: host.platform,
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -7,7 +7,7 @@
 	GatewayRequest, ListedEndpoint, RequestKey, SegmentId,
 } from '@currantcross/core/gateway/gateway-types';
 import type {Gateway} from '@currantcross/core/gateway/gateway';
-import type {WorkChange} from '@currantcross/core/gateway/load-view';
+import type {PeerChange} from '@currantcross/core/gateway/peer-changes';
 import type {
 	ResponseSummary, GatewayEvent, GatewayAction, ReportedDecision, RequestEvent,
 } from '@currantcross/core/gateway/gateway-events';
@@ -25,7 +25,7 @@
 	wireFormat: WireFormat;
 	logger: Logger;
 	metrics: GatewayMetrics;
-	publishWork(change: WorkChange): void;
+	publishChange(change: PeerChange): void;
 }>;
 
 export type GatewayDriver = Readonly<{
@@ -150,8 +150,8 @@
 				return;
 			}
 
-			case 'publishWork': {
-				host.publishWork(action.change);
+			case 'publishChange': {
+				host.publishChange(action.change);
 				return;
 			}
 
--- a/packages/gateway/src/work-exchange.test.ts
+++ b/packages/gateway/src/work-exchange.test.ts
@@ -53,9 +53,9 @@
 		self: registration,
 		connections,
 		logger,
-		getOpenWorkChanges: loadView.getOpenWorkChanges,
+		getSnapshot: loadView.getOpenWorkChanges,
 		dispatch(event) {
-			if (event.kind === 'peerWorkChanged') {
+			if (event.kind === 'peerChanged') {
 				for (const change of event.changes) {
 					changes.push({gateway: event.gateway, change});
 					loadView.applyChange(event.gateway, change, 0);
--- a/packages/gateway/src/work-exchange.ts
+++ b/packages/gateway/src/work-exchange.ts
@@ -4,7 +4,8 @@
 */
 import type {GatewayEvent} from '@currantcross/core/gateway/gateway-events';
 import {chooseSubscriptions, type ExchangeScope, type Subscription} from '@currantcross/core/gateway/exchange-topology';
-import type {GatewayName, WorkChange} from '@currantcross/core/gateway/load-view';
+import type {GatewayName} from '@currantcross/core/gateway/load-view';
+import type {PeerChange} from '@currantcross/core/gateway/peer-changes';
 import {getErrorText} from '@currantcross/core/error-text';
 import type {Milliseconds} from '@currantcross/core/types';
 import type {Logger} from '@currantcross/daemon/logger';
@@ -18,13 +19,13 @@
 	connections: Connections;
 	logger: Logger;
 	dispatch(event: GatewayEvent): void;
-	/** Returns the open work of this or another gateway, as the changes that recreate it. */
-	getOpenWorkChanges(gateway: GatewayName): readonly WorkChange[];
+	/** Returns the changes that recreate the open work of this or another gateway, and for this one also what else it has learnt. */
+	getSnapshot(gateway: GatewayName): readonly PeerChange[];
 }>;
 
 export type WorkExchange = GatewayServiceHost & Readonly<{
-	/** Streams a change to this gateway's own work. */
-	publish(change: WorkChange): void;
+	/** Streams a change to this gateway's own work, or what else it learns. */
+	publish(change: PeerChange): void;
 	/** Sets the other gateways of the deployment. */
 	setGateways(registrations: readonly GatewayRegistration[]): void;
 	close(): void;
@@ -84,13 +85,13 @@
 	const publisher = createWorkPublisher({
 		getSnapshot(scope) {
 			const relayed = [...sources].filter(([, source]) => getRelayScopes(source.scope).has(scope)).map(([gateway]) => gateway);
-			return [host.self.name, ...relayed].map(gateway => ({gateway, changes: [{kind: 'reset'}, ...host.getOpenWorkChanges(gateway)]}));
+			return [host.self.name, ...relayed].map(gateway => ({gateway, changes: [{kind: 'reset'}, ...host.getSnapshot(gateway)]}));
 		},
 		onRelayingChanged: applyTopology,
 	});
 
 	function applyWork(source: WorkSource, work: GatewayWork): void {
-		host.dispatch({kind: 'peerWorkChanged', ...work});
+		host.dispatch({kind: 'peerChanged', ...work});
 		publisher.publish(work, getRelayScopes(source.scope));
 	}
 
--- a/packages/gateway/src/work-publisher.ts
+++ b/packages/gateway/src/work-publisher.ts
@@ -2,7 +2,8 @@
 Streams changes of open work, in batches, to the subscribed gateways.
 */
 import type {ExchangeScope} from '@currantcross/core/gateway/exchange-topology';
-import type {GatewayName, WorkChange} from '@currantcross/core/gateway/load-view';
+import type {GatewayName} from '@currantcross/core/gateway/load-view';
+import type {PeerChange} from '@currantcross/core/gateway/peer-changes';
 import type {Milliseconds} from '@currantcross/core/types';
 import type {GatewayWork, WorkStreamRequest} from '@currantcross/peer/gateway-peers';
 
@@ -33,7 +34,7 @@
 
 type Subscriber = {
 	readonly request: WorkStreamRequest;
-	pending: Map<GatewayName, WorkChange[]>;
+	pending: Map<GatewayName, PeerChange[]>;
 	pendingCount: number;
 	notify: (() => void) | undefined;
 };
--- a/packages/peer/src/gateway-peers.ts
+++ b/packages/peer/src/gateway-peers.ts
@@ -8,12 +8,13 @@
 import {create} from '@bufbuild/protobuf';
 import {createClient, type ConnectRouter} from '@connectrpc/connect';
 import type {ExchangeScope} from '@currantcross/core/gateway/exchange-topology';
-import type {GatewayName, OpenWork, WorkChange} from '@currantcross/core/gateway/load-view';
+import type {GatewayName, OpenWork} from '@currantcross/core/gateway/load-view';
+import type {PeerChange} from '@currantcross/core/gateway/peer-changes';
 import type {Connections} from './connections.js';
 import * as wire from './gen/currantcross/v1/gateway_pb.js';
 
 /** Changes to the requests of one gateway, in order. */
-export type GatewayWork = Readonly<{gateway: GatewayName; changes: readonly WorkChange[]}>;
+export type GatewayWork = Readonly<{gateway: GatewayName; changes: readonly PeerChange[]}>;
 
 /** The subscribing gateway, and the gateways whose requests the stream covers. */
 export type WorkStreamRequest = Readonly<{gateway: GatewayName; scope: ExchangeScope}>;
@@ -60,7 +61,7 @@
 	return create(wire.WorkSchema, {...work, helpers: work.helpers.map(helper => ({...helper}))});
 }
 
-function toWireChange(change: WorkChange): wire.WorkChange {
+function toWireChange(change: PeerChange): wire.WorkChange {
 	switch (change.kind) {
 		case 'reset': {
 			return create(wire.WorkChangeSchema, {change: {case: 'reset', value: create(wire.ResetSchema)}});
@@ -80,7 +81,7 @@
 	}
 }
 
-function fromWireChange({change}: wire.WorkChange): WorkChange | undefined {
+function fromWireChange({change}: wire.WorkChange): PeerChange | undefined {
 	switch (change.case) {
 		case 'reset': {
 			return {kind: 'reset'};
