Quarantine segments of prompts that crash servers, at all gateways

Cause: a gateway took the break for a fault of the server alone. It kept nothing about the request, sent it to the next server, and served the next request with the segment as any other; nor did it tell the other gateways.

Change: when a connection breaks, the gateway asks the server for its report. If it doesn't answer, or has started again, the crash and the segments of the lost prompts are told to all gateways. A segment that repeatedly occurs in crashes, which is unlikely by chance as completed prompts show, and which no completed response has cleared since, is quarantined: requests with it are refused with 503 and the time to come back. Crashes are attributed to the segment that explains most of them, so that sound segments beside it stay free.

Failed tries: a fixed number of crashes without a completed response convicted segments that most prompts share; deciding on each report at once did so before the reports of other gateways came; a control sample of each gateway's own prompts made gateways decide differently. Reports now carry the sample, and are decided on 0.4 s after the crash.

--- a/packages/core/src/gateway/fleet-properties.test.ts
+++ b/packages/core/src/gateway/fleet-properties.test.ts
@@ -41,4 +41,20 @@
 			expect(findCrashViolations(runFleetScenario(input))).toEqual([]);
 		}), parameters);
 	});
+
+	// Guards against evidence on crashes that is lost when the only gateway restarts before it suffices.
+	test('stop sending such requests after the only gateway restarts between crashes', () => {
+		expect(findCrashViolations(runFleetScenario({
+			seed: 0, gatewayCount: 1, crashSegments: [{startsAt: 4500, perSecond: 0.5}], disruptions: [{
+				kind: 'restart', at: 5527, gatewayIndex: 0, durationMs: 200,
+			}],
+		}))).toEqual([]);
+	});
+
+	// Guards against a rare crash segment whose crashes are all attributed to a frequent one, until that one is quarantined.
+	test('stop sending requests with a rare segment that crashes servers beside a frequent one', () => {
+		expect(findCrashViolations(runFleetScenario({
+			seed: 2_147_483_636, gatewayCount: 2, crashSegments: [{startsAt: 4501, perSecond: 0.5}, {startsAt: 9886, perSecond: 0.5}, {startsAt: 4505, perSecond: 8}], disruptions: [],
+		}))).toEqual([]);
+	});
 });
--- a/packages/core/src/gateway/fleet-simulation.ts
+++ b/packages/core/src/gateway/fleet-simulation.ts
@@ -12,6 +12,7 @@
 	createFixtureGatewayRequest, fixtureConfiguration, fixtureGatewaySettings, fixtureStreamRoute,
 } from './gateway-fixtures.js';
 import type {RequestKey, SegmentId} from './gateway-types.js';
+import type {ServiceSegment} from './segment-suspicion.js';
 
 /** Callers send `perSecond` requests whose prompts contain the segment, from `startsAt` on. */
 export type CrashSegment = Readonly<{startsAt: Timestamp; perSecond: number}>;
@@ -67,6 +68,7 @@
 const storeDelayMs: Milliseconds = 8;
 const endpointPollMs: Milliseconds = 500;
 const verificationMs: Milliseconds = 1000;
+const quarantinePollMs: Milliseconds = 1000;
 /** Delay after which a caller repeats a failed request at another gateway. */
 const repeatDelayMs: Milliseconds = 300;
 const millisecondsPerSecond = 1000;
@@ -84,6 +86,8 @@
 	readonly openRequests: Map<RequestKey, FleetRequestRecord>;
 };
 
+type StoredQuarantine = ServiceSegment & Readonly<{gateway: string; endsAt: Timestamp}>;
+
 type Task = Readonly<{at: Timestamp; order: number; run(): void}>;
 
 /** Returns the segments of a prompt: one that all prompts begin with, one that some share, and the crash segment, if any, at any place. */
@@ -112,6 +116,7 @@
 	const gateways: SimulatedGateway[] = Array.from({length: scenario.gatewayCount}, (_, index) => ({
 		index, name: `gateway-${index}`, gateway: undefined, startCount: 0, isCutFromPeers: false, isCutFromStore: false, outages: [], openRequests: new Map(),
 	}));
+	const storedQuarantines = new Map<string, StoredQuarantine>();
 	let now: Timestamp = 0;
 	let taskCount = 0;
 	let requestCount = 0;
@@ -164,7 +169,7 @@
 
 	function sendSnapshot(from: SimulatedGateway, to: SimulatedGateway): void {
 		if (hasPath(from, to)) {
-			sendToPeer(from, to, [{kind: 'reset'}, ...from.gateway?.getSnapshot(from.name) ?? []]);
+			sendToPeer(from, to, [{kind: 'reset'}, ...from.gateway?.getSnapshot(from.name, now) ?? []]);
 		}
 	}
 
@@ -232,7 +237,7 @@
 				if (servers.isUp(endpoint.id)) {
 					scheduleFor(simulated, storeDelayMs, () => {
 						dispatch(simulated, {
-							kind: 'requestChanged', key, event: {kind: 'probeAnswered', endpoint: endpoint.id, report: {openRequests: 1, usedReservations: new Set()}},
+							kind: 'requestChanged', key, event: {kind: 'probeAnswered', endpoint: endpoint.id, report: {openRequests: 1, usedReservations: new Set(), startedAt: endpoint.startedAt}},
 						});
 					});
 				}
@@ -252,6 +257,36 @@
 				return;
 			}
 
+			case 'checkEndpoint': {
+				const {id, startedAt} = action.endpoint;
+				const isAlive = servers.isUp(id);
+				scheduleFor(simulated, storeDelayMs, () => {
+					dispatch(simulated, {kind: 'endpointChecked', endpoint: id, result: {isAlive, startedAt: isAlive ? startedAt : undefined}});
+				});
+				return;
+			}
+
+			case 'recordQuarantine': {
+				const {service, segment, remainingMs} = action.quarantine;
+				const key = `${service}.${segment}`;
+				if (!simulated.isCutFromStore && !storedQuarantines.has(key)) {
+					storedQuarantines.set(key, {
+						service, segment, gateway: simulated.name, endsAt: now + remainingMs,
+					});
+				}
+
+				return;
+			}
+
+			case 'removeQuarantine': {
+				if (!simulated.isCutFromStore) {
+					storedQuarantines.delete(`${action.segment.service}.${action.segment.segment}`);
+				}
+
+				return;
+			}
+
+			case 'reportQuarantine':
 			case 'reserveMemory':
 			case 'releaseMemory':
 			case 'startResponse':
@@ -301,6 +336,18 @@
 		});
 	}
 
+	function keepListingQuarantines(simulated: SimulatedGateway): void {
+		if (!simulated.isCutFromStore) {
+			dispatch(simulated, {
+				kind: 'quarantinesListed', records: [...storedQuarantines.values()].map(({endsAt, ...quarantine}) => ({...quarantine, remainingMs: endsAt - now})),
+			});
+		}
+
+		scheduleFor(simulated, quarantinePollMs, () => {
+			keepListingQuarantines(simulated);
+		});
+	}
+
 	function keepVerifying(simulated: SimulatedGateway): void {
 		if (!simulated.isCutFromStore) {
 			dispatch(simulated, {kind: 'configurationVerified', configuration: fixtureConfiguration, verifiedAt: now});
@@ -317,6 +364,7 @@
 		dispatch(simulated, {kind: 'gatewayCountKnown', count: gateways.length});
 		keepVerifying(simulated);
 		keepListing(simulated);
+		keepListingQuarantines(simulated);
 		exchangeSnapshots(simulated);
 	}
 
--- a/packages/core/src/gateway/forwarded-request.test.ts
+++ b/packages/core/src/gateway/forwarded-request.test.ts
@@ -70,6 +70,10 @@
 		}
 
 		case 'publishChange':
+		case 'checkEndpoint':
+		case 'recordQuarantine':
+		case 'removeQuarantine':
+		case 'reportQuarantine':
 		case 'reportEndpoint':
 		case 'reportDecision': {
 			return [];
@@ -454,6 +458,8 @@
 		createReservationId: () => 'm',
 		choosePlacement: () => decisions.shift() ?? {kind: 'refused', failure: createNotRunFailure('overloaded')},
 		checkCredential: () => undefined,
+		recordBrokenSend: () => [],
+		recordCompletion: () => [],
 		recordWork: () => undefined,
 	});
 	request.step({kind: 'started'}, 0);
--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -38,6 +38,10 @@
 	/** Chooses the endpoints of a request, or defers or refuses it. */
 	choosePlacement(request: GatewayRequest, excluded: ReadonlySet<EndpointId>, now: Timestamp): PlacementDecision;
 	checkCredential(request: GatewayRequest, now: Timestamp): Failure | undefined;
+	/** Records that the connection of a request broke at an endpoint that may have run it. */
+	recordBrokenSend(request: GatewayRequest, endpoint: ListedEndpoint, now: Timestamp): readonly GatewayAction[];
+	/** Records that an endpoint has completed a response to the request. */
+	recordCompletion(request: GatewayRequest, now: Timestamp): readonly GatewayAction[];
 	/** Applies a change of this gateway's open requests to its own load view. */
 	recordWork(change: WorkChange, now: Timestamp): void;
 }>;
@@ -315,9 +319,11 @@
 			return [];
 		}
 
-		context.registry.recordFailure(lostSend.placement.endpoint.id, now);
+		const {endpoint} = lostSend.placement;
+		context.registry.recordFailure(endpoint.id, now);
 		return [
 			...closeSend(result, detail, now),
+			...(result === 'broken' ? context.recordBrokenSend(request, endpoint, now) : []),
 			...retryOrEnd(createFailure('serverLost', detail), true, now),
 		];
 	}
@@ -457,7 +463,11 @@
 		}
 
 		context.registry.recordSuccess(finishedSend.placement.endpoint.id);
-		return [...closeSend('answered', `status ${head.status}`, now), ...endWithResponse({head, chunks: finishedSend.chunks})];
+		return [
+			...closeSend('answered', `status ${head.status}`, now),
+			...(head.status < firstErrorStatus ? recordCompletion(head, now) : []),
+			...endWithResponse({head, chunks: finishedSend.chunks}),
+		];
 	}
 
 	/** Ends the request with a complete response, or breaks off a stream that has started, which no other response can replace. */
@@ -470,12 +480,17 @@
 		return createResponseActions(response);
 	}
 
+	/** Records a completed response, unless its end is uncertain. */
+	function recordCompletion(head: EndpointResponseHead, now: Timestamp): readonly GatewayAction[] {
+		return head.isUndelimited ? [] : context.recordCompletion(request, now);
+	}
+
 	function completeStream(finishedSend: Send, head: EndpointResponseHead, now: Timestamp): readonly GatewayAction[] {
 		if (finishedSend.splitter.getIncompleteByteCount() > 0) {
 			return handleLostSend('broken', 'the stream ended inside an event', now);
 		}
 
-		const actions = [...closeSend('answered', `status ${head.status}`, now), ...startStream(head)];
+		const actions = [...closeSend('answered', `status ${head.status}`, now), ...recordCompletion(head, now), ...startStream(head)];
 		if (head.isUndelimited && !isStartedResponseUndelimited) {
 			return [...actions, ...endWithFailure(createFailure('serverLost', 'the stream has no certain end'))];
 		}
--- a/packages/core/src/gateway/gateway-events.ts
+++ b/packages/core/src/gateway/gateway-events.ts
@@ -10,6 +10,10 @@
 import type {GatewayName} from './load-view.js';
 import type {Reservation, ReservationId} from './memory-reservation.js';
 import type {PeerChange} from './peer-changes.js';
+import type {
+	EndpointCheck, Quarantine, QuarantineRecord, QuarantineReport,
+} from './segment-quarantine.js';
+import type {ServiceSegment} from './segment-suspicion.js';
 
 /** An endpoint that helps with the prefill of a send, and the memory reservation there, if any. */
 export type SendHelper = Readonly<{address: string; reservationId: ReservationId | undefined}>;
@@ -65,6 +69,12 @@
 	/** Releases the resources of a request whose caller has disconnected. */
 	| Readonly<{kind: 'forgetRequest'; key: RequestKey}>
 	| Readonly<{kind: 'publishChange'; change: PeerChange}>
+	/** Asks an endpoint for its report, to learn whether it has crashed. */
+	| Readonly<{kind: 'checkEndpoint'; endpoint: ListedEndpoint}>
+	/** Creates a record of a quarantine in the platform's store, unless there is one. */
+	| Readonly<{kind: 'recordQuarantine'; quarantine: Quarantine}>
+	| Readonly<{kind: 'removeQuarantine'; segment: ServiceSegment}>
+	| Readonly<{kind: 'reportQuarantine'; report: QuarantineReport}>
 	| Readonly<{kind: 'reportEndpoint'; change: EndpointChange}>
 	| Readonly<{kind: 'reportDecision'; key: RequestKey; decision: ReportedDecision}>;
 
@@ -117,4 +127,7 @@
 		| Readonly<{kind: 'clockJumped'}>
 		| Readonly<{kind: 'peerChanged'; gateway: GatewayName; changes: readonly PeerChange[]}>
 		| Readonly<{kind: 'gatewayCountKnown'; count: number}>
+		| Readonly<{kind: 'endpointChecked'; endpoint: EndpointId; result: EndpointCheck}>
+	/** All quarantines that the platform's store lists. */
+		| Readonly<{kind: 'quarantinesListed'; records: readonly QuarantineRecord[]}>
 		| Readonly<{kind: 'timePassed'}>;
--- a/packages/core/src/gateway/gateway-fault-simulation.ts
+++ b/packages/core/src/gateway/gateway-fault-simulation.ts
@@ -244,6 +244,10 @@
 				return;
 			}
 
+			case 'checkEndpoint':
+			case 'recordQuarantine':
+			case 'removeQuarantine':
+			case 'reportQuarantine':
 			case 'reportEndpoint':
 			case 'reportDecision': {
 				return;
@@ -265,6 +269,7 @@
 		return {
 			openRequests: openSends.filter(id => begunSends.get(id) === endpoint).length,
 			usedReservations: new Set([...heldReservations].filter(id => !unusedReservations.has(id))),
+			startedAt: undefined,
 		};
 	}
 
--- a/packages/core/src/gateway/gateway-types.ts
+++ b/packages/core/src/gateway/gateway-types.ts
@@ -124,6 +124,8 @@
 	openRequests: number;
 	/** Ids of the memory reservations that a request uses. */
 	usedReservations: ReadonlySet<string>;
+	/** Start time of the endpoint's process by its own wall clock, if it says so. */
+	startedAt: number | undefined;
 }>;
 
 /** Headers as alternating names and values. */
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -24,6 +24,7 @@
 } from './gateway-events.js';
 import {createForwardedRequest, type PlacementDecision, type ForwardedRequest} from './forwarded-request.js';
 import type {PeerChange} from './peer-changes.js';
+import {createSegmentQuarantine} from './segment-quarantine.js';
 import {createRetryQuota, type RetryQuotaSettings} from './retry-quota.js';
 
 export type GatewaySettings = Readonly<{
@@ -50,8 +51,8 @@
 	/** Returns whether the configuration and the list of endpoints are known, so that requests can be served. */
 	isReady(): boolean;
 	getOpenRequestCount(): number;
-	/** Returns the changes that recreate the open requests of this or another gateway. */
-	getSnapshot(gateway: GatewayName): readonly PeerChange[];
+	/** Returns the changes that recreate the open requests of this or another gateway, and for this one also what else it has learnt. */
+	getSnapshot(gateway: GatewayName, now: Timestamp): readonly PeerChange[];
 }>;
 
 /** Share of the estimated client timeout within which the first event must be predicted to arrive. */
@@ -81,6 +82,7 @@
 	const retryQuota = createRetryQuota(settings.retryQuota);
 	const load = createLoadView();
 	const getRank = createEndpointRanking(settings.name);
+	const quarantine = createSegmentQuarantine({gateway: settings.name, getRank});
 	const requests = new Map<RequestKey, ForwardedRequest>();
 	let sendCount = 0;
 
@@ -105,6 +107,11 @@
 	}
 
 	function choosePlacement(request: GatewayRequest, excluded: ReadonlySet<EndpointId>, now: Timestamp): PlacementDecision {
+		const quarantined = quarantine.find(request.service, request.sharedSegments, now);
+		if (quarantined !== undefined) {
+			return refuse(createNotRunFailure('promptQuarantined', `segment ${quarantined.segment}`, quarantined.remainingMs));
+		}
+
 		const available = registry.getAvailable(request.service, now);
 		const endpoints = available.some(({id}) => !excluded.has(id)) ? available : registry.getListed(request.service);
 		const placement = findPlacement(request, endpoints, excluded, now);
@@ -135,6 +142,8 @@
 		createReservationId: (sendId: SendId, index: number) => `${settings.name}.${settings.incarnation}.${sendId}.${index}`,
 		choosePlacement,
 		checkCredential: (request: GatewayRequest, now: Timestamp) => configuration.checkCredential(request.route, request.credential, now),
+		recordBrokenSend: ({sharedSegments}: GatewayRequest, endpoint: ListedEndpoint, now: Timestamp) => quarantine.recordBrokenSend(endpoint, sharedSegments, now),
+		recordCompletion: ({service, sharedSegments}: GatewayRequest, now: Timestamp) => quarantine.recordCompletion(service, sharedSegments, now),
 		recordWork(change: WorkChange, now: Timestamp) {
 			load.applyChange(settings.name, change, now);
 		},
@@ -159,6 +168,24 @@
 		return due.flatMap(([key]) => stepRequest(key, {kind: 'timePassed'}, now));
 	}
 
+	function applyPeerChange(gateway: GatewayName, change: PeerChange, now: Timestamp): readonly GatewayAction[] {
+		switch (change.kind) {
+			case 'reset':
+			case 'started':
+			case 'writing':
+			case 'ended': {
+				load.applyChange(gateway, change, now);
+				return [];
+			}
+
+			case 'serverCrashed':
+			case 'segmentCleared':
+			case 'segmentQuarantined': {
+				return quarantine.applyPeerChange(change, now);
+			}
+		}
+	}
+
 	function step(event: GatewayEvent, now: Timestamp): readonly GatewayAction[] {
 		switch (event.kind) {
 			case 'requestArrived': {
@@ -191,11 +218,7 @@
 			}
 
 			case 'peerChanged': {
-				for (const change of event.changes) {
-					load.applyChange(event.gateway, change, now);
-				}
-
-				return [];
+				return event.changes.flatMap(change => applyPeerChange(event.gateway, change, now));
 			}
 
 			case 'gatewayCountKnown': {
@@ -203,8 +226,16 @@
 				return [];
 			}
 
+			case 'endpointChecked': {
+				return quarantine.applyCheck(event.endpoint, event.result, now);
+			}
+
+			case 'quarantinesListed': {
+				return quarantine.applyRecords(event.records, now);
+			}
+
 			case 'timePassed': {
-				return stepDueRequests(now);
+				return [...quarantine.handleTimePassed(now), ...stepDueRequests(now)];
 			}
 		}
 	}
@@ -212,7 +243,7 @@
 	return {
 		step,
 		tryGetWakeAt() {
-			let earliest = Number.POSITIVE_INFINITY;
+			let earliest = quarantine.getWakeAt();
 			for (const request of requests.values()) {
 				earliest = Math.min(earliest, request.getWakeAt());
 			}
@@ -224,6 +255,6 @@
 		getConfigurationAgeMs: configuration.getAgeMs,
 		isReady: () => configuration.tryGet() !== undefined && registry.hasList(),
 		getOpenRequestCount: () => requests.size,
-		getSnapshot: load.getOpenWorkChanges,
+		getSnapshot: (gateway, now) => [...load.getOpenWorkChanges(gateway), ...(gateway === settings.name ? quarantine.getSnapshot(now) : [])],
 	};
 }
--- /dev/null
+++ b/packages/core/src/gateway/segment-quarantine.ts
@@ -0,0 +1,303 @@
+/**
+Quarantine of the segments of prompts that crash servers: requests whose prompts contain such a segment are refused.
+
+Gateways tell each other of crashes, of segments that a completed response has cleared, and of quarantines. Quarantines are
+also recorded in the platform's store, for gateways that start, and for those that the others don't reach.
+*/
+import {LRUCache} from 'lru-cache';
+import type {Milliseconds, Timestamp} from '../types.js';
+import type {GatewayAction} from './gateway-events.js';
+import type {EndpointId, ListedEndpoint, SegmentId} from './gateway-types.js';
+import type {GatewayName} from './load-view.js';
+import {
+	crashWindowMs, createSegmentSuspicion, sameCrashMs, type CrashReport, type ServiceSegment,
+} from './segment-suspicion.js';
+
+/** A quarantine that ends after `remainingMs`. */
+export type Quarantine = ServiceSegment & Readonly<{remainingMs: Milliseconds}>;
+
+/** A quarantine in the platform's store, and the gateway that recorded it. `remainingMs` is negative once it has ended. */
+export type QuarantineRecord = Quarantine & Readonly<{gateway: GatewayName}>;
+
+/** What a gateway tells the others about crashes and segments. */
+export type QuarantineChange
+	= | Readonly<{kind: 'serverCrashed'; crash: CrashReport}>
+	/** A response to a prompt with the segment was completed after crashes under it. */
+		| Readonly<{kind: 'segmentCleared'; segment: ServiceSegment}>
+		| Readonly<{kind: 'segmentQuarantined'; quarantine: Quarantine}>;
+
+/** A decision on a segment, for the log. */
+export type QuarantineReport
+	= | Readonly<{kind: 'crashed'; endpoint: EndpointId; segments: readonly SegmentId[]}>
+		| Readonly<{kind: 'quarantined'; segment: ServiceSegment; source: QuarantineSource; remainingMs: Milliseconds}>
+		| Readonly<{kind: 'released'; segment: ServiceSegment; reason: ReleaseReason}>;
+
+export type SegmentQuarantine = Readonly<{
+	/** Finds a quarantined segment among those of a prompt. */
+	find(service: string, segments: readonly SegmentId[], now: Timestamp): Quarantine | undefined;
+	/** Records the endpoint of a request whose connection broke, and asks for a check of whether the endpoint has crashed. */
+	recordBrokenSend(endpoint: ListedEndpoint, segments: readonly SegmentId[], now: Timestamp): readonly GatewayAction[];
+	/** Applies the result of such a check. `startedAt` is the start time that the endpoint reports, if any. */
+	applyCheck(endpoint: EndpointId, result: EndpointCheck, now: Timestamp): readonly GatewayAction[];
+	recordCompletion(service: string, segments: readonly SegmentId[], now: Timestamp): readonly GatewayAction[];
+	applyPeerChange(change: QuarantineChange, now: Timestamp): readonly GatewayAction[];
+	/** Applies the complete list of quarantines in the store. */
+	applyRecords(records: readonly QuarantineRecord[], now: Timestamp): readonly GatewayAction[];
+	/** Decides on crashes whose reports are complete. */
+	handleTimePassed(now: Timestamp): readonly GatewayAction[];
+	/** Returns when `handleTimePassed` is due next. */
+	getWakeAt(): Timestamp;
+	/** Returns all that this gateway knows, for a peer that has just connected. */
+	getSnapshot(now: Timestamp): readonly QuarantineChange[];
+}>;
+
+/** Whether an endpoint answered a check; `startedAt` is the start of its process by its own clock, if it says so. */
+export type EndpointCheck = Readonly<{isAlive: boolean; startedAt: number | undefined}>;
+
+export type SegmentQuarantineSettings = Readonly<{
+	gateway: GatewayName;
+	/** Returns a number in [0, 1) that is fixed for this gateway and the text, and differs between gateways. */
+	getRank(text: string): number;
+}>;
+
+type QuarantinedSegment = {
+	readonly segment: ServiceSegment;
+	readonly source: QuarantineSource;
+	readonly until: Timestamp;
+	/** When the store's list last contained it, or `undefined` if it never has. */
+	listedAt: Timestamp | undefined;
+};
+
+/** When a segment was released, and whether this gateway was the one to find that it is sound. */
+type Release = Readonly<{at: Timestamp; isOwn: boolean}>;
+
+/** Why a segment was quarantined: by the crashes that this gateway knows of, or by a peer, or by a record in the store. */
+type QuarantineSource = 'crashes' | 'peer' | 'store';
+
+type ReleaseReason = 'completion' | 'peer' | 'store' | 'expiry' | 'reconsidered';
+
+/** A check of an endpoint, and the prompts of the requests that it lost. */
+type PendingCheck = Readonly<{endpoint: ListedEndpoint; lostPrompts: Array<readonly SegmentId[]>; brokenAt: Timestamp}>;
+
+/** The requests that this gateway has lost in a crash. */
+type OwnCrash = Readonly<{lostPrompts: ReadonlyArray<readonly SegmentId[]>; brokenAt: Timestamp}>;
+
+/** Time for which a listed quarantine must be missing from the store's lists, which may be stale, until it counts as removed. */
+const removalDelayMs: Milliseconds = 5000;
+/** Time after a release for which records in the store are taken for outdated. */
+const releaseMemoryMs: Milliseconds = 30_000;
+/** Time after its end at which a record is removed even if the gateway that made it is gone. */
+const abandonedRecordMs: Milliseconds = 600_000;
+const maximumQuarantines = 10_000;
+const maximumOwnCrashes = 1000;
+
+function getKey({service, segment}: ServiceSegment): string {
+	return `${service} ${segment}`;
+}
+
+/** Creates a quarantine without segments. */
+export function createSegmentQuarantine(settings: SegmentQuarantineSettings): SegmentQuarantine {
+	const suspicion = createSegmentSuspicion();
+	const quarantined = new LRUCache<string, QuarantinedSegment>({max: maximumQuarantines});
+	const releases = new LRUCache<string, Release>({max: maximumQuarantines});
+	const pendingChecks = new Map<EndpointId, PendingCheck>();
+	const ownCrashes = new LRUCache<EndpointId, OwnCrash>({max: maximumOwnCrashes});
+
+	function isQuarantined(segment: ServiceSegment, now: Timestamp): boolean {
+		return (quarantined.get(getKey(segment))?.until ?? Number.NEGATIVE_INFINITY) > now;
+	}
+
+	function publish(change: QuarantineChange): GatewayAction {
+		return {kind: 'publishChange', change};
+	}
+
+	function report(quarantineReport: QuarantineReport): GatewayAction {
+		return {kind: 'reportQuarantine', report: quarantineReport};
+	}
+
+	function add({remainingMs, ...segment}: Quarantine, source: QuarantineSource, now: Timestamp): readonly GatewayAction[] {
+		if (isQuarantined(segment, now)) {
+			return [];
+		}
+
+		quarantined.set(getKey(segment), {
+			segment, source, until: now + remainingMs, listedAt: source === 'store' ? now : undefined,
+		});
+		return [report({
+			kind: 'quarantined', segment, source, remainingMs,
+		})];
+	}
+
+	function release(segment: ServiceSegment, reason: ReleaseReason, now: Timestamp): readonly GatewayAction[] {
+		if (!quarantined.delete(getKey(segment))) {
+			return [];
+		}
+
+		if (reason !== 'expiry') {
+			releases.set(getKey(segment), {at: now, isOwn: reason === 'completion' || reason === 'reconsidered'});
+		}
+
+		if (reason === 'peer' || reason === 'store') {
+			suspicion.clear(segment, now);
+		}
+
+		return [report({kind: 'released', segment, reason})];
+	}
+
+	/** Quarantines the segments that the crashes show to be their cause, and releases those for which later crashes show another. */
+	function reconcileCulprits(service: string, now: Timestamp): readonly GatewayAction[] {
+		const known = [...quarantined.values()].filter(({segment, source}) => source === 'crashes' && segment.service === service).map(({segment}) => segment);
+		const culprits = suspicion.getCulprits(service, new Set(known.map(({segment}) => segment)), now);
+		const reconsidered = known.filter(({segment}) => !culprits.includes(segment));
+		return [
+			...reconsidered.flatMap((segment): readonly GatewayAction[] => [...release(segment, 'reconsidered', now), {kind: 'removeQuarantine', segment}]),
+			...culprits.flatMap(segment => addCulprit({service, segment, remainingMs: crashWindowMs}, now)),
+		];
+	}
+
+	function addCulprit(quarantine: Quarantine, now: Timestamp): readonly GatewayAction[] {
+		const actions = add(quarantine, 'crashes', now);
+		// A gateway that has lost no request leaves the rest to those that have.
+		return actions.length === 0 || ownCrashes.size === 0
+			? actions
+			: [...actions, publish({kind: 'segmentQuarantined', quarantine}), {kind: 'recordQuarantine', quarantine}];
+	}
+
+	/** Records a crash that this gateway has seen, and tells the other gateways of all requests that it has lost in it. */
+	function recordOwnCrash({endpoint, lostPrompts, brokenAt}: PendingCheck, now: Timestamp): readonly GatewayAction[] {
+		const earlier = ownCrashes.get(endpoint.id);
+		const isSameCrash = earlier !== undefined && brokenAt - earlier.brokenAt < sameCrashMs;
+		const ownCrash = isSameCrash ? {lostPrompts: [...earlier.lostPrompts, ...lostPrompts], brokenAt: earlier.brokenAt} : {lostPrompts, brokenAt};
+		ownCrashes.set(endpoint.id, ownCrash);
+		const {id, service} = endpoint;
+		const crash = {
+			service, endpoint: id, reporter: settings.gateway, ageMs: now - ownCrash.brokenAt, ...suspicion.countRequests(service, ownCrash.lostPrompts),
+		};
+		suspicion.recordCrash(crash, now);
+		return [report({kind: 'crashed', endpoint: id, segments: crash.suspects.map(({segment}) => segment)}), publish({kind: 'serverCrashed', crash})];
+	}
+
+	/** Applies a record, or removes it if it has ended or if this gateway has released its segment. */
+	function checkRecord(record: QuarantineRecord, now: Timestamp): readonly GatewayAction[] {
+		const {service, segment, remainingMs, gateway} = record;
+		const key = getKey(record);
+		const removeAfterMs = gateway === settings.gateway ? 0 : abandonedRecordMs * (1 + settings.getRank(key));
+		if (remainingMs <= 0) {
+			return remainingMs < -removeAfterMs ? [{kind: 'removeQuarantine', segment: {service, segment}}] : [];
+		}
+
+		const recentRelease = releases.get(key);
+		if (recentRelease !== undefined && now - recentRelease.at < releaseMemoryMs) {
+			return recentRelease.isOwn ? [{kind: 'removeQuarantine', segment: {service, segment}}] : [];
+		}
+
+		const known = quarantined.get(key);
+		if (known !== undefined) {
+			known.listedAt = now;
+		}
+
+		return add({service, segment, remainingMs}, 'store', now);
+	}
+
+	/** Returns the actions for a quarantine that the store doesn't list: released by another gateway, or not recorded yet. */
+	function checkUnlisted({segment, until, listedAt}: QuarantinedSegment, now: Timestamp): readonly GatewayAction[] {
+		if (until <= now) {
+			return release(segment, 'expiry', now);
+		}
+
+		if (listedAt === undefined) {
+			return [{kind: 'recordQuarantine', quarantine: {...segment, remainingMs: until - now}}];
+		}
+
+		return now - listedAt > removalDelayMs ? release(segment, 'store', now) : [];
+	}
+
+	return {
+		find(service, segments, now) {
+			for (const segment of segments) {
+				const entry = quarantined.get(getKey({service, segment}));
+				if (entry !== undefined && entry.until > now) {
+					return {service, segment, remainingMs: entry.until - now};
+				}
+			}
+
+			return undefined;
+		},
+		recordBrokenSend(endpoint, segments, now) {
+			if (segments.length === 0) {
+				return [];
+			}
+
+			const pending = pendingChecks.get(endpoint.id);
+			if (pending === undefined) {
+				pendingChecks.set(endpoint.id, {endpoint, lostPrompts: [segments], brokenAt: now});
+				return [{kind: 'checkEndpoint', endpoint}];
+			}
+
+			pending.lostPrompts.push(segments);
+			return [];
+		},
+		applyCheck(id, {isAlive, startedAt}, now) {
+			const pending = pendingChecks.get(id);
+			pendingChecks.delete(id);
+			if (pending === undefined) {
+				return [];
+			}
+
+			const hasCrashed = !isAlive || (startedAt !== undefined && startedAt !== pending.endpoint.startedAt);
+			return hasCrashed ? recordOwnCrash(pending, now) : [];
+		},
+		recordCompletion(service, segments, now) {
+			suspicion.recordCompletion(service, segments);
+			return segments.flatMap(segment => {
+				const serviceSegment = {service, segment};
+				const wasSuspect = suspicion.clear(serviceSegment, now);
+				const released = release(serviceSegment, 'completion', now);
+				return [
+					...released,
+					...(released.length > 0 ? [{kind: 'removeQuarantine', segment: serviceSegment} as const] : []),
+					...(wasSuspect || released.length > 0 ? [publish({kind: 'segmentCleared', segment: serviceSegment})] : []),
+				];
+			});
+		},
+		applyPeerChange(change, now) {
+			switch (change.kind) {
+				case 'serverCrashed': {
+					suspicion.recordCrash(change.crash, now);
+					return [];
+				}
+
+				case 'segmentCleared': {
+					suspicion.clear(change.segment, now);
+					return release(change.segment, 'peer', now);
+				}
+
+				case 'segmentQuarantined': {
+					return add(change.quarantine, 'peer', now);
+				}
+			}
+		},
+		applyRecords(records, now) {
+			const listedKeys = new Set(records.filter(({remainingMs}) => remainingMs > 0).map(record => getKey(record)));
+			const unlisted = [...quarantined.values()].filter(({segment}) => !listedKeys.has(getKey(segment)));
+			return [
+				...records.flatMap(record => checkRecord(record, now)),
+				...unlisted.flatMap(entry => checkUnlisted(entry, now)),
+			];
+		},
+		handleTimePassed(now) {
+			const actions: GatewayAction[] = [];
+			for (let next = suspicion.findNextDecision(); next !== undefined && next.at <= now; next = suspicion.findNextDecision()) {
+				actions.push(...reconcileCulprits(next.service, now));
+			}
+
+			return actions;
+		},
+		getWakeAt: () => suspicion.findNextDecision()?.at ?? Number.POSITIVE_INFINITY,
+		getSnapshot: now => [
+			...suspicion.getOpenReports(now).map((crash): QuarantineChange => ({kind: 'serverCrashed', crash})),
+			...[...quarantined.values()].filter(({until}) => until > now).map(({segment, until}): QuarantineChange =>
+				({kind: 'segmentQuarantined', quarantine: {...segment, remainingMs: until - now}})),
+		],
+	};
+}
--- a/packages/daemon/src/logger.ts
+++ b/packages/daemon/src/logger.ts
@@ -13,7 +13,8 @@
 		| 'hostListFailed' | 'configurationInForce' | 'configurationRead' | 'probeFailed' | 'silenceChecked' | 'serverFailed' | 'orderSent' | 'internalError'
 		| 'requestPlaced' | 'sendEnded' | 'requestRefused' | 'endpointChanged' | 'dependencyLost' | 'dependencyRegained'
 		| 'settingsReloaded' | 'settingsRefused' | 'clockJumped' | 'peerFound' | 'peerLost' | 'readinessChanged' | 'linesDropped'
-		| 'orderRefused' | 'orderFailed';
+		| 'orderRefused' | 'orderFailed' | 'serverCrashed' | 'segmentQuarantined' | 'segmentReleased'
+		| 'quarantineNotRecorded' | 'quarantineNotRemoved';
 
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -85,13 +85,13 @@
 		self,
 		connections,
 		logger,
-		getSnapshot: gateway.getSnapshot,
+		getSnapshot: peer => gateway.getSnapshot(peer, performance.now()),
 		dispatch(event) {
 			driver.dispatch(event);
 		},
 	});
 	const driver = createGatewayDriver(gateway, {
-		client, wireFormat: host.wireFormat, logger, metrics, publishChange: workExchange.publish,
+		client, wireFormat: host.wireFormat, logger, metrics, publishChange: workExchange.publish, name: settings.name, platform: host.platform,
 	});
 	const feed = createPlatformFeed({
 		platform: host.platform,
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -13,14 +13,19 @@
 } from '@currantcross/core/gateway/gateway-events';
 import {getErrorText} from '@currantcross/core/error-text';
 import type {Failure} from '@currantcross/core/errors';
+import type {EndpointCheck, QuarantineReport} from '@currantcross/core/gateway/segment-quarantine';
+import type {ServiceSegment} from '@currantcross/core/gateway/segment-suspicion';
 import type {Reservation} from '@currantcross/core/gateway/memory-reservation';
 import type {Logger} from '@currantcross/daemon/logger';
 import {getForwardedHeaders, type CallerExchange} from './caller-exchange.js';
 import type {EndpointClient} from './endpoint-client.js';
-import type {WireFormat, ControlRequest} from './gateway-hosts.js';
+import type {ControlRequest, PlatformHost, WireFormat} from './gateway-hosts.js';
 import type {GatewayMetrics} from './metrics.js';
 
 export type GatewayDriverHost = Readonly<{
+	/** Name of this gateway. */
+	name: string;
+	platform: Pick<PlatformHost, 'recordQuarantine' | 'removeQuarantine'>;
 	client: EndpointClient;
 	wireFormat: WireFormat;
 	logger: Logger;
@@ -160,12 +165,54 @@
 				return;
 			}
 
+			case 'checkEndpoint': {
+				void performCheck(action.endpoint);
+				return;
+			}
+
+			case 'recordQuarantine': {
+				void performStoreCall('quarantineNotRecorded', action.quarantine, async () => host.platform.recordQuarantine({...action.quarantine, gateway: host.name}));
+				return;
+			}
+
+			case 'removeQuarantine': {
+				void performStoreCall('quarantineNotRemoved', action.segment, async () => host.platform.removeQuarantine(action.segment));
+				return;
+			}
+
+			case 'reportQuarantine': {
+				reportQuarantine(action.report);
+				return;
+			}
+
 			case 'reportDecision': {
 				reportDecision(action.key, action.decision);
 			}
 		}
 	}
 
+	function reportQuarantine(report: QuarantineReport): void {
+		switch (report.kind) {
+			case 'crashed': {
+				host.logger.warn('serverCrashed', {endpoint: report.endpoint, segments: formatSegments(report.segments)});
+				return;
+			}
+
+			case 'quarantined': {
+				const {segment: {service, segment}, source, remainingMs} = report;
+				host.logger.warn('segmentQuarantined', {
+					service, segment, source, remainingMs: Math.round(remainingMs),
+				});
+				return;
+			}
+
+			case 'released': {
+				const {segment: {service, segment}, reason} = report;
+				host.logger.warn('segmentReleased', {service, segment, reason});
+			}
+		}
+	}
+
 	/** Logs and counts a request whose caller disconnected. */
 	function reportDisconnect(openRequest: OpenRequest | undefined): void {
 		host.logger.info('requestEnded', {request: openRequest?.request.requestId, outcome: 'clientGone', ageMs: getAgeMs(openRequest)});
@@ -259,6 +306,28 @@
 		}
 	}
 
+	/** Asks an endpoint whose connections broke for its report. Without one it is taken for crashed; any other response shows that it is alive. */
+	async function performCheck(endpoint: ListedEndpoint): Promise<void> {
+		let result: EndpointCheck = {isAlive: false, startedAt: undefined};
+		try {
+			const {body} = await host.client.sendControlRequest(endpoint.address, host.wireFormat.formatProbe());
+			result = {isAlive: true, startedAt: host.wireFormat.parseReport(body)?.startedAt};
+		} catch (error) {
+			host.logger.info('probeFailed', {endpoint: endpoint.id, reason: getErrorText(error)});
+		}
+
+		dispatch({kind: 'endpointChecked', endpoint: endpoint.id, result});
+	}
+
+	/** Calls the store. A call that fails is repeated after the next poll of the quarantines. */
+	async function performStoreCall(failureEvent: 'quarantineNotRecorded' | 'quarantineNotRemoved', {service, segment}: ServiceSegment, call: () => Promise<void>): Promise<void> {
+		try {
+			await call();
+		} catch (error) {
+			host.logger.warn(failureEvent, {service, segment, reason: getErrorText(error)});
+		}
+	}
+
 	/** Releases reserved memory. Retries once; after a second failure the reservation expires at the endpoint. */
 	async function performRelease(reservation: Reservation): Promise<void> {
 		const controlRequest = host.wireFormat.formatRelease(reservation);
--- a/packages/gateway/src/gateway-hosts.ts
+++ b/packages/gateway/src/gateway-hosts.ts
@@ -10,6 +10,8 @@
 } from '@currantcross/core/gateway/gateway-types';
 import type {Reservation} from '@currantcross/core/gateway/memory-reservation';
 import type {SendHelper} from '@currantcross/core/gateway/gateway-events';
+import type {QuarantineRecord} from '@currantcross/core/gateway/segment-quarantine';
+import type {ServiceSegment} from '@currantcross/core/gateway/segment-suspicion';
 import type {Milliseconds} from '@currantcross/core/types';
 
 /** The decoded headers of a caller's request. */
@@ -76,6 +78,11 @@
 	watchConfiguration(after: Revision, waitMs: Milliseconds): Promise<ConfigurationUpdate>;
 	/** Lists the endpoints at `minimumRevision` or later. Without it, lists the current ones, which costs the store more. */
 	listEndpoints(minimumRevision: Revision | undefined): Promise<readonly ListedEndpoint[]>;
+	/** Lists the quarantines at `minimumRevision` or later, as `listEndpoints` does. */
+	listQuarantines(minimumRevision: Revision | undefined): Promise<readonly QuarantineRecord[]>;
+	/** Creates a record of a quarantine, or keeps the existing one of its segment. */
+	recordQuarantine(record: QuarantineRecord): Promise<void>;
+	removeQuarantine(segment: ServiceSegment): Promise<void>;
 	listGateways(): Promise<readonly GatewayRegistration[]>;
 	registerGateway(registration: GatewayRegistration): Promise<void>;
 	close(): void;
--- a/packages/gateway/src/platform-feed.ts
+++ b/packages/gateway/src/platform-feed.ts
@@ -1,6 +1,6 @@
 /**
-Keeps a gateway's view of the platform current: watches the configuration, and polls the lists of endpoints and other
-gateways.
+Keeps a gateway's view of the platform current: watches the configuration, and polls the lists of endpoints, of
+quarantines and of other gateways.
 */
 import {getErrorText} from '@currantcross/core/error-text';
 import type {GatewayEvent} from '@currantcross/core/gateway/gateway-events';
@@ -36,6 +36,8 @@
 const endpointPollIntervalMs: Milliseconds = 500;
 /** Maximum age at which the last known revision still bounds the staleness of a list; covers one watch and its response. */
 const maximumRevisionAgeMs: Milliseconds = 1300;
+/** Polling interval of the quarantines; bounds how long a gateway that peers don't reach sends requests that crash servers. */
+const quarantinePollIntervalMs: Milliseconds = 1000;
 const gatewayPollIntervalMs: Milliseconds = 3000;
 const baseRetryMs: Milliseconds = 60;
 const maximumRetryMs: Milliseconds = 400;
@@ -142,6 +144,20 @@
 		}
 	}
 
+	async function runQuarantinePolling(): Promise<void> {
+		const dependency: Dependency = {name: 'quarantines', isLost: false, failures: 0};
+		while (!closing.signal.aborted) {
+			// eslint-disable-next-line no-await-in-loop -- one poll at a time
+			const records = await callPlatform(dependency, async () => platform.listQuarantines(tryGetRecentRevision()));
+			if (records !== undefined) {
+				host.dispatch({kind: 'quarantinesListed', records});
+			}
+
+			// eslint-disable-next-line no-await-in-loop
+			await wait(records === undefined ? getRetryDelayMs(dependency) : quarantinePollIntervalMs);
+		}
+	}
+
 	async function listGateways(self: GatewayRegistration): Promise<readonly GatewayRegistration[]> {
 		if (!isRegistered) {
 			await platform.registerGateway(self);
@@ -169,6 +185,7 @@
 		start(self) {
 			void runConfigurationWatch();
 			void runEndpointPolling();
+			void runQuarantinePolling();
 			void runGatewayPolling(self);
 		},
 		refresh() {
--- a/packages/peer/src/gateway-peers.ts
+++ b/packages/peer/src/gateway-peers.ts
@@ -1,5 +1,5 @@
 /**
-RPC service and client with which gateways exchange their open requests.
+RPC service and client with which gateways exchange their open requests, and what they learn about servers and prompts.
 
 A gateway streams its own requests, or also those of other gateways it knows, to each peer that subscribes. Each stream
 starts with a snapshot of the open requests, followed by changes. A peer whose stream broke subscribes again and gets a
@@ -78,6 +78,18 @@
 		case 'ended': {
 			return create(wire.WorkChangeSchema, {change: {case: 'ended', value: change.id}});
 		}
+
+		case 'serverCrashed': {
+			return create(wire.WorkChangeSchema, {change: {case: 'crashed', value: create(wire.CrashSchema, {...change.crash, suspects: change.crash.suspects.map(suspect => ({...suspect}))})}});
+		}
+
+		case 'segmentCleared': {
+			return create(wire.WorkChangeSchema, {change: {case: 'cleared', value: create(wire.SegmentSchema, change.segment)}});
+		}
+
+		case 'segmentQuarantined': {
+			return create(wire.WorkChangeSchema, {change: {case: 'quarantined', value: create(wire.QuarantineSchema, change.quarantine)}});
+		}
 	}
 }
 
@@ -104,6 +116,26 @@
 			return {kind: 'ended', id: change.value};
 		}
 
+		case 'crashed': {
+			const {service, endpoint, reporter, requests, completed, suspects, ageMs} = change.value;
+			return {
+				kind: 'serverCrashed', crash: {
+					service, endpoint, reporter, requests, completed, ageMs,
+					suspects: suspects.map(suspect => ({segment: suspect.segment, requests: suspect.requests, completed: suspect.completed})),
+				},
+			};
+		}
+
+		case 'cleared': {
+			const {service, segment} = change.value;
+			return {kind: 'segmentCleared', segment: {service, segment}};
+		}
+
+		case 'quarantined': {
+			const {service, segment, remainingMs} = change.value;
+			return {kind: 'segmentQuarantined', quarantine: {service, segment, remainingMs}};
+		}
+
 		case undefined: {
 			return undefined;
 		}
--- a/packages/standins/src/platform-store-standin.ts
+++ b/packages/standins/src/platform-store-standin.ts
@@ -1,6 +1,6 @@
 /**
-In-memory stand-in for the platform's metadata store, with its published protocol: objects by kind and name, lists, watches
-and creation that fails if the object exists. Tests can inject faults.
+In-memory stand-in for the platform's metadata store, with its published protocol: objects by kind and name, lists, watches,
+removal, and creation that fails if the object exists. Tests can inject faults.
 */
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import {text} from 'node:stream/consumers';
@@ -80,6 +80,17 @@
 		return object;
 	}
 
+	function remove(kind: string, name: string): void {
+		const object = getObjectsOfKind(kind).get(name);
+		if (object !== undefined) {
+			getObjectsOfKind(kind).delete(name);
+			revision += 1;
+			recordChange({
+				kind, revision, object, deleted: true,
+			});
+		}
+	}
+
 	function recordChange(change: Change): void {
 		changes.push(change);
 		for (const pendingWatch of pendingWatches) {
@@ -140,6 +151,13 @@
 			return;
 		}
 
+		if (message.method === 'DELETE') {
+			const hasExisted = getObjectsOfKind(kind).has(name ?? '');
+			remove(kind, name ?? '');
+			sendJson(response, hasExisted ? 200 : 404, {});
+			return;
+		}
+
 		const watch = url.searchParams.get('watch');
 		if (watch) {
 			answerWatch(response, kind, Number(watch), Number(url.searchParams.get('waitMs') ?? '0'));
@@ -182,16 +200,7 @@
 		writeObject(kind, name, spec) {
 			write(kind, name, spec);
 		},
-		removeObject(kind, name) {
-			const object = getObjectsOfKind(kind).get(name);
-			if (object !== undefined) {
-				getObjectsOfKind(kind).delete(name);
-				revision += 1;
-				recordChange({
-					kind, revision, object, deleted: true,
-				});
-			}
-		},
+		removeObject: remove,
 		setFault(newFault) {
 			fault = newFault;
 		},
