--- a/packages/core/src/gateway/fleet-simulation.ts
+++ b/packages/core/src/gateway/fleet-simulation.ts
@@ -287,6 +287,7 @@
 			}
 
 			case 'reportQuarantine':
+			case 'reportLimit':
 			case 'reserveMemory':
 			case 'releaseMemory':
 			case 'startResponse':
--- a/packages/core/src/gateway/forwarded-request.test.ts
+++ b/packages/core/src/gateway/forwarded-request.test.ts
@@ -74,6 +74,7 @@
 		case 'recordQuarantine':
 		case 'removeQuarantine':
 		case 'reportQuarantine':
+		case 'reportLimit':
 		case 'reportEndpoint':
 		case 'reportDecision': {
 			return [];
@@ -459,6 +460,7 @@
 		choosePlacement: () => decisions.shift() ?? {kind: 'refused', failure: createNotRunFailure('overloaded')},
 		checkCredential: () => undefined,
 		recordBrokenSend: () => [],
+		recordLimit: () => [],
 		recordCompletion: () => [],
 		recordWork: () => undefined,
 	});
--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -40,6 +40,8 @@
 	checkCredential(request: GatewayRequest, now: Timestamp): Failure | undefined;
 	/** Records that the connection of a request broke at an endpoint that may have run it. */
 	recordBrokenSend(request: GatewayRequest, endpoint: ListedEndpoint, now: Timestamp): readonly GatewayAction[];
+	/** Records the limit that an endpoint names in a response. */
+	recordLimit(endpoint: EndpointId, requestsPerSecond: number | undefined, now: Timestamp): readonly GatewayAction[];
 	/** Records that an endpoint has completed a response to the request. */
 	recordCompletion(request: GatewayRequest, now: Timestamp): readonly GatewayAction[];
 	/** Applies a change of this gateway's open requests to its own load view. */
@@ -365,6 +367,15 @@
 			return [];
 		}
 
+		const limitActions = head.status === misdirectedStatus ? [] : context.recordLimit(current.placement.endpoint.id, head.requestsPerSecond, now);
+		return [...limitActions, ...applyHead(head, now)];
+	}
+
+	function applyHead(head: EndpointResponseHead, now: Timestamp): readonly GatewayAction[] {
+		if (current === undefined) {
+			return [];
+		}
+
 		if (head.isNotRun || head.status === misdirectedStatus) {
 			return [...cancelCurrentSend('discard'), ...handleRefusal(head, now)];
 		}
--- a/packages/core/src/gateway/gateway-events.ts
+++ b/packages/core/src/gateway/gateway-events.ts
@@ -76,8 +76,12 @@
 	| Readonly<{kind: 'removeQuarantine'; segment: ServiceSegment}>
 	| Readonly<{kind: 'reportQuarantine'; report: QuarantineReport}>
 	| Readonly<{kind: 'reportEndpoint'; change: EndpointChange}>
+	| Readonly<{kind: 'reportLimit'; report: LimitReport}>
 	| Readonly<{kind: 'reportDecision'; key: RequestKey; decision: ReportedDecision}>;
 
+/** A change of an endpoint's limit, `undefined` if it has none, for the log. */
+export type LimitReport = Readonly<{endpoint: EndpointId; requestsPerSecond: number | undefined; source: 'response' | 'peer' | 'expiry'}>;
+
 /** A decision about a send, for the log. */
 export type ReportedDecision
 	= | Readonly<{
--- a/packages/core/src/gateway/gateway-fault-simulation.ts
+++ b/packages/core/src/gateway/gateway-fault-simulation.ts
@@ -248,6 +248,7 @@
 			case 'recordQuarantine':
 			case 'removeQuarantine':
 			case 'reportQuarantine':
+			case 'reportLimit':
 			case 'reportEndpoint':
 			case 'reportDecision': {
 				return;
--- a/packages/core/src/gateway/gateway-fixtures.ts
+++ b/packages/core/src/gateway/gateway-fixtures.ts
@@ -125,6 +125,7 @@
 		faultyAddress: undefined,
 		isEncoded: false,
 		isUndelimited: false,
+		requestsPerSecond: undefined,
 		retryAfterMs: undefined,
 		...changes,
 	};
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -83,6 +83,7 @@
 	const load = createLoadView();
 	const getRank = createEndpointRanking(settings.name);
 	const quarantine = createSegmentQuarantine({gateway: settings.name, getRank});
+	const limits = new Map<EndpointId, number | undefined>();
 	const requests = new Map<RequestKey, ForwardedRequest>();
 	let sendCount = 0;
 
@@ -131,6 +132,16 @@
 		return {kind: 'placed', placement, candidates: endpoints.length};
 	}
 
+	/** Reports a change of the limit that an endpoint names. */
+	function recordLimit(endpoint: EndpointId, requestsPerSecond: number | undefined): readonly GatewayAction[] {
+		if (limits.get(endpoint) === requestsPerSecond) {
+			return [];
+		}
+
+		limits.set(endpoint, requestsPerSecond);
+		return [{kind: 'reportLimit', report: {endpoint, requestsPerSecond, source: 'response'}}];
+	}
+
 	const context = {
 		registry,
 		retryQuota,
@@ -143,6 +154,7 @@
 		choosePlacement,
 		checkCredential: (request: GatewayRequest, now: Timestamp) => configuration.checkCredential(request.route, request.credential, now),
 		recordBrokenSend: ({sharedSegments}: GatewayRequest, endpoint: ListedEndpoint, now: Timestamp) => quarantine.recordBrokenSend(endpoint, sharedSegments, now),
+		recordLimit,
 		recordCompletion: ({service, sharedSegments}: GatewayRequest, now: Timestamp) => quarantine.recordCompletion(service, sharedSegments, now),
 		recordWork(change: WorkChange, now: Timestamp) {
 			load.applyChange(settings.name, change, now);
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -185,6 +185,12 @@
 				return;
 			}
 
+			case 'reportLimit': {
+				const {endpoint, requestsPerSecond, source} = action.report;
+				host.logger.info('limitChanged', {endpoint, requestsPerSecond: requestsPerSecond ?? 'none', source});
+				return;
+			}
+
 			case 'reportDecision': {
 				reportDecision(action.key, action.decision);
 			}
