Show in a test that limited servers get more requests than their limit

The simulation of several gateways has servers that name a limit for a time, and a check of the platform's bound over all gateways: from 3 s after a server first named its limit, at most one and a half times what it allows in 4 s, and 5, from gateways that it told.

--- a/packages/core/src/gateway/fleet-checks.ts
+++ b/packages/core/src/gateway/fleet-checks.ts
@@ -1,7 +1,8 @@
 /**
-Checks of the platform's bounds on requests whose prompts crash servers, over all gateways of a simulation.
+Checks of the platform's bounds on requests whose prompts crash servers, and on requests to servers that name a limit, over all
+gateways of a simulation.
 */
-import type {Timestamp} from '../types.js';
+import type {Milliseconds, Timestamp} from '../types.js';
 import type {SegmentId} from './gateway-types.js';
 import {stableWindowMs, type FleetRequestRecord, type FleetResult} from './fleet-simulation.js';
 
@@ -27,7 +28,7 @@
 	}
 
 	return result.records.filter(({segments}) => segments.includes(segment))
-		.flatMap(({arrivals, gatewayIndex}) => arrivals.filter(at => at > boundedCrashAt + stableWindowMs && result.isInTouch(gatewayIndex, at)))
+		.flatMap(({arrivals, gatewayIndex}) => arrivals.filter(({at}) => at > boundedCrashAt + stableWindowMs && result.isInTouch(gatewayIndex, at)))
 		.length;
 }
 
@@ -63,3 +64,32 @@
 		];
 	});
 }
+
+/** Length of the windows in which arrivals at a limited server are counted. */
+const limitWindowMs: Milliseconds = 4000;
+/** Arrivals allowed in a window: a multiple of what the limit allows, and a fixed number. */
+const limitFactor = 1.5;
+const limitSlack = 5;
+/** Time after a gateway received a response that names the limit until its requests count. */
+const limitLearningMs: Milliseconds = 500;
+const millisecondsPerSecond = 1000;
+
+/** Returns when requests reached the address of a limited server from gateways that had learnt of its limit by a response, in order. */
+function getCountedArrivals(result: FleetResult, address: string, from: Timestamp, to: Timestamp): readonly Timestamp[] {
+	const named = result.namedLimits.filter(limit => limit.address === address);
+	return result.records.flatMap(({arrivals, gatewayIndex}) => arrivals
+		.filter(arrival => arrival.address === address && arrival.at >= from && arrival.at < to && result.isUndisturbed(gatewayIndex, arrival.at)
+			&& named.some(limit => limit.gatewayIndex === gatewayIndex && limit.at + limitLearningMs <= arrival.at))
+		.map(({at}) => at)).toSorted((left, right) => left - right);
+}
+
+/** Returns the limits that a simulation broke, in words. */
+export function findLimitViolations(result: FleetResult, limits: ReadonlyArray<Readonly<{address: string; perSecond: number; endsAt: Timestamp}>>): readonly string[] {
+	return limits.flatMap(({address, perSecond, endsAt}) => {
+		const firstNamedAt = result.namedLimits.find(limit => limit.address === address)?.at ?? Number.POSITIVE_INFINITY;
+		const arrivals = getCountedArrivals(result, address, firstNamedAt + stableWindowMs, endsAt);
+		const allowed = (limitFactor * perSecond * limitWindowMs / millisecondsPerSecond) + limitSlack;
+		const most = Math.max(0, ...arrivals.map(start => arrivals.filter(at => at >= start && at < start + limitWindowMs).length));
+		return most > allowed ? [`${address} with a limit of ${perSecond} got ${most} requests in 4 s, ${allowed} are allowed`] : [];
+	});
+}
--- a/packages/core/src/gateway/fleet-properties.test.ts
+++ b/packages/core/src/gateway/fleet-properties.test.ts
@@ -5,7 +5,9 @@
 import process from 'node:process';
 import fc from 'fast-check';
 import {describe, expect, test} from 'vitest';
-import {findCrashViolations} from './fleet-checks.js';
+import {findCrashViolations, findLimitViolations} from './fleet-checks.js';
+import type {ServerLimit} from './fleet-servers.js';
+import {createFixtureEndpoints} from './gateway-fixtures.js';
 import {runFleetScenario, type FleetDisruption, type FleetScenario} from './fleet-simulation.js';
 
 const parameters = {
@@ -13,6 +15,11 @@
 	numRuns: Math.ceil(Number(process.env.CURRANTCROSS_RUNS ?? '500') / 10),
 };
 
+/** Rate of sound requests beside those with crash segments. */
+const soundPerSecond = 24;
+/** Rate of requests that is several times what limited servers allow. */
+const busyPerSecond = 70;
+
 const disruption: fc.Arbitrary<FleetDisruption> = fc.record({
 	kind: fc.constantFrom('restart' as const, 'cutFromPeers' as const, 'cutFromStore' as const),
 	at: fc.integer({min: 0, max: 25_000}),
@@ -23,6 +30,8 @@
 const scenario: fc.Arbitrary<FleetScenario> = fc.record({
 	seed: fc.nat(),
 	gatewayCount: fc.integer({min: 1, max: 6}),
+	soundPerSecond: fc.constant(soundPerSecond),
+	limits: fc.constant([]),
 	crashSegments: fc.array(fc.record({startsAt: fc.integer({min: 4500, max: 12_000}), perSecond: fc.constantFrom(0.5, 1, 3, 8)}), {minLength: 1, maxLength: 3}),
 	disruptions: fc.array(disruption, {maxLength: 5}),
 });
@@ -31,7 +40,7 @@
 	// Guards against requests with a segment that crashes servers being sent to one server after the other.
 	test('stop sending requests with the segment, and serve those that share all other segments', () => {
 		expect(findCrashViolations(runFleetScenario({
-			seed: 1, gatewayCount: 5, crashSegments: [{startsAt: 6000, perSecond: 3}], disruptions: [],
+			seed: 1, gatewayCount: 5, soundPerSecond, limits: [], crashSegments: [{startsAt: 6000, perSecond: 3}], disruptions: [],
 		}))).toEqual([]);
 	});
 
@@ -45,7 +54,7 @@
 	// Guards against evidence on crashes that is lost when the only gateway restarts before it suffices.
 	test('stop sending such requests after the only gateway restarts between crashes', () => {
 		expect(findCrashViolations(runFleetScenario({
-			seed: 0, gatewayCount: 1, crashSegments: [{startsAt: 4500, perSecond: 0.5}], disruptions: [{
+			seed: 0, gatewayCount: 1, soundPerSecond, limits: [], crashSegments: [{startsAt: 4500, perSecond: 0.5}], disruptions: [{
 				kind: 'restart', at: 5527, gatewayIndex: 0, durationMs: 200,
 			}],
 		}))).toEqual([]);
@@ -54,7 +63,47 @@
 	// Guards against a rare crash segment whose crashes are all attributed to a frequent one, until that one is quarantined.
 	test('stop sending requests with a rare segment that crashes servers beside a frequent one', () => {
 		expect(findCrashViolations(runFleetScenario({
-			seed: 2_147_483_636, gatewayCount: 2, crashSegments: [{startsAt: 4501, perSecond: 0.5}, {startsAt: 9886, perSecond: 0.5}, {startsAt: 4505, perSecond: 8}], disruptions: [],
+			seed: 2_147_483_636, gatewayCount: 2, soundPerSecond, limits: [], crashSegments: [{startsAt: 4501, perSecond: 0.5}, {startsAt: 9886, perSecond: 0.5}, {startsAt: 4505, perSecond: 8}], disruptions: [],
 		}))).toEqual([]);
 	});
 });
+
+const limit: fc.Arbitrary<ServerLimit> = fc.record({
+	serverIndex: fc.nat(11),
+	perSecond: fc.constantFrom(0, 0.4, 1, 1.6, 3),
+	startsAt: fc.integer({min: 1000, max: 12_000}),
+	endsAt: fc.integer({min: 18_000, max: 28_000}),
+});
+
+const limitScenario: fc.Arbitrary<FleetScenario> = fc.record({
+	seed: fc.nat(),
+	gatewayCount: fc.integer({min: 1, max: 6}),
+	soundPerSecond: fc.constant(busyPerSecond),
+	crashSegments: fc.constant([]),
+	limits: fc.uniqueArray(limit, {minLength: 1, maxLength: 8, selector: ({serverIndex}) => serverIndex}),
+	disruptions: fc.array(disruption, {maxLength: 4}),
+});
+
+function checkLimits(input: FleetScenario): void {
+	const endpoints = createFixtureEndpoints('models', 12);
+	const limits = input.limits.map(({serverIndex, perSecond, endsAt}) => ({address: endpoints[serverIndex]?.address ?? '', perSecond, endsAt}));
+	expect(findLimitViolations(runFleetScenario(input), limits)).toEqual([]);
+}
+
+describe('gateways whose servers name a limit', () => {
+	// Guards against placement by load alone, which sends most requests to a limited server, since it looks idle.
+	test('together keep to the limit', () => {
+		checkLimits({
+			seed: 1, gatewayCount: 5, soundPerSecond: busyPerSecond, crashSegments: [], disruptions: [], limits: [0, 1, 2, 3, 4, 5].map(serverIndex => ({
+				serverIndex, perSecond: 1, startsAt: 5000, endsAt: 25_000,
+			})),
+		});
+	});
+
+	// Guards against the same with several limited servers, while gateways restart or are cut off from each other or the store.
+	test('together keep to the limits under random restarts and cuts', () => {
+		fc.assert(fc.property(limitScenario, input => {
+			checkLimits(input);
+		}), parameters);
+	});
+});
--- a/packages/core/src/gateway/fleet-servers.ts
+++ b/packages/core/src/gateway/fleet-servers.ts
@@ -1,6 +1,7 @@
 /**
 Simulated model servers for the property tests of several gateways. A server crashes when it begins to answer a request whose
-prompt contains a crash segment; it loses its open requests, and starts again under another id after some seconds.
+prompt contains a crash segment; it loses its open requests, and starts again under another id after some seconds. A server may
+name a limit in its responses for some time.
 */
 import {Buffer} from 'node:buffer';
 import type {Random} from '../random.js';
@@ -18,13 +19,18 @@
 	segments: readonly SegmentId[];
 	lastEventId: string | undefined;
 	onArrived(): void;
-	onBegun(): void;
+	/** Called when the server begins to answer, with the limit that it names. */
+	onBegun(requestsPerSecond: number | undefined): void;
 	dispatch(event: RequestEvent): void;
 }>;
 
+/** A limit in requests a second that a server names in its responses from `startsAt` to `endsAt`. */
+export type ServerLimit = Readonly<{serverIndex: number; perSecond: number; startsAt: Timestamp; endsAt: Timestamp}>;
+
 export type FleetServersHost = Readonly<{
 	random: Random;
 	crashSegments: ReadonlySet<SegmentId>;
+	limits: readonly ServerLimit[];
 	getNow(): Timestamp;
 	schedule(delayMs: Milliseconds, run: () => void): void;
 	onCrash(segments: readonly SegmentId[]): void;
@@ -66,8 +72,15 @@
 /** Creates servers, all of which are up. */
 export function createFleetServers(host: FleetServersHost): FleetServers {
 	const servers = new Map<EndpointId, SimulatedServer>();
+	const initialEndpoints = createFixtureEndpoints('models', serverCount);
+	const addresses = initialEndpoints.map(({address}) => address);
 	let startCount = 0;
 
+	function findLimit(address: string): number | undefined {
+		const now = host.getNow();
+		return host.limits.find(({serverIndex, startsAt, endsAt}) => addresses[serverIndex % serverCount] === address && now >= startsAt && now < endsAt)?.perSecond;
+	}
+
 	function start(listed: ListedEndpoint, isUndelimited: boolean): void {
 		servers.set(listed.id, {
 			listed, isUndelimited, openRequests: new Map(), isUp: true,
@@ -136,9 +149,10 @@
 			return;
 		}
 
-		request.onBegun();
+		const requestsPerSecond = findLimit(server.listed.address);
+		request.onBegun(requestsPerSecond);
 		openRequest.hasHead = true;
-		request.dispatch({kind: 'responseStarted', sendId: request.sendId, head: createFixtureHead({isUndelimited: server.isUndelimited})});
+		request.dispatch({kind: 'responseStarted', sendId: request.sendId, head: createFixtureHead({isUndelimited: server.isUndelimited, requestsPerSecond})});
 		const segments = request.segments.filter(segment => host.crashSegments.has(segment));
 		if (segments.length > 0) {
 			host.schedule(crashDelayMs, () => {
@@ -167,7 +181,7 @@
 		});
 	}
 
-	for (const [index, listed] of createFixtureEndpoints('models', serverCount).entries()) {
+	for (const [index, listed] of initialEndpoints.entries()) {
 		start(listed, index % 3 === 0);
 	}
 
--- a/packages/core/src/gateway/fleet-simulation.ts
+++ b/packages/core/src/gateway/fleet-simulation.ts
@@ -5,7 +5,7 @@
 import TinyQueue from 'tinyqueue';
 import {createRandom, type Random} from '../random.js';
 import type {Milliseconds, Timestamp} from '../types.js';
-import {createFleetServers} from './fleet-servers.js';
+import {createFleetServers, type ServerLimit} from './fleet-servers.js';
 import {createGateway, type Gateway} from './gateway.js';
 import type {GatewayAction, GatewayEvent, SendId} from './gateway-events.js';
 import {
@@ -27,7 +27,10 @@
 export type FleetScenario = Readonly<{
 	seed: number;
 	gatewayCount: number;
+	/** Rate of the requests without crash segments. */
+	soundPerSecond: number;
 	crashSegments: readonly CrashSegment[];
+	limits: readonly ServerLimit[];
 	disruptions: readonly FleetDisruption[];
 }>;
 
@@ -39,7 +42,7 @@
 	/** Whether the caller repeats a request that failed. */
 	readonly isRepeat: boolean;
 	/** When a server received the request. */
-	readonly arrivals: Timestamp[];
+	readonly arrivals: Array<Readonly<{at: Timestamp; address: string}>>;
 	/** Whether a server began to answer the request. */
 	hasBegun: boolean;
 	isAnswered: boolean;
@@ -47,12 +50,18 @@
 
 export type FleetCrash = Readonly<{at: Timestamp; segments: readonly SegmentId[]}>;
 
+/** A response that named a server's limit, and the gateway that received it. */
+export type NamedLimit = Readonly<{at: Timestamp; address: string; gatewayIndex: number}>;
+
 export type FleetResult = Readonly<{
 	records: readonly FleetRequestRecord[];
 	crashes: readonly FleetCrash[];
 	crashSegments: readonly SegmentId[];
+	namedLimits: readonly NamedLimit[];
 	/** Returns whether a gateway ran and reached the store for the whole window before a time. */
 	isInTouch(gatewayIndex: number, at: Timestamp): boolean;
+	/** Returns whether a gateway had no disruption in the window before a time. */
+	isUndisturbed(gatewayIndex: number, at: Timestamp): boolean;
 }>;
 
 /** Time for which a gateway must have run and reached the store before bounds apply to it. */
@@ -60,7 +69,6 @@
 /** End of the requests; the last ones end within the rest of the simulation. */
 const requestsEndAt: Timestamp = 28_000;
 const simulationEndAt: Timestamp = 32_000;
-const soundPerSecond = 24;
 const sharedSegmentCount = 8;
 const exchangeDelayMs: Milliseconds = 20;
 /** Time after which gateways notice that a stream between them is cut. */
@@ -113,6 +121,7 @@
 	const crashSegments = scenario.crashSegments.map((_, index) => `crash-${index}`);
 	const records: FleetRequestRecord[] = [];
 	const crashes: FleetCrash[] = [];
+	const namedLimits: NamedLimit[] = [];
 	const gateways: SimulatedGateway[] = Array.from({length: scenario.gatewayCount}, (_, index) => ({
 		index, name: `gateway-${index}`, gateway: undefined, startCount: 0, isCutFromPeers: false, isCutFromStore: false, outages: [], openRequests: new Map(),
 	}));
@@ -129,6 +138,7 @@
 	const servers = createFleetServers({
 		random,
 		crashSegments: new Set(crashSegments),
+		limits: scenario.limits,
 		getNow: () => now,
 		schedule,
 		onCrash(segments) {
@@ -201,16 +211,20 @@
 			return;
 		}
 
+		const {address} = action.endpoint;
 		servers.receive(action.endpoint, {
 			id: formatSendId(simulated, action.sendId),
 			sendId: action.sendId,
 			segments: record.segments,
 			lastEventId: action.lastEventId,
 			onArrived() {
-				record.arrivals.push(now);
+				record.arrivals.push({at: now, address});
 			},
-			onBegun() {
+			onBegun(requestsPerSecond) {
 				record.hasBegun = true;
+				if (requestsPerSecond !== undefined) {
+					namedLimits.push({at: now, address, gatewayIndex: simulated.index});
+				}
 			},
 			dispatch(event) {
 				scheduleFor(simulated, 0, () => {
@@ -433,7 +447,7 @@
 		startGateway(simulated);
 	}
 
-	scheduleRequests(drawTimes(random, 0, soundPerSecond), undefined);
+	scheduleRequests(drawTimes(random, 0, scenario.soundPerSecond), undefined);
 	for (const [index, {startsAt, perSecond}] of scenario.crashSegments.entries()) {
 		scheduleRequests(drawTimes(random, startsAt, perSecond), crashSegments[index]);
 	}
@@ -464,6 +478,9 @@
 		records,
 		crashes,
 		crashSegments,
+		namedLimits,
+		isUndisturbed: (gatewayIndex, at) => !scenario.disruptions.some(disruption => disruption.gatewayIndex % gateways.length === gatewayIndex
+			&& disruption.at <= at && disruption.at + disruption.durationMs >= at - stableWindowMs),
 		isInTouch: (gatewayIndex, at) => !(gateways[gatewayIndex]?.outages ?? []).some(({from, to}) => from <= at && to >= at - stableWindowMs),
 	};
 }
