Keep to the limits that servers name, over all gateways

Cause: no gateway read the limit. Placement goes by load alone, to which a limited server that gets little looks idle.

Change: a gateway learns a limit from each response, tells the other gateways of changes, and counts the requests of all gateways, which they exchange already, in a leaky bucket for each limited endpoint. Endpoints whose bucket is full are no candidates. If none is left, the request is refused at once, with the time until one may get another.

--- a/packages/core/src/gateway/fleet-properties.test.ts
+++ b/packages/core/src/gateway/fleet-properties.test.ts
@@ -100,6 +100,15 @@
 		});
 	});
 
+	// Guards against requests that many gateways place within the delay of their exchange.
+	test('together keep to the limit if they are many', () => {
+		checkLimits({
+			seed: 1, gatewayCount: 40, soundPerSecond: busyPerSecond, crashSegments: [], disruptions: [], limits: [0, 1, 2, 3, 4, 5].map(serverIndex => ({
+				serverIndex, perSecond: 1, startsAt: 5000, endsAt: 25_000,
+			})),
+		});
+	});
+
 	// Guards against the same with several limited servers, while gateways restart or are cut off from each other or the store.
 	test('together keep to the limits under random restarts and cuts', () => {
 		fc.assert(fc.property(limitScenario, input => {
--- a/packages/core/src/gateway/gateway-events.ts
+++ b/packages/core/src/gateway/gateway-events.ts
@@ -80,7 +80,7 @@
 	| Readonly<{kind: 'reportDecision'; key: RequestKey; decision: ReportedDecision}>;
 
 /** A change of an endpoint's limit, `undefined` if it has none, for the log. */
-export type LimitReport = Readonly<{endpoint: EndpointId; requestsPerSecond: number | undefined; source: 'response' | 'peer' | 'expiry'}>;
+export type LimitReport = Readonly<{endpoint: EndpointId; requestsPerSecond: number | undefined; source: 'response' | 'peer'}>;
 
 /** A decision about a send, for the log. */
 export type ReportedDecision
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -9,6 +9,7 @@
 import {
 	createConfigurationState, type ConfigurationStateSettings, type RouteGrant, type RouteRefusal,
 } from './configuration-state.js';
+import {createEndpointLimits} from './endpoint-limits.js';
 import {createEndpointRanking} from './endpoint-ranking.js';
 import {createEndpointRegistry, type EndpointRegistrySettings} from './endpoint-registry.js';
 import type {
@@ -83,7 +84,7 @@
 	const load = createLoadView();
 	const getRank = createEndpointRanking(settings.name);
 	const quarantine = createSegmentQuarantine({gateway: settings.name, getRank});
-	const limits = new Map<EndpointId, number | undefined>();
+	const limits = createEndpointLimits();
 	const requests = new Map<RequestKey, ForwardedRequest>();
 	let sendCount = 0;
 
@@ -107,6 +108,12 @@
 		});
 	}
 
+	/** Returns the time until an endpoint that isn't excluded may get another request by its limit, at least the usual retry delay. */
+	function getEndpointRetryMs(endpoints: readonly ListedEndpoint[], excluded: ReadonlySet<EndpointId>, now: Timestamp): Milliseconds {
+		const waits = endpoints.filter(({id}) => !excluded.has(id)).map(({id}) => limits.getWaitMs(id, now));
+		return waits.length === 0 ? noEndpointRetryMs : Math.max(noEndpointRetryMs, Math.min(...waits));
+	}
+
 	function choosePlacement(request: GatewayRequest, excluded: ReadonlySet<EndpointId>, now: Timestamp): PlacementDecision {
 		const quarantined = quarantine.find(request.service, request.sharedSegments, now);
 		if (quarantined !== undefined) {
@@ -114,10 +121,11 @@
 		}
 
 		const available = registry.getAvailable(request.service, now);
-		const endpoints = available.some(({id}) => !excluded.has(id)) ? available : registry.getListed(request.service);
+		const ready = available.some(({id}) => !excluded.has(id)) ? available : registry.getListed(request.service);
+		const endpoints = ready.filter(({id}) => limits.getWaitMs(id, now) === 0);
 		const placement = findPlacement(request, endpoints, excluded, now);
 		if (placement === undefined) {
-			return refuse(createNotRunFailure('overloaded', 'no endpoint is available', noEndpointRetryMs));
+			return refuse(createNotRunFailure('overloaded', 'no endpoint is available', getEndpointRetryMs(ready, excluded, now)));
 		}
 
 		if (isDeferred(request, placement, now)) {
@@ -132,14 +140,13 @@
 		return {kind: 'placed', placement, candidates: endpoints.length};
 	}
 
-	/** Reports a change of the limit that an endpoint names. */
-	function recordLimit(endpoint: EndpointId, requestsPerSecond: number | undefined): readonly GatewayAction[] {
-		if (limits.get(endpoint) === requestsPerSecond) {
-			return [];
+	/** Counts new requests of this or another gateway against the limits of their endpoints. */
+	function recordStarts(changes: readonly PeerChange[], now: Timestamp): void {
+		for (const change of changes) {
+			if (change.kind === 'started') {
+				limits.recordSend(change.work.endpoint, now);
+			}
 		}
-
-		limits.set(endpoint, requestsPerSecond);
-		return [{kind: 'reportLimit', report: {endpoint, requestsPerSecond, source: 'response'}}];
 	}
 
 	const context = {
@@ -154,10 +161,11 @@
 		choosePlacement,
 		checkCredential: (request: GatewayRequest, now: Timestamp) => configuration.checkCredential(request.route, request.credential, now),
 		recordBrokenSend: ({sharedSegments}: GatewayRequest, endpoint: ListedEndpoint, now: Timestamp) => quarantine.recordBrokenSend(endpoint, sharedSegments, now),
-		recordLimit,
+		recordLimit: limits.recordResponse,
 		recordCompletion: ({service, sharedSegments}: GatewayRequest, now: Timestamp) => quarantine.recordCompletion(service, sharedSegments, now),
 		recordWork(change: WorkChange, now: Timestamp) {
 			load.applyChange(settings.name, change, now);
+			recordStarts([change], now);
 		},
 	};
 
@@ -190,6 +198,10 @@
 				return [];
 			}
 
+			case 'limitChanged': {
+				return limits.applyPeerChange(change, now);
+			}
+
 			case 'serverCrashed':
 			case 'segmentCleared':
 			case 'segmentQuarantined': {
@@ -230,6 +242,11 @@
 			}
 
 			case 'peerChanged': {
+				// The requests of a snapshot, which begins with a reset, were started earlier.
+				if (event.changes[0]?.kind !== 'reset') {
+					recordStarts(event.changes, now);
+				}
+
 				return event.changes.flatMap(change => applyPeerChange(event.gateway, change, now));
 			}
 
@@ -267,6 +284,6 @@
 		getConfigurationAgeMs: configuration.getAgeMs,
 		isReady: () => configuration.tryGet() !== undefined && registry.hasList(),
 		getOpenRequestCount: () => requests.size,
-		getSnapshot: (gateway, now) => [...load.getOpenWorkChanges(gateway), ...(gateway === settings.name ? quarantine.getSnapshot(now) : [])],
+		getSnapshot: (gateway, now) => [...load.getOpenWorkChanges(gateway), ...(gateway === settings.name ? [...quarantine.getSnapshot(now), ...limits.getSnapshot()] : [])],
 	};
 }
--- a/packages/peer/src/gateway-peers.ts
+++ b/packages/peer/src/gateway-peers.ts
@@ -87,6 +87,13 @@
 			return create(wire.WorkChangeSchema, {change: {case: 'cleared', value: create(wire.SegmentSchema, change.segment)}});
 		}
 
+		case 'limitChanged': {
+			const {endpoint, requestsPerSecond} = change;
+			return create(wire.WorkChangeSchema, {
+				change: {case: 'limited', value: create(wire.LimitSchema, requestsPerSecond === undefined ? {endpoint} : {endpoint, requestsPerSecond})},
+			});
+		}
+
 		case 'segmentQuarantined': {
 			return create(wire.WorkChangeSchema, {change: {case: 'quarantined', value: create(wire.QuarantineSchema, change.quarantine)}});
 		}
@@ -131,6 +138,11 @@
 			return {kind: 'segmentCleared', segment: {service, segment}};
 		}
 
+		case 'limited': {
+			const {endpoint, requestsPerSecond} = change.value;
+			return {kind: 'limitChanged', endpoint, requestsPerSecond};
+		}
+
 		case 'quarantined': {
 			const {service, segment, remainingMs} = change.value;
 			return {kind: 'segmentQuarantined', quarantine: {service, segment, remainingMs}};
