Let the soak's servers crash on a segment of a prompt and name limits

Two new faults, and checks of the platform's bounds on both over all gateways, from what servers and callers observe.

--- a/packages/soak/src/soak-callers.ts
+++ b/packages/soak/src/soak-callers.ts
@@ -7,7 +7,7 @@
 import type {Random} from '@currantcross/core/random';
 import {formatCallHeaders, hasResponseStamp} from '@currantcross/standins/platform-caller-standin';
 import {
-	callDeadlineMs, soakHost, permanentKey, type CallKind,
+	callDeadlineMs, crashSegment, soakHost, permanentKey, type CallKind,
 } from './soak-configuration.js';
 import type {SoakGateway} from './soak-gateways.js';
 
@@ -15,6 +15,8 @@
 export type CallOutcome = Readonly<{
 	requestId: string;
 	kind: CallKind;
+	/** Whether servers crash on the request's prompt. */
+	isCrashing: boolean;
 	gateway: SoakGateway;
 	key: string;
 	sentAt: number;
@@ -42,6 +44,8 @@
 export type SoakCallersContext = Readonly<{
 	random: Random;
 	gateways: readonly SoakGateway[];
+	/** Returns whether callers send prompts with the crash segment. */
+	areCrashesActive(): boolean;
 	/** Returns a key that is not revoked. */
 	getKey(): string;
 	recordOutcome(outcome: CallOutcome): void;
@@ -54,6 +58,9 @@
 /** Share of the requests whose callers disconnect early. */
 const disconnectShare = 0.05;
 const disconnectAfterMs = 60;
+/** Share of the prompts with the crash segment while it is in use. */
+const crashShare = 0.06;
+const sharedSegmentCount = 5;
 /** Kinds from which one is drawn for each request; a kind is weighted by the number of its occurrences. */
 const weightedKinds: readonly CallKind[] = ['ask', 'ask', 'ask', 'ask', 'book', 'book', 'book', 'look', 'look', 'archive'];
 /** Time after its deadline at which a caller gives up; a response as late as this is a violation in any case. */
@@ -76,6 +83,12 @@
 	}
 }
 
+/** Returns the segments of a prompt; those of prompts with and without the crash segment are shared. */
+function drawSegments(random: Random, requestId: string, isCrashing: boolean): string {
+	const shared = ['aa:40', `b${random.getInteger(sharedSegmentCount)}:500`, ...(isCrashing ? [`${crashSegment}:300`] : [])];
+	return [...shared, `${Buffer.from(requestId).toString('hex')}:100`].join(',');
+}
+
 async function readBody(response: IncomingMessage): Promise<Readonly<{text: string; isComplete: boolean}>> {
 	const chunks: Uint8Array[] = [];
 	try {
@@ -100,6 +113,7 @@
 		requestCount += 1;
 		const requestId = `r-${requestCount}`;
 		const kind = weightedKinds[random.getInteger(weightedKinds.length)] ?? 'ask';
+		const isCrashing = kind === 'ask' && random.getFraction() < crashShare && context.areCrashesActive();
 		const key = random.getFraction() < 0.5 ? permanentKey : context.getKey();
 		const sentAt = performance.now();
 		const shouldDisconnect = random.getFraction() < disconnectShare;
@@ -111,6 +125,7 @@
 			path: `/${kind}/${requestId}`,
 			headers: formatCallHeaders({
 				host: soakHost, requestId, key, remainingMs: callDeadlineMs[kind], promptTokens: getPromptTokens(kind),
+				segments: drawSegments(random, requestId, isCrashing),
 			}),
 		});
 		if (shouldDisconnect) {
@@ -123,7 +138,7 @@
 			request.destroy(new Error('no complete response within the deadline and its margin'));
 		}, callDeadlineMs[kind] + giveUpMarginMs);
 		const commonFields = {
-			requestId, kind, gateway, key, sentAt, shouldDisconnect,
+			requestId, kind, isCrashing, gateway, key, sentAt, shouldDisconnect,
 		};
 		try {
 			const response = await new Promise<IncomingMessage>((resolve, reject) => {
--- a/packages/soak/src/soak-configuration.ts
+++ b/packages/soak/src/soak-configuration.ts
@@ -65,3 +65,17 @@
 		keys,
 	});
 }
+
+/** Segment of a prompt on which model servers crash. */
+export const crashSegment = 'c0ffee';
+
+/** The platform's bounds on crash segments and limited servers, in milliseconds and requests. */
+export const serverBounds = {
+	stableWindowMs: 3000,
+	/** Number of crashes after which at most `maximumLateRuns` requests with the segment may reach servers. */
+	crashes: 5,
+	maximumLateRuns: 3,
+	limitWindowMs: 4000,
+	limitFactor: 1.5,
+	limitSlack: 5,
+} as const;
--- a/packages/soak/src/soak-faults.ts
+++ b/packages/soak/src/soak-faults.ts
@@ -24,6 +24,8 @@
 	startRandomFault(): void;
 	/** Resolves once all started faults have ended. */
 	waitForEnd(): Promise<void>;
+	/** Returns whether callers send prompts on which servers crash. */
+	areCrashesActive(): boolean;
 	/** Returns a key that is not revoked. */
 	getKey(): string;
 	/** Returns when each revoked key was removed from the configuration. */
@@ -35,6 +37,10 @@
 
 const minimumFaultMs = 200;
 const faultRangeMs = 2000;
+/** Multiples of a fault's duration for which prompts crash servers, and for which a server names a limit. */
+const crashFactor = 4;
+const limitFactor = 5;
+const limitsPerSecond = [0.5, 1, 3] as const;
 /** Time after which a draining server is removed. */
 const removeAfterMs = 2600;
 /** A gateway fault starts only while less than this share of the gateways has one. */
@@ -56,6 +62,7 @@
 	let version = 1;
 	let keyNumber = 1;
 	let activeStoreFaultCount = 0;
+	let activeCrashCount = 0;
 
 	function getKey(): string {
 		return `key-${keyNumber}`;
@@ -163,6 +170,19 @@
 			const server = servers.drawServer();
 			await (server === undefined ? undefined : servers.crash(server));
 		},
+		async crashOnSegment() {
+			activeCrashCount += 1;
+			await wait(drawDurationMs() * crashFactor);
+			activeCrashCount -= 1;
+		},
+		async limitServer() {
+			const server = servers.drawServer();
+			if (server !== undefined && server.limit === undefined) {
+				servers.setLimit(server, limitsPerSecond[random.getInteger(limitsPerSecond.length)] ?? 1);
+				await wait(drawDurationMs() * limitFactor);
+				servers.removeLimit(server);
+			}
+		},
 		async changeConfiguration() {
 			writeConfiguration();
 		},
@@ -189,6 +209,7 @@
 		async waitForEnd() {
 			await Promise.all(activeFaults);
 		},
+		areCrashesActive: () => activeCrashCount > 0,
 		getKey,
 		getRevocationTimes: () => revocationTimes,
 		getStoreDisruptions: () => storeDisruptions,
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -11,6 +11,7 @@
 import {findOutcomeViolation, findRunViolations} from './soak-checks.js';
 import {createSoakFaults} from './soak-faults.js';
 import {startSoakGateways, stopSoakGateways, waitUntilReady} from './soak-gateways.js';
+import {findServerViolations} from './soak-server-checks.js';
 import {startSoakServers} from './soak-servers.js';
 
 export type SoakSettings = Readonly<{
@@ -64,7 +65,7 @@
 }
 
 function findRecoveryViolation(outcomes: readonly CallOutcome[], from: number, to: number): string | undefined {
-	const recoveryOutcomes = outcomes.filter(({sentAt, shouldDisconnect}) => sentAt >= from && sentAt < to && !shouldDisconnect);
+	const recoveryOutcomes = outcomes.filter(({sentAt, shouldDisconnect, isCrashing}) => sentAt >= from && sentAt < to && !shouldDisconnect && !isCrashing);
 	const succeeded = recoveryOutcomes.filter(({status, isComplete}) => status === 200 && isComplete);
 	const failureCounts = countBy(recoveryOutcomes.filter(outcome => !succeeded.includes(outcome)), ({kind, status, error}) => `${kind} ${status ?? error}`);
 	return recoveryOutcomes.length > 0 && succeeded.length >= recoveryOutcomes.length * minimumSuccessShare
@@ -95,6 +96,7 @@
 		random: createRandom(settings.seed + 1),
 		gateways,
 		getKey: faults.getKey,
+		areCrashesActive: faults.areCrashesActive,
 		recordOutcome(outcome) {
 			outcomes.push(outcome);
 		},
@@ -130,6 +132,7 @@
 			...outcomes.flatMap(outcome => formatOutcomeViolation(outcome) ?? []),
 			...recoveryViolation === undefined ? [] : [recoveryViolation],
 			...reservationCount === 0 ? [] : [`${reservationCount} memory reservations were not released`],
+			...findServerViolations(outcomes, servers.getServers(), runs),
 			...findRunViolations({
 				outcomes, runs, revocationTimes: faults.getRevocationTimes(), storeDisruptions: faults.getStoreDisruptions(),
 			}),
--- a/packages/standins/src/platform-caller-standin.ts
+++ b/packages/standins/src/platform-caller-standin.ts
@@ -12,19 +12,22 @@
 	key: string;
 	/** Tokens of the prompt; missing if the request has no prompt. */
 	promptTokens: number | undefined;
+	/** Segments of the prompt, as the header lists them; missing if the header is not sent. */
+	segments?: string;
 }>;
 
 /** Maximum number of answer tokens that each request declares. */
 const maximumAnswerTokens = 50;
 
 /** Returns the headers of a caller's request. */
-export function formatCallHeaders({host, requestId, remainingMs, key, promptTokens}: StandinCall): Readonly<Record<string, string>> {
+export function formatCallHeaders({host, requestId, remainingMs, key, promptTokens, segments}: StandinCall): Readonly<Record<string, string>> {
 	return {
 		host,
 		'request-id': requestId,
 		'deadline-ms': String(remainingMs),
 		credential: key,
 		...(promptTokens === undefined ? {} : {'token-count': `${promptTokens},${maximumAnswerTokens}`}),
+		...(segments === undefined ? {} : {'prompt-prefix': segments}),
 	};
 }
 
--- a/packages/standins/src/platform-server-standin.ts
+++ b/packages/standins/src/platform-server-standin.ts
@@ -1,6 +1,7 @@
 /**
 Stand-in for the platform's servers, with their published protocol: event streams with ids that can be resumed, business
-responses, memory reservations, refusals with the header `Not-Run`, and status 421 if another instance is expected.
+responses, memory reservations, refusals with the header `Not-Run`, status 421 if another instance is expected, limits that
+responses name, and crashes on a segment of a prompt.
 */
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import {text} from 'node:stream/consumers';
@@ -27,6 +28,8 @@
 	credential: string | undefined;
 	lastEventId: string | undefined;
 	helpers: string | undefined;
+	/** Segments of the prompt, as the header lists them. */
+	segments: string | undefined;
 	body: string;
 	/** Monotonic time of the start, in milliseconds. */
 	startedAt: number;
@@ -39,6 +42,8 @@
 	/** Returns the ids of the memory reservations that have neither expired nor been released. */
 	getReservations(): readonly string[];
 	setBehaviour(behaviour: ServerBehaviour): void;
+	/** Sets the limit in requests a second that responses name, `undefined` for none. */
+	setLimit(requestsPerSecond: number | undefined): void;
 	close(): void;
 }>;
 
@@ -49,6 +54,10 @@
 	/** Number of events in each stream; if missing, the server sends business responses. */
 	eventCount: number | undefined;
 	eventPauseMs: number;
+	/** Id of a segment; a server that begins to answer a prompt with it crashes. */
+	crashSegment?: string;
+	/** Called when the server crashes; closes it. */
+	onCrash?: () => void;
 }>;
 
 function getHeader(message: IncomingMessage, name: string): string | undefined {
@@ -61,6 +70,7 @@
 	const runs: RunRecord[] = [];
 	const reservations = new Map<string, NodeJS.Timeout>();
 	let behaviour: ServerBehaviour = {kind: 'serve'};
+	let requestsPerSecond: number | undefined;
 	let runningCount = 0;
 
 	function releaseReservation(id: string): void {
@@ -88,7 +98,11 @@
 	}
 
 	function getCommonHeaders(message: IncomingMessage): Record<string, string> {
-		return {'request-id': getHeader(message, 'request-id') ?? '', 'response-stamp': `stamp-${settings.instanceId}`};
+		return {
+			'request-id': getHeader(message, 'request-id') ?? '',
+			'response-stamp': `stamp-${settings.instanceId}`,
+			...(requestsPerSecond === undefined ? {} : {'server-limit': String(requestsPerSecond)}),
+		};
 	}
 
 	async function streamEvents(message: IncomingMessage, response: ServerResponse, eventCount: number): Promise<void> {
@@ -131,10 +145,15 @@
 			credential: getHeader(message, 'credential'),
 			lastEventId: getHeader(message, 'last-event-id'),
 			helpers: getHeader(message, 'helpers'),
+			segments: getHeader(message, 'prompt-prefix'),
 			body,
 			startedAt: performance.now(),
 		});
-		if (behaviour.kind === 'loseAnswer') {
+		if (settings.crashSegment !== undefined && (getHeader(message, 'prompt-prefix') ?? '').includes(`${settings.crashSegment}:`)) {
+			response.writeHead(200, {...getCommonHeaders(message), 'content-type': 'text/event-stream'});
+			response.write('id: 1\nda');
+			setTimeout(() => settings.onCrash?.(), settings.eventPauseMs);
+		} else if (behaviour.kind === 'loseAnswer') {
 			message.socket.resetAndDestroy();
 		} else if (settings.eventCount === undefined) {
 			response.writeHead(200, getCommonHeaders(message));
@@ -181,6 +200,9 @@
 		setBehaviour(newBehaviour) {
 			behaviour = newBehaviour;
 		},
+		setLimit(newLimit) {
+			requestsPerSecond = newLimit;
+		},
 		close() {
 			for (const id of reservations.keys()) {
 				releaseReservation(id);
