--- a/packages/core/src/gateway/segment-quarantine.ts
+++ b/packages/core/src/gateway/segment-quarantine.ts
@@ -147,7 +147,7 @@
 	/** Quarantines the segments that the crashes show to be their cause, and releases those for which later crashes show another. */
 	function reconcileCulprits(service: string, now: Timestamp): readonly GatewayAction[] {
 		const known = [...quarantined.values()].filter(({segment, source}) => source === 'crashes' && segment.service === service).map(({segment}) => segment);
-		const culprits = suspicion.getCulprits(service, new Set(known.map(({segment}) => segment)), now);
+		const culprits = suspicion.takeCulprits(service, new Set(known.map(({segment}) => segment)), now);
 		const reconsidered = known.filter(({segment}) => !culprits.includes(segment));
 		return [
 			...reconsidered.flatMap((segment): readonly GatewayAction[] => [...release(segment, 'reconsidered', now), {kind: 'removeQuarantine', segment}]),
--- a/packages/core/src/gateway/segment-suspicion.ts
+++ b/packages/core/src/gateway/segment-suspicion.ts
@@ -41,8 +41,8 @@
 	/** Returns the numbers of lost requests and of recently completed ones, in total and for each segment of the lost requests. */
 	countRequests(service: string, lostPrompts: ReadonlyArray<readonly SegmentId[]>): Pick<CrashReport, 'requests' | 'completed' | 'suspects'>;
 	/** Returns the segments of the service that the crashes show to be their cause; less is required of the `known` ones. */
-	getCulprits(service: string, known: ReadonlySet<SegmentId>, now: Timestamp): readonly SegmentId[];
-	/** Returns when the reports about a crash are complete that `getCulprits` has not seen yet, and the service. */
+	takeCulprits(service: string, known: ReadonlySet<SegmentId>, now: Timestamp): readonly SegmentId[];
+	/** Returns when the reports about a crash are complete that `takeCulprits` has not seen yet, and the service. */
 	findNextDecision(): Readonly<{at: Timestamp; service: string}> | undefined;
 	/** Returns the reports on all crashes in which segments are still suspects. */
 	getOpenReports(now: Timestamp): readonly CrashReport[];
@@ -182,6 +182,8 @@
 	let crashes: Crash[] = [];
 	/** When each segment was last cleared of all earlier crashes. */
 	const clearedAt = new LRUCache<string, Timestamp>({max: maximumKnownSegments});
+	/** When the last crash occurred in which each segment was a suspect. */
+	const suspectedAt = new LRUCache<string, Timestamp>({max: maximumKnownSegments});
 	const completedPrompts = new Map<string, readonly CompletedPrompt[]>();
 
 	function isCleared({service, at}: Crash, segment: SegmentId): boolean {
@@ -212,7 +214,9 @@
 		for (const crash of openCrashes) {
 			for (const segment of new Set(getSegments(crash))) {
 				if (!isCleared(crash, segment)) {
-					crashesBySuspect.set(segment, [...crashesBySuspect.get(segment) ?? [], crash]);
+					const suspected = crashesBySuspect.get(segment) ?? [];
+					suspected.push(crash);
+					crashesBySuspect.set(segment, suspected);
 				}
 			}
 		}
@@ -223,6 +227,11 @@
 	return {
 		recordCrash(report, now) {
 			const at = now - report.ageMs;
+			for (const {segment} of report.suspects) {
+				const key = getKey({service: report.service, segment});
+				suspectedAt.set(key, Math.max(at, suspectedAt.get(key) ?? at));
+			}
+
 			const known = crashes.find(crash => crash.endpoint === report.endpoint && Math.abs(crash.at - at) < sameCrashMs);
 			if (known === undefined) {
 				crashes = [...crashes.filter(crash => crash.at > now - crashWindowMs).slice(1 - maximumCrashes), {
@@ -233,8 +242,9 @@
 			}
 		},
 		clear(segment, now) {
-			const wasSuspect = crashes.some(crash => crash.service === segment.service && !isCleared(crash, segment.segment) && getSegments(crash).includes(segment.segment));
-			clearedAt.set(getKey(segment), now);
+			const key = getKey(segment);
+			const wasSuspect = (suspectedAt.get(key) ?? Number.NEGATIVE_INFINITY) > (clearedAt.get(key) ?? Number.NEGATIVE_INFINITY);
+			clearedAt.set(key, now);
 			return wasSuspect;
 		},
 		recordCompletion(service, segments) {
@@ -253,7 +263,7 @@
 				suspects: [...counts].map(([segment, requests]) => ({segment, requests, completed: prompts.filter(prompt => prompt.has(segment)).length})),
 			};
 		},
-		getCulprits(service, known, now) {
+		takeCulprits(service, known, now) {
 			const dueCrashes = crashes.filter(crash => crash.service === service && crash.at + reportDelayMs <= now);
 			for (const crash of dueCrashes) {
 				crash.isDecided = true;
