Keep the faults of the soak's kept seeds as they are

The two new faults and the segments of prompts drew from the generators of the other faults and of the callers, so that each seed, also those kept as regression cases, gave another run. They now have generators of their own, accompany one in eight faults, and last long enough for their bounds to apply.

The gateway is not changed.

--- a/packages/soak/src/soak-callers.ts
+++ b/packages/soak/src/soak-callers.ts
@@ -43,6 +43,8 @@
 
 export type SoakCallersContext = Readonly<{
 	random: Random;
+	/** Draws the segments of prompts. A generator of its own keeps the requests of a seed as they are. */
+	segmentRandom: Random;
 	gateways: readonly SoakGateway[];
 	/** Returns whether callers send prompts with the crash segment. */
 	areCrashesActive(): boolean;
@@ -113,7 +115,7 @@
 		requestCount += 1;
 		const requestId = `r-${requestCount}`;
 		const kind = weightedKinds[random.getInteger(weightedKinds.length)] ?? 'ask';
-		const isCrashing = kind === 'ask' && random.getFraction() < crashShare && context.areCrashesActive();
+		const isCrashing = kind === 'ask' && context.segmentRandom.getFraction() < crashShare && context.areCrashesActive();
 		const key = random.getFraction() < 0.5 ? permanentKey : context.getKey();
 		const sentAt = performance.now();
 		const shouldDisconnect = random.getFraction() < disconnectShare;
@@ -125,7 +127,7 @@
 			path: `/${kind}/${requestId}`,
 			headers: formatCallHeaders({
 				host: soakHost, requestId, key, remainingMs: callDeadlineMs[kind], promptTokens: getPromptTokens(kind),
-				segments: drawSegments(random, requestId, isCrashing),
+				segments: drawSegments(context.segmentRandom, requestId, isCrashing),
 			}),
 		});
 		if (shouldDisconnect) {
--- a/packages/soak/src/soak-faults.ts
+++ b/packages/soak/src/soak-faults.ts
@@ -13,6 +13,8 @@
 
 export type SoakFaultsContext = Readonly<{
 	random: Random;
+	/** Draws the faults that depend on prompts and rates. A generator of its own keeps the other faults of a seed as they are. */
+	serverRandom: Random;
 	script: string;
 	store: PlatformStoreStandin;
 	servers: SoakServers;
@@ -22,6 +24,8 @@
 export type SoakFaults = Readonly<{
 	/** Starts a randomly drawn fault. */
 	startRandomFault(): void;
+	/** Starts crashes on a segment, or lets a server name a limit, now and then. */
+	startOccasionalServerFault(): void;
 	/** Resolves once all started faults have ended. */
 	waitForEnd(): Promise<void>;
 	/** Returns whether callers send prompts on which servers crash. */
@@ -37,9 +41,11 @@
 
 const minimumFaultMs = 200;
 const faultRangeMs = 2000;
-/** Multiples of a fault's duration for which prompts crash servers, and for which a server names a limit. */
-const crashFactor = 4;
-const limitFactor = 5;
+/** Duration of the faults that depend on prompts and rates; longer than the others, since bounds apply only after some seconds. */
+const minimumServerFaultMs = 4000;
+const serverFaultRangeMs = 6000;
+/** Share of the random faults that such a fault accompanies. */
+const serverFaultShare = 0.12;
 const limitsPerSecond = [0.5, 1, 3] as const;
 /** Time after which a draining server is removed. */
 const removeAfterMs = 2600;
@@ -54,7 +60,7 @@
 
 /** Creates the faults of one run and writes the first configuration. */
 export function createSoakFaults(context: SoakFaultsContext): SoakFaults {
-	const {random, script, store, servers, gateways} = context;
+	const {random, serverRandom, script, store, servers, gateways} = context;
 	const activeFaults = new Set<Promise<void>>();
 	const counts = new Map<string, number>();
 	const revocationTimes = new Map<string, number>();
@@ -170,19 +176,6 @@
 			const server = servers.drawServer();
 			await (server === undefined ? undefined : servers.crash(server));
 		},
-		async crashOnSegment() {
-			activeCrashCount += 1;
-			await wait(drawDurationMs() * crashFactor);
-			activeCrashCount -= 1;
-		},
-		async limitServer() {
-			const server = servers.drawServer();
-			if (server !== undefined && server.limit === undefined) {
-				servers.setLimit(server, limitsPerSecond[random.getInteger(limitsPerSecond.length)] ?? 1);
-				await wait(drawDurationMs() * limitFactor);
-				servers.removeLimit(server);
-			}
-		},
 		async changeConfiguration() {
 			writeConfiguration();
 		},
@@ -193,18 +186,45 @@
 			revocationTimes.set(key, performance.now());
 		},
 	};
+	const serverFaults: Readonly<Record<string, () => Promise<void>>> = {
+		async crashOnSegment() {
+			activeCrashCount += 1;
+			await wait(minimumServerFaultMs + serverRandom.getInteger(serverFaultRangeMs));
+			activeCrashCount -= 1;
+		},
+		async limitServer() {
+			const unlimited = servers.getServers().filter(({leftAt, limit}) => leftAt === undefined && limit === undefined);
+			const server = unlimited[serverRandom.getInteger(Math.max(1, unlimited.length))];
+			if (server !== undefined) {
+				servers.setLimit(server, limitsPerSecond[serverRandom.getInteger(limitsPerSecond.length)] ?? 1);
+				await wait(minimumServerFaultMs + serverRandom.getInteger(serverFaultRangeMs));
+				servers.removeLimit(server);
+			}
+		},
+	};
 	const faultNames = Object.keys(faults);
+	const serverFaultNames = Object.keys(serverFaults);
 	writeConfiguration();
 
+	function startFault(name: string, run: (() => Promise<void>) | undefined): void {
+		counts.set(name, (counts.get(name) ?? 0) + 1);
+		const running = run?.() ?? Promise.resolve();
+		activeFaults.add(running);
+		void running.finally(() => {
+			activeFaults.delete(running);
+		});
+	}
+
 	return {
 		startRandomFault() {
 			const name = faultNames[random.getInteger(faultNames.length)] ?? 'refuse';
-			counts.set(name, (counts.get(name) ?? 0) + 1);
-			const running = faults[name]?.() ?? Promise.resolve();
-			activeFaults.add(running);
-			void running.finally(() => {
-				activeFaults.delete(running);
-			});
+			startFault(name, faults[name]);
+		},
+		startOccasionalServerFault() {
+			if (serverRandom.getFraction() < serverFaultShare) {
+				const name = serverFaultNames[serverRandom.getInteger(serverFaultNames.length)] ?? 'limitServer';
+				startFault(name, serverFaults[name]);
+			}
 		},
 		async waitForEnd() {
 			await Promise.all(activeFaults);
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -88,12 +88,13 @@
 		script: settings.script, directory, storePort: Number(new URL(`http://${store.address}`).port), count: settings.gatewayCount,
 	});
 	const faults = createSoakFaults({
-		random, script: settings.script, store, servers, gateways,
+		random, serverRandom: createRandom(settings.seed + 3), script: settings.script, store, servers, gateways,
 	});
 	const outcomes: CallOutcome[] = [];
 	await Promise.all(gateways.map(async gateway => waitUntilReady(gateway)));
 	const callers = startSoakCallers({
 		random: createRandom(settings.seed + 1),
+		segmentRandom: createRandom(settings.seed + 2),
 		gateways,
 		getKey: faults.getKey,
 		areCrashesActive: faults.areCrashesActive,
@@ -105,6 +106,7 @@
 	const endsAt = performance.now() + settings.faultsMs;
 	while (performance.now() < endsAt) {
 		faults.startRandomFault();
+		faults.startOccasionalServerFault();
 		// eslint-disable-next-line no-await-in-loop
 		await wait(minimumFaultGapMs + random.getInteger(faultGapRangeMs));
 	}
