--- a/packages/core/src/gateway/endpoint-registry.ts
+++ b/packages/core/src/gateway/endpoint-registry.ts
@@ -25,7 +25,7 @@
 } as const satisfies EndpointRegistrySettings;
 
 /** A change of an endpoint's listing, for the log. */
-export type EndpointChange = Readonly<{kind: 'added' | 'draining' | 'removed'; id: EndpointId; address: string}>;
+export type EndpointChange = Readonly<{kind: 'added' | 'draining' | 'readyAgain' | 'removed'; id: EndpointId; address: string}>;
 
 export type EndpointRegistry = Readonly<{
 	/** Applies a complete list and returns the changes. */
@@ -103,9 +103,9 @@
 			return {kind: listed.state === 'ready' ? 'added' : 'draining', id: listed.id, address: listed.address};
 		}
 
-		const hasStartedDraining = knownEndpoint.listed.state === 'ready' && listed.state === 'draining';
+		const {state} = knownEndpoint.listed;
 		knownEndpoint.listed = listed;
-		return hasStartedDraining ? {kind: 'draining', id: listed.id, address: listed.address} : undefined;
+		return state === listed.state ? undefined : {kind: listed.state === 'draining' ? 'draining' : 'readyAgain', id: listed.id, address: listed.address};
 	}
 
 	function getReady(service: string): readonly KnownEndpoint[] {
--- a/packages/daemon/src/logger.ts
+++ b/packages/daemon/src/logger.ts
@@ -10,7 +10,7 @@
 /** The events that are logged. */
 export type LogEventName
 	= | 'started' | 'stopping' | 'stopped' | 'requestEnded' | 'attemptStarted' | 'attemptEnded' | 'streamBroken'
-		| 'hostListFailed' | 'configurationInForce' | 'configurationRead' | 'probeFailed' | 'silenceChecked' | 'serverFailed' | 'orderSent' | 'internalError'
+		| 'hostListFailed' | 'configurationInForce' | 'configurationOutdated' | 'storeRestored' | 'gatewaysListed' | 'configurationRead' | 'probeFailed' | 'silenceChecked' | 'serverFailed' | 'orderSent' | 'internalError'
 		| 'requestPlaced' | 'sendEnded' | 'requestRefused' | 'endpointChanged' | 'dependencyLost' | 'dependencyRegained'
 		| 'settingsReloaded' | 'settingsRefused' | 'clockJumped' | 'peerFound' | 'peerLost' | 'readinessChanged' | 'linesDropped'
 		| 'orderRefused' | 'orderFailed' | 'serverCrashed' | 'segmentQuarantined' | 'segmentReleased'
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -107,10 +107,16 @@
 			const previousVersion = gateway.tryGetConfiguration()?.version;
 			driver.dispatch({kind: 'configurationVerified', configuration, verifiedAt});
 			const current = gateway.tryGetConfiguration();
+			if (configuration !== undefined && current !== undefined && configuration.version < current.version) {
+				logger.warn('configurationOutdated', {
+					version: configuration.version, inForce: current.version, epoch: revision.epoch, revision: revision.sequence,
+				});
+			}
+
 			if (current !== undefined && current.version !== previousVersion) {
 				callerServer.setLimits(current.limits);
 				logger.info('configurationInForce', {
-					version: current.version, before: previousVersion, revision, routes: current.routes.length,
+					version: current.version, before: previousVersion, epoch: revision.epoch, revision: revision.sequence, routes: current.routes.length,
 				});
 			}
 		},
--- a/packages/gateway/src/gateway-hosts.ts
+++ b/packages/gateway/src/gateway-hosts.ts
@@ -58,8 +58,16 @@
 	formatFailureHead(failure: Failure, requestId: string): RawHeaders;
 }>;
 
-/** Identifies a state of the platform's store; it increases with each change. */
-export type Revision = number;
+/** Identifies a state of the platform's store. */
+export type Revision = Readonly<{
+	/** Number of times that the store has been restored from a copy, which undoes the changes made since the copy was taken. */
+	epoch: number;
+	/** Increases with each change. A restored store assigns numbers after the copy's a second time. */
+	sequence: number;
+}>;
+
+/** The items of a list, and the epoch of the store that it is from. */
+export type Listing<Item> = Readonly<{epoch: number; items: readonly Item[]}>;
 
 /** The result of a read or a watch of the configuration. */
 export type ConfigurationUpdate = Readonly<{
@@ -77,13 +85,13 @@
 	/** Waits for a change of the configuration after the revision, for `waitMs` at most. */
 	watchConfiguration(after: Revision, waitMs: Milliseconds): Promise<ConfigurationUpdate>;
 	/** Lists the endpoints at `minimumRevision` or later. Without it, lists the current ones, which costs the store more. */
-	listEndpoints(minimumRevision: Revision | undefined): Promise<readonly ListedEndpoint[]>;
+	listEndpoints(minimumRevision: Revision | undefined): Promise<Listing<ListedEndpoint>>;
 	/** Lists the quarantines at `minimumRevision` or later, as `listEndpoints` does. */
-	listQuarantines(minimumRevision: Revision | undefined): Promise<readonly QuarantineRecord[]>;
+	listQuarantines(minimumRevision: Revision | undefined): Promise<Listing<QuarantineRecord>>;
 	/** Creates a record of a quarantine, or keeps the existing one of its segment. */
 	recordQuarantine(record: QuarantineRecord): Promise<void>;
 	removeQuarantine(segment: ServiceSegment): Promise<void>;
-	listGateways(): Promise<readonly GatewayRegistration[]>;
+	listGateways(): Promise<Listing<GatewayRegistration>>;
 	registerGateway(registration: GatewayRegistration): Promise<void>;
 	close(): void;
 }>;
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -13,6 +13,8 @@
 	recordFirstEvent(durationMs: number): void;
 	recordSend(result: string): void;
 	recordPlatformCall(call: string, outcome: string): void;
+	/** Records that the platform's store has been restored from a copy. */
+	recordStoreRestore(): void;
 	getText(): Promise<string>;
 }>;
 
@@ -37,6 +39,9 @@
 	const platformCalls = new Counter({
 		name: 'currantcross_platform_calls_total', help: 'Calls to the platform', labelNames: ['call', 'outcome'], registers,
 	});
+	const storeRestores = new Counter({
+		name: 'currantcross_store_restores_total', help: 'Restores of the platform\'s store from a copy that were noticed', registers,
+	});
 	registry.registerMetric(new Gauge({
 		name: 'currantcross_open_requests',
 		help: 'Requests that are open',
@@ -58,6 +63,9 @@
 		recordPlatformCall(call, outcome) {
 			platformCalls.inc({call, outcome});
 		},
+		recordStoreRestore() {
+			storeRestores.inc();
+		},
 		getText: async () => registry.metrics(),
 	};
 }
--- a/packages/gateway/src/platform-feed.test.ts
+++ b/packages/gateway/src/platform-feed.test.ts
@@ -6,6 +6,7 @@
 
 const feeds: PlatformFeed[] = [];
 const waitStepMs = 10;
+const emptyListing = {epoch: 1, items: []} as const;
 
 afterEach(() => {
 	for (const feed of feeds.splice(0)) {
@@ -27,12 +28,13 @@
 function startFeed(platform: Partial<PlatformHost>, host: Partial<FeedHost> = {}): PlatformFeed {
 	const feed = createPlatformFeed({
 		platform: {
-			readConfiguration: async () => ({revision: 1, configuration: undefined}),
+			readConfiguration: async () => ({revision: {epoch: 1, sequence: 1}, configuration: undefined}),
 			watchConfiguration: async () => new Promise<ConfigurationUpdate>(() => {
 				// The watch never completes.
 			}),
-			listEndpoints: async () => [],
-			listGateways: async () => [],
+			listEndpoints: async () => emptyListing,
+			listQuarantines: async () => emptyListing,
+			listGateways: async () => emptyListing,
 			registerGateway: async () => undefined,
 			close: () => undefined,
 			...platform,
@@ -69,7 +71,7 @@
 			throw new Error('the store is unavailable');
 		}
 
-		return {revision: 1, configuration: undefined};
+		return {revision: {epoch: 1, sequence: 1}, configuration: undefined};
 	};
 
 	const feed = startFeed({readConfiguration}, {
@@ -97,14 +99,14 @@
 		revision += 1;
 	}, 20);
 	startFeed({
-		readConfiguration: async () => ({revision, configuration: {...fixtureConfiguration, version: revision}}),
+		readConfiguration: async () => ({revision: {epoch: 1, sequence: revision}, configuration: {...fixtureConfiguration, version: revision}}),
 		async watchConfiguration() {
 			watchCount += 1;
-			return {revision, configuration: {...fixtureConfiguration, version: revision}};
+			return {revision: {epoch: 1, sequence: revision}, configuration: {...fixtureConfiguration, version: revision}};
 		},
 	}, {
 		onConfiguration(update) {
-			appliedRevisions.push(update.revision);
+			appliedRevisions.push(update.revision.sequence);
 		},
 	});
 	await waitUntil(() => revision >= 50);
--- a/packages/gateway/src/platform-feed.ts
+++ b/packages/gateway/src/platform-feed.ts
@@ -7,7 +7,7 @@
 import type {Milliseconds, Timestamp} from '@currantcross/core/types';
 import type {Logger} from '@currantcross/daemon/logger';
 import type {
-	ConfigurationUpdate, GatewayRegistration, PlatformHost, Revision,
+	ConfigurationUpdate, GatewayRegistration, Listing, PlatformHost, Revision,
 } from './gateway-hosts.js';
 import type {GatewayMetrics} from './metrics.js';
 
@@ -53,6 +53,8 @@
 	/** Shared by watches and reads of the configuration: they use one store and fail together, so an outage is logged once. */
 	const configurationDependency: Dependency = {name: 'configuration', isLost: false, failures: 0};
 	let revision: Revision | undefined;
+	let epoch: number | undefined;
+	let gatewayCount: number | undefined;
 	/** When `revision` was last known to be the newest of the store. */
 	let revisionVerifiedAt = Number.NEGATIVE_INFINITY;
 	let isRegistered = false;
@@ -71,6 +73,18 @@
 		});
 	}
 
+	/** Logs that the store has been restored, when the first answer of a later epoch arrives. */
+	function observeEpoch(observed: number, source: string): void {
+		if (epoch !== undefined && observed > epoch) {
+			metrics.recordStoreRestore();
+			logger.warn('storeRestored', {
+				epoch: observed, before: epoch, revision: revision?.sequence, source,
+			});
+		}
+
+		epoch = Math.max(epoch ?? 0, observed);
+	}
+
 	/** Calls the platform, counts the outcome, and logs when the dependency is lost or regained. Returns `undefined` on failure. */
 	async function callPlatform<Result>(dependency: Dependency, operation: () => Promise<Result>): Promise<Result | undefined> {
 		try {
@@ -104,7 +118,8 @@
 	}
 
 	function applyUpdate(update: ConfigurationUpdate, verifiedAt: Timestamp): void {
-		revision = Math.max(revision ?? 0, update.revision);
+		observeEpoch(update.revision.epoch, 'configuration');
+		revision = {epoch: update.revision.epoch, sequence: Math.max(revision?.sequence ?? 0, update.revision.sequence)};
 		revisionVerifiedAt = performance.now();
 		host.onConfiguration(update, verifiedAt);
 	}
@@ -137,10 +152,16 @@
 		const dependency: Dependency = {name: 'endpoints', isLost: false, failures: 0};
 		while (!closing.signal.aborted) {
 			// eslint-disable-next-line no-await-in-loop -- one poll at a time
-			const endpoints = await callPlatform(dependency, async () => platform.listEndpoints(tryGetRecentRevision()));
-			host.dispatch(endpoints === undefined ? {kind: 'endpointListFailed'} : {kind: 'endpointsListed', endpoints});
+			const list = await callPlatform(dependency, async () => platform.listEndpoints(tryGetRecentRevision()));
+			if (list === undefined) {
+				host.dispatch({kind: 'endpointListFailed'});
+			} else {
+				observeEpoch(list.epoch, dependency.name);
+				host.dispatch({kind: 'endpointsListed', endpoints: list.items});
+			}
+
 			// eslint-disable-next-line no-await-in-loop
-			await wait(endpoints === undefined ? getRetryDelayMs(dependency) : endpointPollIntervalMs);
+			await wait(list === undefined ? getRetryDelayMs(dependency) : endpointPollIntervalMs);
 		}
 	}
 
@@ -148,17 +169,18 @@
 		const dependency: Dependency = {name: 'quarantines', isLost: false, failures: 0};
 		while (!closing.signal.aborted) {
 			// eslint-disable-next-line no-await-in-loop -- one poll at a time
-			const records = await callPlatform(dependency, async () => platform.listQuarantines(tryGetRecentRevision()));
-			if (records !== undefined) {
-				host.dispatch({kind: 'quarantinesListed', records});
+			const list = await callPlatform(dependency, async () => platform.listQuarantines(tryGetRecentRevision()));
+			if (list !== undefined) {
+				observeEpoch(list.epoch, dependency.name);
+				host.dispatch({kind: 'quarantinesListed', records: list.items});
 			}
 
 			// eslint-disable-next-line no-await-in-loop
-			await wait(records === undefined ? getRetryDelayMs(dependency) : quarantinePollIntervalMs);
+			await wait(list === undefined ? getRetryDelayMs(dependency) : quarantinePollIntervalMs);
 		}
 	}
 
-	async function listGateways(self: GatewayRegistration): Promise<readonly GatewayRegistration[]> {
+	async function listGateways(self: GatewayRegistration): Promise<Listing<GatewayRegistration>> {
 		if (!isRegistered) {
 			await platform.registerGateway(self);
 			isRegistered = true;
@@ -167,17 +189,27 @@
 		return platform.listGateways();
 	}
 
+	/** Logs the number of gateways in the registry when it changes, and whether this one is among them. */
+	function reportGateways(registrations: readonly GatewayRegistration[], self: GatewayRegistration): void {
+		if (registrations.length !== gatewayCount) {
+			logger.info('gatewaysListed', {count: registrations.length, before: gatewayCount, isSelfListed: registrations.some(({name}) => name === self.name)});
+			gatewayCount = registrations.length;
+		}
+	}
+
 	async function runGatewayPolling(self: GatewayRegistration): Promise<void> {
 		const dependency: Dependency = {name: 'gateways', isLost: false, failures: 0};
 		while (!closing.signal.aborted) {
 			// eslint-disable-next-line no-await-in-loop -- one poll at a time
-			const registrations = await callPlatform(dependency, async () => listGateways(self));
-			if (registrations !== undefined) {
-				host.onGateways(registrations.filter(({name}) => name !== self.name));
+			const list = await callPlatform(dependency, async () => listGateways(self));
+			if (list !== undefined) {
+				observeEpoch(list.epoch, dependency.name);
+				reportGateways(list.items, self);
+				host.onGateways(list.items.filter(({name}) => name !== self.name));
 			}
 
 			// eslint-disable-next-line no-await-in-loop
-			await wait(registrations === undefined ? getRetryDelayMs(dependency) : gatewayPollIntervalMs);
+			await wait(list === undefined ? getRetryDelayMs(dependency) : gatewayPollIntervalMs);
 		}
 	}
 
