--- a/xo.config.js
+++ b/xo.config.js
@@ -18,8 +18,8 @@
 		rules: {'@typescript-eslint/naming-convention': 'off'},
 	},
 	{
-		// Dependencies of tests are declared in the workspace's package.json, not in each package.
-		files: ['**/*.test.ts'],
+		// Dependencies of tests and their fixtures are declared in the workspace's package.json, not in each package.
+		files: ['**/*.test.ts', 'platform/src/test-deployment.ts'],
 		rules: {
 			'@typescript-eslint/naming-convention': 'off',
 			'import-x/no-extraneous-dependencies': 'off',
