--- a/packages/standins/src/platform-store-standin.ts
+++ b/packages/standins/src/platform-store-standin.ts
@@ -1,6 +1,6 @@
 /**
 In-memory stand-in for the platform's metadata store, with its published protocol: objects by kind and name, lists, watches,
-removal, and creation that fails if the object exists. Tests can inject faults.
+removal, and creation that fails if the object exists. Tests can inject faults, and restore the store from a copy.
 */
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import {text} from 'node:stream/consumers';
@@ -9,6 +9,12 @@
 /** Fault that applies to every request: 503, no response, or a connection reset. */
 export type StoreFault = 'none' | 'busy' | 'silent' | 'reset';
 
+/**
+What becomes of waiting watches when the store is restored: they get an answer at once, wait on for changes after the revision that
+they named, are cut off, or get nothing any more.
+*/
+export type WatchesAtRestore = 'answered' | 'kept' | 'cut' | 'silent';
+
 /** Number of list requests, by whether they accept stale data. */
 export type ListCounts = Readonly<{stale: number; current: number}>;
 
@@ -20,6 +26,16 @@
 	setFault(fault: StoreFault): void;
 	/** Discards the change history, so that watches from an earlier revision get status 410. */
 	compact(): void;
+	/** Takes a copy of all objects and of the revision. */
+	takeCopy(): void;
+	/** Goes back to the copy. What was written since is gone, and its revisions are given out again. */
+	restoreCopy(watches: WatchesAtRestore): void;
+	/** Writes again what the operator and the servers had written or removed between the copy and the restore. */
+	rewriteLostObjects(): void;
+	/** Raises the revision, as changes of other objects would. */
+	advanceRevision(count: number): void;
+	/** Returns how many objects of a kind the gateways have tried to create. */
+	getCreateCount(kind: string): number;
 	/** Takes a snapshot that is served to lists that accept stale data, until `stopStaleReads` is called. */
 	startStaleReads(): void;
 	stopStaleReads(): void;
@@ -38,21 +54,30 @@
 
 type Change = Readonly<{kind: string; revision: number; object: StoredObject; deleted: boolean}>;
 
+/** An object that the operator or a server has written, or removed if `spec` is `undefined`. */
+type OutsideWrite = Readonly<{kind: string; name: string; spec: unknown; revision: number}>;
+
 type StoreSnapshot = Readonly<{revision: number; objects: ReadonlyMap<string, readonly StoredObject[]>}>;
 
 /** Long-polling watch that waits for a change. */
-type PendingWatch = Readonly<{kind: string; after: number; answer(): void}>;
+type PendingWatch = Readonly<{kind: string; after: number; answer(): void; cut(): void; silence(): void}>;
 
 const basePath = '/currantcross/objects/';
 const firstRevision = 7;
+const firstEpoch = 1;
 
 /** Starts the store on a free port of loopback. */
 export async function startPlatformStore(): Promise<PlatformStoreStandin> {
 	const objects = new Map<string, Map<string, StoredObject>>();
-	const changes: Change[] = [];
+	let changes: Change[] = [];
 	const pendingWatches = new Set<PendingWatch>();
 	let revision = firstRevision;
 	let historyStart = firstRevision;
+	let epoch = firstEpoch;
+	let copy: StoreSnapshot | undefined;
+	let outsideWrites: OutsideWrite[] = [];
+	let lostWrites: readonly OutsideWrite[] = [];
+	const createCounts = new Map<string, number>();
 	let fault: StoreFault = 'none';
 	let staleSnapshot: StoreSnapshot | undefined;
 	const listCounts = new Map<string, ListCounts>();
@@ -91,6 +116,13 @@
 		}
 	}
 
+	/** Records a write by the operator or a server, in place of an earlier one of the object. */
+	function recordOutsideWrite(kind: string, name: string, spec: unknown): void {
+		outsideWrites = [...outsideWrites.filter(other => other.kind !== kind || other.name !== name), {
+			kind, name, spec, revision,
+		}];
+	}
+
 	function recordChange(change: Change): void {
 		changes.push(change);
 		for (const pendingWatch of pendingWatches) {
@@ -102,12 +134,42 @@
 	}
 
 	function sendJson(response: ServerResponse, status: number, body: unknown): void {
-		response.writeHead(status, {'content-type': 'application/json'});
+		response.writeHead(status, {'content-type': 'application/json', 'store-era': String(epoch)});
 		response.end(JSON.stringify(body));
 	}
 
+	function takeSnapshot(): StoreSnapshot {
+		return {revision, objects: new Map([...objects].map(([kind, objectsByName]) => [kind, [...objectsByName.values()]]))};
+	}
+
+	/** Ends the waiting watches as a restore does. */
+	function endWatches(watches: WatchesAtRestore): void {
+		if (watches === 'kept') {
+			return;
+		}
+
+		for (const pendingWatch of pendingWatches) {
+			pendingWatches.delete(pendingWatch);
+			switch (watches) {
+				case 'answered': {
+					pendingWatch.answer();
+					break;
+				}
+
+				case 'cut': {
+					pendingWatch.cut();
+					break;
+				}
+
+				case 'silent': {
+					pendingWatch.silence();
+				}
+			}
+		}
+	}
+
 	function answerWatch(response: ServerResponse, kind: string, after: number, waitMs: number): void {
-		if (after < historyStart) {
+		if (after < historyStart || after > revision) {
 			sendJson(response, 410, {error: 'the history is gone'});
 			return;
 		}
@@ -118,7 +180,18 @@
 			sendJson(response, 200, {events: events.map(({object, deleted}) => ({object, deleted})), asOf: revision});
 		};
 
-		const pendingWatch: PendingWatch = {kind, after, answer};
+		const pendingWatch: PendingWatch = {
+			kind,
+			after,
+			answer,
+			cut() {
+				clearTimeout(timer);
+				response.socket?.resetAndDestroy();
+			},
+			silence() {
+				clearTimeout(timer);
+			},
+		};
 		const timer = setTimeout(() => {
 			pendingWatches.delete(pendingWatch);
 			answer();
@@ -147,6 +220,7 @@
 		if (message.method === 'POST') {
 			const body = JSON.parse(await text(message)) as Readonly<{meta: Readonly<{name: string}>; spec: unknown}>; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
 			const existing = getObjectsOfKind(kind).get(body.meta.name);
+			createCounts.set(kind, (createCounts.get(kind) ?? 0) + 1);
 			sendJson(response, existing === undefined ? 200 : 409, existing ?? write(kind, body.meta.name, body.spec));
 			return;
 		}
@@ -199,22 +273,61 @@
 		address: `127.0.0.1:${port}`,
 		writeObject(kind, name, spec) {
 			write(kind, name, spec);
+			recordOutsideWrite(kind, name, spec);
+		},
+		removeObject(kind, name) {
+			remove(kind, name);
+			recordOutsideWrite(kind, name, undefined);
 		},
-		removeObject: remove,
 		setFault(newFault) {
 			fault = newFault;
 		},
 		compact() {
 			historyStart = revision + 1;
 			revision += 1;
-			changes.length = 0;
+			changes = [];
 			for (const pendingWatch of pendingWatches) {
 				pendingWatches.delete(pendingWatch);
 				pendingWatch.answer();
 			}
 		},
+		takeCopy() {
+			copy = takeSnapshot();
+		},
+		restoreCopy(watches) {
+			const restored = copy ?? takeSnapshot();
+			revision = restored.revision;
+			epoch += 1;
+			objects.clear();
+			for (const [kind, items] of restored.objects) {
+				objects.set(kind, new Map(items.map(object => [object.meta.name, object])));
+			}
+
+			changes = changes.filter(change => change.revision <= restored.revision);
+			historyStart = Math.min(historyStart, restored.revision);
+			lostWrites = outsideWrites.filter(outsideWrite => outsideWrite.revision > restored.revision);
+			outsideWrites = outsideWrites.filter(outsideWrite => outsideWrite.revision <= restored.revision);
+			endWatches(watches);
+		},
+		rewriteLostObjects() {
+			for (const {kind, name, spec} of lostWrites) {
+				if (spec === undefined) {
+					remove(kind, name);
+				} else {
+					write(kind, name, spec);
+				}
+
+				recordOutsideWrite(kind, name, spec);
+			}
+
+			lostWrites = [];
+		},
+		advanceRevision(count) {
+			revision += count;
+		},
+		getCreateCount: kind => createCounts.get(kind) ?? 0,
 		startStaleReads() {
-			staleSnapshot = {revision, objects: new Map([...objects].map(([kind, objectsByName]) => [kind, [...objectsByName.values()]]))};
+			staleSnapshot = takeSnapshot();
 		},
 		stopStaleReads() {
 			staleSnapshot = undefined;
