Drop positions in the store's history when the store is restored

Callers saw that a change which the operator had confirmed was never in force: a revoked key got 200, and a new route would get 404. After a restore the revisions are given out again; once they have passed the old one, the watch answers as usual and leaves out what lies below it, and a stale list of before the restore looks recent.

The first answer of a later epoch, whichever call it answers, ends the wait for the watch, drops the revision, and all is read again. An answer from before the restore counts as a failed call.

--- a/packages/gateway/src/platform-feed.ts
+++ b/packages/gateway/src/platform-feed.ts
@@ -1,11 +1,15 @@
 /**
 Keeps a gateway's view of the platform current: watches the configuration, and polls the lists of endpoints, of
 quarantines and of other gateways.
+
+The store may be restored from a copy at any time. Its revisions are then given out again, so that a revision says nothing about
+another epoch: positions are dropped, and all is read again.
 */
 import {getErrorText} from '@currantcross/core/error-text';
 import type {GatewayEvent} from '@currantcross/core/gateway/gateway-events';
 import type {Milliseconds, Timestamp} from '@currantcross/core/types';
 import type {Logger} from '@currantcross/daemon/logger';
+import VError from 'verror';
 import type {
 	ConfigurationUpdate, GatewayRegistration, Listing, PlatformHost, Revision,
 } from './gateway-hosts.js';
@@ -39,12 +43,32 @@
 /** Polling interval of the quarantines; bounds how long a gateway that peers don't reach sends requests that crash servers. */
 const quarantinePollIntervalMs: Milliseconds = 1000;
 const gatewayPollIntervalMs: Milliseconds = 3000;
+/** Time after a restore in which stale lists may be from before it, so that current ones are read. */
+const staleReadDistrustMs: Milliseconds = 5000;
+/** Time over which each gateway's calls after a restore are spread, so that all together stay well below the store's rate. */
+const readSpreadPerGatewayMs: Milliseconds = 2;
+/** Maximum random delay before the configuration is read after a restore; leaves most of the time allowed to apply a change. */
+const maximumReadDelayMs: Milliseconds = 400;
 const baseRetryMs: Milliseconds = 60;
 const maximumRetryMs: Milliseconds = 400;
 
 /** Availability of one kind of platform data. */
 type Dependency = {readonly name: string; isLost: boolean; failures: number};
 
+/** Returns the result of the operation, or `undefined` as soon as the signal aborts. */
+async function raceAbort<Result>(operation: Promise<Result>, signal: AbortSignal): Promise<Result | undefined> {
+	return new Promise((resolve, reject) => {
+		const abort = (): void => {
+			resolve(undefined);
+		};
+
+		signal.addEventListener('abort', abort, {once: true});
+		void operation.then(resolve, reject).finally(() => {
+			signal.removeEventListener('abort', abort);
+		});
+	});
+}
+
 /** Creates a feed that is not started. */
 export function createPlatformFeed(host: PlatformFeedHost): PlatformFeed {
 	const {platform, logger, metrics} = host;
@@ -57,6 +81,9 @@
 	let gatewayCount: number | undefined;
 	/** When `revision` was last known to be the newest of the store. */
 	let revisionVerifiedAt = Number.NEGATIVE_INFINITY;
+	let staleReadsTrustedAt = Number.NEGATIVE_INFINITY;
+	/** Aborts when the store is found to have been restored; replaced by another one then. */
+	let restoreController = new AbortController();
 	let isRegistered = false;
 
 	async function wait(ms: Milliseconds): Promise<void> {
@@ -73,16 +100,34 @@
 		});
 	}
 
-	/** Logs that the store has been restored, when the first answer of a later epoch arrives. */
-	function observeEpoch(observed: number, source: string): void {
+	/** Drops what was known of the store's history, and ends the wait for a watch from that history. */
+	function handleRestore(): void {
+		revision = undefined;
+		revisionVerifiedAt = Number.NEGATIVE_INFINITY;
+		staleReadsTrustedAt = performance.now() + staleReadDistrustMs;
+		restoreController.abort();
+		restoreController = new AbortController();
+	}
+
+	/**
+	Notices a restore by the first answer of a later epoch.
+
+	@throws VError if the answer is of an earlier epoch than the last one.
+	*/
+	function checkEpoch(observed: number, source: string): void {
+		if (epoch !== undefined && observed < epoch) {
+			throw new VError('the answer is from before the restore of the store');
+		}
+
 		if (epoch !== undefined && observed > epoch) {
 			metrics.recordStoreRestore();
 			logger.warn('storeRestored', {
 				epoch: observed, before: epoch, revision: revision?.sequence, source,
 			});
+			handleRestore();
 		}
 
-		epoch = Math.max(epoch ?? 0, observed);
+		epoch = observed;
 	}
 
 	/** Calls the platform, counts the outcome, and logs when the dependency is lost or regained. Returns `undefined` on failure. */
@@ -113,13 +158,44 @@
 		return Math.min(maximumRetryMs, baseRetryMs * (2 ** Math.min(dependency.failures, 4)));
 	}
 
-	async function fetchConfiguration(): Promise<ConfigurationUpdate> {
-		return revision === undefined ? platform.readConfiguration() : platform.watchConfiguration(revision, watchWaitMs);
+	async function readConfiguration(): Promise<ConfigurationUpdate> {
+		const update = await platform.readConfiguration();
+		checkEpoch(update.revision.epoch, configurationDependency.name);
+		return update;
+	}
+
+	/** Watches the configuration. Returns `undefined` at once when the store is found to have been restored. */
+	async function watchConfiguration(after: Revision): Promise<ConfigurationUpdate | undefined> {
+		const {signal} = restoreController;
+		const update = await raceAbort(platform.watchConfiguration(after, watchWaitMs), signal);
+		if (update !== undefined) {
+			checkEpoch(update.revision.epoch, configurationDependency.name);
+		}
+
+		return signal.aborted ? undefined : update;
+	}
+
+	/** Reads a list, which must not be from before a restore. */
+	async function readList<Item>(dependency: Dependency, read: () => Promise<Listing<Item>>): Promise<readonly Item[] | undefined> {
+		return callPlatform(dependency, async () => {
+			const {epoch: listEpoch, items} = await read();
+			checkEpoch(listEpoch, dependency.name);
+			return items;
+		});
+	}
+
+	function getReadSpreadMs(): Milliseconds {
+		return (gatewayCount ?? 1) * readSpreadPerGatewayMs;
+	}
+
+	/** Returns the interval of a poll, which is longer while current lists are read at a fleet of many gateways. */
+	function getPollIntervalMs(usualMs: Milliseconds): Milliseconds {
+		return performance.now() < staleReadsTrustedAt ? Math.max(usualMs, getReadSpreadMs()) : usualMs;
 	}
 
 	function applyUpdate(update: ConfigurationUpdate, verifiedAt: Timestamp): void {
-		observeEpoch(update.revision.epoch, 'configuration');
-		revision = {epoch: update.revision.epoch, sequence: Math.max(revision?.sequence ?? 0, update.revision.sequence)};
+		const {epoch: updateEpoch, sequence} = update.revision;
+		revision = {epoch: updateEpoch, sequence: Math.max(revision?.sequence ?? 0, sequence)};
 		revisionVerifiedAt = performance.now();
 		host.onConfiguration(update, verifiedAt);
 	}
@@ -127,10 +203,15 @@
 	async function runConfigurationWatch(): Promise<void> {
 		while (!closing.signal.aborted) {
 			const startedAt = performance.now();
+			const {signal} = restoreController;
+			const after = revision;
 			// Each watch starts from the revision that the previous one returned.
 			// eslint-disable-next-line no-await-in-loop
-			const update = await callPlatform(configurationDependency, fetchConfiguration);
-			if (update === undefined) {
+			const update = await callPlatform(configurationDependency, async () => after === undefined ? readConfiguration() : watchConfiguration(after));
+			if (signal.aborted && after !== undefined) {
+				// eslint-disable-next-line no-await-in-loop
+				await wait(Math.random() * Math.min(maximumReadDelayMs, getReadSpreadMs()));
+			} else if (update === undefined) {
 				// The store may have compacted its history, so the next call reads the full configuration.
 				revision = undefined;
 				// eslint-disable-next-line no-await-in-loop
@@ -145,23 +226,18 @@
 
 	/** Returns the last known revision if it was the newest recently, so that a list of that revision is recent too. */
 	function tryGetRecentRevision(): Revision | undefined {
-		return performance.now() - revisionVerifiedAt > maximumRevisionAgeMs ? undefined : revision;
+		const now = performance.now();
+		return now - revisionVerifiedAt > maximumRevisionAgeMs || now < staleReadsTrustedAt ? undefined : revision;
 	}
 
 	async function runEndpointPolling(): Promise<void> {
 		const dependency: Dependency = {name: 'endpoints', isLost: false, failures: 0};
 		while (!closing.signal.aborted) {
 			// eslint-disable-next-line no-await-in-loop -- one poll at a time
-			const list = await callPlatform(dependency, async () => platform.listEndpoints(tryGetRecentRevision()));
-			if (list === undefined) {
-				host.dispatch({kind: 'endpointListFailed'});
-			} else {
-				observeEpoch(list.epoch, dependency.name);
-				host.dispatch({kind: 'endpointsListed', endpoints: list.items});
-			}
-
+			const endpoints = await readList(dependency, async () => platform.listEndpoints(tryGetRecentRevision()));
+			host.dispatch(endpoints === undefined ? {kind: 'endpointListFailed'} : {kind: 'endpointsListed', endpoints});
 			// eslint-disable-next-line no-await-in-loop
-			await wait(list === undefined ? getRetryDelayMs(dependency) : endpointPollIntervalMs);
+			await wait(endpoints === undefined ? getRetryDelayMs(dependency) : getPollIntervalMs(endpointPollIntervalMs));
 		}
 	}
 
@@ -169,14 +245,13 @@
 		const dependency: Dependency = {name: 'quarantines', isLost: false, failures: 0};
 		while (!closing.signal.aborted) {
 			// eslint-disable-next-line no-await-in-loop -- one poll at a time
-			const list = await callPlatform(dependency, async () => platform.listQuarantines(tryGetRecentRevision()));
-			if (list !== undefined) {
-				observeEpoch(list.epoch, dependency.name);
-				host.dispatch({kind: 'quarantinesListed', records: list.items});
+			const records = await readList(dependency, async () => platform.listQuarantines(tryGetRecentRevision()));
+			if (records !== undefined) {
+				host.dispatch({kind: 'quarantinesListed', records});
 			}
 
 			// eslint-disable-next-line no-await-in-loop
-			await wait(list === undefined ? getRetryDelayMs(dependency) : quarantinePollIntervalMs);
+			await wait(records === undefined ? getRetryDelayMs(dependency) : getPollIntervalMs(quarantinePollIntervalMs));
 		}
 	}
 
@@ -201,15 +276,14 @@
 		const dependency: Dependency = {name: 'gateways', isLost: false, failures: 0};
 		while (!closing.signal.aborted) {
 			// eslint-disable-next-line no-await-in-loop -- one poll at a time
-			const list = await callPlatform(dependency, async () => listGateways(self));
-			if (list !== undefined) {
-				observeEpoch(list.epoch, dependency.name);
-				reportGateways(list.items, self);
-				host.onGateways(list.items.filter(({name}) => name !== self.name));
+			const registrations = await readList(dependency, async () => listGateways(self));
+			if (registrations !== undefined) {
+				reportGateways(registrations, self);
+				host.onGateways(registrations.filter(({name}) => name !== self.name));
 			}
 
 			// eslint-disable-next-line no-await-in-loop
-			await wait(list === undefined ? getRetryDelayMs(dependency) : gatewayPollIntervalMs);
+			await wait(registrations === undefined ? getRetryDelayMs(dependency) : gatewayPollIntervalMs);
 		}
 	}
 
@@ -223,7 +297,7 @@
 		refresh() {
 			revisionVerifiedAt = Number.NEGATIVE_INFINITY;
 			const startedAt = performance.now();
-			void callPlatform(configurationDependency, async () => platform.readConfiguration()).then(update => {
+			void callPlatform(configurationDependency, readConfiguration).then(update => {
 				if (update !== undefined) {
 					applyUpdate(update, startedAt);
 				}
