Do not take the servers of a restored list for the current ones

Callers saw refusals while servers lived, and requests reached servers that drained or had ended.

An endpoint that drains stays draining as long as its process is the same, also after its entry was removed. An entry that was removed and comes back with a restore is not used for 4.5 s: that of an ended server has expired by then. A restore starts the time of grace for missing entries as an outage does, also if no call has failed.

--- a/packages/core/src/gateway/endpoint-registry.ts
+++ b/packages/core/src/gateway/endpoint-registry.ts
@@ -2,8 +2,11 @@
 The endpoints that may receive requests: those that the platform lists as ready and that haven't failed recently.
 
 An endpoint that is draining or no longer listed receives no new requests. After an outage of the list, missing endpoints
-are kept for a short time, since entries may expire during the outage and return after it.
+are kept for a short time, since entries may expire during the outage and return after it. The list may also go back to an earlier
+state: an endpoint that drains is then not taken for ready, and one that was removed is not used until its entry, which expires if
+the endpoint has ended, has outlived that time.
 */
+import {LRUCache} from 'lru-cache';
 import type {Milliseconds, Timestamp, TokenCount} from '../types.js';
 import type {EndpointId, ListedEndpoint} from './gateway-types.js';
 
@@ -13,6 +16,8 @@
 	/** Time for which an endpoint is avoided after a failure; doubles with each consecutive failure. */
 	failureBackoffMs: Milliseconds;
 	maximumFailureBackoffMs: Milliseconds;
+	/** Time after the list went back to an earlier state until the entries of ended endpoints have expired. */
+	restoredEntryHoldMs: Milliseconds;
 }>;
 
 export const defaultEndpointRegistrySettings = {
@@ -22,16 +27,20 @@
 	failureBackoffMs: 400,
 	// Bounds the time for which a recovered endpoint stays unused.
 	maximumFailureBackoffMs: 4000,
+	// Entries expire three heartbeats of 1.2 s after the last one.
+	restoredEntryHoldMs: 4500,
 } as const satisfies EndpointRegistrySettings;
 
 /** A change of an endpoint's listing, for the log. */
-export type EndpointChange = Readonly<{kind: 'added' | 'draining' | 'readyAgain' | 'removed'; id: EndpointId; address: string}>;
+export type EndpointChange = Readonly<{kind: 'added' | 'draining' | 'removed'; id: EndpointId; address: string}>;
 
 export type EndpointRegistry = Readonly<{
 	/** Applies a complete list and returns the changes. */
 	applyList(endpoints: readonly ListedEndpoint[], now: Timestamp): readonly EndpointChange[];
 	/** Records that reading the list failed. */
 	recordListFailure(): void;
+	/** Records that the list has gone back to an earlier state. */
+	recordRestore(now: Timestamp): void;
 	/** Returns the ready endpoints of a service that aren't avoided after a failure. */
 	getAvailable(service: string, now: Timestamp): readonly ListedEndpoint[];
 	/** Returns all ready endpoints of a service, including those avoided after a failure. */
@@ -68,9 +77,19 @@
 	answeredRequests: readonly SentRequest[];
 };
 
+/** An endpoint that is no longer listed. */
+type RemovedEndpoint = Pick<ListedEndpoint, 'startedAt' | 'address' | 'state'>;
+
+/** Number of removed endpoints that are remembered; more than a fleet replaces within a restore. */
+const maximumRemovedEndpoints = 20_000;
+
 /** Minimum time between a request's last progress and the send of another request that can overtake it; about two passes. */
 const minimumOvertakeMs: Milliseconds = 200;
 
+function isSameProcess(left: RemovedEndpoint, right: RemovedEndpoint): boolean {
+	return left.startedAt === right.startedAt && left.address === right.address;
+}
+
 /** Adds a request and removes those that were sent no later and whose prompts are no longer. */
 function addAnsweredRequest(answeredRequests: readonly SentRequest[], sentRequest: SentRequest): readonly SentRequest[] {
 	const {sentAt, promptTokens} = sentRequest;
@@ -85,10 +104,24 @@
 /** Creates a registry without endpoints. */
 export function createEndpointRegistry(settings: EndpointRegistrySettings): EndpointRegistry {
 	const endpointsById = new Map<EndpointId, KnownEndpoint>();
+	const removedEndpoints = new LRUCache<EndpointId, RemovedEndpoint>({max: maximumRemovedEndpoints});
+	let restoredEntriesHeldUntil = Number.NEGATIVE_INFINITY;
 	let hasReadList = false;
 	let isOutage = false;
 	let graceEndsAt = Number.NEGATIVE_INFINITY;
 
+	/** Returns the endpoint, as draining if it has drained in an earlier list. */
+	function keepDraining(listed: ListedEndpoint): ListedEndpoint {
+		const earlier = endpointsById.get(listed.id)?.listed ?? removedEndpoints.get(listed.id);
+		return earlier?.state === 'draining' && isSameProcess(earlier, listed) ? {...listed, state: 'draining'} : listed;
+	}
+
+	/** Returns whether an endpoint that was removed may be listed only because the list has gone back to an earlier state. */
+	function isHeld(listed: ListedEndpoint, now: Timestamp): boolean {
+		const removed = removedEndpoints.get(listed.id);
+		return removed !== undefined && now < restoredEntriesHeldUntil && isSameProcess(removed, listed) && !endpointsById.has(listed.id);
+	}
+
 	function applyListed(listed: ListedEndpoint): EndpointChange | undefined {
 		const knownEndpoint = endpointsById.get(listed.id);
 		if (knownEndpoint?.listed.startedAt !== listed.startedAt || knownEndpoint.listed.address !== listed.address) {
@@ -103,9 +136,9 @@
 			return {kind: listed.state === 'ready' ? 'added' : 'draining', id: listed.id, address: listed.address};
 		}
 
-		const {state} = knownEndpoint.listed;
+		const hasStartedDraining = knownEndpoint.listed.state === 'ready' && listed.state === 'draining';
 		knownEndpoint.listed = listed;
-		return state === listed.state ? undefined : {kind: listed.state === 'draining' ? 'draining' : 'readyAgain', id: listed.id, address: listed.address};
+		return hasStartedDraining ? {kind: 'draining', id: listed.id, address: listed.address} : undefined;
 	}
 
 	function getReady(service: string): readonly KnownEndpoint[] {
@@ -121,8 +154,8 @@
 			}
 
 			const changes: EndpointChange[] = [];
-			for (const listed of endpoints) {
-				const change = applyListed(listed);
+			for (const listed of endpoints.filter(endpoint => !isHeld(endpoint, now))) {
+				const change = applyListed(keepDraining(listed));
 				if (change !== undefined) {
 					changes.push(change);
 				}
@@ -132,6 +165,7 @@
 			for (const [id, {listed}] of endpointsById) {
 				if (!ids.has(id) && (now >= graceEndsAt || listed.state === 'draining')) {
 					endpointsById.delete(id);
+					removedEndpoints.set(id, {startedAt: listed.startedAt, address: listed.address, state: listed.state});
 					changes.push({kind: 'removed', id, address: listed.address});
 				}
 			}
@@ -141,6 +175,10 @@
 		recordListFailure() {
 			isOutage = true;
 		},
+		recordRestore(now) {
+			isOutage = true;
+			restoredEntriesHeldUntil = now + settings.restoredEntryHoldMs;
+		},
 		getAvailable(service, now) {
 			return getReady(service).filter(({avoidedUntil}) => avoidedUntil <= now).map(({listed}) => listed);
 		},
--- a/packages/core/src/gateway/gateway-events.ts
+++ b/packages/core/src/gateway/gateway-events.ts
@@ -125,6 +125,8 @@
 		| Readonly<{kind: 'requestChanged'; key: RequestKey; event: RequestEvent}>
 		| Readonly<{kind: 'endpointsListed'; endpoints: readonly ListedEndpoint[]}>
 		| Readonly<{kind: 'endpointListFailed'}>
+	/** The platform's store was restored from a copy: what was written to it since the copy was taken is gone, at least for some seconds. */
+		| Readonly<{kind: 'storeRestored'}>
 	/** The configuration was verified to be current at `verifiedAt`; `undefined` means unchanged. */
 		| Readonly<{kind: 'configurationVerified'; configuration: ServingConfiguration | undefined; verifiedAt: Timestamp}>
 	/** Time may have passed that the monotonic clock didn't count, for example while the host was suspended. */
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -231,6 +231,11 @@
 				return [];
 			}
 
+			case 'storeRestored': {
+				registry.recordRestore(now);
+				return [];
+			}
+
 			case 'configurationVerified': {
 				configuration.recordVerified(event.configuration, event.verifiedAt);
 				return [];
--- a/packages/gateway/src/platform-feed.ts
+++ b/packages/gateway/src/platform-feed.ts
@@ -107,6 +107,7 @@
 		staleReadsTrustedAt = performance.now() + staleReadDistrustMs;
 		restoreController.abort();
 		restoreController = new AbortController();
+		host.dispatch({kind: 'storeRestored'});
 	}
 
 	/**
