Register a gateway again after the store has been restored

The other gateways no longer found one that had registered after the copy was taken: they placed requests without its load and shared the retry quota among too few.

A restore makes each gateway register once more, after a random part of 5 ms for each gateway (880: some 200 writes a second of 400, worked out, not run). Gateways that a list lacks are kept until all have had the time to do so.

--- a/packages/gateway/src/platform-feed.test.ts
+++ b/packages/gateway/src/platform-feed.test.ts
@@ -114,3 +114,29 @@
 	expect(watchCount).toBeLessThanOrEqual(5);
 	await waitUntil(() => appliedRevisions.at(-1) === revision);
 });
+
+// Guards against gateways that are dropped, and retry quotas that grow, until all have registered again after a restore.
+test('keeps the gateways that a restored store does not list yet, and registers again', async () => {
+	const others = ['gateway-2', 'gateway-3'].map(name => ({
+		name, peerUrl: 'http://127.0.0.1:1', dataCentre: 'east', processorShare: 1,
+	}));
+	const known: Array<readonly string[]> = [];
+	let listCount = 0;
+	let registrationCount = 0;
+	startFeed({
+		async listGateways() {
+			listCount += 1;
+			return listCount === 1 ? {epoch: 1, items: others} : {epoch: 2, items: others.slice(0, 1)};
+		},
+		async registerGateway() {
+			registrationCount += 1;
+		},
+	}, {
+		onGateways(registrations) {
+			known.push(registrations.map(({name}) => name));
+		},
+	});
+	await waitUntil(() => listCount >= 3);
+	expect(known.slice(0, 2)).toEqual([['gateway-2', 'gateway-3'], ['gateway-2', 'gateway-3']]);
+	expect(registrationCount).toBe(2);
+});
--- a/packages/gateway/src/platform-feed.ts
+++ b/packages/gateway/src/platform-feed.ts
@@ -47,6 +47,10 @@
 const staleReadDistrustMs: Milliseconds = 5000;
 /** Time over which each gateway's calls after a restore are spread, so that all together stay well below the store's rate. */
 const readSpreadPerGatewayMs: Milliseconds = 2;
+/** Time over which each gateway's writes after a restore are spread. */
+const writeSpreadPerGatewayMs: Milliseconds = 5;
+/** Time after a restore in which gateways that are not listed are kept: all have registered again by then, and lists show it. */
+const gatewayGraceMs: Milliseconds = 10_000;
 /** Maximum random delay before the configuration is read after a restore; leaves most of the time allowed to apply a change. */
 const maximumReadDelayMs: Milliseconds = 400;
 const baseRetryMs: Milliseconds = 60;
@@ -85,6 +89,10 @@
 	/** Aborts when the store is found to have been restored; replaced by another one then. */
 	let restoreController = new AbortController();
 	let isRegistered = false;
+	/** When the next registration is due. */
+	let registrationDueAt = Number.NEGATIVE_INFINITY;
+	let missingGatewaysKeptUntil = Number.NEGATIVE_INFINITY;
+	let knownGateways: ReadonlyMap<string, GatewayRegistration> = new Map();
 
 	async function wait(ms: Milliseconds): Promise<void> {
 		if (ms === 0) {
@@ -107,6 +115,10 @@
 		staleReadsTrustedAt = performance.now() + staleReadDistrustMs;
 		restoreController.abort();
 		restoreController = new AbortController();
+		isRegistered = false;
+		const writeSpreadMs = (gatewayCount ?? 1) * writeSpreadPerGatewayMs;
+		registrationDueAt = performance.now() + (Math.random() * writeSpreadMs);
+		missingGatewaysKeptUntil = performance.now() + writeSpreadMs + gatewayGraceMs;
 		host.dispatch({kind: 'storeRestored'});
 	}
 
@@ -257,7 +269,7 @@
 	}
 
 	async function listGateways(self: GatewayRegistration): Promise<Listing<GatewayRegistration>> {
-		if (!isRegistered) {
+		if (!isRegistered && performance.now() >= registrationDueAt) {
 			await platform.registerGateway(self);
 			isRegistered = true;
 		}
@@ -265,6 +277,13 @@
 		return platform.listGateways();
 	}
 
+	/** Returns the gateways of a list, and after a restore also those that it lacks because they have not registered again yet. */
+	function applyGatewayList(registrations: readonly GatewayRegistration[]): readonly GatewayRegistration[] {
+		const listed = new Map(registrations.map(registration => [registration.name, registration]));
+		knownGateways = performance.now() < missingGatewaysKeptUntil ? new Map([...knownGateways, ...listed]) : listed;
+		return [...knownGateways.values()];
+	}
+
 	/** Logs the number of gateways in the registry when it changes, and whether this one is among them. */
 	function reportGateways(registrations: readonly GatewayRegistration[], self: GatewayRegistration): void {
 		if (registrations.length !== gatewayCount) {
@@ -280,7 +299,7 @@
 			const registrations = await readList(dependency, async () => listGateways(self));
 			if (registrations !== undefined) {
 				reportGateways(registrations, self);
-				host.onGateways(registrations.filter(({name}) => name !== self.name));
+				host.onGateways(applyGatewayList(registrations).filter(({name}) => name !== self.name));
 			}
 
 			// eslint-disable-next-line no-await-in-loop
