Keep quarantines whose records a restore of the store has lost, and record them again

Requests with a segment that crashes servers reached servers again.

After a restore no quarantine counts as listed, so that each is recorded again. The gateways that know it do so one after the other (20 ms for each gateway times its rank), and those that see it listed by then do not; the same holds for one that a peer should have recorded.

--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -233,6 +233,7 @@
 
 			case 'storeRestored': {
 				registry.recordRestore(now);
+				quarantine.recordRestore(now);
 				return [];
 			}
 
@@ -257,6 +258,7 @@
 
 			case 'gatewayCountKnown': {
 				retryQuota.setGatewayCount(event.count);
+				quarantine.setGatewayCount(event.count);
 				return [];
 			}
 
--- a/packages/core/src/gateway/segment-quarantine.ts
+++ b/packages/core/src/gateway/segment-quarantine.ts
@@ -41,6 +41,10 @@
 	applyCheck(endpoint: EndpointId, result: EndpointCheck, now: Timestamp): readonly GatewayAction[];
 	recordCompletion(service: string, segments: readonly SegmentId[], now: Timestamp): readonly GatewayAction[];
 	applyPeerChange(change: QuarantineChange, now: Timestamp): readonly GatewayAction[];
+	/** Sets the number of gateways, over which the calls of the store are spread. */
+	setGatewayCount(count: number): void;
+	/** Records that the store has gone back to an earlier state, so that its list says nothing about releases. */
+	recordRestore(now: Timestamp): void;
 	/** Applies the complete list of quarantines in the store. */
 	applyRecords(records: readonly QuarantineRecord[], now: Timestamp): readonly GatewayAction[];
 	/** Decides on crashes whose reports are complete. */
@@ -66,6 +70,8 @@
 	readonly until: Timestamp;
 	/** When the store's list last contained it, or `undefined` if it never has. */
 	listedAt: Timestamp | undefined;
+	/** From then on this gateway records the quarantine if the store doesn't list it. */
+	recordDueAt: Timestamp;
 };
 
 /** When a segment was released, and whether this gateway was the one to find that it is sound. */
@@ -88,6 +94,8 @@
 const releaseMemoryMs: Milliseconds = 30_000;
 /** Time after its end at which a record is removed even if the gateway that made it is gone. */
 const abandonedRecordMs: Milliseconds = 600_000;
+/** Time over which the writes of gateways that know the same quarantine are spread: the first one suffices, and the others see it. */
+const recordSpreadPerGatewayMs: Milliseconds = 20;
 const maximumQuarantines = 10_000;
 const maximumOwnCrashes = 1000;
 
@@ -103,6 +111,13 @@
 	const pendingChecks = new Map<EndpointId, PendingCheck>();
 	const ownCrashes = new LRUCache<EndpointId, OwnCrash>({max: maximumOwnCrashes});
 
+	let gatewayCount = 1;
+
+	/** Returns the delay after which this gateway records a quarantine that another one should have recorded. */
+	function getRecordDelayMs(segment: ServiceSegment): Milliseconds {
+		return settings.getRank(getKey(segment)) * gatewayCount * recordSpreadPerGatewayMs;
+	}
+
 	function isQuarantined(segment: ServiceSegment, now: Timestamp): boolean {
 		return (quarantined.get(getKey(segment))?.until ?? Number.NEGATIVE_INFINITY) > now;
 	}
@@ -121,7 +136,11 @@
 		}
 
 		quarantined.set(getKey(segment), {
-			segment, source, until: now + remainingMs, listedAt: source === 'store' ? now : undefined,
+			segment,
+			source,
+			until: now + remainingMs,
+			listedAt: source === 'store' ? now : undefined,
+			recordDueAt: source === 'peer' ? now + getRecordDelayMs(segment) : now,
 		});
 		return [report({
 			kind: 'quarantined', segment, source, remainingMs,
@@ -200,13 +219,13 @@
 	}
 
 	/** Returns the actions for a quarantine that the store doesn't list: released by another gateway, or not recorded yet. */
-	function checkUnlisted({segment, until, listedAt}: QuarantinedSegment, now: Timestamp): readonly GatewayAction[] {
+	function checkUnlisted({segment, until, listedAt, recordDueAt}: QuarantinedSegment, now: Timestamp): readonly GatewayAction[] {
 		if (until <= now) {
 			return release(segment, 'expiry', now);
 		}
 
 		if (listedAt === undefined) {
-			return [{kind: 'recordQuarantine', quarantine: {...segment, remainingMs: until - now}}];
+			return now < recordDueAt ? [] : [{kind: 'recordQuarantine', quarantine: {...segment, remainingMs: until - now}}];
 		}
 
 		return now - listedAt > removalDelayMs ? release(segment, 'store', now) : [];
@@ -277,6 +296,15 @@
 				}
 			}
 		},
+		setGatewayCount(count) {
+			gatewayCount = count;
+		},
+		recordRestore(now) {
+			for (const entry of quarantined.values()) {
+				entry.listedAt = undefined;
+				entry.recordDueAt = now + getRecordDelayMs(entry.segment);
+			}
+		},
 		applyRecords(records, now) {
 			const listedKeys = new Set(records.filter(({remainingMs}) => remainingMs > 0).map(record => getKey(record)));
 			const unlisted = [...quarantined.values()].filter(({segment}) => !listedKeys.has(getKey(segment)));
