Take what the store shows for a verification only if nothing newer is known

A revoked key worked again: at a gateway that had missed the revocation while the store was out of reach, and at one that started while the restored store showed the older configuration.

After a restore it counts once the configuration was written anew, or after the 2 s in which the operator writes again what was lost. A gateway whose configuration is older than a peer's, while the store has no newer one, refuses requests and is not ready, for 30 s at most.

--- a/packages/core/src/gateway/configuration-state.ts
+++ b/packages/core/src/gateway/configuration-state.ts
@@ -3,6 +3,10 @@
 
 A revoked key must stop working within a bounded time even at a gateway that doesn't receive the revocation. Keys are
 therefore accepted only if the configuration was verified recently; otherwise requests are refused as not run.
+
+The platform's store may be restored from a copy and then show an older configuration than it has confirmed. What it shows is a
+verification only if it is as new as every configuration that this gateway or a peer knows, and if the operator has had the time to
+write a lost one again.
 */
 import {createNotRunFailure, type Failure} from '../errors.js';
 import type {Milliseconds, Timestamp} from '../types.js';
@@ -20,10 +24,25 @@
 export type RouteGrant = Readonly<{kind: 'granted'; route: ServedRoute; organisation: string | undefined}>;
 export type RouteRefusal = Readonly<{kind: 'refused'; failure: Failure}>;
 
+/** The answer to a read or a watch that was begun at `verifiedAt`. */
+export type ConfigurationAnswer = Readonly<{
+	/** `undefined` means unchanged. */
+	configuration: ServingConfiguration | undefined;
+	/** Revision of the store at which the configuration was written. */
+	writtenAtRevision?: number | undefined;
+	verifiedAt: Timestamp;
+}>;
+
 export type ConfigurationState = Readonly<{
 	tryGet(): ServingConfiguration | undefined;
-	/** Records a verification and applies the configuration if it is newer. Returns whether it was applied. */
-	recordVerified(configuration: ServingConfiguration | undefined, verifiedAt: Timestamp): boolean;
+	/** Applies the configuration if it is newer, and records the answer as a verification unless the store may be outdated. Returns whether it was applied. */
+	recordAnswer(answer: ConfigurationAnswer, now: Timestamp): boolean;
+	/** Records that the store has gone back to an earlier state. */
+	recordRestore(now: Timestamp): void;
+	/** Learns that a peer has a version in force. Returns whether it is newer than what was known. */
+	learnVersion(version: number, now: Timestamp): boolean;
+	/** Returns whether the configuration is known to be older than one that the operator has confirmed, and the store doesn't have that one. */
+	isOutdated(now: Timestamp): boolean;
 	/** Discards the time of the last verification, so that keys are refused until the next one. */
 	expire(): void;
 	getAgeMs(now: Timestamp): Milliseconds;
@@ -32,6 +51,11 @@
 	checkCredential(route: ServedRoute, credential: string | undefined, now: Timestamp): Failure | undefined;
 }>;
 
+/** Time after a restore until the operator has written a configuration again that the restore has lost. */
+const rewriteMs: Milliseconds = 2000;
+/** Time for which a version of a peer is remembered; bounds how long an outdated gateway refuses requests. */
+const peerVersionMs: Milliseconds = 30_000;
+
 /** Retry delay for callers that are refused because the configuration is missing or stale. */
 const staleRetryMs: Milliseconds = 500;
 
@@ -44,6 +68,46 @@
 	let current: ServingConfiguration | undefined;
 	let routes: RouteTable | undefined;
 	let verifiedAt = Number.NEGATIVE_INFINITY;
+	let writtenAtRevision: number | undefined;
+	/** Version that the store showed last, `undefined` if it was restored since. */
+	let storeVersion: number | undefined;
+	/** Until then, the store may lack a configuration that it has confirmed. */
+	let rewrittenBy = Number.NEGATIVE_INFINITY;
+	let lastAnswerAt = Number.NEGATIVE_INFINITY;
+	let peerVersion = {version: Number.NEGATIVE_INFINITY, learntAt: Number.NEGATIVE_INFINITY};
+
+	/** Returns the newest version that was known at a time. */
+	function getKnownVersion(at: Timestamp, now: Timestamp): number {
+		const isPeerVersionKnown = peerVersion.learntAt <= at && now - peerVersion.learntAt <= peerVersionMs;
+		return Math.max(current?.version ?? Number.NEGATIVE_INFINITY, isPeerVersionKnown ? peerVersion.version : Number.NEGATIVE_INFINITY);
+	}
+
+	/** Applies the configuration that the store shows. Returns whether it is newer than the one in force. */
+	function applyShown(shown: ServingConfiguration, shownRevision: number | undefined): boolean {
+		storeVersion = shown.version;
+		const version = current?.version ?? Number.NEGATIVE_INFINITY;
+		const isNewer = shown.version > version;
+		// The operator writes only the newest configuration.
+		const isRewritten = current !== undefined && (isNewer || (shown.version === version && shownRevision !== writtenAtRevision));
+		if (isRewritten) {
+			rewrittenBy = Number.NEGATIVE_INFINITY;
+		}
+
+		if (shown.version >= version) {
+			writtenAtRevision = shownRevision;
+		}
+
+		if (isNewer) {
+			current = shown;
+			routes = createRouteTable(shown);
+		}
+
+		return isNewer;
+	}
+
+	function isOutdated(now: Timestamp): boolean {
+		return current !== undefined && current.version < getKnownVersion(lastAnswerAt, now);
+	}
 
 	function getAbsenceFailure(kind: 'unauthorised' | 'routeNotFound', now: Timestamp): Failure {
 		return now - verifiedAt <= settings.maximumAbsenceAgeMs
@@ -69,16 +133,29 @@
 
 	return {
 		tryGet: () => current,
-		recordVerified(configuration, at) {
-			verifiedAt = Math.max(verifiedAt, at);
-			if (configuration === undefined || (current !== undefined && configuration.version <= current.version)) {
+		recordAnswer({configuration: shown, writtenAtRevision: shownRevision, verifiedAt: at}, now) {
+			lastAnswerAt = Math.max(lastAnswerAt, at);
+			const isApplied = shown !== undefined && applyShown(shown, shownRevision);
+			const isStoreOutdated = storeVersion !== undefined && storeVersion < getKnownVersion(at, now);
+			if (!isStoreOutdated && now >= rewrittenBy) {
+				verifiedAt = Math.max(verifiedAt, at);
+			}
+
+			return isApplied;
+		},
+		recordRestore(now) {
+			storeVersion = undefined;
+			rewrittenBy = now + rewriteMs;
+		},
+		learnVersion(version, now) {
+			if (version <= getKnownVersion(now, now)) {
 				return false;
 			}
 
-			current = configuration;
-			routes = createRouteTable(configuration);
+			peerVersion = {version, learntAt: now};
 			return true;
 		},
+		isOutdated,
 		expire() {
 			verifiedAt = Number.NEGATIVE_INFINITY;
 		},
@@ -88,6 +165,10 @@
 				return refuse(createNotRunFailure('notReady', undefined, staleRetryMs));
 			}
 
+			if (isOutdated(now)) {
+				return refuse(createNotRunFailure('platformUnavailable', 'the configuration is out of date', staleRetryMs));
+			}
+
 			const route = routes.findRoute(host, path);
 			if (route === undefined) {
 				return refuse(getAbsenceFailure('routeNotFound', now));
--- a/packages/core/src/gateway/fleet-simulation.ts
+++ b/packages/core/src/gateway/fleet-simulation.ts
@@ -306,6 +306,7 @@
 			case 'releaseMemory':
 			case 'startResponse':
 			case 'writeResponse':
+			case 'readConfiguration':
 			case 'reportEndpoint':
 			case 'reportDecision': {
 				return;
--- a/packages/core/src/gateway/forwarded-request.test.ts
+++ b/packages/core/src/gateway/forwarded-request.test.ts
@@ -75,6 +75,7 @@
 		case 'removeQuarantine':
 		case 'reportQuarantine':
 		case 'reportLimit':
+		case 'readConfiguration':
 		case 'reportEndpoint':
 		case 'reportDecision': {
 			return [];
--- a/packages/core/src/gateway/gateway-events.ts
+++ b/packages/core/src/gateway/gateway-events.ts
@@ -3,9 +3,10 @@
 */
 import type {Failure} from '../errors.js';
 import type {Milliseconds, Timestamp} from '../types.js';
+import type {ConfigurationAnswer} from './configuration-state.js';
 import type {EndpointChange} from './endpoint-registry.js';
 import type {
-	EndpointId, EndpointReport, EndpointResponseHead, GatewayRequest, ListedEndpoint, RawHeaders, RequestKey, SegmentId, ServingConfiguration,
+	EndpointId, EndpointReport, EndpointResponseHead, GatewayRequest, ListedEndpoint, RawHeaders, RequestKey, SegmentId,
 } from './gateway-types.js';
 import type {GatewayName} from './load-view.js';
 import type {Reservation, ReservationId} from './memory-reservation.js';
@@ -71,6 +72,8 @@
 	| Readonly<{kind: 'publishChange'; change: PeerChange}>
 	/** Asks an endpoint for its report, to learn whether it has crashed. */
 	| Readonly<{kind: 'checkEndpoint'; endpoint: ListedEndpoint}>
+	/** Reads the configuration at once, since a peer has a newer one. */
+	| Readonly<{kind: 'readConfiguration'}>
 	/** Creates a record of a quarantine in the platform's store, unless there is one. */
 	| Readonly<{kind: 'recordQuarantine'; quarantine: Quarantine}>
 	| Readonly<{kind: 'removeQuarantine'; segment: ServiceSegment}>
@@ -127,8 +130,8 @@
 		| Readonly<{kind: 'endpointListFailed'}>
 	/** The platform's store was restored from a copy: what was written to it since the copy was taken is gone, at least for some seconds. */
 		| Readonly<{kind: 'storeRestored'}>
-	/** The configuration was verified to be current at `verifiedAt`; `undefined` means unchanged. */
-		| Readonly<{kind: 'configurationVerified'; configuration: ServingConfiguration | undefined; verifiedAt: Timestamp}>
+	/** The store answered a read or a watch of the configuration. */
+		| (Readonly<{kind: 'configurationVerified'}> & ConfigurationAnswer)
 	/** Time may have passed that the monotonic clock didn't count, for example while the host was suspended. */
 		| Readonly<{kind: 'clockJumped'}>
 		| Readonly<{kind: 'peerChanged'; gateway: GatewayName; changes: readonly PeerChange[]}>
--- a/packages/core/src/gateway/gateway-fault-simulation.ts
+++ b/packages/core/src/gateway/gateway-fault-simulation.ts
@@ -249,6 +249,7 @@
 			case 'removeQuarantine':
 			case 'reportQuarantine':
 			case 'reportLimit':
+			case 'readConfiguration':
 			case 'reportEndpoint':
 			case 'reportDecision': {
 				return;
--- a/packages/core/src/gateway/gateway-parts.test.ts
+++ b/packages/core/src/gateway/gateway-parts.test.ts
@@ -43,14 +43,14 @@
 
 	test('an older version is ignored after a newer one', () => {
 		const state = createConfigurationState(settings);
-		state.recordVerified({...fixtureConfiguration, version: 5}, 0);
-		expect(state.recordVerified({...fixtureConfiguration, version: 4}, 1)).toBe(false);
+		state.recordAnswer({configuration: {...fixtureConfiguration, version: 5}, verifiedAt: 0}, 0);
+		expect(state.recordAnswer({configuration: {...fixtureConfiguration, version: 4}, verifiedAt: 1}, 1)).toBe(false);
 		expect(state.tryGet()?.version).toBe(5);
 	});
 
 	test('keys are refused as not run once the last verification is too old', () => {
 		const state = createConfigurationState(settings);
-		state.recordVerified(fixtureConfiguration, 0);
+		state.recordAnswer({configuration: fixtureConfiguration, verifiedAt: 0}, 0);
 		expect(state.checkRoute('a.example', '/book/1', fixtureApiKey, 4000).kind).toBe('granted');
 		expect(state.checkRoute('a.example', '/book/1', fixtureApiKey, 4001)).toMatchObject({failure: {kind: 'platformUnavailable', ran: 'no'}});
 	});
@@ -58,7 +58,7 @@
 	test('a missing key or route is reported as unknown only while the configuration is known to be current', () => {
 		const state = createConfigurationState(settings);
 		expect(state.checkRoute('a.example', '/book/1', 'other', 0)).toMatchObject({failure: {kind: 'notReady'}});
-		state.recordVerified(fixtureConfiguration, 0);
+		state.recordAnswer({configuration: fixtureConfiguration, verifiedAt: 0}, 0);
 		expect(state.checkRoute('a.example', '/book/1', 'other', 1)).toMatchObject({failure: {kind: 'unauthorised'}});
 		expect(state.checkRoute('a.example', '/none/1', fixtureApiKey, 1)).toMatchObject({failure: {kind: 'routeNotFound'}});
 		expect(state.checkRoute('a.example', '/none/1', fixtureApiKey, 2501)).toMatchObject({failure: {kind: 'platformUnavailable'}});
@@ -66,10 +66,10 @@
 
 	test('keys are refused after the verification has expired, until the next verification', () => {
 		const state = createConfigurationState(settings);
-		state.recordVerified(fixtureConfiguration, 0);
+		state.recordAnswer({configuration: fixtureConfiguration, verifiedAt: 0}, 0);
 		state.expire();
 		expect(state.checkRoute('a.example', '/book/1', fixtureApiKey, 1).kind).toBe('refused');
-		state.recordVerified(undefined, 2);
+		state.recordAnswer({configuration: undefined, verifiedAt: 2}, 2);
 		expect(state.checkRoute('a.example', '/book/1', fixtureApiKey, 3).kind).toBe('granted');
 	});
 });
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -49,8 +49,10 @@
 	tryGetConfiguration(): ServingConfiguration | undefined;
 	/** Returns the time since the configuration was last verified to be current. */
 	getConfigurationAgeMs(now: Timestamp): Milliseconds;
-	/** Returns whether the configuration and the list of endpoints are known, so that requests can be served. */
-	isReady(): boolean;
+	/** Returns whether a peer has a newer configuration that neither this gateway nor the store has. */
+	isConfigurationOutdated(now: Timestamp): boolean;
+	/** Returns whether the current configuration and the list of endpoints are known, so that requests can be served. */
+	isReady(now: Timestamp): boolean;
 	getOpenRequestCount(): number;
 	/** Returns the changes that recreate the open requests of this or another gateway, and for this one also what else it has learnt. */
 	getSnapshot(gateway: GatewayName, now: Timestamp): readonly PeerChange[];
@@ -188,6 +190,12 @@
 		return due.flatMap(([key]) => stepRequest(key, {kind: 'timePassed'}, now));
 	}
 
+	/** Returns the version in force, for peers. */
+	function getVersionChanges(): readonly PeerChange[] {
+		const current = configuration.tryGet();
+		return current === undefined ? [] : [{kind: 'configurationInForce', version: current.version}];
+	}
+
 	function applyPeerChange(gateway: GatewayName, change: PeerChange, now: Timestamp): readonly GatewayAction[] {
 		switch (change.kind) {
 			case 'reset':
@@ -198,6 +206,10 @@
 				return [];
 			}
 
+			case 'configurationInForce': {
+				return configuration.learnVersion(change.version, now) ? [{kind: 'readConfiguration'}] : [];
+			}
+
 			case 'limitChanged': {
 				return limits.applyPeerChange(change, now);
 			}
@@ -234,11 +246,12 @@
 			case 'storeRestored': {
 				registry.recordRestore(now);
 				quarantine.recordRestore(now);
-				return [];
+				configuration.recordRestore(now);
+				return getVersionChanges().map((change): GatewayAction => ({kind: 'publishChange', change}));
 			}
 
 			case 'configurationVerified': {
-				configuration.recordVerified(event.configuration, event.verifiedAt);
+				configuration.recordAnswer(event, now);
 				return [];
 			}
 
@@ -289,8 +302,9 @@
 		checkRoute: configuration.checkRoute,
 		tryGetConfiguration: configuration.tryGet,
 		getConfigurationAgeMs: configuration.getAgeMs,
-		isReady: () => configuration.tryGet() !== undefined && registry.hasList(),
+		isConfigurationOutdated: configuration.isOutdated,
+		isReady: now => configuration.tryGet() !== undefined && !configuration.isOutdated(now) && registry.hasList(),
 		getOpenRequestCount: () => requests.size,
-		getSnapshot: (gateway, now) => [...load.getOpenWorkChanges(gateway), ...(gateway === settings.name ? [...quarantine.getSnapshot(now), ...limits.getSnapshot()] : [])],
+		getSnapshot: (gateway, now) => [...load.getOpenWorkChanges(gateway), ...(gateway === settings.name ? [...quarantine.getSnapshot(now), ...limits.getSnapshot(), ...getVersionChanges()] : [])],
 	};
 }
--- a/packages/core/src/gateway/peer-changes.ts
+++ b/packages/core/src/gateway/peer-changes.ts
@@ -1,9 +1,13 @@
 /**
-What gateways tell each other: changes to their open requests, and what they learn about endpoints and prompts.
+What gateways tell each other: changes to their open requests, what they learn about endpoints and prompts, and the version of
+the configuration that they have in force, where a peer or the store may have an older one.
 */
 import type {LimitChange} from './endpoint-limits.js';
 import type {WorkChange} from './load-view.js';
 import type {QuarantineChange} from './segment-quarantine.js';
 
 /** A message from one gateway to the others. */
-export type PeerChange = WorkChange | QuarantineChange | LimitChange;
+export type PeerChange = WorkChange | QuarantineChange | LimitChange | ConfigurationChange;
+
+/** The version of the configuration that a gateway has in force. */
+export type ConfigurationChange = Readonly<{kind: 'configurationInForce'; version: number}>;
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -92,6 +92,9 @@
 	});
 	const driver = createGatewayDriver(gateway, {
 		client, wireFormat: host.wireFormat, logger, metrics, publishChange: workExchange.publish, name: settings.name, platform: host.platform,
+		readConfiguration() {
+			feed.refresh();
+		},
 	});
 	const feed = createPlatformFeed({
 		platform: host.platform,
@@ -103,13 +106,16 @@
 				client.closePoolsExcept(new Set(event.endpoints.map(({address}) => address)));
 			}
 		},
-		onConfiguration({configuration, revision}, verifiedAt) {
+		onConfiguration({configuration, writtenAtRevision, revision}, verifiedAt) {
 			const previousVersion = gateway.tryGetConfiguration()?.version;
-			driver.dispatch({kind: 'configurationVerified', configuration, verifiedAt});
+			driver.dispatch({
+				kind: 'configurationVerified', configuration, writtenAtRevision, verifiedAt,
+			});
 			const current = gateway.tryGetConfiguration();
-			if (configuration !== undefined && current !== undefined && configuration.version < current.version) {
+			const isOutdated = gateway.isConfigurationOutdated(performance.now());
+			if (configuration !== undefined && current !== undefined && (isOutdated || configuration.version < current.version)) {
 				logger.warn('configurationOutdated', {
-					version: configuration.version, inForce: current.version, epoch: revision.epoch, revision: revision.sequence,
+					version: configuration.version, inForce: current.version, isOutdated, epoch: revision.epoch, revision: revision.sequence,
 				});
 			}
 
@@ -186,7 +192,7 @@
 
 	/** Returns whether the gateway is ready, and logs each change. */
 	function checkReadiness(): boolean {
-		const isNowReady = stoppedAt === undefined && gateway.isReady();
+		const isNowReady = stoppedAt === undefined && gateway.isReady(performance.now());
 		if (isNowReady !== wasReady) {
 			wasReady = isNowReady;
 			logger.info('readinessChanged', {isReady: isNowReady});
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -31,6 +31,7 @@
 	logger: Logger;
 	metrics: GatewayMetrics;
 	publishChange(change: PeerChange): void;
+	readConfiguration(): void;
 }>;
 
 export type GatewayDriver = Readonly<{
@@ -160,6 +161,11 @@
 				return;
 			}
 
+			case 'readConfiguration': {
+				host.readConfiguration();
+				return;
+			}
+
 			case 'reportEndpoint': {
 				host.logger.info('endpointChanged', {change: action.change.kind, endpoint: action.change.id, address: action.change.address});
 				return;
--- a/packages/gateway/src/gateway-hosts.ts
+++ b/packages/gateway/src/gateway-hosts.ts
@@ -74,6 +74,8 @@
 	revision: Revision;
 	/** `undefined` if the configuration has not changed since the previous read or watch. */
 	configuration: ServingConfiguration | undefined;
+	/** Sequence of the revision at which the configuration was written. */
+	writtenAtRevision: number | undefined;
 }>;
 
 /** A gateway's entry in the registry, by which the others find it. */
--- a/packages/gateway/src/platform-feed.test.ts
+++ b/packages/gateway/src/platform-feed.test.ts
@@ -28,7 +28,7 @@
 function startFeed(platform: Partial<PlatformHost>, host: Partial<FeedHost> = {}): PlatformFeed {
 	const feed = createPlatformFeed({
 		platform: {
-			readConfiguration: async () => ({revision: {epoch: 1, sequence: 1}, configuration: undefined}),
+			readConfiguration: async () => ({revision: {epoch: 1, sequence: 1}, configuration: undefined, writtenAtRevision: undefined}),
 			watchConfiguration: async () => new Promise<ConfigurationUpdate>(() => {
 				// The watch never completes.
 			}),
@@ -71,7 +71,7 @@
 			throw new Error('the store is unavailable');
 		}
 
-		return {revision: {epoch: 1, sequence: 1}, configuration: undefined};
+		return {revision: {epoch: 1, sequence: 1}, configuration: undefined, writtenAtRevision: undefined};
 	};
 
 	const feed = startFeed({readConfiguration}, {
@@ -99,10 +99,10 @@
 		revision += 1;
 	}, 20);
 	startFeed({
-		readConfiguration: async () => ({revision: {epoch: 1, sequence: revision}, configuration: {...fixtureConfiguration, version: revision}}),
+		readConfiguration: async () => ({revision: {epoch: 1, sequence: revision}, configuration: {...fixtureConfiguration, version: revision}, writtenAtRevision: revision}),
 		async watchConfiguration() {
 			watchCount += 1;
-			return {revision: {epoch: 1, sequence: revision}, configuration: {...fixtureConfiguration, version: revision}};
+			return {revision: {epoch: 1, sequence: revision}, configuration: {...fixtureConfiguration, version: revision}, writtenAtRevision: revision};
 		},
 	}, {
 		onConfiguration(update) {
--- a/packages/gateway/src/platform-feed.ts
+++ b/packages/gateway/src/platform-feed.ts
@@ -27,7 +27,7 @@
 
 export type PlatformFeed = Readonly<{
 	start(self: GatewayRegistration): void;
-	/** Reads the configuration immediately. Used after a clock jump, when the last response may be older than its timestamp. */
+	/** Reads the configuration immediately: after a clock jump, when the last response may be older than its timestamp, or when a peer has a newer one. */
 	refresh(): void;
 	close(): void;
 }>;
--- a/packages/peer/src/gateway-peers.ts
+++ b/packages/peer/src/gateway-peers.ts
@@ -94,6 +94,10 @@
 			});
 		}
 
+		case 'configurationInForce': {
+			return create(wire.WorkChangeSchema, {change: {case: 'configured', value: create(wire.ConfigurationSchema, {version: BigInt(change.version)})}});
+		}
+
 		case 'segmentQuarantined': {
 			return create(wire.WorkChangeSchema, {change: {case: 'quarantined', value: create(wire.QuarantineSchema, change.quarantine)}});
 		}
@@ -143,6 +147,10 @@
 			return {kind: 'limitChanged', endpoint, requestsPerSecond};
 		}
 
+		case 'configured': {
+			return {kind: 'configurationInForce', version: Number(change.value.version)};
+		}
+
 		case 'quarantined': {
 			const {service, segment, remainingMs} = change.value;
 			return {kind: 'segmentQuarantined', quarantine: {service, segment, remainingMs}};
