Let the soak restore its store from a copy

A copy is taken, and 0.2 to 4.2 s later the store goes back to it, at once or after up to 1.5 s of resets; waiting watches are answered, kept, cut or silent; the operator and the servers write again within 1.9 s, and revisions pass the old ones. Drawn by a generator of its own, so that the other faults of a seed stay as they are.

--- a/packages/soak/src/soak-faults.ts
+++ b/packages/soak/src/soak-faults.ts
@@ -15,6 +15,8 @@
 	random: Random;
 	/** Draws the faults that depend on prompts and rates. A generator of its own keeps the other faults of a seed as they are. */
 	serverRandom: Random;
+	/** Draws the restores of the store, for the same reason. */
+	restoreRandom: Random;
 	script: string;
 	store: PlatformStoreStandin;
 	servers: SoakServers;
@@ -26,6 +28,8 @@
 	startRandomFault(): void;
 	/** Starts crashes on a segment, or lets a server name a limit, now and then. */
 	startOccasionalServerFault(): void;
+	/** Lets the store go back to a copy now and then. */
+	startOccasionalRestore(): void;
 	/** Resolves once all started faults have ended. */
 	waitForEnd(): Promise<void>;
 	/** Returns whether callers send prompts on which servers crash. */
@@ -46,6 +50,14 @@
 const serverFaultRangeMs = 6000;
 /** Share of the random faults that such a fault accompanies. */
 const serverFaultShare = 0.12;
+/** Share of the random faults that a restore of the store accompanies. */
+const restoreShare = 0.08;
+const copyAgeRangeMs = 4000;
+const restoreAwayRangeMs = 1500;
+/** Time within which the operator and the servers write again what a restore has undone. */
+const rewriteRangeMs = 1900;
+const revisionRange = 200;
+const watchesAtRestore = ['answered', 'kept', 'cut', 'silent'] as const;
 const limitsPerSecond = [0.5, 1, 3] as const;
 /** Time after which a draining server is removed. */
 const removeAfterMs = 2600;
@@ -60,7 +72,7 @@
 
 /** Creates the faults of one run and writes the first configuration. */
 export function createSoakFaults(context: SoakFaultsContext): SoakFaults {
-	const {random, serverRandom, script, store, servers, gateways} = context;
+	const {random, serverRandom, restoreRandom, script, store, servers, gateways} = context;
 	const activeFaults = new Set<Promise<void>>();
 	const counts = new Map<string, number>();
 	const revocationTimes = new Map<string, number>();
@@ -69,6 +81,8 @@
 	let keyNumber = 1;
 	let activeStoreFaultCount = 0;
 	let activeCrashCount = 0;
+	/** Whether a restore is in progress; a store has one copy at a time. */
+	let isRestoring = false;
 
 	function getKey(): string {
 		return `key-${keyNumber}`;
@@ -106,11 +120,15 @@
 	}
 
 	async function failStore(fault: 'busy' | 'silent' | 'reset'): Promise<void> {
+		await failStoreFor(fault, drawDurationMs());
+	}
+
+	async function failStoreFor(fault: 'busy' | 'silent' | 'reset', durationMs: number): Promise<void> {
 		const disruption: StoreDisruption = {from: performance.now(), to: Number.POSITIVE_INFINITY};
 		storeDisruptions.push(disruption);
 		activeStoreFaultCount += 1;
 		store.setFault(fault);
-		await wait(drawDurationMs());
+		await wait(durationMs);
 		activeStoreFaultCount -= 1;
 		if (activeStoreFaultCount === 0) {
 			store.setFault('none');
@@ -120,6 +138,23 @@
 		disruption.to = performance.now() + 1000;
 	}
 
+	/** Takes a copy of the store and goes back to it later, at once or after some time away. */
+	async function restoreStore(): Promise<void> {
+		store.takeCopy();
+		await wait(minimumFaultMs + restoreRandom.getInteger(copyAgeRangeMs));
+		const disruption: StoreDisruption = {from: performance.now(), to: Number.POSITIVE_INFINITY};
+		storeDisruptions.push(disruption);
+		if (restoreRandom.getFraction() < 0.5) {
+			await failStoreFor('reset', restoreRandom.getInteger(restoreAwayRangeMs));
+		}
+
+		store.restoreCopy(watchesAtRestore[restoreRandom.getInteger(watchesAtRestore.length)] ?? 'kept');
+		await wait(restoreRandom.getInteger(rewriteRangeMs));
+		store.rewriteLostObjects();
+		store.advanceRevision(restoreRandom.getInteger(revisionRange));
+		disruption.to = performance.now() + 1000;
+	}
+
 	async function applyBehaviour(behaviour: Parameters<Exclude<ReturnType<SoakServers['drawServer']>, undefined>['standin']['setBehaviour']>[0]): Promise<void> {
 		const standin = servers.drawServer()?.standin;
 		standin?.setBehaviour(behaviour);
@@ -226,6 +261,15 @@
 				startFault(name, serverFaults[name]);
 			}
 		},
+		startOccasionalRestore() {
+			if (!isRestoring && restoreRandom.getFraction() < restoreShare) {
+				isRestoring = true;
+				startFault('restoreStore', async () => {
+					await restoreStore();
+					isRestoring = false;
+				});
+			}
+		},
 		async waitForEnd() {
 			await Promise.all(activeFaults);
 		},
