--- a/packages/core/src/gateway/fleet-properties.test.ts
+++ b/packages/core/src/gateway/fleet-properties.test.ts
@@ -27,6 +27,13 @@
 	durationMs: fc.integer({min: 200, max: 6000}),
 });
 
+const restore: fc.Arbitrary<FleetDisruption> = fc.record({
+	kind: fc.constant('restoreStore' as const),
+	at: fc.integer({min: 6000, max: 25_000}),
+	gatewayIndex: fc.constant(0),
+	durationMs: fc.integer({min: 100, max: 9000}),
+});
+
 const scenario: fc.Arbitrary<FleetScenario> = fc.record({
 	seed: fc.nat(),
 	gatewayCount: fc.integer({min: 1, max: 6}),
@@ -51,6 +58,15 @@
 		}), parameters);
 	});
 
+	// Guards against quarantines that end when the store is restored from a copy that lacks them, beside other disruptions.
+	test('stop sending such requests while the store is restored, under random restarts and cuts', () => {
+		const restores = fc.tuple(scenario, fc.array(restore, {minLength: 1, maxLength: 3}))
+			.map(([input, added]): FleetScenario => ({...input, gatewayCount: Math.max(2, input.gatewayCount), disruptions: [...input.disruptions.slice(0, 3), ...added]}));
+		fc.assert(fc.property(restores, input => {
+			expect(findCrashViolations(runFleetScenario(input))).toEqual([]);
+		}), parameters);
+	});
+
 	// Guards against evidence on crashes that is lost when the only gateway restarts before it suffices.
 	test('stop sending such requests after the only gateway restarts between crashes', () => {
 		expect(findCrashViolations(runFleetScenario({
--- a/packages/core/src/gateway/fleet-simulation.ts
+++ b/packages/core/src/gateway/fleet-simulation.ts
@@ -18,7 +18,8 @@
 export type CrashSegment = Readonly<{startsAt: Timestamp; perSecond: number}>;
 
 export type FleetDisruption = Readonly<{
-	kind: 'restart' | 'cutFromPeers' | 'cutFromStore';
+	/** `restoreStore` lets the store go back to what it held `durationMs` before. */
+	kind: 'restart' | 'cutFromPeers' | 'cutFromStore' | 'restoreStore';
 	at: Timestamp;
 	gatewayIndex: number;
 	durationMs: Milliseconds;
@@ -92,8 +93,12 @@
 	/** Intervals in which the process did not run or did not reach the store. */
 	readonly outages: Array<Readonly<{from: Timestamp; to: Timestamp}>>;
 	readonly openRequests: Map<RequestKey, FleetRequestRecord>;
+	/** Epoch of the store in the last answer that the gateway has seen. */
+	epoch: number;
 };
 
+type StoredQuarantines = ReadonlyMap<string, StoredQuarantine>;
+
 type StoredQuarantine = ServiceSegment & Readonly<{gateway: string; endsAt: Timestamp}>;
 
 type Task = Readonly<{at: Timestamp; order: number; run(): void}>;
@@ -123,9 +128,11 @@
 	const crashes: FleetCrash[] = [];
 	const namedLimits: NamedLimit[] = [];
 	const gateways: SimulatedGateway[] = Array.from({length: scenario.gatewayCount}, (_, index) => ({
-		index, name: `gateway-${index}`, gateway: undefined, startCount: 0, isCutFromPeers: false, isCutFromStore: false, outages: [], openRequests: new Map(),
+		index, name: `gateway-${index}`, gateway: undefined, startCount: 0, isCutFromPeers: false, isCutFromStore: false, outages: [], openRequests: new Map(), epoch: 0,
 	}));
-	const storedQuarantines = new Map<string, StoredQuarantine>();
+	let storedQuarantines: StoredQuarantines = new Map();
+	const storeHistory: Array<Readonly<{at: Timestamp; quarantines: StoredQuarantines}>> = [];
+	let epoch = 0;
 	let now: Timestamp = 0;
 	let taskCount = 0;
 	let requestCount = 0;
@@ -284,9 +291,9 @@
 				const {service, segment, remainingMs} = action.quarantine;
 				const key = `${service}.${segment}`;
 				if (!simulated.isCutFromStore && !storedQuarantines.has(key)) {
-					storedQuarantines.set(key, {
+					writeStore(new Map([...storedQuarantines, [key, {
 						service, segment, gateway: simulated.name, endsAt: now + remainingMs,
-					});
+					}]]));
 				}
 
 				return;
@@ -294,7 +301,8 @@
 
 			case 'removeQuarantine': {
 				if (!simulated.isCutFromStore) {
-					storedQuarantines.delete(`${action.segment.service}.${action.segment.segment}`);
+					const key = `${action.segment.service}.${action.segment.segment}`;
+					writeStore(new Map([...storedQuarantines].filter(([other]) => other !== key)));
 				}
 
 				return;
@@ -340,10 +348,24 @@
 		});
 	}
 
+	function writeStore(quarantines: StoredQuarantines): void {
+		storedQuarantines = quarantines;
+		storeHistory.push({at: now, quarantines});
+	}
+
+	/** Tells a gateway of a restore, which it sees by the epoch of the store's answer. */
+	function checkEpoch(simulated: SimulatedGateway): void {
+		if (simulated.epoch < epoch) {
+			simulated.epoch = epoch;
+			dispatch(simulated, {kind: 'storeRestored'});
+		}
+	}
+
 	function keepListing(simulated: SimulatedGateway): void {
 		if (simulated.isCutFromStore) {
 			dispatch(simulated, {kind: 'endpointListFailed'});
 		} else {
+			checkEpoch(simulated);
 			dispatch(simulated, {kind: 'endpointsListed', endpoints: servers.getListed()});
 		}
 
@@ -354,6 +376,7 @@
 
 	function keepListingQuarantines(simulated: SimulatedGateway): void {
 		if (!simulated.isCutFromStore) {
+			checkEpoch(simulated);
 			dispatch(simulated, {
 				kind: 'quarantinesListed', records: [...storedQuarantines.values()].map(({endsAt, ...quarantine}) => ({...quarantine, remainingMs: endsAt - now})),
 			});
@@ -376,6 +399,7 @@
 
 	function startGateway(simulated: SimulatedGateway): void {
 		simulated.startCount += 1;
+		simulated.epoch = epoch;
 		simulated.gateway = createGateway({...fixtureGatewaySettings, name: simulated.name, incarnation: `life-${simulated.startCount}`});
 		dispatch(simulated, {kind: 'gatewayCountKnown', count: gateways.length});
 		keepVerifying(simulated);
@@ -394,6 +418,12 @@
 	}
 
 	function applyDisruption({kind, gatewayIndex, durationMs}: FleetDisruption): void {
+		if (kind === 'restoreStore') {
+			epoch += 1;
+			writeStore(storeHistory.findLast(({at}) => at <= now - durationMs)?.quarantines ?? new Map());
+			return;
+		}
+
 		const simulated = gateways[gatewayIndex % gateways.length];
 		if (simulated?.gateway === undefined) {
 			return;
