Log a fingerprint of each request, which its repeats have in common

The fingerprint is a 64-bit hash of method, path, organisation and body, in requestPlaced. Nothing is decided by it yet.

--- a/packages/caller/src/hasher.ts
+++ b/packages/caller/src/hasher.ts
@@ -9,12 +9,20 @@
 	getHash(text: string): number;
 	/** Returns a 64-bit xxHash in hexadecimal. */
 	getLongHash(text: string): string;
+	/** Returns a 64-bit xxHash of a text followed by bytes, in hexadecimal. */
+	getContentHash(text: string, bytes: Uint8Array): string;
 }>;
 
+const longHashDigits = 16;
+
 /** Loads the WebAssembly module with the hash functions. */
 export async function createHasher(): Promise<Hasher> {
-	const {h32, h64ToString} = await xxhash();
-	return {getHash: text => h32(text), getLongHash: text => h64ToString(text)};
+	const {h32, h64ToString, create64} = await xxhash();
+	return {
+		getHash: text => h32(text),
+		getLongHash: text => h64ToString(text),
+		getContentHash: (text, bytes) => create64().update(text).update(bytes).digest().toString(16).padStart(longHashDigits, '0'),
+	};
 }
 
 /** Returns the SHA-256 digest of a string in lower-case hexadecimal. */
--- a/packages/core/src/gateway/gateway-fixtures.ts
+++ b/packages/core/src/gateway/gateway-fixtures.ts
@@ -109,6 +109,7 @@
 		arrivedAt,
 		prompt: route.kind === 'streaming' ? {promptTokens: 5000, maximumTokens: 1000} : undefined,
 		sharedSegments: [],
+		fingerprint: `fingerprint-${changes.key ?? 1}`,
 		lastEventId: undefined,
 		...changes,
 	};
--- a/packages/core/src/gateway/gateway-types.ts
+++ b/packages/core/src/gateway/gateway-types.ts
@@ -114,6 +114,8 @@
 	prompt: PromptSize | undefined;
 	/** Segments of the prompt that other requests may share, in order; the prompt's own segment at its end is left out. */
 	sharedSegments: readonly SegmentId[];
+	/** Hash of the method, path, caller and body: equal for repeats of a request, whose ids differ. */
+	fingerprint: string;
 	/** Id of the last event that the caller received in an earlier response. */
 	lastEventId: string | undefined;
 }>;
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -8,6 +8,7 @@
 import {getWeightedService} from '@currantcross/core/gateway/route-table';
 import {getErrorText} from '@currantcross/core/error-text';
 import {createNotRunFailure, type Failure} from '@currantcross/core/errors';
+import {createHasher} from '@currantcross/caller/hasher';
 import {createIncarnation} from '@currantcross/daemon/incarnation';
 import {createRateLimitedLogger} from '@currantcross/daemon/logger';
 import type {RouteGrant} from '@currantcross/core/gateway/configuration-state';
@@ -69,6 +70,7 @@
 		retryQuota: {...settings.retries, usedShare: usedRetryQuotaShare},
 		memoryIdleMs: settings.memoryIdleMs,
 	});
+	const hasher = await createHasher();
 	const metrics = createGatewayMetrics(gateway.getOpenRequestCount);
 	const client = createEndpointClient();
 	const connections = createConnections({...defaultConnectionSettings, sharedKey, tls: undefined});
@@ -186,6 +188,7 @@
 			arrivedAt,
 			prompt: head.prompt,
 			sharedSegments: head.sharedSegments,
+			fingerprint: hasher.getContentHash(`${message.method} ${message.headers.host} ${message.url} ${organisation ?? ''} `, callerExchange.body),
 			lastEventId: head.lastEventId,
 		}, callerExchange);
 	}
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -265,7 +265,8 @@
 	}
 
 	function reportDecision(key: RequestKey, decision: ReportedDecision): void {
-		const request = openRequests.get(key)?.request.requestId;
+		const openRequest = openRequests.get(key)?.request;
+		const request = openRequest?.requestId;
 		switch (decision.kind) {
 			case 'placed': {
 				const {
@@ -273,6 +274,7 @@
 				} = decision;
 				host.logger.info('requestPlaced', {
 					request, sendId, endpoint, helpers, reservations: formatReservations(reservations), firstEventMs, candidates, segments: formatSegments(sharedSegments),
+					fingerprint: openRequest?.fingerprint,
 					configurationAgeMs: Math.round(gateway.getConfigurationAgeMs(performance.now())),
 				});
 				return;
