Show in tests that a request which crashes servers reaches one server after the other

Sound requests have fingerprints of their own or popular ones; servers may also be ended from outside.

--- a/packages/core/src/gateway/fleet-checks.ts
+++ b/packages/core/src/gateway/fleet-checks.ts
@@ -54,6 +54,34 @@
 		&& getBegunShare(compared) < minimumRelativeShare * getBegunShare(usual);
 }
 
+/** The crash under a whole request after which the bound on its arrivals applies. */
+const boundedRequestCrashNumber = 3;
+/** Share of the sound requests that may be refused as quarantined while servers are also ended from outside. */
+const maximumQuarantinedShare = 0.01;
+
+/** Returns how often a request that crashes servers reached servers later than the window after its third crash, from gateways in touch. */
+function countLateRequestArrivals(result: FleetResult, fingerprint: string): number {
+	const boundedCrashAt = result.crashes.filter(crash => crash.fingerprint === fingerprint)[boundedRequestCrashNumber - 1]?.at ?? Number.POSITIVE_INFINITY;
+	return result.records.filter(record => record.fingerprint === fingerprint)
+		.flatMap(({arrivals, gatewayIndex}) => arrivals.filter(({at}) => at > boundedCrashAt + stableWindowMs && result.isInTouch(gatewayIndex, at)))
+		.length;
+}
+
+/** Returns the bounds on whole requests that crash servers that a simulation broke, in words. */
+export function findRequestCrashViolations(result: FleetResult): readonly string[] {
+	const sound = result.records.filter(({fingerprint, segments}) =>
+		!result.crashFingerprints.includes(fingerprint) && !segments.some(segment => result.crashSegments.includes(segment)));
+	const quarantinedCount = sound.filter(({isQuarantined}) => isQuarantined).length;
+	const hasOtherCrashes = result.crashes.some(({fingerprint, segments}) => fingerprint === undefined && segments.length === 0);
+	return [
+		...result.crashFingerprints.flatMap(fingerprint => {
+			const lateArrivals = countLateRequestArrivals(result, fingerprint);
+			return lateArrivals > maximumLateArrivals ? [`${fingerprint} reached servers ${lateArrivals} times after the bound`] : [];
+		}),
+		...(quarantinedCount > (hasOtherCrashes ? sound.length * maximumQuarantinedShare : 0) ? [`${quarantinedCount} of ${sound.length} sound requests were refused as quarantined`] : []),
+	];
+}
+
 /** Returns the bounds that a simulation broke, in words. */
 export function findCrashViolations(result: FleetResult): readonly string[] {
 	return result.crashSegments.flatMap(segment => {
--- a/packages/core/src/gateway/fleet-properties.test.ts
+++ b/packages/core/src/gateway/fleet-properties.test.ts
@@ -5,7 +5,7 @@
 import process from 'node:process';
 import fc from 'fast-check';
 import {describe, expect, test} from 'vitest';
-import {findCrashViolations, findLimitViolations} from './fleet-checks.js';
+import {findCrashViolations, findLimitViolations, findRequestCrashViolations} from './fleet-checks.js';
 import type {ServerLimit} from './fleet-servers.js';
 import {createFixtureEndpoints} from './gateway-fixtures.js';
 import {runFleetScenario, type FleetDisruption, type FleetScenario} from './fleet-simulation.js';
@@ -84,6 +84,41 @@
 	});
 });
 
+const requestScenario: fc.Arbitrary<FleetScenario> = fc.record({
+	seed: fc.nat(),
+	gatewayCount: fc.integer({min: 1, max: 6}),
+	soundPerSecond: fc.constant(soundPerSecond),
+	limits: fc.constant([]),
+	crashSegments: fc.constant([]),
+	crashRequests: fc.array(fc.record({startsAt: fc.integer({min: 4500, max: 12_000}), perSecond: fc.constantFrom(0.5, 1, 3), hasPrompt: fc.boolean()}), {minLength: 1, maxLength: 2}),
+	disruptions: fc.array(disruption, {maxLength: 4}),
+});
+
+const kills = fc.array(fc.record({at: fc.integer({min: 5000, max: 25_000}), serverIndex: fc.nat(11)}), {minLength: 3, maxLength: 20});
+
+describe('gateways whose servers crash on a whole request', () => {
+	// Guards against a request without a prompt that crashes each server that runs it, and is sent to the next one at each repeat.
+	test.each([false, true])('stop sending its repeats, and serve all others (prompt: %s)', hasPrompt => {
+		expect(findRequestCrashViolations(runFleetScenario({
+			seed: 1, gatewayCount: 5, soundPerSecond, limits: [], crashSegments: [], crashRequests: [{startsAt: 6000, perSecond: 1, hasPrompt}], disruptions: [],
+		}))).toEqual([]);
+	});
+
+	// Guards against the same while gateways restart or are cut off from each other or the store.
+	test('stop sending its repeats under random restarts and cuts', () => {
+		fc.assert(fc.property(requestScenario, input => {
+			expect(findRequestCrashViolations(runFleetScenario(input))).toEqual([]);
+		}), parameters);
+	});
+
+	// Guards against sound requests that are taken for the cause because servers were ended from outside while they ran.
+	test('stop sending its repeats while other servers are ended from outside, and refuse hardly any sound request', () => {
+		fc.assert(fc.property(requestScenario, kills, (input, killed) => {
+			expect(findRequestCrashViolations(runFleetScenario({...input, kills: killed}))).toEqual([]);
+		}), parameters);
+	});
+});
+
 const limit: fc.Arbitrary<ServerLimit> = fc.record({
 	serverIndex: fc.nat(11),
 	perSecond: fc.constantFrom(0, 0.4, 1, 1.6, 3),
--- a/packages/core/src/gateway/fleet-servers.ts
+++ b/packages/core/src/gateway/fleet-servers.ts
@@ -1,6 +1,6 @@
 /**
 Simulated model servers for the property tests of several gateways. A server crashes when it begins to answer a request whose
-prompt contains a crash segment; it loses its open requests, and starts again under another id after some seconds. A server may
+prompt contains a crash segment, or which crashes servers as a whole; it loses its open requests, and starts again under another id after some seconds. A server may
 name a limit in its responses for some time.
 */
 import {Buffer} from 'node:buffer';
@@ -17,6 +17,7 @@
 	id: string;
 	sendId: SendId;
 	segments: readonly SegmentId[];
+	fingerprint: string;
 	lastEventId: string | undefined;
 	onArrived(): void;
 	/** Called when the server begins to answer, with the limit that it names. */
@@ -30,16 +31,21 @@
 export type FleetServersHost = Readonly<{
 	random: Random;
 	crashSegments: ReadonlySet<SegmentId>;
+	/** Fingerprints of the requests that crash servers as a whole. */
+	crashFingerprints: ReadonlySet<string>;
 	limits: readonly ServerLimit[];
 	getNow(): Timestamp;
 	schedule(delayMs: Milliseconds, run: () => void): void;
-	onCrash(segments: readonly SegmentId[]): void;
+	/** Called when a server crashes, with the crash segments and the fingerprints of the request that it ran. */
+	onCrash(segments: readonly SegmentId[], fingerprint: string | undefined): void;
 }>;
 
 export type FleetServers = Readonly<{
 	/** Returns the endpoints that the platform lists; crashed ones are listed until their entries expire. */
 	getListed(): readonly ListedEndpoint[];
 	isUp(endpoint: EndpointId): boolean;
+	/** Ends a server from outside; it loses its open requests and starts again as after a crash. */
+	kill(serverIndex: number): void;
 	receive(endpoint: ListedEndpoint, request: ReceivedRequest): void;
 	/** Ends a request whose connection the gateway has closed. */
 	abort(id: string): void;
@@ -100,13 +106,13 @@
 		});
 	}
 
-	function breakServer(server: SimulatedServer, segments: readonly SegmentId[]): void {
+	function breakServer(server: SimulatedServer, segments: readonly SegmentId[], fingerprint: string | undefined): void {
 		if (!server.isUp) {
 			return;
 		}
 
 		server.isUp = false;
-		host.onCrash(segments);
+		host.onCrash(segments, fingerprint);
 		const openRequests = [...server.openRequests.values()];
 		server.openRequests.clear();
 		host.schedule(networkDelayMs, () => {
@@ -154,9 +160,10 @@
 		openRequest.hasHead = true;
 		request.dispatch({kind: 'responseStarted', sendId: request.sendId, head: createFixtureHead({isUndelimited: server.isUndelimited, requestsPerSecond})});
 		const segments = request.segments.filter(segment => host.crashSegments.has(segment));
-		if (segments.length > 0) {
+		const fingerprint = host.crashFingerprints.has(request.fingerprint) ? request.fingerprint : undefined;
+		if (segments.length > 0 || fingerprint !== undefined) {
 			host.schedule(crashDelayMs, () => {
-				breakServer(server, segments);
+				breakServer(server, segments, fingerprint);
 			});
 			return;
 		}
@@ -187,6 +194,13 @@
 
 	return {
 		getListed: () => [...servers.values()].map(({listed}) => listed),
+		kill(serverIndex) {
+			const up = [...servers.values()].filter(({isUp}) => isUp);
+			const server = up[serverIndex % Math.max(1, up.length)];
+			if (server !== undefined) {
+				breakServer(server, [], undefined);
+			}
+		},
 		isUp: endpoint => servers.get(endpoint)?.isUp ?? false,
 		receive(endpoint, request) {
 			host.schedule(networkDelayMs, () => {
--- a/packages/core/src/gateway/fleet-simulation.ts
+++ b/packages/core/src/gateway/fleet-simulation.ts
@@ -1,6 +1,6 @@
 /**
 Simulation of several gateways for the property tests: runs them in virtual time against servers that crash on segments of
-prompts, while gateways restart or are cut off from each other or from the store. Records what callers and servers observe.
+prompts or on whole requests, while gateways restart or are cut off from each other or from the store. Records what callers and servers observe.
 */
 import TinyQueue from 'tinyqueue';
 import {createRandom, type Random} from '../random.js';
@@ -17,6 +17,9 @@
 /** Callers send `perSecond` requests whose prompts contain the segment, from `startsAt` on. */
 export type CrashSegment = Readonly<{startsAt: Timestamp; perSecond: number}>;
 
+/** Callers send the same request, which crashes servers, `perSecond` times from `startsAt` on. It has a prompt with shared segments, or none. */
+export type CrashRequest = Readonly<{startsAt: Timestamp; perSecond: number; hasPrompt: boolean}>;
+
 export type FleetDisruption = Readonly<{
 	/** `restoreStore` lets the store go back to what it held `durationMs` before. */
 	kind: 'restart' | 'cutFromPeers' | 'cutFromStore' | 'restoreStore';
@@ -31,6 +34,9 @@
 	/** Rate of the requests without crash segments. */
 	soundPerSecond: number;
 	crashSegments: readonly CrashSegment[];
+	crashRequests?: readonly CrashRequest[];
+	/** Servers that are ended from outside. */
+	kills?: ReadonlyArray<Readonly<{at: Timestamp; serverIndex: number}>>;
 	limits: readonly ServerLimit[];
 	disruptions: readonly FleetDisruption[];
 }>;
@@ -40,6 +46,7 @@
 	readonly sentAt: Timestamp;
 	readonly gatewayIndex: number;
 	readonly segments: readonly SegmentId[];
+	readonly fingerprint: string;
 	/** Whether the caller repeats a request that failed. */
 	readonly isRepeat: boolean;
 	/** When a server received the request. */
@@ -47,9 +54,11 @@
 	/** Whether a server began to answer the request. */
 	hasBegun: boolean;
 	isAnswered: boolean;
+	/** Whether the request was refused because it, or a segment of its prompt, is quarantined. */
+	isQuarantined: boolean;
 };
 
-export type FleetCrash = Readonly<{at: Timestamp; segments: readonly SegmentId[]}>;
+export type FleetCrash = Readonly<{at: Timestamp; segments: readonly SegmentId[]; fingerprint: string | undefined}>;
 
 /** A response that named a server's limit, and the gateway that received it. */
 export type NamedLimit = Readonly<{at: Timestamp; address: string; gatewayIndex: number}>;
@@ -58,6 +67,7 @@
 	records: readonly FleetRequestRecord[];
 	crashes: readonly FleetCrash[];
 	crashSegments: readonly SegmentId[];
+	crashFingerprints: readonly string[];
 	namedLimits: readonly NamedLimit[];
 	/** Returns whether a gateway ran and reached the store for the whole window before a time. */
 	isInTouch(gatewayIndex: number, at: Timestamp): boolean;
@@ -81,6 +91,9 @@
 /** Delay after which a caller repeats a failed request at another gateway. */
 const repeatDelayMs: Milliseconds = 300;
 const millisecondsPerSecond = 1000;
+/** Share of the sound requests that many callers send in the same form. */
+const popularShare = 0.3;
+const popularRequestCount = 5;
 
 type SimulatedGateway = {
 	readonly index: number;
@@ -123,7 +136,10 @@
 export function runFleetScenario(scenario: FleetScenario): FleetResult {
 	const random = createRandom(scenario.seed);
 	const tasks = new TinyQueue<Task>([], (left, right) => left.at - right.at || left.order - right.order);
+	/** Draws fingerprints. A generator of its own keeps the other draws of a seed as they are. */
+	const fingerprintRandom = createRandom(scenario.seed + 1);
 	const crashSegments = scenario.crashSegments.map((_, index) => `crash-${index}`);
+	const crashFingerprints = (scenario.crashRequests ?? []).map((_, index) => `crash-request-${index}`);
 	const records: FleetRequestRecord[] = [];
 	const crashes: FleetCrash[] = [];
 	const namedLimits: NamedLimit[] = [];
@@ -145,11 +161,12 @@
 	const servers = createFleetServers({
 		random,
 		crashSegments: new Set(crashSegments),
+		crashFingerprints: new Set(crashFingerprints),
 		limits: scenario.limits,
 		getNow: () => now,
 		schedule,
-		onCrash(segments) {
-			crashes.push({at: now, segments});
+		onCrash(segments, fingerprint) {
+			crashes.push({at: now, segments, fingerprint});
 		},
 	});
 
@@ -207,7 +224,7 @@
 		record.isAnswered = isAnswered;
 		if (!isAnswered && !record.isRepeat) {
 			schedule(repeatDelayMs, () => {
-				startRequest(record.segments, true);
+				startRequest(record.segments, record.fingerprint, true);
 			});
 		}
 	}
@@ -223,6 +240,7 @@
 			id: formatSendId(simulated, action.sendId),
 			sendId: action.sendId,
 			segments: record.segments,
+			fingerprint: record.fingerprint,
 			lastEventId: action.lastEventId,
 			onArrived() {
 				record.arrivals.push({at: now, address});
@@ -271,8 +289,17 @@
 				return;
 			}
 
+			case 'failRequest': {
+				const record = simulated.openRequests.get(action.key);
+				if (record !== undefined) {
+					record.isQuarantined = action.failure.kind === 'promptQuarantined';
+				}
+
+				endRequest(simulated, action.key, false);
+				return;
+			}
+
 			case 'breakResponse':
-			case 'failRequest':
 			case 'forgetRequest': {
 				endRequest(simulated, action.key, false);
 				return;
@@ -330,7 +357,7 @@
 		}
 	}
 
-	function startRequest(segments: readonly SegmentId[], isRepeat: boolean): void {
+	function startRequest(segments: readonly SegmentId[], fingerprint: string, isRepeat: boolean): void {
 		const running = gateways.filter(({gateway}) => gateway !== undefined);
 		const simulated = running[random.getInteger(Math.max(1, running.length))];
 		if (simulated === undefined) {
@@ -339,12 +366,14 @@
 
 		requestCount += 1;
 		const record: FleetRequestRecord = {
-			sentAt: now, gatewayIndex: simulated.index, segments, isRepeat, arrivals: [], hasBegun: false, isAnswered: false,
+			sentAt: now, gatewayIndex: simulated.index, segments, fingerprint, isRepeat, arrivals: [], hasBegun: false, isAnswered: false, isQuarantined: false,
 		};
 		records.push(record);
 		simulated.openRequests.set(requestCount, record);
 		dispatch(simulated, {
-			kind: 'requestArrived', request: createFixtureGatewayRequest(fixtureStreamRoute, {key: requestCount, arrivedAt: now, sharedSegments: segments}),
+			kind: 'requestArrived', request: createFixtureGatewayRequest(fixtureStreamRoute, {
+				key: requestCount, arrivedAt: now, sharedSegments: segments, fingerprint,
+			}),
 		});
 	}
 
@@ -466,10 +495,25 @@
 		}
 	}
 
+	function drawFingerprint(): string {
+		return fingerprintRandom.getFraction() < popularShare
+			? `popular-${fingerprintRandom.getInteger(popularRequestCount)}`
+			: `unique-${requestCount}`;
+	}
+
+	function scheduleCrashRequests({startsAt, perSecond, hasPrompt}: CrashRequest, fingerprint: string): void {
+		const segments = hasPrompt ? drawSegments(fingerprintRandom, undefined) : [];
+		for (const at of drawTimes(fingerprintRandom, startsAt, perSecond)) {
+			schedule(at, () => {
+				startRequest(segments, fingerprint, false);
+			});
+		}
+	}
+
 	function scheduleRequests(times: readonly Timestamp[], crashSegment: SegmentId | undefined): void {
 		for (const at of times) {
 			schedule(at, () => {
-				startRequest(drawSegments(random, crashSegment), false);
+				startRequest(drawSegments(random, crashSegment), drawFingerprint(), false);
 			});
 		}
 	}
@@ -483,6 +527,16 @@
 		scheduleRequests(drawTimes(random, startsAt, perSecond), crashSegments[index]);
 	}
 
+	for (const [index, crashRequest] of (scenario.crashRequests ?? []).entries()) {
+		scheduleCrashRequests(crashRequest, crashFingerprints[index] ?? '');
+	}
+
+	for (const {at, serverIndex} of scenario.kills ?? []) {
+		schedule(at, () => {
+			servers.kill(serverIndex);
+		});
+	}
+
 	for (const disruption of scenario.disruptions) {
 		schedule(disruption.at, () => {
 			applyDisruption(disruption);
@@ -509,6 +563,7 @@
 		records,
 		crashes,
 		crashSegments,
+		crashFingerprints,
 		namedLimits,
 		isUndisturbed: (gatewayIndex, at) => !scenario.disruptions.some(disruption => disruption.gatewayIndex % gateways.length === gatewayIndex
 			&& disruption.at <= at && disruption.at + disruption.durationMs >= at - stableWindowMs),
