Record crashes in the store, so that evidence outlives a restart of all gateways

Cause: crashes that had not led to a quarantine were known to processes alone. Each gateway now keeps its last 50 open crashes in one object of the store, written at the first crash and then every 0.5 s or 5 ms for each gateway at most (880: 200 writes a second); a gateway that starts reads all of them once. Worked out, not run: the loss of a data centre at 880 gateways.

--- a/packages/core/src/gateway/fleet-simulation.ts
+++ b/packages/core/src/gateway/fleet-simulation.ts
@@ -12,7 +12,7 @@
 	createFixtureGatewayRequest, fixtureConfiguration, fixtureGatewaySettings, fixtureStreamRoute,
 } from './gateway-fixtures.js';
 import type {RequestKey, SegmentId} from './gateway-types.js';
-import type {ServiceSegment} from './segment-suspicion.js';
+import type {CrashReport, ServiceSegment} from './segment-suspicion.js';
 
 /** Callers send `perSecond` requests whose prompts contain the segment, from `startsAt` on. */
 export type CrashSegment = Readonly<{startsAt: Timestamp; perSecond: number}>;
@@ -146,6 +146,7 @@
 	const gateways: SimulatedGateway[] = Array.from({length: scenario.gatewayCount}, (_, index) => ({
 		index, name: `gateway-${index}`, gateway: undefined, startCount: 0, isCutFromPeers: false, isCutFromStore: false, outages: [], openRequests: new Map(), epoch: 0,
 	}));
+	const storedCrashes = new Map<string, Readonly<{at: Timestamp; crashes: readonly CrashReport[]}>>();
 	let storedQuarantines: StoredQuarantines = new Map();
 	const storeHistory: Array<Readonly<{at: Timestamp; quarantines: StoredQuarantines}>> = [];
 	let epoch = 0;
@@ -326,6 +327,14 @@
 				return;
 			}
 
+			case 'recordCrashes': {
+				if (!simulated.isCutFromStore) {
+					storedCrashes.set(simulated.name, {at: now, crashes: action.crashes});
+				}
+
+				return;
+			}
+
 			case 'removeQuarantine': {
 				if (!simulated.isCutFromStore) {
 					const key = `${action.segment.service}.${action.segment.segment}`;
@@ -416,6 +425,19 @@
 		});
 	}
 
+	/** Reads the recorded crashes once, as soon as the gateway reaches the store. */
+	function readCrashes(simulated: SimulatedGateway): void {
+		if (!simulated.isCutFromStore) {
+			const crashes = [...storedCrashes.values()].flatMap(stored => stored.crashes.map(crash => ({...crash, ageMs: crash.ageMs + now - stored.at})));
+			dispatch(simulated, {kind: 'crashesListed', crashes});
+			return;
+		}
+
+		scheduleFor(simulated, endpointPollMs, () => {
+			readCrashes(simulated);
+		});
+	}
+
 	function keepVerifying(simulated: SimulatedGateway): void {
 		if (!simulated.isCutFromStore) {
 			dispatch(simulated, {kind: 'configurationVerified', configuration: fixtureConfiguration, verifiedAt: now});
@@ -434,6 +456,7 @@
 		keepVerifying(simulated);
 		keepListing(simulated);
 		keepListingQuarantines(simulated);
+		readCrashes(simulated);
 		exchangeSnapshots(simulated);
 	}
 
--- a/packages/core/src/gateway/forwarded-request.test.ts
+++ b/packages/core/src/gateway/forwarded-request.test.ts
@@ -73,6 +73,7 @@
 		case 'checkEndpoint':
 		case 'recordQuarantine':
 		case 'removeQuarantine':
+		case 'recordCrashes':
 		case 'reportQuarantine':
 		case 'reportLimit':
 		case 'readConfiguration':
--- a/packages/core/src/gateway/gateway-events.ts
+++ b/packages/core/src/gateway/gateway-events.ts
@@ -14,7 +14,7 @@
 import type {
 	EndpointCheck, Quarantine, QuarantineRecord, QuarantineReport,
 } from './segment-quarantine.js';
-import type {ServiceSegment} from './segment-suspicion.js';
+import type {CrashReport, ServiceSegment} from './segment-suspicion.js';
 
 /** An endpoint that helps with the prefill of a send, and the memory reservation there, if any. */
 export type SendHelper = Readonly<{address: string; reservationId: ReservationId | undefined}>;
@@ -77,6 +77,8 @@
 	/** Creates a record of a quarantine in the platform's store, unless there is one. */
 	| Readonly<{kind: 'recordQuarantine'; quarantine: Quarantine}>
 	| Readonly<{kind: 'removeQuarantine'; segment: ServiceSegment}>
+	/** Replaces the record of this gateway's crashes in the platform's store. */
+	| Readonly<{kind: 'recordCrashes'; crashes: readonly CrashReport[]}>
 	| Readonly<{kind: 'reportQuarantine'; report: QuarantineReport}>
 	| Readonly<{kind: 'reportEndpoint'; change: EndpointChange}>
 	| Readonly<{kind: 'reportLimit'; report: LimitReport}>
@@ -139,4 +141,6 @@
 		| Readonly<{kind: 'endpointChecked'; endpoint: EndpointId; result: EndpointCheck}>
 	/** All quarantines that the platform's store lists. */
 		| Readonly<{kind: 'quarantinesListed'; records: readonly QuarantineRecord[]}>
+	/** The crashes that gateways have recorded in the platform's store. */
+		| Readonly<{kind: 'crashesListed'; crashes: readonly CrashReport[]}>
 		| Readonly<{kind: 'timePassed'}>;
--- a/packages/core/src/gateway/gateway-fault-simulation.ts
+++ b/packages/core/src/gateway/gateway-fault-simulation.ts
@@ -247,6 +247,7 @@
 			case 'checkEndpoint':
 			case 'recordQuarantine':
 			case 'removeQuarantine':
+			case 'recordCrashes':
 			case 'reportQuarantine':
 			case 'reportLimit':
 			case 'readConfiguration':
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -283,6 +283,11 @@
 				return quarantine.applyRecords(event.records, now);
 			}
 
+			case 'crashesListed': {
+				quarantine.applyCrashRecords(event.crashes, now);
+				return [];
+			}
+
 			case 'timePassed': {
 				return [...quarantine.handleTimePassed(now), ...stepDueRequests(now)];
 			}
--- a/packages/core/src/gateway/segment-quarantine.ts
+++ b/packages/core/src/gateway/segment-quarantine.ts
@@ -2,7 +2,8 @@
 Quarantine of the segments of prompts that crash servers: requests whose prompts contain such a segment are refused.
 
 Gateways tell each other of crashes, of segments that a completed response has cleared, and of quarantines. Quarantines are
-also recorded in the platform's store, for gateways that start, and for those that the others don't reach.
+also recorded in the platform's store, for gateways that start, and for those that the others don't reach. So are the crashes that
+have not led to one, since all gateways may restart at once.
 */
 import {LRUCache} from 'lru-cache';
 import type {Milliseconds, Timestamp} from '../types.js';
@@ -43,11 +44,13 @@
 	applyPeerChange(change: QuarantineChange, now: Timestamp): readonly GatewayAction[];
 	/** Sets the number of gateways, over which the calls of the store are spread. */
 	setGatewayCount(count: number): void;
+	/** Applies the crashes that gateways have recorded in the store. */
+	applyCrashRecords(crashes: readonly CrashReport[], now: Timestamp): void;
 	/** Records that the store has gone back to an earlier state, so that its list says nothing about releases. */
 	recordRestore(now: Timestamp): void;
 	/** Applies the complete list of quarantines in the store. */
 	applyRecords(records: readonly QuarantineRecord[], now: Timestamp): readonly GatewayAction[];
-	/** Decides on crashes whose reports are complete. */
+	/** Decides on crashes whose reports are complete, and records the own ones. */
 	handleTimePassed(now: Timestamp): readonly GatewayAction[];
 	/** Returns when `handleTimePassed` is due next. */
 	getWakeAt(): Timestamp;
@@ -98,6 +101,11 @@
 const recordSpreadPerGatewayMs: Milliseconds = 20;
 const maximumQuarantines = 10_000;
 const maximumOwnCrashes = 1000;
+/** Number of this gateway's last crashes that the store keeps; more than a conclusion needs. */
+const maximumRecordedCrashes = 50;
+/** Minimum time between two records of crashes, and its part for each gateway: all may lose requests in the same crashes. */
+const minimumCrashRecordMs: Milliseconds = 500;
+const crashRecordPerGatewayMs: Milliseconds = 5;
 
 function getKey({service, segment}: ServiceSegment): string {
 	return `${service} ${segment}`;
@@ -112,6 +120,25 @@
 	const ownCrashes = new LRUCache<EndpointId, OwnCrash>({max: maximumOwnCrashes});
 
 	let gatewayCount = 1;
+	let crashesRecordedAt = Number.NEGATIVE_INFINITY;
+	/** When the record of this gateway's crashes is due, infinite if it is up to date. */
+	let crashRecordDueAt = Number.POSITIVE_INFINITY;
+
+	function scheduleCrashRecord(now: Timestamp): void {
+		const intervalMs = Math.max(minimumCrashRecordMs, gatewayCount * crashRecordPerGatewayMs);
+		crashRecordDueAt = Math.min(crashRecordDueAt, Math.max(now, crashesRecordedAt + intervalMs));
+	}
+
+	function recordCrashes(now: Timestamp): readonly GatewayAction[] {
+		if (now < crashRecordDueAt) {
+			return [];
+		}
+
+		crashesRecordedAt = now;
+		crashRecordDueAt = Number.POSITIVE_INFINITY;
+		const crashes = suspicion.getOpenReports(now).filter(({reporter}) => reporter === settings.gateway).slice(-maximumRecordedCrashes);
+		return [{kind: 'recordCrashes', crashes}];
+	}
 
 	/** Returns the delay after which this gateway records a quarantine that another one should have recorded. */
 	function getRecordDelayMs(segment: ServiceSegment): Milliseconds {
@@ -193,6 +220,7 @@
 			service, endpoint: id, reporter: settings.gateway, ageMs: now - ownCrash.brokenAt, ...suspicion.countRequests(service, ownCrash.lostPrompts),
 		};
 		suspicion.recordCrash(crash, now);
+		scheduleCrashRecord(now);
 		return [report({kind: 'crashed', endpoint: id, segments: crash.suspects.map(({segment}) => segment)}), publish({kind: 'serverCrashed', crash})];
 	}
 
@@ -271,6 +299,10 @@
 			return segments.flatMap(segment => {
 				const serviceSegment = {service, segment};
 				const wasSuspect = suspicion.clear(serviceSegment, now);
+				if (wasSuspect && ownCrashes.size > 0) {
+					scheduleCrashRecord(now);
+				}
+
 				const released = release(serviceSegment, 'completion', now);
 				return [
 					...released,
@@ -299,7 +331,16 @@
 		setGatewayCount(count) {
 			gatewayCount = count;
 		},
+		applyCrashRecords(crashes, now) {
+			for (const crash of crashes) {
+				suspicion.recordCrash(crash, now);
+			}
+		},
 		recordRestore(now) {
+			if (ownCrashes.size > 0) {
+				scheduleCrashRecord(now);
+			}
+
 			for (const entry of quarantined.values()) {
 				entry.listedAt = undefined;
 				entry.recordDueAt = now + getRecordDelayMs(entry.segment);
@@ -319,9 +360,9 @@
 				actions.push(...reconcileCulprits(next.service, now));
 			}
 
-			return actions;
+			return [...actions, ...recordCrashes(now)];
 		},
-		getWakeAt: () => suspicion.findNextDecision()?.at ?? Number.POSITIVE_INFINITY,
+		getWakeAt: () => Math.min(crashRecordDueAt, suspicion.findNextDecision()?.at ?? Number.POSITIVE_INFINITY),
 		getSnapshot: now => [
 			...suspicion.getOpenReports(now).map((crash): QuarantineChange => ({kind: 'serverCrashed', crash})),
 			...[...quarantined.values()].filter(({until}) => until > now).map(({segment, until}): QuarantineChange =>
--- a/packages/daemon/src/logger.ts
+++ b/packages/daemon/src/logger.ts
@@ -14,7 +14,7 @@
 		| 'requestPlaced' | 'sendEnded' | 'requestRefused' | 'endpointChanged' | 'dependencyLost' | 'dependencyRegained'
 		| 'settingsReloaded' | 'settingsRefused' | 'clockJumped' | 'peerFound' | 'peerLost' | 'readinessChanged' | 'linesDropped'
 		| 'orderRefused' | 'orderFailed' | 'serverCrashed' | 'segmentQuarantined' | 'segmentReleased'
-		| 'quarantineNotRecorded' | 'quarantineNotRemoved' | 'limitChanged';
+		| 'quarantineNotRecorded' | 'crashesNotRecorded' | 'quarantineNotRemoved' | 'limitChanged';
 
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -25,7 +25,7 @@
 export type GatewayDriverHost = Readonly<{
 	/** Name of this gateway. */
 	name: string;
-	platform: Pick<PlatformHost, 'recordQuarantine' | 'removeQuarantine'>;
+	platform: Pick<PlatformHost, 'recordQuarantine' | 'removeQuarantine' | 'recordCrashes'>;
 	client: EndpointClient;
 	wireFormat: WireFormat;
 	logger: Logger;
@@ -58,6 +58,10 @@
 	return segments.length === 0 ? undefined : segments.slice(0, maximumLoggedSegments).join(',');
 }
 
+function getSegmentFields({service, segment}: ServiceSegment): Readonly<Record<string, string>> {
+	return {service, segment};
+}
+
 /** Creates a driver for the gateway. */
 export function createGatewayDriver(gateway: Gateway, host: GatewayDriverHost): GatewayDriver {
 	const openRequests = new Map<RequestKey, OpenRequest>();
@@ -177,12 +181,17 @@
 			}
 
 			case 'recordQuarantine': {
-				void performStoreCall('quarantineNotRecorded', action.quarantine, async () => host.platform.recordQuarantine({...action.quarantine, gateway: host.name}));
+				void performStoreCall('quarantineNotRecorded', getSegmentFields(action.quarantine), async () => host.platform.recordQuarantine({...action.quarantine, gateway: host.name}));
 				return;
 			}
 
 			case 'removeQuarantine': {
-				void performStoreCall('quarantineNotRemoved', action.segment, async () => host.platform.removeQuarantine(action.segment));
+				void performStoreCall('quarantineNotRemoved', getSegmentFields(action.segment), async () => host.platform.removeQuarantine(action.segment));
+				return;
+			}
+
+			case 'recordCrashes': {
+				void performStoreCall('crashesNotRecorded', {crashes: action.crashes.length}, async () => host.platform.recordCrashes(host.name, action.crashes));
 				return;
 			}
 
@@ -333,12 +342,12 @@
 		dispatch({kind: 'endpointChecked', endpoint: endpoint.id, result});
 	}
 
-	/** Calls the store. A call that fails is repeated after the next poll of the quarantines. */
-	async function performStoreCall(failureEvent: 'quarantineNotRecorded' | 'quarantineNotRemoved', {service, segment}: ServiceSegment, call: () => Promise<void>): Promise<void> {
+	/** Calls the store. A failed call for a quarantine is repeated after the next poll, one for crashes with the next crash. */
+	async function performStoreCall(failureEvent: 'quarantineNotRecorded' | 'quarantineNotRemoved' | 'crashesNotRecorded', fields: Readonly<Record<string, string | number>>, call: () => Promise<void>): Promise<void> {
 		try {
 			await call();
 		} catch (error) {
-			host.logger.warn(failureEvent, {service, segment, reason: getErrorText(error)});
+			host.logger.warn(failureEvent, {...fields, reason: getErrorText(error)});
 		}
 	}
 
--- a/packages/gateway/src/gateway-hosts.ts
+++ b/packages/gateway/src/gateway-hosts.ts
@@ -11,7 +11,8 @@
 import type {Reservation} from '@currantcross/core/gateway/memory-reservation';
 import type {SendHelper} from '@currantcross/core/gateway/gateway-events';
 import type {QuarantineRecord} from '@currantcross/core/gateway/segment-quarantine';
-import type {ServiceSegment} from '@currantcross/core/gateway/segment-suspicion';
+import type {GatewayName} from '@currantcross/core/gateway/load-view';
+import type {CrashReport, ServiceSegment} from '@currantcross/core/gateway/segment-suspicion';
 import type {Milliseconds} from '@currantcross/core/types';
 
 /** The decoded headers of a caller's request. */
@@ -93,6 +94,10 @@
 	/** Creates a record of a quarantine, or keeps the existing one of its segment. */
 	recordQuarantine(record: QuarantineRecord): Promise<void>;
 	removeQuarantine(segment: ServiceSegment): Promise<void>;
+	/** Replaces the record of the crashes that a gateway has seen. */
+	recordCrashes(gateway: GatewayName, crashes: readonly CrashReport[]): Promise<void>;
+	/** Lists the crashes that all gateways have recorded. */
+	listCrashes(): Promise<Listing<CrashReport>>;
 	listGateways(): Promise<Listing<GatewayRegistration>>;
 	registerGateway(registration: GatewayRegistration): Promise<void>;
 	close(): void;
--- a/packages/gateway/src/platform-feed.test.ts
+++ b/packages/gateway/src/platform-feed.test.ts
@@ -34,6 +34,7 @@
 			}),
 			listEndpoints: async () => emptyListing,
 			listQuarantines: async () => emptyListing,
+			listCrashes: async () => emptyListing,
 			listGateways: async () => emptyListing,
 			registerGateway: async () => undefined,
 			close: () => undefined,
--- a/packages/gateway/src/platform-feed.ts
+++ b/packages/gateway/src/platform-feed.ts
@@ -268,6 +268,22 @@
 		}
 	}
 
+	/** Reads the recorded crashes until that has succeeded once. From then on, peers tell of crashes. */
+	async function readCrashes(): Promise<void> {
+		const dependency: Dependency = {name: 'crashes', isLost: false, failures: 0};
+		while (!closing.signal.aborted) {
+			// eslint-disable-next-line no-await-in-loop
+			const crashes = await readList(dependency, platform.listCrashes);
+			if (crashes !== undefined) {
+				host.dispatch({kind: 'crashesListed', crashes});
+				return;
+			}
+
+			// eslint-disable-next-line no-await-in-loop
+			await wait(getRetryDelayMs(dependency));
+		}
+	}
+
 	async function listGateways(self: GatewayRegistration): Promise<Listing<GatewayRegistration>> {
 		if (!isRegistered && performance.now() >= registrationDueAt) {
 			await platform.registerGateway(self);
@@ -312,6 +328,7 @@
 			void runConfigurationWatch();
 			void runEndpointPolling();
 			void runQuarantinePolling();
+			void readCrashes();
 			void runGatewayPolling(self);
 		},
 		refresh() {
--- a/packages/standins/src/platform-store-standin.ts
+++ b/packages/standins/src/platform-store-standin.ts
@@ -1,6 +1,6 @@
 /**
 In-memory stand-in for the platform's metadata store, with its published protocol: objects by kind and name, lists, watches,
-removal, and creation that fails if the object exists. Tests can inject faults, and restore the store from a copy.
+replacement, removal, and creation that fails if the object exists. Tests can inject faults, and restore the store from a copy.
 */
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import {text} from 'node:stream/consumers';
@@ -225,6 +225,13 @@
 			return;
 		}
 
+		if (message.method === 'PUT') {
+			const body = JSON.parse(await text(message)) as Readonly<{spec: unknown}>; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+			const existing = getObjectsOfKind(kind).get(name ?? '');
+			sendJson(response, existing === undefined ? 404 : 200, existing === undefined ? {} : write(kind, name ?? '', body.spec));
+			return;
+		}
+
 		if (message.method === 'DELETE') {
 			const hasExisted = getObjectsOfKind(kind).has(name ?? '');
 			remove(kind, name ?? '');
