Quarantine whole requests that crash the servers that run them

Callers saw servers of a service end one after the other, and 502 or 503 for sound requests of it: a request without a prompt, sent again and again at any gateway, crashed each server that began to run it.

A request as a whole, by its fingerprint, is one more segment for the evidence, the quarantine, the exchange and the store. It is taken for the cause from the third crash on, if no segment explains the crashes, if being lost in so large a share of them is unlikely by chance (Chernoff bound, so that popular requests that are lost often are not convicted), and if it explains more of them than any other request, up to five crashes. Crashes that are mostly of one request count once against its segments.

--- a/packages/core/src/gateway/fleet-simulation.ts
+++ b/packages/core/src/gateway/fleet-simulation.ts
@@ -293,7 +293,7 @@
 			case 'failRequest': {
 				const record = simulated.openRequests.get(action.key);
 				if (record !== undefined) {
-					record.isQuarantined = action.failure.kind === 'promptQuarantined';
+					record.isQuarantined = action.failure.kind === 'promptQuarantined' || action.failure.kind === 'requestQuarantined';
 				}
 
 				endRequest(simulated, action.key, false);
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -25,6 +25,7 @@
 } from './gateway-events.js';
 import {createForwardedRequest, type PlacementDecision, type ForwardedRequest} from './forwarded-request.js';
 import type {PeerChange} from './peer-changes.js';
+import {getTraits, isWholeRequest} from './request-traits.js';
 import {createSegmentQuarantine} from './segment-quarantine.js';
 import {createRetryQuota, type RetryQuotaSettings} from './retry-quota.js';
 
@@ -117,9 +118,10 @@
 	}
 
 	function choosePlacement(request: GatewayRequest, excluded: ReadonlySet<EndpointId>, now: Timestamp): PlacementDecision {
-		const quarantined = quarantine.find(request.service, request.sharedSegments, now);
+		const quarantined = quarantine.find(request.service, getTraits(request), now);
 		if (quarantined !== undefined) {
-			return refuse(createNotRunFailure('promptQuarantined', `segment ${quarantined.segment}`, quarantined.remainingMs));
+			const {segment, remainingMs} = quarantined;
+			return refuse(createNotRunFailure(isWholeRequest(segment) ? 'requestQuarantined' : 'promptQuarantined', `segment ${segment}`, remainingMs));
 		}
 
 		const available = registry.getAvailable(request.service, now);
@@ -162,9 +164,9 @@
 		createReservationId: (sendId: SendId, index: number) => `${settings.name}.${settings.incarnation}.${sendId}.${index}`,
 		choosePlacement,
 		checkCredential: (request: GatewayRequest, now: Timestamp) => configuration.checkCredential(request.route, request.credential, now),
-		recordBrokenSend: ({sharedSegments}: GatewayRequest, endpoint: ListedEndpoint, now: Timestamp) => quarantine.recordBrokenSend(endpoint, sharedSegments, now),
+		recordBrokenSend: (request: GatewayRequest, endpoint: ListedEndpoint, now: Timestamp) => quarantine.recordBrokenSend(endpoint, getTraits(request), now),
 		recordLimit: limits.recordResponse,
-		recordCompletion: ({service, sharedSegments}: GatewayRequest, now: Timestamp) => quarantine.recordCompletion(service, sharedSegments, now),
+		recordCompletion: (request: GatewayRequest, now: Timestamp) => quarantine.recordCompletion(request.service, getTraits(request), now),
 		recordWork(change: WorkChange, now: Timestamp) {
 			load.applyChange(settings.name, change, now);
 			recordStarts([change], now);
--- a/packages/core/src/gateway/segment-quarantine.ts
+++ b/packages/core/src/gateway/segment-quarantine.ts
@@ -1,5 +1,6 @@
 /**
-Quarantine of the segments of prompts that crash servers: requests whose prompts contain such a segment are refused.
+Quarantine of the segments of prompts, and of whole requests, that crash servers: requests with such a segment, and repeats of such
+a request, are refused.
 
 Gateways tell each other of crashes, of segments that a completed response has cleared, and of quarantines. Quarantines are
 also recorded in the platform's store, for gateways that start, and for those that the others don't reach. So are the crashes that
@@ -271,10 +272,6 @@
 			return undefined;
 		},
 		recordBrokenSend(endpoint, segments, now) {
-			if (segments.length === 0) {
-				return [];
-			}
-
 			const pending = pendingChecks.get(endpoint.id);
 			if (pending === undefined) {
 				pendingChecks.set(endpoint.id, {endpoint, lostPrompts: [segments], brokenAt: now});
--- a/packages/core/src/gateway/segment-suspicion.ts
+++ b/packages/core/src/gateway/segment-suspicion.ts
@@ -5,11 +5,16 @@
 crash is the stronger evidence against a segment, the less likely it is that one of the lost requests contains the segment by
 chance. A completed response clears the segments of its prompt of all earlier crashes. A crash is attributed to the segment
 that explains most crashes, and then not counted against the others.
+
+A request as a whole counts as one more segment, which its repeats share. It is only taken for the cause of crashes that no segment
+explains, and if it explains more of them than any other request: sound requests that a crash has ended are sent again, often to the
+same server as its cause.
 */
 import {LRUCache} from 'lru-cache';
 import type {Milliseconds, Timestamp} from '../types.js';
 import type {EndpointId, SegmentId} from './gateway-types.js';
 import type {GatewayName} from './load-view.js';
+import {isWholeRequest} from './request-traits.js';
 
 /** A segment of the prompts of a service. Servers of other services may process the same segment without a fault. */
 export type ServiceSegment = Readonly<{service: string; segment: SegmentId}>;
@@ -81,8 +86,14 @@
 const reportDelayMs: Milliseconds = 400;
 /** Crashes within this time have one cause, such as the loss of a rack, and count once. */
 const sameMomentMs: Milliseconds = 100;
+/** Crashes under one request at a time are not of one cause from this interval on: it is sent to one server after the other. */
+const sameRequestMomentMs: Milliseconds = 10;
+/** Number of crashes from which on a whole request may be taken for their cause, though another one was lost in all of them. */
+const conclusiveRequestCrashes = 5;
 /** Number of moments with crashes from which on a segment may be taken for their cause. */
 const conclusiveMoments = 3;
+/** Share of the crashes under a segment from which on the request that was lost in them is the likelier cause. */
+const dominantRequestShare = 2 / 3;
 /** Number of crashes that suffice if they fall into at least two moments. */
 const conclusiveCrashes = 5;
 const minimumMoments = 2;
@@ -138,11 +149,12 @@
 	return [...reports.values()].flatMap(({suspects}) => suspects.map(({segment}) => segment));
 }
 
-function countMoments(crashes: readonly Crash[]): number {
+/** Counts the moments of crashes that lie at least an interval apart. */
+function countMoments(crashes: readonly Crash[], intervalMs: Milliseconds): number {
 	let count = 0;
 	let momentAt = Number.NEGATIVE_INFINITY;
 	for (const {at} of crashes.toSorted((left, right) => left.at - right.at)) {
-		if (at - momentAt >= sameMomentMs) {
+		if (at - momentAt >= intervalMs) {
 			count += 1;
 			momentAt = at;
 		}
@@ -156,16 +168,35 @@
 	return moments >= conclusiveMomentsAlone || (isRepeated && evidence >= minimumEvidence);
 }
 
+function isRequestConclusive({moments, evidence}: SuspectRecord): boolean {
+	return moments >= conclusiveMoments && evidence >= minimumEvidence;
+}
+
+/** Returns whether another request was lost in about the same crashes, and it is too early to tell which one is their cause. */
+function isAmbiguous(record: SuspectRecord, others: readonly SuspectRecord[]): boolean {
+	return record.crashes.size < conclusiveRequestCrashes && others.some(other => other !== record
+		&& other.crashes.size >= record.crashes.size && [...record.crashes].filter(crash => other.crashes.has(crash)).length * 2 >= record.crashes.size);
+}
+
+/** Returns the crashes under a segment; those under one request count as one if they are most of them, as they say little of its segments. */
+function removeRepeatedCrashes(crashes: readonly Crash[], requests: readonly SuspectRecord[]): readonly Crash[] {
+	const repeated = new Set(requests.flatMap(request => {
+		const shared = crashes.filter(crash => request.crashes.has(crash));
+		return shared.length >= crashes.length * dominantRequestShare ? shared.slice(1) : [];
+	}));
+	return crashes.filter(crash => !repeated.has(crash));
+}
+
 /** Returns whether another suspect explains at least half of the crashes of this one, and has more evidence against it. */
 function hasBetterExplanation({crashes, evidence}: SuspectRecord, others: readonly SuspectRecord[]): boolean {
 	return others.some(other => other.evidence > evidence && [...crashes].filter(crash => other.crashes.has(crash)).length * 2 >= crashes.size);
 }
 
 /**
-Returns the evidence of crashes against a segment. The share of sound requests that contain the segment is estimated from
+Returns for each crash under a segment the probability that it is by chance. The share of sound requests that contain the segment is estimated from
 completed prompts and, while there are few, from the lost requests; of these, the one that each crash needs is left out.
 */
-function getEvidence(lost: readonly RequestCounts[], completed: RequestCounts): number {
+function getChances(lost: readonly RequestCounts[], completed: RequestCounts): readonly number[] {
 	let total = completed.total + 1;
 	let withSegment = completed.withSegment + 0.5;
 	for (const counts of completed.total < sufficientPrompts ? lost : []) {
@@ -174,7 +205,27 @@
 	}
 
 	const share = Math.min(1, withSegment / total);
-	return lost.reduce((sum, counts) => sum - Math.log(1 - ((1 - share) ** counts.total)), 0);
+	return lost.map(counts => 1 - ((1 - share) ** counts.total));
+}
+
+/** Returns the evidence of crashes, each of which has a probability to be by chance. */
+function getEvidence(chances: readonly number[]): number {
+	return chances.reduce((sum, chance) => sum - Math.log(chance), 0);
+}
+
+/**
+Returns the evidence that a request was lost in some crashes and not in others: a bound on the logarithm of the probability of as many
+by chance (Chernoff). A popular request is lost in many crashes, but in no larger part of them than chance would give.
+*/
+function getShareEvidence(chances: readonly number[], crashCount: number): number {
+	const chance = chances.reduce((sum, value) => sum + value, 0) / chances.length;
+	const share = chances.length / crashCount;
+	if (share <= chance) {
+		return 0;
+	}
+
+	const absence = share < 1 ? (1 - share) * Math.log((1 - share) / (1 - chance)) : 0;
+	return crashCount * ((share * Math.log(share / chance)) + absence);
 }
 
 /** Creates an empty record. */
@@ -194,20 +245,49 @@
 		return {
 			segment,
 			crashes: new Set(suspected),
-			moments: countMoments(suspected),
-			totalMoments: countMoments(allSuspected),
-			evidence: getEvidence(suspected.map(crash => countLostRequests(crash, segment)), countCompletedRequests(suspected, segment)),
+			moments: countMoments(suspected, isWholeRequest(segment) ? sameRequestMomentMs : sameMomentMs),
+			totalMoments: countMoments(allSuspected, sameMomentMs),
+			evidence: getEvidence(getSegmentChances(segment, suspected)),
 		};
 	}
 
+	function getSegmentChances(segment: SegmentId, suspected: readonly Crash[]): readonly number[] {
+		return getChances(suspected.map(crash => countLostRequests(crash, segment)), countCompletedRequests(suspected, segment));
+	}
+
+	/** Returns the record of a whole request, whose evidence is weakened by the crashes since its first one in which it was not lost. */
+	function createRequestRecord(segment: SegmentId, suspected: readonly Crash[], openCrashes: readonly Crash[]): SuspectRecord {
+		const firstAt = Math.min(...suspected.map(({at}) => at));
+		const crashCount = openCrashes.filter(({at}) => at >= firstAt).length;
+		return {...createSuspectRecord(segment, suspected, suspected), evidence: getShareEvidence(getSegmentChances(segment, suspected), crashCount)};
+	}
+
 	/** Returns the suspect that explains most of the crashes, if they suffice for the conclusion, and those with about as much evidence. */
-	function findCulprits(openCrashes: readonly Crash[], crashesBySuspect: ReadonlyMap<SegmentId, readonly Crash[]>, known: ReadonlySet<SegmentId>): readonly SuspectRecord[] {
-		const records = [...getCrashesBySuspect(openCrashes)].map(([segment, suspected]) => createSuspectRecord(segment, suspected, crashesBySuspect.get(segment) ?? []))
+	function findCulprits(
+		openCrashes: readonly Crash[],
+		crashesBySuspect: ReadonlyMap<SegmentId, readonly Crash[]>,
+		requests: readonly SuspectRecord[],
+		known: ReadonlySet<SegmentId>,
+	): readonly SuspectRecord[] {
+		const records = [...getCrashesBySuspect(openCrashes)].filter(([segment]) => !isWholeRequest(segment))
+			.map(([segment, suspected]) => ({
+				...createSuspectRecord(segment, removeRepeatedCrashes(suspected, requests), crashesBySuspect.get(segment) ?? []),
+				crashes: new Set(suspected),
+			}))
 			.toSorted((left, right) => right.evidence - left.evidence);
 		const best = records.find(record => isConclusive(record) && !hasBetterExplanation(record, records));
 		return best === undefined ? [] : records.filter(record => isConclusive(record) && record.evidence >= best.evidence * (known.has(record.segment) ? knownEvidenceShare : similarEvidenceShare));
 	}
 
+	/** Returns the whole requests that explain the crashes, most crashes first. */
+	function findRequestCulprits(openCrashes: readonly Crash[], known: ReadonlySet<SegmentId>): readonly SuspectRecord[] {
+		const records = [...getCrashesBySuspect(openCrashes)].filter(([segment]) => isWholeRequest(segment))
+			.map(([segment, suspected]) => createRequestRecord(segment, suspected, openCrashes))
+			.toSorted((left, right) => right.crashes.size - left.crashes.size || right.evidence - left.evidence);
+		const best = records.find(record => isRequestConclusive(record) && (known.has(record.segment) || !isAmbiguous(record, records)));
+		return best === undefined ? [] : [best, ...findRequestCulprits(openCrashes.filter(crash => !best.crashes.has(crash)), known)];
+	}
+
 	/** Returns the crashes in which each segment is a suspect. */
 	function getCrashesBySuspect(openCrashes: readonly Crash[]): ReadonlyMap<SegmentId, readonly Crash[]> {
 		const crashesBySuspect = new Map<SegmentId, Crash[]>();
@@ -244,7 +324,11 @@
 		clear(segment, now) {
 			const key = getKey(segment);
 			const wasSuspect = (suspectedAt.get(key) ?? Number.NEGATIVE_INFINITY) > (clearedAt.get(key) ?? Number.NEGATIVE_INFINITY);
-			clearedAt.set(key, now);
+			// Nearly all whole requests occur once, and would displace the segments.
+			if (wasSuspect || !isWholeRequest(segment.segment)) {
+				clearedAt.set(key, now);
+			}
+
 			return wasSuspect;
 		},
 		recordCompletion(service, segments) {
@@ -270,15 +354,19 @@
 			}
 
 			const culprits: SegmentId[] = [];
-			let openCrashes = dueCrashes.filter(({at}) => at > now - crashWindowMs);
+			const windowCrashes = dueCrashes.filter(({at}) => at > now - crashWindowMs);
+			const requests = findRequestCulprits(windowCrashes, known);
+			let openCrashes: readonly Crash[] = windowCrashes;
 			const crashesBySuspect = getCrashesBySuspect(openCrashes);
-			for (let found = findCulprits(openCrashes, crashesBySuspect, known); found.length > 0; found = findCulprits(openCrashes, crashesBySuspect, known)) {
+			const find = (): readonly SuspectRecord[] => findCulprits(openCrashes, crashesBySuspect, requests, known);
+			for (let found = find(); found.length > 0; found = find()) {
 				culprits.push(...found.map(({segment}) => segment));
 				const explained = new Set(found.flatMap(record => [...record.crashes]));
 				openCrashes = openCrashes.filter(crash => !explained.has(crash));
 			}
 
-			return culprits;
+			const unexplained = windowCrashes.filter(crash => !getSegments(crash).some(segment => culprits.includes(segment) && !isCleared(crash, segment)));
+			return [...culprits, ...findRequestCulprits(unexplained, known).map(({segment}) => segment)];
 		},
 		findNextDecision() {
 			const next = crashes.find(({isDecided}) => !isDecided);
