--- a/packages/core/src/gateway/segment-suspicion.ts
+++ b/packages/core/src/gateway/segment-suspicion.ts
@@ -73,6 +73,8 @@
 	moments: number;
 	/** Number of moments with crashes under the segment, whether another one explains them or not. */
 	totalMoments: number;
+	/** Number of recently completed requests with the segment. */
+	completed: number;
 	/** Negative logarithm of the probability that all of the unexplained crashes are by chance. */
 	evidence: number;
 }>;
@@ -168,8 +170,9 @@
 	return moments >= conclusiveMomentsAlone || (isRepeated && evidence >= minimumEvidence);
 }
 
-function isRequestConclusive({moments, evidence}: SuspectRecord): boolean {
-	return moments >= conclusiveMoments && evidence >= minimumEvidence;
+/** Returns whether a whole request is the cause of its crashes; more is required of one that was completed shortly before. */
+function isRequestConclusive({moments, evidence, completed}: SuspectRecord): boolean {
+	return moments >= (completed > 0 ? conclusiveMomentsAlone : conclusiveMoments) && evidence >= minimumEvidence;
 }
 
 /** Returns whether another request was lost in about the same crashes, and it is too early to tell which one is their cause. */
@@ -247,6 +250,7 @@
 			crashes: new Set(suspected),
 			moments: countMoments(suspected, isWholeRequest(segment) ? sameRequestMomentMs : sameMomentMs),
 			totalMoments: countMoments(allSuspected, sameMomentMs),
+			completed: countCompletedRequests(suspected, segment).withSegment,
 			evidence: getEvidence(getSegmentChances(segment, suspected)),
 		};
 	}
