Send requests on from servers that accept no connections, and tell the peers of them

Cause: a server that is gone looks idle and is placed first, each gateway found out for itself, refused connections counted against the endpoints of the route, and the error named the wrong cause.

A refused connection is no longer counted as a send (20 at most); the server is avoided for 1 s and the peers are told, once; if none can be reached the error is endpointUnreachable, with the time to come back. Four tests failed before and pass. Tests of the gateway's parts, requests, peers and properties: 114 passed.

--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -60,6 +60,9 @@
 	deadlineExceeded: {
 		status: 504, category: 'capacity', isRetryable: true, text: 'The request did not finish within its deadline',
 	},
+	endpointUnreachable: {
+		status: 503, category: 'endpoint', isRetryable: true, text: 'No server of the service can be reached now',
+	},
 	serverLost: {
 		status: 502, category: 'endpoint', isRetryable: true, text: 'The server was lost and no other could take over',
 	},
--- a/packages/core/src/gateway/endpoint-registry.ts
+++ b/packages/core/src/gateway/endpoint-registry.ts
@@ -16,6 +16,8 @@
 	/** Time for which an endpoint is avoided after a failure; doubles with each consecutive failure. */
 	failureBackoffMs: Milliseconds;
 	maximumFailureBackoffMs: Milliseconds;
+	/** Time for which an endpoint that does not accept connections is avoided. */
+	unreachableBackoffMs: Milliseconds;
 	/** Time after the list went back to an earlier state until the entries of ended endpoints have expired. */
 	restoredEntryHoldMs: Milliseconds;
 }>;
@@ -27,6 +29,8 @@
 	failureBackoffMs: 400,
 	// Bounds the time for which a recovered endpoint stays unused.
 	maximumFailureBackoffMs: 4000,
+	// Shorter than the time after which a server that ended is back or its entry has expired, as it may be back sooner.
+	unreachableBackoffMs: 1000,
 	// Entries expire three heartbeats of 1.2 s after the last one.
 	restoredEntryHoldMs: 4500,
 } as const satisfies EndpointRegistrySettings;
@@ -47,6 +51,8 @@
 	getListed(service: string): readonly ListedEndpoint[];
 	findByAddress(address: string): ListedEndpoint | undefined;
 	recordFailure(id: EndpointId, now: Timestamp): void;
+	/** Records that the endpoint could not be reached. Returns whether this is news. */
+	recordUnreachable(id: EndpointId, now: Timestamp): boolean;
 	recordSuccess(id: EndpointId): void;
 	/** Records that the endpoint sent a part of the response to a request. */
 	recordProgress(id: EndpointId, sentRequest: SentRequest, now: Timestamp): void;
@@ -192,6 +198,15 @@
 				endpoint.consecutiveFailures += 1;
 			}
 		},
+		recordUnreachable(id, now) {
+			const endpoint = endpointsById.get(id);
+			if (endpoint === undefined || endpoint.avoidedUntil > now) {
+				return false;
+			}
+
+			endpoint.avoidedUntil = now + settings.unreachableBackoffMs;
+			return true;
+		},
 		recordSuccess(id) {
 			const endpoint = endpointsById.get(id);
 			if (endpoint !== undefined) {
--- a/packages/core/src/gateway/forwarded-request.test.ts
+++ b/packages/core/src/gateway/forwarded-request.test.ts
@@ -132,6 +132,50 @@
 
 const events = (...ids: readonly number[]): string => ids.map(id => `id: ${id}\ndata: x\n\n`).join('');
 
+describe('a request whose endpoints do not accept connections', () => {
+	function refuseConnection(harness: GatewayHarness, now: number): readonly string[] {
+		return harness.step({
+			kind: 'sendFailed', sendId: harness.getSendId(), wasSent: false, detail: 'ECONNREFUSED',
+		}, now);
+	}
+
+	// Guards against requests that fail while most endpoints are up, as refused connections count against the endpoints of the route.
+	test('is sent on until an endpoint accepts it, though more have gone than its route allows', () => {
+		const harness = startRequest(fixtureStreamRoute);
+		const goneCount = 12;
+		const actions = Array.from({length: goneCount}, (_, index) => refuseConnection(harness, index + 1));
+		expect(actions.flat().filter(action => action === 'send models')).toHaveLength(goneCount);
+		expect(answer(harness, events(1, 2), {}, 20).at(-1)).toBe('end');
+	});
+
+	// Guards against an error that blames load for endpoints that are gone.
+	test('fails as unreachable if none accepts it', () => {
+		const harness = startRequest(fixtureIdempotentRoute);
+		const actions = [1, 2, 3].map(now => refuseConnection(harness, now));
+		expect(actions.at(-1)).toEqual(['fail endpointUnreachable ran=no']);
+	});
+
+	// Guards against gateways that each find out by a request of their own that an endpoint, which looks idle, is gone.
+	test('is not sent to endpoints that a peer has found gone', () => {
+		const harness = createHarness();
+		const gone = Array.from({length: 15}, (_, index) => `models-${index}`);
+		harness.gateway.step({kind: 'peerChanged', gateway: 'gateway-2', changes: gone.map(endpoint => ({kind: 'endpointUnreachable', endpoint}))}, 0);
+		harness.submit(createFixtureGatewayRequest(fixtureStreamRoute, {arrivedAt: 1}));
+		expect(harness.getEndpointId()).toBe('models-15');
+	});
+
+	test('tells the peers of an endpoint that is gone, once', () => {
+		const harness = startRequest(fixtureStreamRoute);
+		const sendFailed = {
+			kind: 'sendFailed', sendId: harness.getSendId(), wasSent: false, detail: 'ECONNREFUSED',
+		} as const;
+		const endpoint = harness.getEndpointId();
+		const actions = harness.gateway.step({kind: 'requestChanged', key: 1, event: sendFailed}, 1);
+		expect(actions).toContainEqual({kind: 'publishChange', change: {kind: 'endpointUnreachable', endpoint}});
+		expect(harness.gateway.step({kind: 'peerChanged', gateway: 'gateway-2', changes: [{kind: 'endpointUnreachable', endpoint}]}, 2)).toEqual([]);
+	});
+});
+
 describe('a request that is not repeatable', () => {
 	test('ends with the response of its endpoint', () => {
 		expect(answer(startRequest(fixtureNonIdempotentRoute), 'done')).toEqual(['start 200', 'write done', 'end']);
--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -40,6 +40,8 @@
 	checkCredential(request: GatewayRequest, now: Timestamp): Failure | undefined;
 	/** Records that the connection of a request broke at an endpoint that may have run it. */
 	recordBrokenSend(request: GatewayRequest, endpoint: ListedEndpoint, now: Timestamp): readonly GatewayAction[];
+	/** Records that an endpoint could not be reached. */
+	recordUnreachable(endpoint: EndpointId, now: Timestamp): readonly GatewayAction[];
 	/** Records the limit that an endpoint names in a response. */
 	recordLimit(endpoint: EndpointId, requestsPerSecond: number | undefined, now: Timestamp): readonly GatewayAction[];
 	/** Records that an endpoint has completed a response to the request. */
@@ -63,6 +65,10 @@
 
 /** Number of sends that endpoints may refuse as not run, in addition to the route's limit of endpoints. */
 const maximumRefusedSends = 3;
+/** Number of sends that don't reach an endpoint, such as refused connections; each costs little, and they don't count otherwise. */
+const maximumUnreachedSends = 20;
+/** Retry delay for callers when no endpoint could be reached; about the time until a server is back or no longer listed. */
+const unreachableRetryMs: Milliseconds = 1000;
 /** Maximum delay with which an endpoint reports a busy helper; a later refusal means that the helper failed. */
 const maximumRefusalDelayMs: Milliseconds = 500;
 /** Maximum number of failed reservation attempts that are followed by another one. */
@@ -82,6 +88,7 @@
 	const mayRepeat = route.kind === 'idempotent' || (route.kind === 'streaming' && route.isResumable);
 	const excluded = new Set<EndpointId>();
 	let sendCount = 0;
+	let unreachedCount = 0;
 	let failedReservations = 0;
 	/** Number of sends that may have run the request, including the current one. */
 	let possibleRunCount = 0;
@@ -101,7 +108,7 @@
 	let hasEnded = false;
 
 	function canRetry(): boolean {
-		if (sendCount >= route.maximumEndpoints + maximumRefusedSends || possibleRunCount >= route.maximumEndpoints) {
+		if (unreachedCount > maximumUnreachedSends || sendCount - unreachedCount >= route.maximumEndpoints + maximumRefusedSends || possibleRunCount >= route.maximumEndpoints) {
 			return false;
 		}
 
@@ -698,12 +705,14 @@
 			return handleLostSend('broken', detail, now);
 		}
 
-		if (current !== undefined) {
-			context.registry.recordFailure(current.placement.endpoint.id, now);
-		}
-
+		unreachedCount += 1;
+		const {placement} = current ?? {};
 		const closeActions = closeSend('notRun', detail, now);
-		return [...closeActions, ...retryOrEnd(possibleRunCount === 0 ? createNotRunFailure('overloaded', detail) : createFailure('serverLost', detail), false, now)];
+		return [
+			...closeActions,
+			...(placement === undefined ? [] : context.recordUnreachable(placement.endpoint.id, now)),
+			...retryOrEnd(possibleRunCount === 0 ? createNotRunFailure('endpointUnreachable', detail, unreachableRetryMs) : createFailure('serverLost', detail), false, now),
+		];
 	}
 
 	return {
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -165,6 +165,8 @@
 		choosePlacement,
 		checkCredential: (request: GatewayRequest, now: Timestamp) => configuration.checkCredential(request.route, request.credential, now),
 		recordBrokenSend: (request: GatewayRequest, endpoint: ListedEndpoint, now: Timestamp) => quarantine.recordBrokenSend(endpoint, getTraits(request), now),
+		recordUnreachable: (endpoint: EndpointId, now: Timestamp): readonly GatewayAction[] =>
+			registry.recordUnreachable(endpoint, now) ? [{kind: 'publishChange', change: {kind: 'endpointUnreachable', endpoint}}] : [],
 		recordLimit: limits.recordResponse,
 		recordCompletion: (request: GatewayRequest, now: Timestamp) => quarantine.recordCompletion(request.service, getTraits(request), now),
 		recordWork(change: WorkChange, now: Timestamp) {
@@ -208,6 +210,11 @@
 				return [];
 			}
 
+			case 'endpointUnreachable': {
+				registry.recordUnreachable(change.endpoint, now);
+				return [];
+			}
+
 			case 'configurationInForce': {
 				return configuration.learnVersion(change.version, now) ? [{kind: 'readConfiguration'}] : [];
 			}
--- a/packages/peer/src/gateway-peers.ts
+++ b/packages/peer/src/gateway-peers.ts
@@ -94,6 +94,10 @@
 			});
 		}
 
+		case 'endpointUnreachable': {
+			return create(wire.WorkChangeSchema, {change: {case: 'unreachable', value: change.endpoint}});
+		}
+
 		case 'configurationInForce': {
 			return create(wire.WorkChangeSchema, {change: {case: 'configured', value: create(wire.ConfigurationSchema, {version: BigInt(change.version)})}});
 		}
@@ -147,6 +151,10 @@
 			return {kind: 'limitChanged', endpoint, requestsPerSecond};
 		}
 
+		case 'unreachable': {
+			return {kind: 'endpointUnreachable', endpoint: change.value};
+		}
+
 		case 'configured': {
 			return {kind: 'configurationInForce', version: Number(change.value.version)};
 		}
