Look at whole requests only that were lost in three crashes or more

Each decision made a record of every request that a crash had ended, thousands after the loss of many servers, though one that was lost in fewer than three crashes can't be taken for the cause.

--- a/packages/core/src/gateway/segment-suspicion.ts
+++ b/packages/core/src/gateway/segment-suspicion.ts
@@ -196,8 +196,8 @@
 }
 
 /**
-Returns for each crash under a segment the probability that it is by chance. The share of sound requests that contain the segment is estimated from
-completed prompts and, while there are few, from the lost requests; of these, the one that each crash needs is left out.
+Returns for each crash under a segment the probability that it is by chance. The share of sound requests that contain the segment is
+estimated from completed prompts and, while there are few, from the lost requests; of these, the one that each crash needs is left out.
 */
 function getChances(lost: readonly RequestCounts[], completed: RequestCounts): readonly number[] {
 	let total = completed.total + 1;
@@ -285,7 +285,8 @@
 
 	/** Returns the whole requests that explain the crashes, most crashes first. */
 	function findRequestCulprits(openCrashes: readonly Crash[], known: ReadonlySet<SegmentId>): readonly SuspectRecord[] {
-		const records = [...getCrashesBySuspect(openCrashes)].filter(([segment]) => isWholeRequest(segment))
+		const records = [...getCrashesBySuspect(openCrashes)]
+			.filter(([segment, suspected]) => isWholeRequest(segment) && suspected.length >= conclusiveMoments)
 			.map(([segment, suspected]) => createRequestRecord(segment, suspected, openCrashes))
 			.toSorted((left, right) => right.crashes.size - left.crashes.size || right.evidence - left.evidence);
 		const best = records.find(record => isRequestConclusive(record) && (known.has(record.segment) || !isAmbiguous(record, records)));
