--- a/packages/standins/src/platform-server-standin.ts
+++ b/packages/standins/src/platform-server-standin.ts
@@ -1,7 +1,7 @@
 /**
 Stand-in for the platform's servers, with their published protocol: event streams with ids that can be resumed, business
 responses, memory reservations, refusals with the header `Not-Run`, status 421 if another instance is expected, limits that
-responses name, and crashes on a segment of a prompt.
+responses name, and crashes on a segment of a prompt or on a whole request.
 */
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import {text} from 'node:stream/consumers';
@@ -56,6 +56,8 @@
 	eventPauseMs: number;
 	/** Id of a segment; a server that begins to answer a prompt with it crashes. */
 	crashSegment?: string;
+	/** Target of the requests that crash the server when it begins to run them. */
+	crashTarget?: string;
 	/** Called when the server crashes; closes it. */
 	onCrash?: () => void;
 }>;
@@ -153,6 +155,8 @@
 			response.writeHead(200, {...getCommonHeaders(message), 'content-type': 'text/event-stream'});
 			response.write('id: 1\nda');
 			setTimeout(() => settings.onCrash?.(), settings.eventPauseMs);
+		} else if (settings.crashTarget !== undefined && message.url === settings.crashTarget) {
+			setTimeout(() => settings.onCrash?.(), settings.eventPauseMs);
 		} else if (behaviour.kind === 'loseAnswer') {
 			message.socket.resetAndDestroy();
 		} else if (settings.eventCount === undefined) {
