Let the store stand-in write nothing again that was written anew since its restore

Traced by configurationOutdated in its logs: the stand-in wrote version 7, lost in a restore, over version 10, written after it. The operator writes only the newest one. The gateways did what they should: they refused requests by a configuration that is known to be outdated.

--- a/packages/soak/src/soak.test.ts
+++ b/packages/soak/src/soak.test.ts
@@ -8,6 +8,7 @@
 const seeds: ReadonlyArray<readonly [seed: number, bug: string]> = [
 	[1, 'prompts larger than the memory of one server were refused if their prefill was fast'],
 	[144, 'the byte relay reordered bytes'],
+	[524, 'after a restore, the store stand-in wrote an older configuration over a newer one'],
 	[6, 'each retry to watch an unreachable gateway leaked an event listener'],
 ];
 
--- a/packages/standins/src/platform-store-standin.ts
+++ b/packages/standins/src/platform-store-standin.ts
@@ -30,7 +30,7 @@
 	takeCopy(): void;
 	/** Goes back to the copy. What was written since is gone, and its revisions are given out again. */
 	restoreCopy(watches: WatchesAtRestore): void;
-	/** Writes again what the operator and the servers had written or removed between the copy and the restore. */
+	/** Writes again what the operator and the servers had written or removed between the copy and the restore, and have not written since. */
 	rewriteLostObjects(): void;
 	/** Raises the revision, as changes of other objects would. */
 	advanceRevision(count: number): void;
@@ -77,6 +77,7 @@
 	let copy: StoreSnapshot | undefined;
 	let outsideWrites: OutsideWrite[] = [];
 	let lostWrites: readonly OutsideWrite[] = [];
+	let restoredRevision = firstRevision;
 	const createCounts = new Map<string, number>();
 	let fault: StoreFault = 'none';
 	let staleSnapshot: StoreSnapshot | undefined;
@@ -304,6 +305,7 @@
 		restoreCopy(watches) {
 			const restored = copy ?? takeSnapshot();
 			revision = restored.revision;
+			restoredRevision = restored.revision;
 			epoch += 1;
 			objects.clear();
 			for (const [kind, items] of restored.objects) {
@@ -317,7 +319,8 @@
 			endWatches(watches);
 		},
 		rewriteLostObjects() {
-			for (const {kind, name, spec} of lostWrites) {
+			const isWrittenSince = ({kind, name}: OutsideWrite): boolean => outsideWrites.some(other => other.kind === kind && other.name === name && other.revision > restoredRevision);
+			for (const {kind, name, spec} of lostWrites.filter(lostWrite => !isWrittenSince(lostWrite))) {
 				if (spec === undefined) {
 					remove(kind, name);
 				} else {
