--- a/packages/core/src/gateway/fleet-properties.test.ts
+++ b/packages/core/src/gateway/fleet-properties.test.ts
@@ -76,6 +76,15 @@
 		}))).toEqual([]);
 	});
 
+	// Guards against evidence that is lost when the only gateway restarts right after the first crashes under a frequent segment.
+	test('stop sending requests with a frequent segment after the only gateway restarts', () => {
+		expect(findCrashViolations(runFleetScenario({
+			seed: 0, gatewayCount: 1, soundPerSecond, limits: [], crashSegments: [{startsAt: 4500, perSecond: 8}], disruptions: [{
+				kind: 'restart', at: 4787, gatewayIndex: 0, durationMs: 200,
+			}],
+		}))).toEqual([]);
+	});
+
 	// Guards against a rare crash segment whose crashes are all attributed to a frequent one, until that one is quarantined.
 	test('stop sending requests with a rare segment that crashes servers beside a frequent one', () => {
 		expect(findCrashViolations(runFleetScenario({
@@ -104,6 +113,15 @@
 		}))).toEqual([]);
 	});
 
+	// Guards against two such requests that are lost in the same crashes, so that neither is told from the other.
+	test('stop sending the repeats of two such requests at one gateway', () => {
+		expect(findRequestCrashViolations(runFleetScenario({
+			seed: 1_808_340_137, gatewayCount: 1, soundPerSecond, limits: [], crashSegments: [], disruptions: [], crashRequests: [
+				{startsAt: 9947, perSecond: 3, hasPrompt: false}, {startsAt: 10_224, perSecond: 3, hasPrompt: true},
+			],
+		}))).toEqual([]);
+	});
+
 	// Guards against the same while gateways restart or are cut off from each other or the store.
 	test('stop sending its repeats under random restarts and cuts', () => {
 		fc.assert(fc.property(requestScenario, input => {
