Free connections on which a caller goes on sending after its response

An operator would see a process that can't stop, and a gateway that keeps a descriptor for each such caller. Cause: leaving the loop over the body destroys the message but not its socket. The parser has paused the socket by then (_handle.reading false, 64 KiB read, message destroyed), and nothing resumes it, so the caller's close is never read. Neither the idle timeout nor close() covers such a connection. Measured with a script that prints the socket's state for 14 s after the caller had destroyed its end. It is the same in the gateway's server for callers, whose close() hides it. Change: the body is no longer destroyed. Once the response is written, what is left of the body is discarded for 1 s, then the connection is closed. A server that closes cuts bodies that don't arrive within 1 s, and connections without a request 1 s after the last one. New tests, one of them for the gateway, which failed before (timeout), as the one of a response that needs no body and those of close did by reading only (they were written with the change).

--- a/packages/caller/src/http-server.test.ts
+++ b/packages/caller/src/http-server.test.ts
@@ -2,6 +2,8 @@
 A request body over the size limit must not break later requests on the same keep-alive connection, as it would if the
 server left the rest of the body unread.
 */
+import {once} from 'node:events';
+import net from 'node:net';
 import {Readable} from 'node:stream';
 import {Client} from 'undici';
 import {
@@ -9,6 +11,7 @@
 } from 'vitest';
 import {getHandlerFailure, sendFailure} from './failure-response.js';
 import {sendJson, startHttpServer, type HttpServer} from './http-server.js';
+import {discardTimeoutMs} from './unread-body.js';
 
 let server: HttpServer | undefined;
 
@@ -70,3 +73,37 @@
 		await client.destroy();
 	});
 });
+
+/** Opens a connection, writes the start of a request, and returns when it is closed. */
+async function writeAndWait(port: number, text: string): Promise<void> {
+	const socket = net.connect(port, '127.0.0.1');
+	socket.on('error', () => undefined);
+	socket.resume();
+	socket.write(text);
+	await once(socket, 'close');
+}
+
+// Guards against connections that a server keeps for good because nothing reads what their callers still send.
+describe('a connection on which a caller goes on sending', () => {
+	test('is closed soon after a response that did not need the body', async () => {
+		const {port} = new URL(await startEchoServer(1000));
+		const startedAt = performance.now();
+		await writeAndWait(Number(port), 'POST /unknown HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\nx');
+		expect(performance.now() - startedAt).toBeLessThan(4 * discardTimeoutMs);
+	});
+
+	test.each([
+		['a body', 'POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 900\r\n\r\nx'],
+		['a head', 'POST /echo HTTP/1.1\r\nHost:'],
+	])('does not keep the server from closing after the start of %s', async (_part, text) => {
+		const {port} = new URL(await startEchoServer(1000));
+		const closed = writeAndWait(Number(port), text);
+		await new Promise(resolve => {
+			setTimeout(resolve, 100);
+		});
+		const startedAt = performance.now();
+		await server?.close();
+		await closed;
+		expect(performance.now() - startedAt).toBeLessThan(4 * discardTimeoutMs);
+	});
+});
--- a/packages/caller/src/http-server.ts
+++ b/packages/caller/src/http-server.ts
@@ -6,6 +6,7 @@
 import {listen} from '@currantcross/core/listen';
 import createRouter from 'find-my-way';
 import VError from 'verror';
+import {discardTimeoutMs, limitUnreadBody} from './unread-body.js';
 
 export type HttpRequest = Readonly<{
 	message: IncomingMessage;
@@ -39,7 +40,7 @@
 export type HttpServer = Readonly<{
 	/** Port that the server listens on. */
 	port: number;
-	/** Stops listening, closes idle connections, and waits for open requests. */
+	/** Stops listening, closes idle connections, and waits for open requests. A request whose body doesn't arrive soon is cut off. */
 	close(): Promise<void>;
 }>;
 
@@ -50,14 +51,14 @@
 
 /**
 Reads a request body. An oversized body is read to its end and discarded, because unread data would break the next request
-on the connection. A body past `discardLimitFactor` times the limit is cut off.
+on the connection. Reading stops at `discardLimitFactor` times the limit.
 
 @throws VError named `PayloadTooLarge` if the body exceeds the limit.
 */
 async function readBody(message: IncomingMessage, maximumBytes: number): Promise<string> {
 	const chunks: Uint8Array[] = [];
 	let size = 0;
-	for await (const chunk of message as AsyncIterable<Uint8Array>) {
+	for await (const chunk of message.iterator({destroyOnReturn: false}) as AsyncIterable<Uint8Array>) {
 		size += chunk.length;
 		if (size <= maximumBytes) {
 			chunks.push(chunk);
@@ -87,6 +88,9 @@
 
 /** Starts a server and waits until it listens. */
 export async function startHttpServer(settings: HttpServerSettings): Promise<HttpServer> {
+	const openRequests = new Set<IncomingMessage>();
+	let isClosing = false;
+	let closeTimer: NodeJS.Timeout | undefined;
 	const router = createRouter({
 		defaultRoute(message, response) {
 			handleRequest(settings.handleUnknownRoute, message, response, {});
@@ -125,7 +129,37 @@
 		});
 	}
 
+	/** Tracks an open request, so that `close` can wait for the last one. */
+	function trackRequest(message: IncomingMessage, response: ServerResponse): void {
+		openRequests.add(message);
+		clearTimeout(closeTimer);
+		response.once('close', () => {
+			openRequests.delete(message);
+			closeUnusedConnections();
+		});
+	}
+
+	/** While the server closes, closes all connections if no request has been open for a while. */
+	function closeUnusedConnections(): void {
+		clearTimeout(closeTimer);
+		if (isClosing && openRequests.size === 0) {
+			closeTimer = setTimeout(() => {
+				server.closeAllConnections();
+			}, discardTimeoutMs);
+		}
+	}
+
+	function cutUnfinishedBodies(): void {
+		for (const message of openRequests) {
+			if (!message.complete) {
+				message.socket.destroy();
+			}
+		}
+	}
+
 	const server = http.createServer((message, response) => {
+		trackRequest(message, response);
+		limitUnreadBody(message, response);
 		router.lookup(message, response);
 	});
 	server.keepAliveTimeout = 5000;
@@ -133,12 +167,17 @@
 	return {
 		port,
 		async close() {
+			isClosing = true;
+			const bodyTimer = setTimeout(cutUnfinishedBodies, discardTimeoutMs);
 			await new Promise<void>(resolve => {
 				server.close(() => {
 					resolve();
 				});
 				server.closeIdleConnections();
+				closeUnusedConnections();
 			});
+			clearTimeout(bodyTimer);
+			clearTimeout(closeTimer);
 		},
 	};
 }
--- a/packages/gateway/src/caller-server.test.ts
+++ b/packages/gateway/src/caller-server.test.ts
@@ -6,6 +6,7 @@
 import type {WireFormat} from './gateway-hosts.js';
 
 const idleTimeoutMs = 200;
+const maximumBodyBytes = 1000;
 /** More than the buffers of both sockets hold. */
 const responseBytes = 32 * 1024 * 1024;
 
@@ -19,10 +20,11 @@
 
 /** Starts a server that answers each request at once with `responseBytes` bytes. */
 async function startServer(): Promise<CallerServer> {
-	const wireFormat: Pick<WireFormat, 'parseCallerHead'> = {
+	const wireFormat: Pick<WireFormat, 'parseCallerHead' | 'formatFailureHead'> = {
 		parseCallerHead: () => ({
 			requestId: 'r-1', credential: undefined, remainingMs: undefined, lastEventId: undefined, prompt: undefined, sharedSegments: [],
 		}),
+		formatFailureHead: () => [],
 	};
 	const server = await startCallerServer({host: '127.0.0.1', port: 0}, {
 		wireFormat: wireFormat as WireFormat, // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the other members are not used
@@ -36,7 +38,7 @@
 		},
 		recordRefusal: () => undefined,
 	});
-	server.setLimits({maximumBodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs});
+	server.setLimits({maximumBodyBytes, headerTimeoutMs: 1000, idleTimeoutMs});
 	closers.push(server.close);
 	return server;
 }
@@ -70,3 +72,25 @@
 	const {port} = await startServer();
 	expect(await readAfter(port, idleTimeoutMs / 4)).toBeGreaterThan(responseBytes);
 });
+
+// Guards against connections that the gateway keeps for good: one that is paused in a body never reports that it was closed.
+test('closes the connection of a caller that goes on sending a body that is too large, after the response', async () => {
+	const {port} = await startServer();
+	const socket = net.connect(port, '127.0.0.1');
+	let text = '';
+	socket.on('error', () => undefined);
+	socket.on('data', (bytes: Uint8Array) => {
+		text += Buffer.from(bytes).toString();
+	});
+	socket.write('POST / HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n');
+	const timer = setInterval(() => {
+		socket.write(`${(maximumBodyBytes + 1).toString(16)}\r\n${'x'.repeat(maximumBodyBytes + 1)}\r\n`);
+	}, 20);
+	closers.push(() => {
+		clearInterval(timer);
+		socket.destroy();
+	});
+	await once(socket, 'close');
+	expect(text).toMatch(/^HTTP\/1.1 413 /v);
+	expect(text.match(/HTTP\/1.1/gv)).toHaveLength(1);
+});
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -3,6 +3,7 @@
 */
 import {Buffer} from 'node:buffer';
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import {limitUnreadBody} from '@currantcross/caller/unread-body';
 import {createNotRunFailure, type Failure} from '@currantcross/core/errors';
 import {listen} from '@currantcross/core/listen';
 import type {ServingLimits} from '@currantcross/core/gateway/gateway-types';
@@ -50,7 +51,7 @@
 	const chunks: Uint8Array[] = [];
 	let size = 0;
 	try {
-		for await (const chunk of message as AsyncIterable<Uint8Array>) {
+		for await (const chunk of message.iterator({destroyOnReturn: false}) as AsyncIterable<Uint8Array>) {
 			size += chunk.length;
 			if (size > maximumBytes) {
 				return {kind: 'tooLarge'};
@@ -109,12 +110,8 @@
 		}
 	}
 
-	/** Refuses a request whose body didn't arrive in time, and closes the connection, on which the rest may still follow. */
+	/** Refuses a request whose body didn't arrive in time. */
 	function refuseUnfinishedBody(message: IncomingMessage, response: ServerResponse, head: CallerHead): void {
-		response.setHeader('connection', 'close');
-		response.once('finish', () => {
-			message.socket.destroySoon();
-		});
 		refuseRequest(message, response, head, createNotRunFailure('deadlineExceeded', 'the body did not arrive'));
 	}
 
@@ -142,6 +139,7 @@
 		response.on('error', () => {
 			// The caller disconnected; the `close` event follows and is handled there.
 		});
+		limitUnreadBody(message, response);
 		void receiveRequest(message, response);
 	});
 	const port = await listen(server, {...address, backlog: connectionBacklog});
