--- a/packages/core/src/gateway/gateway-fixtures.ts
+++ b/packages/core/src/gateway/gateway-fixtures.ts
@@ -107,6 +107,7 @@
 		credential: fixtureApiKey,
 		deadlineAt: arrivedAt + route.timeoutMs,
 		arrivedAt,
+		unreadMs: 0,
 		prompt: route.kind === 'streaming' ? {promptTokens: 5000, maximumTokens: 1000} : undefined,
 		sharedSegments: [],
 		fingerprint: `fingerprint-${changes.key ?? 1}`,
--- a/packages/core/src/gateway/gateway-types.ts
+++ b/packages/core/src/gateway/gateway-types.ts
@@ -110,7 +110,10 @@
 	credential: string | undefined;
 	/** Earlier of the caller's deadline and the route's timeout. */
 	deadlineAt: Timestamp;
+	/** When its head was read. */
 	arrivedAt: Timestamp;
+	/** Longest time that its head can have waited before it was read. */
+	unreadMs: Milliseconds;
 	prompt: PromptSize | undefined;
 	/** Segments of the prompt that other requests may share, in order; the prompt's own segment at its end is left out. */
 	sharedSegments: readonly SegmentId[];
--- a/packages/daemon/src/logger.ts
+++ b/packages/daemon/src/logger.ts
@@ -14,7 +14,8 @@
 		| 'requestPlaced' | 'sendEnded' | 'requestRefused' | 'endpointChanged' | 'dependencyLost' | 'dependencyRegained'
 		| 'settingsReloaded' | 'settingsRefused' | 'clockJumped' | 'peerFound' | 'peerLost' | 'readinessChanged' | 'linesDropped'
 		| 'orderRefused' | 'orderFailed' | 'serverCrashed' | 'segmentQuarantined' | 'segmentReleased'
-		| 'quarantineNotRecorded' | 'crashesNotRecorded' | 'quarantineNotRemoved' | 'limitChanged';
+		| 'quarantineNotRecorded' | 'crashesNotRecorded' | 'quarantineNotRemoved' | 'limitChanged'
+		| 'loopStalled' | 'sendDelayed';
 
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
--- a/packages/gateway/src/caller-server.test.ts
+++ b/packages/gateway/src/caller-server.test.ts
@@ -36,6 +36,7 @@
 			exchange.end();
 			return () => undefined;
 		},
+		getUnreadMs: () => 0,
 		recordRefusal: () => undefined,
 	});
 	server.setLimits({maximumBodyBytes, headerTimeoutMs: 1000, idleTimeoutMs});
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -7,17 +7,23 @@
 import {createNotRunFailure, type Failure} from '@currantcross/core/errors';
 import {listen} from '@currantcross/core/listen';
 import type {ServingLimits} from '@currantcross/core/gateway/gateway-types';
+import type {Milliseconds, Timestamp} from '@currantcross/core/types';
 import {createCallerExchange, type CallerExchange} from './caller-exchange.js';
 import type {CallerHead, WireFormat} from './gateway-hosts.js';
 import type {SocketAddress} from './settings.js';
 
+/** When a request's head was read, and the longest time that it can have waited before. */
+export type RequestArrival = Readonly<{arrivedAt: Timestamp; unreadMs: Milliseconds}>;
+
 export type CallerServerHost = Readonly<{
 	wireFormat: WireFormat;
 	isDraining(): boolean;
 	/** Checks a request by its head, before the body is read. Returns the failure if the request is refused. */
 	checkHead(message: IncomingMessage, head: CallerHead): Failure | undefined;
 	/** Handles a received request. Returns the function to call if the caller disconnects before the response is complete. */
-	handleRequest(exchange: CallerExchange, arrivedAt: number): () => void;
+	handleRequest(exchange: CallerExchange, arrival: RequestArrival): () => void;
+	/** Returns the longest time that data which is read now can have waited. */
+	getUnreadMs(): Milliseconds;
 	recordRefusal(head: CallerHead, failure: Failure): void;
 }>;
 
@@ -77,7 +83,7 @@
 	};
 
 	async function receiveRequest(message: IncomingMessage, response: ServerResponse): Promise<void> {
-		const arrivedAt = performance.now();
+		const arrival: RequestArrival = {arrivedAt: performance.now(), unreadMs: host.getUnreadMs()};
 		const head = host.wireFormat.parseCallerHead(message.headers);
 		const refusal = host.checkHead(message, head);
 		if (refusal !== undefined) {
@@ -105,7 +111,7 @@
 			}
 
 			case 'complete': {
-				startRequest(createCallerExchange({message, head, body: result.body}, response, exchangeHost), response, arrivedAt);
+				startRequest(createCallerExchange({message, head, body: result.body}, response, exchangeHost), response, arrival);
 			}
 		}
 	}
@@ -120,12 +126,12 @@
 		createCallerExchange({message, head, body: new Uint8Array(0)}, response, exchangeHost).fail(failure);
 	}
 
-	function startRequest(exchange: CallerExchange, response: ServerResponse, arrivedAt: number): void {
+	function startRequest(exchange: CallerExchange, response: ServerResponse, arrival: RequestArrival): void {
 		if (response.destroyed || exchange.message.socket.destroyed) {
 			return;
 		}
 
-		const notifyDisconnect = host.handleRequest(exchange, arrivedAt);
+		const notifyDisconnect = host.handleRequest(exchange, arrival);
 		response.once('close', () => {
 			if (!response.writableFinished) {
 				notifyDisconnect();
--- a/packages/gateway/src/endpoint-client.ts
+++ b/packages/gateway/src/endpoint-client.ts
@@ -26,6 +26,8 @@
 
 /** Receives the response to a request. */
 export type EndpointListener = Readonly<{
+	/** Called when a connection is open and the request is about to be written to it. */
+	onStart?(): void;
 	onHead(status: number, headers: IncomingHttpHeaders): void;
 	onBytes(bytes: Uint8Array): void;
 	onEnd(): void;
@@ -165,7 +167,10 @@
 				openSend.controller = controller;
 				if (openSend.isCancelled) {
 					cancelOpenSend(openSend);
+					return;
 				}
+
+				listener.onStart?.();
 			},
 			onResponseStart(controller, status, headers) {
 				if (status >= lowestFinalStatus) {
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -15,7 +15,7 @@
 import {createConnections, defaultConnectionSettings} from '@currantcross/peer/connections';
 import {registerGatewayService} from '@currantcross/peer/gateway-peers';
 import {startPeerServer} from '@currantcross/peer/peer-server';
-import {startCallerServer} from './caller-server.js';
+import {startCallerServer, type RequestArrival} from './caller-server.js';
 import type {CallerExchange} from './caller-exchange.js';
 import {createClockJumpDetector, processClocks} from './clock-jump-detector.js';
 import {createEndpointClient} from './endpoint-client.js';
@@ -23,6 +23,7 @@
 import type {
 	CallerHead, WireFormat, GatewayRegistration, PlatformHost,
 } from './gateway-hosts.js';
+import {startLoopMonitor} from './loop-monitor.js';
 import {createGatewayMetrics, startStatusServer} from './metrics.js';
 import {createPlatformFeed} from './platform-feed.js';
 import {parseAddress, type GatewayDaemonSettings} from './settings.js';
@@ -53,6 +54,8 @@
 /** How long before SIGKILL the requests that are still open are aborted; part of the grace period. */
 const stopMarginMs = 400;
 const stopPollIntervalMs = 50;
+/** Delay of the event loop from which on it is logged. */
+const loggedLoopDelayMs = 250;
 
 /** Starts a gateway and returns once all its servers listen. */
 export async function startGatewayDaemon(settings: GatewayDaemonSettings, host: GatewayDaemonHost): Promise<GatewayDaemon> {
@@ -75,6 +78,14 @@
 	const client = createEndpointClient();
 	const connections = createConnections({...defaultConnectionSettings, sharedKey, tls: undefined});
 	const clockJumpDetector = createClockJumpDetector(processClocks);
+	const loopMonitor = startLoopMonitor({
+		onTick(delayMs) {
+			metrics.recordLoopDelay(delayMs);
+			if (delayMs > loggedLoopDelayMs) {
+				logger.warn('loopStalled', {delayMs: Math.round(delayMs)});
+			}
+		},
+	});
 	let lastRequestKey = 0;
 	let stoppedAt: number | undefined;
 	let wasReady = false;
@@ -165,7 +176,7 @@
 		});
 	}
 
-	function handleRequest(callerExchange: CallerExchange, arrivedAt: number): () => void {
+	function handleRequest(callerExchange: CallerExchange, {arrivedAt, unreadMs}: RequestArrival): () => void {
 		const {head, message} = callerExchange;
 		checkClock();
 		const grantOrFailure = checkRoute(message, head);
@@ -186,6 +197,7 @@
 			credential: head.credential,
 			deadlineAt: arrivedAt + Math.min(route.timeoutMs, head.remainingMs ?? route.timeoutMs),
 			arrivedAt,
+			unreadMs,
 			prompt: head.prompt,
 			sharedSegments: head.sharedSegments,
 			fingerprint: hasher.getContentHash(`${message.method} ${message.headers.host} ${message.url} ${organisation ?? ''} `, callerExchange.body),
@@ -217,6 +229,7 @@
 			return 'route' in grantOrFailure ? undefined : grantOrFailure;
 		},
 		handleRequest,
+		getUnreadMs: loopMonitor.getUnreadMs,
 		recordRefusal,
 	});
 	const readinessServer = await startStatusServer(parseAddress(settings.readinessAddress), async () => {
@@ -236,6 +249,7 @@
 			await waitForRequests(gateway, stoppedAt, settings.graceMs);
 			logger.info('stopped', {open: gateway.getOpenRequestCount()});
 			clearInterval(clockTimer);
+			loopMonitor.close();
 			callerServer.close();
 			readinessServer.close();
 			metricsServer.close();
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -43,6 +43,8 @@
 }>;
 
 const okStatus = 200;
+/** Time that a send may wait for a connection without being logged. */
+const loggedSendDelayMs = 100;
 /** Maximum number of segments in one line of the log. */
 const maximumLoggedSegments = 16;
 
@@ -284,6 +286,8 @@
 				host.logger.info('requestPlaced', {
 					request, sendId, endpoint, helpers, reservations: formatReservations(reservations), firstEventMs, candidates, segments: formatSegments(sharedSegments),
 					fingerprint: openRequest?.fingerprint,
+					unreadMs: openRequest === undefined ? undefined : Math.round(openRequest.unreadMs),
+					waitedMs: openRequest === undefined ? undefined : Math.round(performance.now() - openRequest.arrivedAt),
 					configurationAgeMs: Math.round(gateway.getConfigurationAgeMs(performance.now())),
 				});
 				return;
@@ -397,9 +401,18 @@
 			headers.push('Content-Length', String(body.length));
 		}
 
+		const handedOverAt = performance.now();
 		host.client.send({
 			sendId, address: endpoint.address, method: message.method ?? 'GET', target: message.url ?? '/', headers, body: Buffer.from(body),
 		}, {
+			onStart() {
+				const waitedMs = performance.now() - handedOverAt;
+				if (waitedMs > loggedSendDelayMs) {
+					host.logger.info('sendDelayed', {
+						request: openRequest.request.requestId, sendId, endpoint: endpoint.id, waitedMs: Math.round(waitedMs),
+					});
+				}
+			},
 			onHead(status, responseHeaders) {
 				dispatchRelayEvent(key, {kind: 'responseStarted', sendId, head: host.wireFormat.parseResponseHead(status, responseHeaders)});
 			},
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -12,6 +12,8 @@
 	recordRequest(outcome: string, durationMs: number): void;
 	recordFirstEvent(durationMs: number): void;
 	recordSend(result: string): void;
+	/** Records by how much the event loop was late. */
+	recordLoopDelay(delayMs: number): void;
 	recordPlatformCall(call: string, outcome: string): void;
 	/** Records that the platform's store has been restored from a copy. */
 	recordStoreRestore(): void;
@@ -23,6 +25,8 @@
 /** Histogram bounds in seconds; they cover the latency objectives and timeouts of short and long prompts. */
 const durationBucketsS = [0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3, 5, 10, 15];
 
+const loopDelayBucketsS = [0.01, 0.05, 0.1, 0.2, 0.5, 1, 2, 5];
+
 /** Creates the metrics of a gateway in a registry of their own. */
 export function createGatewayMetrics(getOpenRequestCount: () => number): GatewayMetrics {
 	const registry = new Registry();
@@ -36,6 +40,9 @@
 	const sends = new Counter({
 		name: 'currantcross_sends_total', help: 'Sends to endpoints by how they ended', labelNames: ['result'], registers,
 	});
+	const loopDelays = new Histogram({
+		name: 'currantcross_gateway_loop_delay_seconds', help: 'Time by which the event loop was late, ten times a second', buckets: loopDelayBucketsS, registers,
+	});
 	const platformCalls = new Counter({
 		name: 'currantcross_platform_calls_total', help: 'Calls to the platform', labelNames: ['call', 'outcome'], registers,
 	});
@@ -60,6 +67,9 @@
 		recordSend(result) {
 			sends.inc({result});
 		},
+		recordLoopDelay(delayMs) {
+			loopDelays.observe(delayMs / millisecondsPerSecond);
+		},
 		recordPlatformCall(call, outcome) {
 			platformCalls.inc({call, outcome});
 		},
