--- a/packages/caller/src/http-server.ts
+++ b/packages/caller/src/http-server.ts
@@ -6,7 +6,7 @@
 import {listen} from '@currantcross/core/listen';
 import createRouter from 'find-my-way';
 import VError from 'verror';
-import {discardTimeoutMs, limitUnreadBody} from './unread-body.js';
+import {discardTimeoutMs, drainUnreadBody} from './unread-body.js';
 
 export type HttpRequest = Readonly<{
 	message: IncomingMessage;
@@ -129,8 +129,8 @@
 		});
 	}
 
-	/** Tracks an open request, so that `close` can wait for the last one. */
-	function trackRequest(message: IncomingMessage, response: ServerResponse): void {
+	/** Adds an open request, so that `close` can wait for the last one. */
+	function addRequest(message: IncomingMessage, response: ServerResponse): void {
 		openRequests.add(message);
 		clearTimeout(closeTimer);
 		response.once('close', () => {
@@ -149,7 +149,7 @@
 		}
 	}
 
-	function cutUnfinishedBodies(): void {
+	function cancelUnfinishedBodies(): void {
 		for (const message of openRequests) {
 			if (!message.complete) {
 				message.socket.destroy();
@@ -158,8 +158,8 @@
 	}
 
 	const server = http.createServer((message, response) => {
-		trackRequest(message, response);
-		limitUnreadBody(message, response);
+		addRequest(message, response);
+		drainUnreadBody(message, response);
 		router.lookup(message, response);
 	});
 	server.keepAliveTimeout = 5000;
@@ -168,7 +168,7 @@
 		port,
 		async close() {
 			isClosing = true;
-			const bodyTimer = setTimeout(cutUnfinishedBodies, discardTimeoutMs);
+			const bodyTimer = setTimeout(cancelUnfinishedBodies, discardTimeoutMs);
 			await new Promise<void>(resolve => {
 				server.close(() => {
 					resolve();
--- a/packages/caller/src/unread-body.ts
+++ b/packages/caller/src/unread-body.ts
@@ -11,7 +11,7 @@
 export const discardTimeoutMs = 1000;
 
 /** Discards what is left of the request's body after its response, and closes the connection if the body doesn't end soon. */
-export function limitUnreadBody(message: IncomingMessage, response: ServerResponse): void {
+export function drainUnreadBody(message: IncomingMessage, response: ServerResponse): void {
 	const {socket} = message;
 	response.once('finish', () => {
 		if (message.complete) {
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -3,7 +3,7 @@
 */
 import {Buffer} from 'node:buffer';
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
-import {limitUnreadBody} from '@currantcross/caller/unread-body';
+import {drainUnreadBody} from '@currantcross/caller/unread-body';
 import {createNotRunFailure, type Failure} from '@currantcross/core/errors';
 import {listen} from '@currantcross/core/listen';
 import type {ServingLimits} from '@currantcross/core/gateway/gateway-types';
@@ -145,7 +145,7 @@
 		response.on('error', () => {
 			// The caller disconnected; the `close` event follows and is handled there.
 		});
-		limitUnreadBody(message, response);
+		drainUnreadBody(message, response);
 		void receiveRequest(message, response);
 	});
 	const port = await listen(server, {...address, backlog: connectionBacklog});
