--- a/packages/standins/src/impatient-callers.ts
+++ b/packages/standins/src/impatient-callers.ts
@@ -139,19 +139,19 @@
 	};
 }
 
-function reply(message: ImpatientCallersReply): void {
+function sendReply(message: ImpatientCallersReply): void {
 	parentPort?.postMessage(message);
 }
 
 async function handleCommand(command: ImpatientCallersCommand): Promise<void> {
 	switch (command.kind) {
 		case 'startServers': {
-			reply({kind: 'serversStarted', addresses: await Promise.all(command.instanceIds.map(async id => startServer(id)))});
+			sendReply({kind: 'serversStarted', addresses: await Promise.all(command.instanceIds.map(async id => startServer(id)))});
 			return;
 		}
 
 		case 'send': {
-			reply({kind: 'roundEnded', result: await runRound(command)});
+			sendReply({kind: 'roundEnded', result: await runRound(command)});
 		}
 	}
 }
