End each request of a connection that its caller closes, also pipelined ones

Seen: a caller sends a request behind another one on its connection and leaves. The gateway does not notice: the request goes on to its server, and after a silence to another one. Cause: the disconnect was taken from the response's close event. A response that waits behind another has no socket yet, and gets no such event. Change: the close of the socket counts too.

--- a/packages/gateway/src/caller-server.test.ts
+++ b/packages/gateway/src/caller-server.test.ts
@@ -18,8 +18,17 @@
 	}
 });
 
-/** Starts a server that answers each request at once with `responseBytes` bytes. */
-async function startServer(): Promise<CallerServer> {
+type RequestHandler = Parameters<typeof startCallerServer>[1]['handleRequest'];
+
+/** Answers a request at once with `responseBytes` bytes. */
+const answerAtOnce: RequestHandler = exchange => {
+	exchange.startResponse({status: 200, headers: ['Content-Length', String(responseBytes)], isUndelimited: false});
+	exchange.write(Buffer.alloc(responseBytes));
+	exchange.end();
+	return () => undefined;
+};
+
+async function startServer(handleRequest: RequestHandler = answerAtOnce): Promise<CallerServer> {
 	const wireFormat: Pick<WireFormat, 'parseCallerHead' | 'formatFailureHead'> = {
 		parseCallerHead: () => ({
 			requestId: 'r-1', credential: undefined, remainingMs: undefined, lastEventId: undefined, prompt: undefined, sharedSegments: [],
@@ -30,12 +39,7 @@
 		wireFormat: wireFormat as WireFormat, // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the other members are not used
 		isDraining: () => false,
 		checkHead: () => undefined,
-		handleRequest(exchange) {
-			exchange.startResponse({status: 200, headers: ['Content-Length', String(responseBytes)], isUndelimited: false});
-			exchange.write(Buffer.alloc(responseBytes));
-			exchange.end();
-			return () => undefined;
-		},
+		handleRequest,
 		getUnreadMs: () => 0,
 		recordRefusal: () => undefined,
 	});
@@ -95,3 +99,20 @@
 	expect(text).toMatch(/^HTTP\/1.1 413 /v);
 	expect(text.match(/HTTP\/1.1/gv)).toHaveLength(1);
 });
+
+// Guards against work for callers that have left: a response that waits behind another one is not told that its socket closes.
+test('reports the disconnect for each request of a connection, also for one that waits behind another', async () => {
+	const disconnected: Array<string | undefined> = [];
+	let requestCount = 0;
+	const {port} = await startServer(({message: {url}}) => {
+		requestCount += 1;
+		return () => {
+			disconnected.push(url);
+		};
+	});
+	const socket = net.connect(port, '127.0.0.1');
+	socket.write('GET /1 HTTP/1.1\r\nHost: a.example\r\n\r\nGET /2 HTTP/1.1\r\nHost: a.example\r\n\r\n');
+	await expect.poll(() => requestCount).toBe(2);
+	socket.destroy();
+	await expect.poll(() => disconnected.toSorted((a, b) => String(a).localeCompare(String(b)))).toEqual(['/1', '/2']);
+});
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -131,12 +131,21 @@
 			return;
 		}
 
+		const {socket} = exchange.message;
 		const notifyDisconnect = host.handleRequest(exchange, arrival);
-		response.once('close', () => {
-			if (!response.writableFinished) {
+		let isClosed = false;
+		const handleClose = (): void => {
+			socket.off('close', handleClose);
+			if (!isClosed && !response.writableFinished) {
 				notifyDisconnect();
 			}
-		});
+
+			isClosed = true;
+		};
+
+		// A response that waits behind another one of its connection has no `close` event when the connection closes.
+		socket.once('close', handleClose);
+		response.once('close', handleClose);
 	}
 
 	const server = http.createServer({
