Begin and send requests only after the closes that arrived with them are read

After the loop has stood still, or while it turns slowly, it reads a request, places and sends it in the same turn, and comes to the caller's close, which lies behind it in the socket's buffer, only in the next one. The age of a request was counted from its reading. Change, at the two places where work begins: a request that may have waited is begun only after another read, newest first, 20 ms a turn, and refused with a time to come back once it has waited 400 ms more; a send after a delay of the loop is held until the loop has read what is there, and left out if the caller has left. How long the loop has read nothing is known from a tick ten times a second. A request's age and deadline now count from the earliest time at which it can have arrived; one whose time is over by that is refused as not run (503) where it was 504 before. Without a delay of the loop nothing waits. The test of the refusal that leaves open whether it ran failed before (504). The test's callers no longer pipeline by mistake.

--- a/packages/core/src/gateway/forwarded-request.test.ts
+++ b/packages/core/src/gateway/forwarded-request.test.ts
@@ -219,6 +219,12 @@
 		expect(harness.gateway.step({kind: 'timePassed'}, 1000).flatMap(action => formatAction(action))).toEqual(['cancel', 'fail deadlineExceeded ran=unknown']);
 	});
 
+	// Guards against a failure that leaves open whether the request ran, after a gateway stood still until no time was left.
+	test('fails as not run, to be sent again at once, if its deadline may have passed before it was read', () => {
+		const {submit} = createHarness();
+		expect(submit(createFixtureGatewayRequest(fixtureNonIdempotentRoute, {deadlineAt: 10}))).toEqual(['fail deadlineUnreachable ran=no']);
+	});
+
 	test('fails as not run, without being sent, if its key was verified too long ago', () => {
 		const harness = createHarness();
 		expect(harness.submit(createFixtureGatewayRequest(fixtureNonIdempotentRoute, {arrivedAt: 4001}))).toEqual(['fail platformUnavailable ran=no']);
--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -124,7 +124,7 @@
 	function send(now: Timestamp, lastFailure: Failure | undefined): readonly GatewayAction[] {
 		const remainingMs = request.deadlineAt - now;
 		if (remainingMs < minimumSendMs) {
-			return endWithFailure(lastFailure ?? createFailure('deadlineExceeded'));
+			return endWithFailure(lastFailure ?? createNotRunFailure('deadlineUnreachable', 'no time is left', 0));
 		}
 
 		const refusal = context.checkCredential(request, now);
--- a/packages/core/src/gateway/gateway-types.ts
+++ b/packages/core/src/gateway/gateway-types.ts
@@ -110,9 +110,9 @@
 	credential: string | undefined;
 	/** Earlier of the caller's deadline and the route's timeout. */
 	deadlineAt: Timestamp;
-	/** When its head was read. */
+	/** Earliest time at which its head can have arrived. */
 	arrivedAt: Timestamp;
-	/** Longest time that its head can have waited before it was read. */
+	/** Time from `arrivedAt` until its head was read. */
 	unreadMs: Milliseconds;
 	prompt: PromptSize | undefined;
 	/** Segments of the prompt that other requests may share, in order; the prompt's own segment at its end is left out. */
--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -18,6 +18,8 @@
 
 /** A received request and the operations that answer it. */
 export type CallerExchange = ReceivedRequest & Readonly<{
+	/** Returns whether the caller's close has been read. The exchange is told of it some turns of the event loop later. */
+	hasCallerLeft(): boolean;
 	startResponse(head: ResponseHead): void;
 	write(bytes: Uint8Array): void;
 	end(): void;
@@ -82,6 +84,7 @@
 
 	return {
 		...request,
+		hasCallerLeft: () => response.destroyed || message.socket.destroyed || message.socket.readableEnded,
 		startResponse({status, headers, isUndelimited}) {
 			if (isUndelimited) {
 				response.setHeader('connection', 'close');
--- a/packages/gateway/src/caller-server.test.ts
+++ b/packages/gateway/src/caller-server.test.ts
@@ -42,6 +42,7 @@
 		handleRequest,
 		getUnreadMs: () => 0,
 		recordRefusal: () => undefined,
+		recordDeparture: () => undefined,
 	});
 	server.setLimits({maximumBodyBytes, headerTimeoutMs: 1000, idleTimeoutMs});
 	closers.push(server.close);
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -10,10 +10,11 @@
 import type {Milliseconds, Timestamp} from '@currantcross/core/types';
 import {createCallerExchange, type CallerExchange} from './caller-exchange.js';
 import type {CallerHead, WireFormat} from './gateway-hosts.js';
+import {createIntakeRunner} from './intake-runner.js';
 import type {SocketAddress} from './settings.js';
 
 /** When a request's head was read, and the longest time that it can have waited before. */
-export type RequestArrival = Readonly<{arrivedAt: Timestamp; unreadMs: Milliseconds}>;
+export type RequestArrival = Readonly<{readAt: Timestamp; unreadMs: Milliseconds}>;
 
 export type CallerServerHost = Readonly<{
 	wireFormat: WireFormat;
@@ -25,6 +26,8 @@
 	/** Returns the longest time that data which is read now can have waited. */
 	getUnreadMs(): Milliseconds;
 	recordRefusal(head: CallerHead, failure: Failure): void;
+	/** Records a request that is not begun since its caller has left. */
+	recordDeparture(head: CallerHead, arrival: RequestArrival): void;
 }>;
 
 export type CallerServer = Readonly<{
@@ -76,6 +79,7 @@
 
 /** Starts the server and returns once it listens. */
 export async function startCallerServer(address: SocketAddress, host: CallerServerHost): Promise<CallerServer> {
+	const intake = createIntakeRunner();
 	let maximumBodyBytes = defaultMaximumBodyBytes;
 	let idleTimeoutMs = defaultIdleTimeoutMs;
 	const exchangeHost = {
@@ -83,7 +87,7 @@
 	};
 
 	async function receiveRequest(message: IncomingMessage, response: ServerResponse): Promise<void> {
-		const arrival: RequestArrival = {arrivedAt: performance.now(), unreadMs: host.getUnreadMs()};
+		const arrival: RequestArrival = {readAt: performance.now(), unreadMs: host.getUnreadMs()};
 		const head = host.wireFormat.parseCallerHead(message.headers);
 		const refusal = host.checkHead(message, head);
 		if (refusal !== undefined) {
@@ -93,7 +97,7 @@
 
 		const bodyTimer = setTimeout(() => {
 			refuseUnfinishedBody(message, response, head);
-		}, head.remainingMs ?? defaultBodyTimeoutMs);
+		}, Math.max(0, (head.remainingMs ?? defaultBodyTimeoutMs) - arrival.unreadMs));
 		const result = await readBody(message, maximumBodyBytes);
 		clearTimeout(bodyTimer);
 		if (response.headersSent) {
@@ -111,7 +115,7 @@
 			}
 
 			case 'complete': {
-				startRequest(createCallerExchange({message, head, body: result.body}, response, exchangeHost), response, arrival);
+				receiveExchange(createCallerExchange({message, head, body: result.body}, response, exchangeHost), response, arrival);
 			}
 		}
 	}
@@ -126,11 +130,25 @@
 		createCallerExchange({message, head, body: new Uint8Array(0)}, response, exchangeHost).fail(failure);
 	}
 
-	function startRequest(exchange: CallerExchange, response: ServerResponse, arrival: RequestArrival): void {
-		if (response.destroyed || exchange.message.socket.destroyed) {
-			return;
-		}
+	function receiveExchange(exchange: CallerExchange, response: ServerResponse, arrival: RequestArrival): void {
+		const {head, hasCallerLeft} = exchange;
+		intake.receive({
+			unreadMs: arrival.unreadMs,
+			hasCallerLeft,
+			begin() {
+				startRequest(exchange, response, arrival);
+			},
+			refuse(failure) {
+				host.recordRefusal(head, failure);
+				exchange.fail(failure);
+			},
+			drop() {
+				host.recordDeparture(head, arrival);
+			},
+		});
+	}
 
+	function startRequest(exchange: CallerExchange, response: ServerResponse, arrival: RequestArrival): void {
 		const {socket} = exchange.message;
 		const notifyDisconnect = host.handleRequest(exchange, arrival);
 		let isClosed = false;
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -104,7 +104,7 @@
 		},
 	});
 	const driver = createGatewayDriver(gateway, {
-		client, wireFormat: host.wireFormat, logger, metrics, publishChange: workExchange.publish, name: settings.name, platform: host.platform,
+		client, getUnreadMs: loopMonitor.getUnreadMs, wireFormat: host.wireFormat, logger, metrics, publishChange: workExchange.publish, name: settings.name, platform: host.platform,
 		readConfiguration() {
 			feed.refresh();
 		},
@@ -176,7 +176,12 @@
 		});
 	}
 
-	function handleRequest(callerExchange: CallerExchange, {arrivedAt, unreadMs}: RequestArrival): () => void {
+	function recordDeparture(head: CallerHead, {readAt, unreadMs}: RequestArrival): void {
+		metrics.recordRequest('clientGone', unreadMs);
+		logger.info('requestDropped', {request: head.requestId, unreadMs: Math.round(unreadMs), waitedMs: Math.round(performance.now() - readAt)});
+	}
+
+	function handleRequest(callerExchange: CallerExchange, {readAt, unreadMs}: RequestArrival): () => void {
 		const {head, message} = callerExchange;
 		checkClock();
 		const grantOrFailure = checkRoute(message, head);
@@ -187,6 +192,7 @@
 		}
 
 		const {route, organisation} = grantOrFailure;
+		const arrivedAt = readAt - unreadMs;
 		lastRequestKey += 1;
 		return driver.submit({
 			key: lastRequestKey,
@@ -229,6 +235,7 @@
 			return 'route' in grantOrFailure ? undefined : grantOrFailure;
 		},
 		handleRequest,
+		recordDeparture,
 		getUnreadMs: loopMonitor.getUnreadMs,
 		recordRefusal,
 	});
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -9,17 +9,19 @@
 import type {Gateway} from '@currantcross/core/gateway/gateway';
 import type {PeerChange} from '@currantcross/core/gateway/peer-changes';
 import type {
-	ResponseSummary, GatewayEvent, GatewayAction, ReportedDecision, RequestEvent,
+	ResponseSummary, GatewayEvent, GatewayAction, ReportedDecision, RequestEvent, SendId,
 } from '@currantcross/core/gateway/gateway-events';
 import {getErrorText} from '@currantcross/core/error-text';
 import type {Failure} from '@currantcross/core/errors';
 import type {EndpointCheck, QuarantineReport} from '@currantcross/core/gateway/segment-quarantine';
 import type {ServiceSegment} from '@currantcross/core/gateway/segment-suspicion';
 import type {Reservation} from '@currantcross/core/gateway/memory-reservation';
+import type {Milliseconds} from '@currantcross/core/types';
 import type {Logger} from '@currantcross/daemon/logger';
 import {getForwardedHeaders, type CallerExchange} from './caller-exchange.js';
 import type {EndpointClient} from './endpoint-client.js';
 import type {ControlRequest, PlatformHost, WireFormat} from './gateway-hosts.js';
+import {waitForReads} from './loop-monitor.js';
 import type {GatewayMetrics} from './metrics.js';
 
 export type GatewayDriverHost = Readonly<{
@@ -30,6 +32,8 @@
 	wireFormat: WireFormat;
 	logger: Logger;
 	metrics: GatewayMetrics;
+	/** Returns the longest time that data which is read now can have waited, or 0 while the loop reads without delay. */
+	getUnreadMs(): Milliseconds;
 	publishChange(change: PeerChange): void;
 	readConfiguration(): void;
 }>;
@@ -48,6 +52,8 @@
 /** Maximum number of segments in one line of the log. */
 const maximumLoggedSegments = 16;
 
+type SendAction = Extract<GatewayAction, {kind: 'send'}>;
+
 type OpenRequest = Readonly<{request: GatewayRequest; exchange: CallerExchange}>;
 
 /** Returns the endpoint and the tokens of each reservation, for the log. */
@@ -67,6 +73,8 @@
 /** Creates a driver for the gateway. */
 export function createGatewayDriver(gateway: Gateway, host: GatewayDriverHost): GatewayDriver {
 	const openRequests = new Map<RequestKey, OpenRequest>();
+	/** Sends that wait until the loop has read what has arrived. */
+	const heldSends = new Set<SendId>();
 	let timer: NodeJS.Timeout | undefined;
 	let timerDueAt = Number.POSITIVE_INFINITY;
 
@@ -122,6 +130,7 @@
 			}
 
 			case 'cancelSend': {
+				heldSends.delete(action.sendId);
 				host.client.cancel(action.sendId, action.how);
 				return;
 			}
@@ -287,7 +296,7 @@
 					request, sendId, endpoint, helpers, reservations: formatReservations(reservations), firstEventMs, candidates, segments: formatSegments(sharedSegments),
 					fingerprint: openRequest?.fingerprint,
 					unreadMs: openRequest === undefined ? undefined : Math.round(openRequest.unreadMs),
-					waitedMs: openRequest === undefined ? undefined : Math.round(performance.now() - openRequest.arrivedAt),
+					waitedMs: openRequest === undefined ? undefined : Math.round(performance.now() - openRequest.arrivedAt - openRequest.unreadMs),
 					configurationAgeMs: Math.round(gateway.getConfigurationAgeMs(performance.now())),
 				});
 				return;
@@ -379,13 +388,32 @@
 		return false;
 	}
 
-	function performSend(action: Extract<GatewayAction, {kind: 'send'}>): void {
+	/**
+	Sends a request. After a delay of the loop its caller's close may be among what has not been read yet; then the send waits for
+	that, and is left out if it is cancelled or the caller has left.
+	*/
+	function performSend(action: SendAction): void {
+		if (host.getUnreadMs() === 0) {
+			startSend(action, action.remainingMs);
+			return;
+		}
+
+		const heldAt = performance.now();
+		heldSends.add(action.sendId);
+		waitForReads(() => {
+			if (heldSends.delete(action.sendId) && openRequests.get(action.key)?.exchange.hasCallerLeft() === false) {
+				startSend(action, action.remainingMs - (performance.now() - heldAt));
+			}
+		});
+	}
+
+	function startSend(action: SendAction, remainingMs: Milliseconds): void {
 		const openRequest = openRequests.get(action.key);
 		if (openRequest === undefined) {
 			return;
 		}
 
-		const {key, sendId, endpoint, helpers, remainingMs, lastEventId} = action;
+		const {key, sendId, endpoint, helpers, lastEventId} = action;
 		const {message, body} = openRequest.exchange;
 		const headers = [
 			...getForwardedHeaders(message.rawHeaders, message.headers.connection, host.wireFormat.excludedRequestHeaders),
--- a/packages/standins/src/impatient-callers.ts
+++ b/packages/standins/src/impatient-callers.ts
@@ -109,7 +109,7 @@
 	const isReused = index % reuseInterval === 0;
 	if (isReused) {
 		socket.write(formatRequest('/book/look/warm', `warm-${requestId}`));
-		await waitForResponse(socket, delayMs);
+		await waitForResponse(socket, patienceMs);
 	}
 
 	await wait(delayMs);
