Start no queued attempt of an agent after its deadline

Seen: an agent whose loop stood still past the deadlines of its queue starts the queued attempts when another one ends, and when it expires them one by one. Cause: the deadline was looked at only when an attempt is submitted and when it expires, not when it is taken from the queue.

--- a/packages/core/src/agent.test.ts
+++ b/packages/core/src/agent.test.ts
@@ -191,3 +191,19 @@
 		expect(actions).toContainEqual({kind: 'releaseMemory', attemptId: 'r1.1'});
 	});
 });
+
+// Guards against work whose deadline has passed: an agent that stood still learns of free capacity before it expires its queue.
+test.each([
+	['another one ends', createPromptCompleted(31_000, 'long.1')],
+	['it expires its attempts', {at: 31_000, event: {kind: 'timePassed'}}],
+] as const)('an agent starts no queued attempt after its deadline when %s', (_, {event}) => {
+	const agent = createFixtureAgent();
+	const attempts = ['long.1', 'long.2', 'long.3'].map(id => createAttempt(id, createFixturePrompt(150_000)));
+	const actions = [
+		...attempts.flatMap(attempt => agent.step({kind: 'submitArrived', streamId: `${attempt.attemptId}/1`, attempt}, 0)),
+		...agent.step(event, 31_000),
+		...agent.step({kind: 'timePassed'}, 31_001),
+	];
+	expect(getStartedAttemptIds(actions)).toEqual(['long.1']);
+	expect(agent.getLiveCount()).toBe(0);
+});
--- a/packages/core/src/agent.ts
+++ b/packages/core/src/agent.ts
@@ -165,13 +165,13 @@
 		return [{kind: 'cancelWork', attemptId}, {kind: 'releaseMemory', attemptId}, ...end(record, {kind: 'cancelled', ran: 'yes'}, now)];
 	}
 
-	function canStart(item: QueuedAttempt): boolean {
+	function canStart(item: QueuedAttempt, now: Timestamp): boolean {
 		if (running.getSize() >= settings.maximumActive) {
 			return false;
 		}
 
 		const record = records.tryGet(item.attemptId);
-		if (record === undefined || getRequiredMemoryTokens(record.attempt.work) > reservations.getFree()) {
+		if (record === undefined || now >= record.deadlineAt || getRequiredMemoryTokens(record.attempt.work) > reservations.getFree()) {
 			return false;
 		}
 
@@ -187,14 +187,14 @@
 	/** Starts queued attempts in queue order while any of them can start. */
 	function startQueued(now: Timestamp): readonly AgentAction[] {
 		const actions: AgentAction[] = [];
-		let item = queue.tryTake(candidate => canStart(candidate), now);
+		let item = queue.tryTake(candidate => canStart(candidate, now), now);
 		while (item !== undefined) {
 			const record = records.tryGet(item.attemptId);
 			if (record !== undefined) {
 				actions.push(startWork(record, item, now));
 			}
 
-			item = queue.tryTake(candidate => canStart(candidate), now);
+			item = queue.tryTake(candidate => canStart(candidate, now), now);
 		}
 
 		return actions;
