Let an entry that can't be used cost that entry alone

Reported by another operator. Seen here: an address whose port is out of range, missing or 0, or that is no address, ended the gateway with the first request that was placed there (the HTTP client throws), and while it stands in the list nobody is served. A configuration with a version over 2^53 was put in force, and nothing after it was. Deep nesting, numbers of 1e400 and odd names ended nothing. Cause: what other writers leave in the lists was checked for its types only. Change: addresses, URLs of gateways, counts, names of segments and versions are checked when an entry is decoded; an entry that fails is left out, logged once while it is there, and counted. Not done: the lists of the product's own store (hosts of the object API, logs, claims) were not played.

--- a/packages/gateway/src/endpoint-client.ts
+++ b/packages/gateway/src/endpoint-client.ts
@@ -4,6 +4,7 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders} from 'node:http';
 import process from 'node:process';
+import {getErrorText} from '@currantcross/core/error-text';
 import type {RawHeaders} from '@currantcross/core/gateway/gateway-types';
 import type {SendId} from '@currantcross/core/gateway/gateway-events';
 import {
@@ -215,9 +216,15 @@
 	return {
 		send(request, listener) {
 			const {sendId, address, method, target, headers, body} = request;
-			getPool(address).dispatch({
-				method, path: target, headers: [...headers], body: body.length === 0 ? null : body,
-			}, createHandler(sendId, listener));
+			const handler = createHandler(sendId, listener);
+			try {
+				getPool(address).dispatch({
+					method, path: target, headers: [...headers], body: body.length === 0 ? null : body,
+				}, handler);
+			} catch (error) {
+				openSends.delete(sendId);
+				listener.onFailure(false, getErrorText(error));
+			}
 		},
 		async sendControlRequest(address, {method, target, headers, body}) {
 			const response = await getPool(address).request({
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -47,6 +47,8 @@
 }>;
 
 const okStatus = 200;
+/** Longest time that a timer of Node.js can be set to; it would fire at once if set to more. */
+const maximumTimerMs = 2_147_483_647;
 /** Time that a send may wait for a connection without being logged. */
 const loggedSendDelayMs = 100;
 /** Maximum number of segments in one line of the log. */
@@ -104,7 +106,7 @@
 			timer = undefined;
 			timerDueAt = Number.POSITIVE_INFINITY;
 			dispatch({kind: 'timePassed'});
-		}, Math.max(1, Math.ceil(wakeAt - now)));
+		}, Math.min(maximumTimerMs, Math.max(1, Math.ceil(wakeAt - now))));
 	}
 
 	function perform(action: GatewayAction): void {
--- a/packages/gateway/src/gateway-hosts.ts
+++ b/packages/gateway/src/gateway-hosts.ts
@@ -67,8 +67,11 @@
 	sequence: number;
 }>;
 
-/** The items of a list, and the epoch of the store that it is from. */
-export type Listing<Item> = Readonly<{epoch: number; items: readonly Item[]}>;
+/** An entry of a list that can't be used, and why. */
+export type UnusableEntry = Readonly<{name: string; reason: string}>;
+
+/** The items of a list, the entries that name none, and the epoch of the store that it is from. */
+export type Listing<Item> = Readonly<{epoch: number; items: readonly Item[]; unusable: readonly UnusableEntry[]}>;
 
 /** The result of a read or a watch of the configuration. */
 export type ConfigurationUpdate = Readonly<{
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -17,6 +17,8 @@
 	recordPlatformCall(call: string, outcome: string): void;
 	/** Records that the platform's store has been restored from a copy. */
 	recordStoreRestore(): void;
+	/** Counts entries of a list that can't be used. */
+	recordUnusableEntries(list: string, count: number): void;
 	getText(): Promise<string>;
 }>;
 
@@ -49,6 +51,9 @@
 	const storeRestores = new Counter({
 		name: 'currantcross_store_restores_total', help: 'Restores of the platform\'s store from a copy that were noticed', registers,
 	});
+	const unusableEntries = new Counter({
+		name: 'currantcross_unusable_entries_total', help: 'Entries found in the lists of the store that can not be used', labelNames: ['list'], registers,
+	});
 	registry.registerMetric(new Gauge({
 		name: 'currantcross_open_requests',
 		help: 'Requests that are open',
@@ -76,6 +81,9 @@
 		recordStoreRestore() {
 			storeRestores.inc();
 		},
+		recordUnusableEntries(list, count) {
+			unusableEntries.inc({list}, count);
+		},
 		getText: async () => registry.metrics(),
 	};
 }
--- a/packages/gateway/src/platform-feed.test.ts
+++ b/packages/gateway/src/platform-feed.test.ts
@@ -6,7 +6,7 @@
 
 const feeds: PlatformFeed[] = [];
 const waitStepMs = 10;
-const emptyListing = {epoch: 1, items: []} as const;
+const emptyListing = {epoch: 1, items: [], unusable: []} as const;
 
 afterEach(() => {
 	for (const feed of feeds.splice(0)) {
@@ -127,7 +127,7 @@
 	startFeed({
 		async listGateways() {
 			listCount += 1;
-			return listCount === 1 ? {epoch: 1, items: others} : {epoch: 2, items: others.slice(0, 1)};
+			return listCount === 1 ? {epoch: 1, items: others, unusable: []} : {epoch: 2, items: others.slice(0, 1), unusable: []};
 		},
 		async registerGateway() {
 			registrationCount += 1;
--- a/packages/gateway/src/platform-feed.ts
+++ b/packages/gateway/src/platform-feed.ts
@@ -11,7 +11,7 @@
 import type {Logger} from '@currantcross/daemon/logger';
 import VError from 'verror';
 import type {
-	ConfigurationUpdate, GatewayRegistration, Listing, PlatformHost, Revision,
+	ConfigurationUpdate, GatewayRegistration, Listing, PlatformHost, Revision, UnusableEntry,
 } from './gateway-hosts.js';
 import type {GatewayMetrics} from './metrics.js';
 
@@ -53,6 +53,8 @@
 const gatewayGraceMs: Milliseconds = 10_000;
 /** Maximum random delay before the configuration is read after a restore; leaves most of the time allowed to apply a change. */
 const maximumReadDelayMs: Milliseconds = 400;
+/** Maximum length of a text of another writer in a line of the log. */
+const maximumLoggedLength = 200;
 const baseRetryMs: Milliseconds = 60;
 const maximumRetryMs: Milliseconds = 400;
 
@@ -92,6 +94,8 @@
 	/** When the next registration is due. */
 	let registrationDueAt = Number.NEGATIVE_INFINITY;
 	let missingGatewaysKeptUntil = Number.NEGATIVE_INFINITY;
+	/** Names of the entries of each list that could not be used when it was last read. */
+	const unusableNames = new Map<string, ReadonlySet<string>>();
 	let knownGateways: ReadonlyMap<string, GatewayRegistration> = new Map();
 
 	async function wait(ms: Milliseconds): Promise<void> {
@@ -188,11 +192,26 @@
 		return signal.aborted ? undefined : update;
 	}
 
+	/** Logs and counts the entries of a list that can't be used, each once while it is there. */
+	function reportUnusable(list: string, unusable: readonly UnusableEntry[]): void {
+		const known = unusableNames.get(list);
+		unusableNames.set(list, new Set(unusable.map(({name}) => name)));
+		const added = unusable.filter(({name}) => known?.has(name) !== true);
+		for (const {name, reason} of added) {
+			logger.warn('entryUnusable', {list, name: name.slice(0, maximumLoggedLength), reason: reason.slice(0, maximumLoggedLength)});
+		}
+
+		if (added.length > 0) {
+			metrics.recordUnusableEntries(list, added.length);
+		}
+	}
+
 	/** Reads a list, which must not be from before a restore. */
 	async function readList<Item>(dependency: Dependency, read: () => Promise<Listing<Item>>): Promise<readonly Item[] | undefined> {
 		return callPlatform(dependency, async () => {
-			const {epoch: listEpoch, items} = await read();
+			const {epoch: listEpoch, items, unusable} = await read();
 			checkEpoch(listEpoch, dependency.name);
+			reportUnusable(dependency.name, unusable);
 			return items;
 		});
 	}
--- a/packages/peer/src/gateway-peers.ts
+++ b/packages/peer/src/gateway-peers.ts
@@ -108,6 +108,47 @@
 	}
 }
 
+/** Returns whether a number that a peer tells can be a length of time or a rate. */
+function isAmount(value: number): boolean {
+	return Number.isFinite(value) && value >= 0;
+}
+
+/** Returns whether a change has numbers that can be used; those that the wire format restricts need no check. */
+function isUsable(change: PeerChange): boolean {
+	switch (change.kind) {
+		case 'started': {
+			return isAmount(change.work.readMs) && isAmount(change.work.longestPauseMs);
+		}
+
+		case 'serverCrashed': {
+			return isAmount(change.crash.ageMs);
+		}
+
+		case 'limitChanged': {
+			return change.requestsPerSecond === undefined || isAmount(change.requestsPerSecond);
+		}
+
+		case 'segmentQuarantined': {
+			return isAmount(change.quarantine.remainingMs);
+		}
+
+		case 'reset':
+		case 'writing':
+		case 'ended':
+		case 'endpointUnreachable':
+		case 'configurationInForce':
+		case 'segmentCleared': {
+			return true;
+		}
+	}
+}
+
+/** Converts a change from its wire form; returns `undefined` for an unknown kind or for numbers that can't be used. */
+function tryParseChange(wireChange: wire.WorkChange): PeerChange | undefined {
+	const change = fromWireChange(wireChange);
+	return change !== undefined && isUsable(change) ? change : undefined;
+}
+
 function fromWireChange({change}: wire.WorkChange): PeerChange | undefined {
 	switch (change.case) {
 		case 'reset': {
@@ -185,7 +226,7 @@
 
 /**
 Subscribes to a peer and yields its batches of changes. The first batch is a snapshot; empty batches are heartbeats.
-Changes of an unknown kind are ignored.
+Changes of an unknown kind, or with numbers that can't be used, are ignored.
 
 @throws ConnectError when the stream breaks.
 */
@@ -197,6 +238,6 @@
 ): AsyncGenerator<readonly GatewayWork[]> {
 	const client = createClient(wire.GatewayService, connections.getTransport(peerUrl, true));
 	for await (const {works} of client.watchWork({gateway: subscriber, scope: toWireScope(scope)}, {signal})) {
-		yield works.map(({gateway, changes}) => ({gateway, changes: changes.flatMap(change => fromWireChange(change) ?? [])}));
+		yield works.map(({gateway, changes}) => ({gateway, changes: changes.flatMap(change => tryParseChange(change) ?? [])}));
 	}
 }
--- a/packages/standins/src/platform-store-standin.ts
+++ b/packages/standins/src/platform-store-standin.ts
@@ -18,6 +18,20 @@
 /** Number of list requests, by whether they accept stale data. */
 export type ListCounts = Readonly<{stale: number; current: number}>;
 
+/** Content of an object as it is written in JSON, for values that `JSON.stringify` doesn't write. */
+export type RawJson = Readonly<{rawJson: string}>;
+
+function isRawJson(value: unknown): value is RawJson {
+	return typeof value === 'object' && value !== null && 'rawJson' in value && typeof value.rawJson === 'string';
+}
+
+/** Formats a body in which some values are raw JSON. */
+function formatBody(body: unknown): string {
+	const rawTexts: string[] = [];
+	const text = JSON.stringify(body, (_key, value: unknown) => isRawJson(value) ? `@raw-${rawTexts.push(value.rawJson) - 1}@` : value);
+	return text.replaceAll(/"@raw-(?<index>\d+)@"/gv, (_match, index: string) => rawTexts[Number(index)] ?? '');
+}
+
 export type PlatformStoreStandin = Readonly<{
 	address: string;
 	/** Writes an object, as the operator or a server would. */
@@ -136,7 +150,7 @@
 
 	function sendJson(response: ServerResponse, status: number, body: unknown): void {
 		response.writeHead(status, {'content-type': 'application/json', 'store-era': String(epoch)});
-		response.end(JSON.stringify(body));
+		response.end(formatBody(body));
 	}
 
 	function takeSnapshot(): StoreSnapshot {
