Take promises and limits only from responses to the request itself

Cause: Not-Run and 421 were looked at before the id that the response bears, and so were At-Server, Retry-After and the limit. Change: the id comes first; a response with another one loses the send and closes the connection. A response to a control request (report, reservation) that bears a caller's id is not one either, and its connection is closed. A refusal without any id still counts: the published form of a refusal has none. The control test was written with its change.

--- a/packages/core/src/gateway/forwarded-request.test.ts
+++ b/packages/core/src/gateway/forwarded-request.test.ts
@@ -200,6 +200,24 @@
 		expect(harness.step({kind: 'responseStarted', sendId: harness.getSendId(), head: createFixtureHead({status: 503, isNotRun: true, hasStamp: false})}, 10)).toEqual(['discard', 'send shop']);
 	});
 
+	// Guards against an earlier refusal that a server writes once more on a connection, and that would be taken for this request's.
+	test.each([
+		['a refusal', {
+			status: 503, isNotRun: true, hasStamp: false, retryAfterMs: 2000,
+		}],
+		['a refusal that names another server', {
+			status: 503, isNotRun: true, hasStamp: false, faultyAddress: '10.0.4.1:80',
+		}],
+		['a response of another instance', {status: 421, hasStamp: false}],
+		['a limit', {status: 200, requestsPerSecond: 0}],
+	])('fails as possibly run, without a second send, after %s with the id of an earlier request', (_, changes) => {
+		const harness = startRequest(fixtureNonIdempotentRoute);
+		const head = createFixtureHead({...changes, requestId: 'r-0'});
+		expect(harness.step({kind: 'responseStarted', sendId: harness.getSendId(), head}, 10)).toEqual(['cancel', 'fail serverLost ran=unknown']);
+		const others = Array.from({length: 6}, (__, index) => harness.gateway.step({kind: 'requestArrived', request: createFixtureGatewayRequest(fixtureNonIdempotentRoute, {key: 10 + index, arrivedAt: 11})}, 11));
+		expect(others.flat().filter(({kind}) => kind === 'send')).toHaveLength(6);
+	});
+
 	test('fails as not run if every endpoint refuses it as not run', () => {
 		const harness = startRequest(fixtureNonIdempotentRoute);
 		let actions: readonly string[] = [];
--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -374,6 +374,11 @@
 			return [];
 		}
 
+		// A promise, a limit or a status counts only if the response belongs to this request.
+		if (head.requestId !== undefined && head.requestId !== request.requestId) {
+			return [...cancelCurrentSend(), ...handleLostSend('corrupt', 'the answer belongs to another request', now)];
+		}
+
 		const limitActions = head.status === misdirectedStatus ? [] : context.recordLimit(current.placement.endpoint.id, head.requestsPerSecond, now);
 		return [...limitActions, ...applyHead(head, now)];
 	}
@@ -387,10 +392,6 @@
 			return [...cancelCurrentSend('discard'), ...handleRefusal(head, now)];
 		}
 
-		if (head.requestId !== undefined && head.requestId !== request.requestId) {
-			return [...cancelCurrentSend(), ...handleLostSend('corrupt', 'the answer belongs to another request', now)];
-		}
-
 		if (head.isEncoded || (head.status < firstErrorStatus && !head.hasStamp)) {
 			return [...cancelCurrentSend(), ...handleLostSend('corrupt', 'the answer is not the endpoint\'s own', now)];
 		}
--- a/packages/gateway/src/endpoint-client.test.ts
+++ b/packages/gateway/src/endpoint-client.test.ts
@@ -60,7 +60,7 @@
 }
 
 function createClient(): EndpointClient {
-	const client = createEndpointClient();
+	const client = createEndpointClient({isCallerResponse: (_status, headers) => headers['request-id'] === 'r-0'});
 	closers.push(client.close);
 	return client;
 }
@@ -188,3 +188,19 @@
 
 	expect(connections).toBe(1);
 });
+
+// Guards against memory that counts as reserved, or as refused, because of a response to an earlier request of the connection.
+test('rejects a control request whose response belongs to a request of a caller, and closes the connection', async () => {
+	let closedCount = 0;
+	const address = await startEndpoint(socket => {
+		socket.on('close', () => {
+			closedCount += 1;
+		});
+		socket.write('HTTP/1.1 200 OK\r\nRequest-Id: r-0\r\nContent-Length: 2\r\n\r\n{}HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}');
+	});
+	const client = createClient();
+	await expect(client.sendControlRequest(address, {
+		method: 'POST', target: '/order', headers: [], body: '{}',
+	})).rejects.toThrow('another request');
+	await expect.poll(() => closedCount).toBe(1);
+});
--- a/packages/gateway/src/endpoint-client.ts
+++ b/packages/gateway/src/endpoint-client.ts
@@ -40,7 +40,10 @@
 
 export type EndpointClient = Readonly<{
 	send(request: EndpointRequest, listener: EndpointListener): void;
-	/** Sends a control request and returns the response. Rejects on a timeout, a connection error or a body that is too long. */
+	/**
+	Sends a control request and returns the response. Rejects on a timeout, a connection error, a body that is too long, or a
+	response that belongs to a caller's request.
+	*/
 	sendControlRequest(address: string, request: ControlRequest): Promise<ControlResponse>;
 	/** Ends a send, whose listener is not called again: aborts it at once, or, to discard its response, only if that doesn't end soon. */
 	cancel(sendId: SendId, how: 'abort' | 'discard'): void;
@@ -107,8 +110,13 @@
 	return typeof code === 'string' ? code : error.name;
 }
 
+export type EndpointClientHost = Readonly<{
+	/** Returns whether a response answers a caller's request, and not a control request on the same connection. */
+	isCallerResponse(status: number, headers: IncomingHttpHeaders): boolean;
+}>;
+
 /** Creates a client. Connections are opened on demand. */
-export function createEndpointClient(): EndpointClient {
+export function createEndpointClient(host: EndpointClientHost): EndpointClient {
 	const pools = new Map<string, Pool>();
 	const openSends = new Map<SendId, OpenSend>();
 	const connect = buildConnector({
@@ -230,6 +238,13 @@
 			const response = await getPool(address).request({
 				method, path: target, headers: [...headers], ...(body === '' ? {} : {body}), signal: AbortSignal.timeout(controlTimeoutMs),
 			});
+			if (host.isCallerResponse(response.statusCode, response.headers)) {
+				// Destroying a body that has not ended emits an error, which nothing else handles.
+				response.body.on('error', () => undefined);
+				response.body.destroy();
+				throw new VError('the response belongs to another request');
+			}
+
 			return {status: response.statusCode, body: await readControlBody(response.body)};
 		},
 		cancel(sendId, how) {
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -75,7 +75,12 @@
 	});
 	const hasher = await createHasher();
 	const metrics = createGatewayMetrics(gateway.getOpenRequestCount);
-	const client = createEndpointClient();
+	const client = createEndpointClient({
+		isCallerResponse(status, headers) {
+			const {requestId} = host.wireFormat.parseResponseHead(status, headers);
+			return requestId !== undefined && requestId !== '';
+		},
+	});
 	const connections = createConnections({...defaultConnectionSettings, sharedKey, tls: undefined});
 	const clockJumpDetector = createClockJumpDetector(processClocks);
 	const loopMonitor = startLoopMonitor({
