Test that a stream which broke off receives nothing of the next endpoint's error

Reported by another operator. It can't happen here in the forms that were tried: 60 cases (12 answers of the next endpoint, each whole, in parts, as events, inside an event, and after an undelimited first response) pass on the code as it stands, so nothing is changed. Not tried: callers on HTTP/1.0, the product's own interface, a 200 with a stamp whose events have no ids.

--- a/packages/core/src/gateway/forwarded-request.test.ts
+++ b/packages/core/src/gateway/forwarded-request.test.ts
@@ -476,6 +476,49 @@
 		expect(harness.step({kind: 'responseBytes', sendId, bytes: getBytes(events(1, 3))}, 20)).toEqual(['start 200', 'write id: 1|data: x', 'cancel', 'send models after 1']);
 	});
 
+	// Guards against the text of an error in the middle of a caller's stream, and against a stream that looks complete without its end.
+	describe.each([
+		['500', {status: 500}],
+		['500 without a stamp', {status: 500, hasStamp: false}],
+		['404', {status: 404}],
+		['400', {status: 400}],
+		['204', {status: 204}],
+		['204 without a stamp', {status: 204, hasStamp: false}],
+		['301', {status: 301, headers: ['content-type', 'text/event-stream']}],
+		['503 as not run', {status: 503, isNotRun: true, hasStamp: false}],
+		['421', {status: 421, hasStamp: false}],
+		['200 without a stamp', {hasStamp: false}],
+		['200 with a content encoding', {isEncoded: true}],
+		['500 as undelimited', {status: 500, isUndelimited: true}],
+	])('that broke off and is answered with %s by the next endpoint', (_, changes) => {
+		test.each([
+			['whole', ['{"error":"no"}\n\n'], events(1, 2, 3), false],
+			['in parts', ['{"err', 'or":', '"no"}\n\n'], events(1, 2, 3), false],
+			['as events', [events(4, 5)], events(1, 2, 3), false],
+			['in the middle of an event', ['ta: x\n\n'], `${events(1, 2, 3)}id: 4\nda`, false],
+			['after an undelimited response', ['{"error":"no"}\n\n'], events(1, 2, 3), true],
+		])('receives nothing of an error that comes %s, and is broken off', (__, parts, firstBytes, isUndelimited) => {
+			const harness = startRequest(fixtureStreamRoute);
+			const firstId = harness.getSendId();
+			harness.step({kind: 'responseStarted', sendId: firstId, head: createFixtureHead({isUndelimited})}, 10);
+			harness.step({kind: 'responseBytes', sendId: firstId, bytes: getBytes(firstBytes)}, 20);
+			const actions = [
+				...harness.step({
+					kind: 'sendFailed', sendId: firstId, wasSent: true, detail: 'reset',
+				}, 30),
+				...harness.step({kind: 'responseStarted', sendId: harness.getSendId(), head: createFixtureHead(changes)}, 40),
+			];
+			const secondId = harness.getSendId();
+			for (const part of parts) {
+				actions.push(...harness.step({kind: 'responseBytes', sendId: secondId, bytes: getBytes(part)}, 50));
+			}
+
+			actions.push(...harness.step({kind: 'responseEnded', sendId: secondId}, 60), ...harness.step({kind: 'timePassed'}, 60_000));
+			expect(actions.filter(action => /^(?:write|start|end)/v.test(action))).toEqual([]);
+			expect(actions).toContain('break');
+		});
+	});
+
 	test('is broken off if the response ends inside an event', () => {
 		const harness = startRequest({...fixtureStreamRoute, maximumEndpoints: 1});
 		expect(answer(harness, `${events(1)}id: 2\n`)).toEqual(['start 200', 'write id: 1|data: x', 'break']);
