Send nothing more to a server that says it is leaving

A new rule of the platform: a server that leaves says so in all its answers, also while the list calls it ready. Nothing read the header, so such a server got requests until its entry changed. Change: a response of an endpoint (also a refusal, and one to a probe or a reservation) that says so makes it draining for good, as the list does; the peers are told, also those that connect later. It holds for the process that said it: one that starts again under the same id is another one. A response with status 421 or with the id of another request says nothing. If no other endpoint is left, requests are refused at once.

--- a/packages/core/src/gateway/endpoint-registry.ts
+++ b/packages/core/src/gateway/endpoint-registry.ts
@@ -67,6 +67,13 @@
 	isOvertaken(id: EndpointId, sentRequest: SentRequest, since: Timestamp): boolean;
 	/** Records that another endpoint now responds at this endpoint's address. */
 	recordReplaced(id: EndpointId): void;
+	/**
+	Records that the endpoint says it is leaving, as `draining` for good, and returns the change. Does nothing if another process
+	than the one that started at `startedAt` is listed under the id.
+	*/
+	recordLeaving(id: EndpointId, startedAt: number): EndpointChange | undefined;
+	/** Returns the listed endpoints that have said so. */
+	getLeaving(): readonly ListedEndpoint[];
 	hasList(): boolean;
 }>;
 
@@ -111,15 +118,18 @@
 export function createEndpointRegistry(settings: EndpointRegistrySettings): EndpointRegistry {
 	const endpointsById = new Map<EndpointId, KnownEndpoint>();
 	const removedEndpoints = new LRUCache<EndpointId, RemovedEndpoint>({max: maximumRemovedEndpoints});
+	/** Start of the process of each endpoint that has said it is leaving, also of those that are not listed yet. */
+	const leavingProcesses = new LRUCache<EndpointId, number>({max: maximumRemovedEndpoints});
 	let restoredEntriesHeldUntil = Number.NEGATIVE_INFINITY;
 	let hasReadList = false;
 	let isOutage = false;
 	let graceEndsAt = Number.NEGATIVE_INFINITY;
 
-	/** Returns the endpoint, as draining if it has drained in an earlier list. */
+	/** Returns the endpoint, as draining if it has drained in an earlier list or said that it is leaving. */
 	function keepDraining(listed: ListedEndpoint): ListedEndpoint {
 		const earlier = endpointsById.get(listed.id)?.listed ?? removedEndpoints.get(listed.id);
-		return earlier?.state === 'draining' && isSameProcess(earlier, listed) ? {...listed, state: 'draining'} : listed;
+		const isDraining = (earlier?.state === 'draining' && isSameProcess(earlier, listed)) || leavingProcesses.get(listed.id) === listed.startedAt;
+		return isDraining ? {...listed, state: 'draining'} : listed;
 	}
 
 	/** Returns whether an endpoint that was removed may be listed only because the list has gone back to an earlier state. */
@@ -238,6 +248,12 @@
 				endpoint.isReplaced = true;
 			}
 		},
+		recordLeaving(id, startedAt) {
+			leavingProcesses.set(id, startedAt);
+			const listed = endpointsById.get(id)?.listed;
+			return listed?.startedAt === startedAt ? applyListed(keepDraining(listed)) : undefined;
+		},
+		getLeaving: () => [...endpointsById.values()].map(({listed}) => listed).filter(({id, startedAt}) => leavingProcesses.get(id) === startedAt),
 		hasList: () => hasReadList,
 	};
 }
--- a/packages/core/src/gateway/forwarded-request.test.ts
+++ b/packages/core/src/gateway/forwarded-request.test.ts
@@ -200,6 +200,33 @@
 		expect(harness.step({kind: 'responseStarted', sendId: harness.getSendId(), head: createFixtureHead({status: 503, isNotRun: true, hasStamp: false})}, 10)).toEqual(['discard', 'send shop']);
 	});
 
+	// Guards against requests to a server that has asked for none for some time.
+	test('is not sent to endpoints that asked for time until that has passed, and is refused with the time to come back if all have', () => {
+		const harness = createHarness();
+		const sendTimes: number[] = [];
+		for (let now = 0; now < 6000; now += 100) {
+			for (const route of [fixtureNonIdempotentRoute, fixtureIdempotentRoute]) {
+				const key = 100 + (2 * now) + (route === fixtureIdempotentRoute ? 1 : 0);
+				let actions = harness.gateway.step({kind: 'requestArrived', request: createFixtureGatewayRequest(route, {key, arrivedAt: now})}, now);
+				let sent = actions.find(action => action.kind === 'send');
+				while (sent?.kind === 'send') {
+					sendTimes.push(now);
+					const head = createFixtureHead({
+						status: 503, isNotRun: true, hasStamp: false, retryAfterMs: 3000,
+					});
+					actions = harness.gateway.step({kind: 'requestChanged', key, event: {kind: 'responseStarted', sendId: sent.sendId, head}}, now);
+					sent = actions.find(action => action.kind === 'send');
+				}
+
+				const failure = actions.find(action => action.kind === 'failRequest');
+				expect(failure).toMatchObject({failure: {kind: 'overloaded', ran: 'no'}});
+				expect(failure?.kind === 'failRequest' && failure.failure.retryAfterMs).toBeGreaterThanOrEqual(3000 - (now % 3000));
+			}
+		}
+
+		expect(sendTimes).toEqual([0, 0, 0, 3000, 3000, 3000]);
+	});
+
 	// Guards against an earlier refusal that a server writes once more on a connection, and that would be taken for this request's.
 	test.each([
 		['a refusal', {
--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -42,6 +42,8 @@
 	recordBrokenSend(request: GatewayRequest, endpoint: ListedEndpoint, now: Timestamp): readonly GatewayAction[];
 	/** Records that an endpoint could not be reached. */
 	recordUnreachable(endpoint: EndpointId, now: Timestamp): readonly GatewayAction[];
+	/** Records that an endpoint says it is leaving. */
+	recordLeaving(endpoint: ListedEndpoint): readonly GatewayAction[];
 	/** Records the limit that an endpoint names in a response. */
 	recordLimit(endpoint: EndpointId, requestsPerSecond: number | undefined, now: Timestamp): readonly GatewayAction[];
 	/** Records that an endpoint has completed a response to the request. */
@@ -380,7 +382,9 @@
 		}
 
 		const limitActions = head.status === misdirectedStatus ? [] : context.recordLimit(current.placement.endpoint.id, head.requestsPerSecond, now);
-		return [...limitActions, ...applyHead(head, now)];
+		// A misdirected response comes from another endpoint at the address.
+		const leavingActions = head.isLeaving && head.status !== misdirectedStatus ? context.recordLeaving(current.placement.endpoint) : [];
+		return [...limitActions, ...leavingActions, ...applyHead(head, now)];
 	}
 
 	function applyHead(head: EndpointResponseHead, now: Timestamp): readonly GatewayAction[] {
--- a/packages/core/src/gateway/gateway-events.ts
+++ b/packages/core/src/gateway/gateway-events.ts
@@ -138,6 +138,8 @@
 		| Readonly<{kind: 'clockJumped'}>
 		| Readonly<{kind: 'peerChanged'; gateway: GatewayName; changes: readonly PeerChange[]}>
 		| Readonly<{kind: 'gatewayCountKnown'; count: number}>
+	/** An endpoint says in a response to a control request that it is leaving. */
+		| Readonly<{kind: 'endpointLeaving'; endpoint: ListedEndpoint}>
 		| Readonly<{kind: 'endpointChecked'; endpoint: EndpointId; result: EndpointCheck}>
 	/** All quarantines that the platform's store lists. */
 		| Readonly<{kind: 'quarantinesListed'; records: readonly QuarantineRecord[]}>
--- a/packages/core/src/gateway/gateway-fixtures.ts
+++ b/packages/core/src/gateway/gateway-fixtures.ts
@@ -127,6 +127,7 @@
 		faultyAddress: undefined,
 		isEncoded: false,
 		isUndelimited: false,
+		isLeaving: false,
 		requestsPerSecond: undefined,
 		retryAfterMs: undefined,
 		...changes,
--- a/packages/core/src/gateway/gateway-types.ts
+++ b/packages/core/src/gateway/gateway-types.ts
@@ -153,6 +153,8 @@
 	isEncoded: boolean;
 	/** Whether the body is delimited by connection close alone, so that truncation can't be detected. */
 	isUndelimited: boolean;
+	/** Whether the endpoint says that it is leaving and must get no new requests. */
+	isLeaving: boolean;
 	/** Number of requests a second that the endpoint takes from all gateways together; `undefined` if it has no limit. */
 	requestsPerSecond: number | undefined;
 	/** Delay after which the endpoint suggests a retry. */
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -153,6 +153,19 @@
 		}
 	}
 
+	/** Records that an endpoint says it is leaving, and tells the peers if this is news. */
+	function recordLeaving({id, startedAt}: ListedEndpoint): readonly GatewayAction[] {
+		const change = registry.recordLeaving(id, startedAt);
+		return change === undefined
+			? []
+			: [{kind: 'reportEndpoint', change}, {kind: 'publishChange', change: {kind: 'endpointLeaving', endpoint: id, startedAt}}];
+	}
+
+	/** Returns the endpoints that have said they are leaving, for peers. */
+	function getLeavingChanges(): readonly PeerChange[] {
+		return registry.getLeaving().map(({id, startedAt}) => ({kind: 'endpointLeaving', endpoint: id, startedAt}));
+	}
+
 	const context = {
 		registry,
 		retryQuota,
@@ -167,6 +180,7 @@
 		recordBrokenSend: (request: GatewayRequest, endpoint: ListedEndpoint, now: Timestamp) => quarantine.recordBrokenSend(endpoint, getTraits(request), now),
 		recordUnreachable: (endpoint: EndpointId, now: Timestamp): readonly GatewayAction[] =>
 			registry.recordUnreachable(endpoint, now) ? [{kind: 'publishChange', change: {kind: 'endpointUnreachable', endpoint}}] : [],
+		recordLeaving,
 		recordLimit: limits.recordResponse,
 		recordCompletion: (request: GatewayRequest, now: Timestamp) => quarantine.recordCompletion(request.service, getTraits(request), now),
 		recordWork(change: WorkChange, now: Timestamp) {
@@ -215,6 +229,11 @@
 				return [];
 			}
 
+			case 'endpointLeaving': {
+				const report = registry.recordLeaving(change.endpoint, change.startedAt);
+				return report === undefined ? [] : [{kind: 'reportEndpoint', change: report}];
+			}
+
 			case 'configurationInForce': {
 				return configuration.learnVersion(change.version, now) ? [{kind: 'readConfiguration'}] : [];
 			}
@@ -284,6 +303,10 @@
 				return [];
 			}
 
+			case 'endpointLeaving': {
+				return recordLeaving(event.endpoint);
+			}
+
 			case 'endpointChecked': {
 				return quarantine.applyCheck(event.endpoint, event.result, now);
 			}
@@ -319,6 +342,6 @@
 		isConfigurationOutdated: configuration.isOutdated,
 		isReady: now => configuration.tryGet() !== undefined && !configuration.isOutdated(now) && registry.hasList(),
 		getOpenRequestCount: () => requests.size,
-		getSnapshot: (gateway, now) => [...load.getOpenWorkChanges(gateway), ...(gateway === settings.name ? [...quarantine.getSnapshot(now), ...limits.getSnapshot(), ...getVersionChanges()] : [])],
+		getSnapshot: (gateway, now) => [...load.getOpenWorkChanges(gateway), ...(gateway === settings.name ? [...quarantine.getSnapshot(now), ...limits.getSnapshot(), ...getVersionChanges(), ...getLeavingChanges()] : [])],
 	};
 }
--- a/packages/core/src/gateway/peer-changes.ts
+++ b/packages/core/src/gateway/peer-changes.ts
@@ -8,10 +8,13 @@
 import type {QuarantineChange} from './segment-quarantine.js';
 
 /** A message from one gateway to the others. */
-export type PeerChange = WorkChange | QuarantineChange | LimitChange | ConfigurationChange | UnreachableChange;
+export type PeerChange = WorkChange | QuarantineChange | LimitChange | ConfigurationChange | UnreachableChange | LeavingChange;
 
 /** An endpoint does not accept connections. */
 export type UnreachableChange = Readonly<{kind: 'endpointUnreachable'; endpoint: EndpointId}>;
 
+/** An endpoint says in its responses that it is leaving. `startedAt` tells its process from a later one under the same id. */
+export type LeavingChange = Readonly<{kind: 'endpointLeaving'; endpoint: EndpointId; startedAt: number}>;
+
 /** The version of the configuration that a gateway has in force. */
 export type ConfigurationChange = Readonly<{kind: 'configurationInForce'; version: number}>;
--- a/packages/gateway/src/endpoint-client.ts
+++ b/packages/gateway/src/endpoint-client.ts
@@ -36,7 +36,7 @@
 	onFailure(wasSent: boolean, detail: string): void;
 }>;
 
-export type ControlResponse = Readonly<{status: number; body: string}>;
+export type ControlResponse = Readonly<{status: number; headers: IncomingHttpHeaders; body: string}>;
 
 export type EndpointClient = Readonly<{
 	send(request: EndpointRequest, listener: EndpointListener): void;
@@ -245,7 +245,7 @@
 				throw new VError('the response belongs to another request');
 			}
 
-			return {status: response.statusCode, body: await readControlBody(response.body)};
+			return {status: response.statusCode, headers: response.headers, body: await readControlBody(response.body)};
 		},
 		cancel(sendId, how) {
 			const openSend = openSends.get(sendId);
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -19,7 +19,7 @@
 import type {Milliseconds} from '@currantcross/core/types';
 import type {Logger} from '@currantcross/daemon/logger';
 import {getForwardedHeaders, type CallerExchange} from './caller-exchange.js';
-import type {EndpointClient} from './endpoint-client.js';
+import type {ControlResponse, EndpointClient} from './endpoint-client.js';
 import type {ControlRequest, PlatformHost, WireFormat} from './gateway-hosts.js';
 import {waitForReads} from './loop-monitor.js';
 import type {GatewayMetrics} from './metrics.js';
@@ -327,11 +327,21 @@
 		dispatchRelayEvent(key, {kind: 'memoryAnswered', reservationId: reservation.id, isHeld});
 	}
 
+	/** Sends a control request, and records if the endpoint says in its response that it is leaving. */
+	async function callEndpoint(endpoint: ListedEndpoint, controlRequest: ControlRequest): Promise<ControlResponse> {
+		const response = await host.client.sendControlRequest(endpoint.address, controlRequest);
+		if (host.wireFormat.parseResponseHead(response.status, response.headers).isLeaving) {
+			dispatch({kind: 'endpointLeaving', endpoint});
+		}
+
+		return response;
+	}
+
 	/** Probes an endpoint. Any response shows that it is alive; only model servers send reports. Without a response, the request's own timeout applies. */
 	async function performProbe(key: RequestKey, endpoint: ListedEndpoint): Promise<void> {
 		const request = openRequests.get(key)?.request.requestId;
 		try {
-			const {body} = await host.client.sendControlRequest(endpoint.address, host.wireFormat.formatProbe());
+			const {body} = await callEndpoint(endpoint, host.wireFormat.formatProbe());
 			const report = host.wireFormat.parseReport(body);
 			const hasEngine = gateway.tryGetConfiguration()?.services.get(endpoint.service)?.engine !== undefined;
 			if (report === undefined && hasEngine) {
@@ -348,7 +358,7 @@
 	async function performCheck(endpoint: ListedEndpoint): Promise<void> {
 		let result: EndpointCheck = {isAlive: false, startedAt: undefined};
 		try {
-			const {body} = await host.client.sendControlRequest(endpoint.address, host.wireFormat.formatProbe());
+			const {body} = await callEndpoint(endpoint, host.wireFormat.formatProbe());
 			result = {isAlive: true, startedAt: host.wireFormat.parseReport(body)?.startedAt};
 		} catch (error) {
 			host.logger.info('probeFailed', {endpoint: endpoint.id, reason: getErrorText(error)});
@@ -377,7 +387,7 @@
 	/** Sends a control request about a reservation. Returns whether the endpoint accepted it. */
 	async function sendControlRequest({endpoint, id}: Reservation, controlRequest: ControlRequest): Promise<boolean> {
 		try {
-			const {status} = await host.client.sendControlRequest(endpoint.address, controlRequest);
+			const {status} = await callEndpoint(endpoint, controlRequest);
 			if (status === okStatus) {
 				return true;
 			}
--- a/packages/peer/src/gateway-peers.ts
+++ b/packages/peer/src/gateway-peers.ts
@@ -98,6 +98,11 @@
 			return create(wire.WorkChangeSchema, {change: {case: 'unreachable', value: change.endpoint}});
 		}
 
+		case 'endpointLeaving': {
+			const {endpoint, startedAt} = change;
+			return create(wire.WorkChangeSchema, {change: {case: 'leaving', value: create(wire.LeavingSchema, {endpoint, startedAt})}});
+		}
+
 		case 'configurationInForce': {
 			return create(wire.WorkChangeSchema, {change: {case: 'configured', value: create(wire.ConfigurationSchema, {version: BigInt(change.version)})}});
 		}
@@ -128,6 +133,10 @@
 			return change.requestsPerSecond === undefined || isAmount(change.requestsPerSecond);
 		}
 
+		case 'endpointLeaving': {
+			return isAmount(change.startedAt);
+		}
+
 		case 'segmentQuarantined': {
 			return isAmount(change.quarantine.remainingMs);
 		}
@@ -196,6 +205,11 @@
 			return {kind: 'endpointUnreachable', endpoint: change.value};
 		}
 
+		case 'leaving': {
+			const {endpoint, startedAt} = change.value;
+			return {kind: 'endpointLeaving', endpoint, startedAt};
+		}
+
 		case 'configured': {
 			return {kind: 'configurationInForce', version: Number(change.value.version)};
 		}
--- a/packages/standins/src/platform-server-standin.ts
+++ b/packages/standins/src/platform-server-standin.ts
@@ -44,6 +44,8 @@
 	setBehaviour(behaviour: ServerBehaviour): void;
 	/** Sets the limit in requests a second that responses name, `undefined` for none. */
 	setLimit(requestsPerSecond: number | undefined): void;
+	/** Sets whether all responses say that the server is leaving. */
+	setLeaving(isNowLeaving: boolean): void;
 	close(): void;
 }>;
 
@@ -73,6 +75,7 @@
 	const reservations = new Map<string, NodeJS.Timeout>();
 	let behaviour: ServerBehaviour = {kind: 'serve'};
 	let requestsPerSecond: number | undefined;
+	let isLeaving = false;
 	let runningCount = 0;
 
 	function releaseReservation(id: string): void {
@@ -194,6 +197,10 @@
 	}
 
 	const server = http.createServer((message, response) => {
+		if (isLeaving) {
+			response.setHeader('server-leaving', '1');
+		}
+
 		void handleRequest(message, response);
 	});
 	const port = await listen(server, {host: '127.0.0.1', port: settings.port ?? 0});
@@ -207,6 +214,9 @@
 		setLimit(newLimit) {
 			requestsPerSecond = newLimit;
 		},
+		setLeaving(isNowLeaving) {
+			isLeaving = isNowLeaving;
+		},
 		close() {
 			for (const id of reservations.keys()) {
 				releaseReservation(id);
