Send nothing to a server for as long as it asks for by Retry-After

A new rule of the platform: a server that turns a request away with 503 may say for how long it wants nothing from this gateway. Nothing kept that: of six refusing servers each was asked again after its backoff of some 100 ms. Change: a 503 with Retry-After (10 minutes at most are kept), also to a reservation or a probe, rests the endpoint for that long at this gateway; peers are not told, since it asked this one. If all endpoints that could take a request rest, the caller is refused at once with the time until the first of them comes back.

--- a/packages/core/src/gateway/endpoint-registry.ts
+++ b/packages/core/src/gateway/endpoint-registry.ts
@@ -67,6 +67,10 @@
 	isOvertaken(id: EndpointId, sentRequest: SentRequest, since: Timestamp): boolean;
 	/** Records that another endpoint now responds at this endpoint's address. */
 	recordReplaced(id: EndpointId): void;
+	/** Records that the endpoint wants no requests from this gateway for some time. */
+	recordRest(id: EndpointId, restMs: Milliseconds, now: Timestamp): void;
+	/** Returns for how long the endpoint wants no requests from this gateway. */
+	getRestMs(id: EndpointId, now: Timestamp): Milliseconds;
 	/**
 	Records that the endpoint says it is leaving, as `draining` for good, and returns the change. Does nothing if another process
 	than the one that started at `startedAt` is listed under the id.
@@ -84,6 +88,8 @@
 	listed: ListedEndpoint;
 	consecutiveFailures: number;
 	avoidedUntil: Timestamp;
+	/** Until then the endpoint wants no requests from this gateway. */
+	restsUntil: Timestamp;
 	isReplaced: boolean;
 	lastResponseAt: Timestamp;
 	/** Requests whose response has begun, except those that were sent no later than another one whose prompt is at least as long. */
@@ -96,6 +102,9 @@
 /** Number of removed endpoints that are remembered; more than a fleet replaces within a restore. */
 const maximumRemovedEndpoints = 20_000;
 
+/** Longest time for which an endpoint is left alone because it asks for it. */
+const maximumRestMs: Milliseconds = 600_000;
+
 /** Minimum time between a request's last progress and the send of another request that can overtake it; about two passes. */
 const minimumOvertakeMs: Milliseconds = 200;
 
@@ -145,6 +154,7 @@
 				listed,
 				consecutiveFailures: 0,
 				avoidedUntil: Number.NEGATIVE_INFINITY,
+				restsUntil: Number.NEGATIVE_INFINITY,
 				isReplaced: false,
 				lastResponseAt: Number.NEGATIVE_INFINITY,
 				answeredRequests: [],
@@ -248,6 +258,13 @@
 				endpoint.isReplaced = true;
 			}
 		},
+		recordRest(id, restMs, now) {
+			const endpoint = endpointsById.get(id);
+			if (endpoint !== undefined) {
+				endpoint.restsUntil = Math.max(endpoint.restsUntil, now + Math.min(restMs, maximumRestMs));
+			}
+		},
+		getRestMs: (id, now) => Math.max(0, (endpointsById.get(id)?.restsUntil ?? now) - now),
 		recordLeaving(id, startedAt) {
 			leavingProcesses.set(id, startedAt);
 			const listed = endpointsById.get(id)?.listed;
--- a/packages/core/src/gateway/forwarded-request.test.ts
+++ b/packages/core/src/gateway/forwarded-request.test.ts
@@ -205,6 +205,7 @@
 		const harness = createHarness();
 		const sendTimes: number[] = [];
 		for (let now = 0; now < 6000; now += 100) {
+			harness.gateway.step({kind: 'configurationVerified', configuration: fixtureConfiguration, verifiedAt: now}, now);
 			for (const route of [fixtureNonIdempotentRoute, fixtureIdempotentRoute]) {
 				const key = 100 + (2 * now) + (route === fixtureIdempotentRoute ? 1 : 0);
 				let actions = harness.gateway.step({kind: 'requestArrived', request: createFixtureGatewayRequest(route, {key, arrivedAt: now})}, now);
--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -83,6 +83,7 @@
 const firstErrorStatus = 300;
 const firstServerErrorStatus = 500;
 const misdirectedStatus = 421;
+const unavailableStatus = 503;
 
 /** Creates the state machine of one request. */
 export function createForwardedRequest(request: GatewayRequest, context: RequestContext): ForwardedRequest {
@@ -382,6 +383,10 @@
 		}
 
 		const limitActions = head.status === misdirectedStatus ? [] : context.recordLimit(current.placement.endpoint.id, head.requestsPerSecond, now);
+		if (head.status === unavailableStatus && head.retryAfterMs !== undefined) {
+			context.registry.recordRest(current.placement.endpoint.id, head.retryAfterMs, now);
+		}
+
 		// A misdirected response comes from another endpoint at the address.
 		const leavingActions = head.isLeaving && head.status !== misdirectedStatus ? context.recordLeaving(current.placement.endpoint) : [];
 		return [...limitActions, ...leavingActions, ...applyHead(head, now)];
--- a/packages/core/src/gateway/gateway-events.ts
+++ b/packages/core/src/gateway/gateway-events.ts
@@ -140,6 +140,8 @@
 		| Readonly<{kind: 'gatewayCountKnown'; count: number}>
 	/** An endpoint says in a response to a control request that it is leaving. */
 		| Readonly<{kind: 'endpointLeaving'; endpoint: ListedEndpoint}>
+	/** An endpoint wants no requests from this gateway for some time, by its response to a control request. */
+		| Readonly<{kind: 'endpointResting'; endpoint: ListedEndpoint; restMs: Milliseconds}>
 		| Readonly<{kind: 'endpointChecked'; endpoint: EndpointId; result: EndpointCheck}>
 	/** All quarantines that the platform's store lists. */
 		| Readonly<{kind: 'quarantinesListed'; records: readonly QuarantineRecord[]}>
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -111,9 +111,14 @@
 		});
 	}
 
-	/** Returns the time until an endpoint that isn't excluded may get another request by its limit, at least the usual retry delay. */
+	/** Returns the time until an endpoint may get another request by its limit, and by the time that it has asked for. */
+	function getEndpointWaitMs(id: EndpointId, now: Timestamp): Milliseconds {
+		return Math.max(limits.getWaitMs(id, now), registry.getRestMs(id, now));
+	}
+
+	/** Returns the time until an endpoint that isn't excluded may get another request, at least the usual retry delay. */
 	function getEndpointRetryMs(endpoints: readonly ListedEndpoint[], excluded: ReadonlySet<EndpointId>, now: Timestamp): Milliseconds {
-		const waits = endpoints.filter(({id}) => !excluded.has(id)).map(({id}) => limits.getWaitMs(id, now));
+		const waits = endpoints.filter(({id}) => !excluded.has(id)).map(({id}) => getEndpointWaitMs(id, now));
 		return waits.length === 0 ? noEndpointRetryMs : Math.max(noEndpointRetryMs, Math.min(...waits));
 	}
 
@@ -124,9 +129,9 @@
 			return refuse(createNotRunFailure(isWholeRequest(segment) ? 'requestQuarantined' : 'promptQuarantined', `segment ${segment}`, remainingMs));
 		}
 
-		const available = registry.getAvailable(request.service, now);
+		const available = registry.getAvailable(request.service, now).filter(({id}) => registry.getRestMs(id, now) === 0);
 		const ready = available.some(({id}) => !excluded.has(id)) ? available : registry.getListed(request.service);
-		const endpoints = ready.filter(({id}) => limits.getWaitMs(id, now) === 0);
+		const endpoints = ready.filter(({id}) => getEndpointWaitMs(id, now) === 0);
 		const placement = findPlacement(request, endpoints, excluded, now);
 		if (placement === undefined) {
 			return refuse(createNotRunFailure('overloaded', 'no endpoint is available', getEndpointRetryMs(ready, excluded, now)));
@@ -307,6 +312,11 @@
 				return recordLeaving(event.endpoint);
 			}
 
+			case 'endpointResting': {
+				registry.recordRest(event.endpoint.id, event.restMs, now);
+				return [];
+			}
+
 			case 'endpointChecked': {
 				return quarantine.applyCheck(event.endpoint, event.result, now);
 			}
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -47,6 +47,7 @@
 }>;
 
 const okStatus = 200;
+const unavailableStatus = 503;
 /** Longest time that a timer of Node.js can be set to; it would fire at once if set to more. */
 const maximumTimerMs = 2_147_483_647;
 /** Time that a send may wait for a connection without being logged. */
@@ -327,13 +328,18 @@
 		dispatchRelayEvent(key, {kind: 'memoryAnswered', reservationId: reservation.id, isHeld});
 	}
 
-	/** Sends a control request, and records if the endpoint says in its response that it is leaving. */
+	/** Sends a control request, and records if the endpoint says in its response that it is leaving or wants no requests for some time. */
 	async function callEndpoint(endpoint: ListedEndpoint, controlRequest: ControlRequest): Promise<ControlResponse> {
 		const response = await host.client.sendControlRequest(endpoint.address, controlRequest);
-		if (host.wireFormat.parseResponseHead(response.status, response.headers).isLeaving) {
+		const {isLeaving, retryAfterMs} = host.wireFormat.parseResponseHead(response.status, response.headers);
+		if (isLeaving) {
 			dispatch({kind: 'endpointLeaving', endpoint});
 		}
 
+		if (response.status === unavailableStatus && retryAfterMs !== undefined) {
+			dispatch({kind: 'endpointResting', endpoint, restMs: retryAfterMs});
+		}
+
 		return response;
 	}
 
