--- a/packages/soak/src/soak-configuration.ts
+++ b/packages/soak/src/soak-configuration.ts
@@ -78,4 +78,7 @@
 	limitWindowMs: 4000,
 	limitFactor: 1.5,
 	limitSlack: 5,
+	/** Time after a server has asked for none from which on more than `maximumRestArrivals` requests of a gateway break the bound. */
+	restSlackMs: 500,
+	maximumRestArrivals: 2,
 } as const;
--- a/packages/soak/src/soak-faults.ts
+++ b/packages/soak/src/soak-faults.ts
@@ -9,7 +9,7 @@
 	pauseGateway, stopAndStartGateway, type SoakGateway, type GatewayDisruption,
 } from './soak-gateways.js';
 import type {StoreDisruption} from './soak-checks.js';
-import type {SoakServers} from './soak-servers.js';
+import type {SoakServer, SoakServers} from './soak-servers.js';
 
 export type SoakFaultsContext = Readonly<{
 	random: Random;
@@ -17,6 +17,8 @@
 	serverRandom: Random;
 	/** Draws the restores of the store, for the same reason. */
 	restoreRandom: Random;
+	/** Draws what servers announce in their responses, for the same reason. */
+	announcementRandom: Random;
 	script: string;
 	store: PlatformStoreStandin;
 	servers: SoakServers;
@@ -30,6 +32,8 @@
 	startOccasionalServerFault(): void;
 	/** Lets the store go back to a copy now and then. */
 	startOccasionalRestore(): void;
+	/** Lets a server say that it is leaving, or ask for no requests for some time, now and then. */
+	startOccasionalAnnouncement(): void;
 	/** Resolves once all started faults have ended. */
 	waitForEnd(): Promise<void>;
 	/** Returns whether callers send prompts on which servers crash. */
@@ -43,6 +47,10 @@
 	getCounts(): ReadonlyMap<string, number>;
 }>;
 
+/** Share of the fault rounds in which a server announces something. */
+const announcementShare = 0.1;
+const minimumRestMs = 800;
+const restRangeMs = 2500;
 const minimumFaultMs = 200;
 const faultRangeMs = 2000;
 /** Duration of the faults that depend on prompts and rates; longer than the others, since bounds apply only after some seconds. */
@@ -72,7 +80,7 @@
 
 /** Creates the faults of one run and writes the first configuration. */
 export function createSoakFaults(context: SoakFaultsContext): SoakFaults {
-	const {random, serverRandom, restoreRandom, script, store, servers, gateways} = context;
+	const {random, serverRandom, restoreRandom, announcementRandom, script, store, servers, gateways} = context;
 	const activeFaults = new Set<Promise<void>>();
 	const counts = new Map<string, number>();
 	const revocationTimes = new Map<string, number>();
@@ -237,6 +245,26 @@
 			}
 		},
 	};
+	const announcements: Readonly<Record<string, () => Promise<void>>> = {
+		async leaveServer() {
+			const server = drawAnnouncing();
+			await (server === undefined ? undefined : servers.leave(server, removeAfterMs));
+		},
+		async askForTime() {
+			const server = drawAnnouncing();
+			server?.standin.setBehaviour({kind: 'refuse', restMs: minimumRestMs + announcementRandom.getInteger(restRangeMs)});
+			await wait(minimumServerFaultMs + announcementRandom.getInteger(serverFaultRangeMs));
+			server?.standin.setBehaviour({kind: 'serve'});
+		},
+	};
+
+	/** Returns a random server that is neither leaving nor gone. */
+	function drawAnnouncing(): SoakServer | undefined {
+		const active = servers.getServers().filter(({leftAt, leavingFrom}) => leftAt === undefined && leavingFrom === undefined);
+		return active[announcementRandom.getInteger(Math.max(1, active.length))];
+	}
+
+	const announcementNames = Object.keys(announcements);
 	const faultNames = Object.keys(faults);
 	const serverFaultNames = Object.keys(serverFaults);
 	writeConfiguration();
@@ -261,6 +289,12 @@
 				startFault(name, serverFaults[name]);
 			}
 		},
+		startOccasionalAnnouncement() {
+			if (announcementRandom.getFraction() < announcementShare) {
+				const name = announcementNames[announcementRandom.getInteger(announcementNames.length)] ?? 'leaveServer';
+				startFault(name, announcements[name]);
+			}
+		},
 		startOccasionalRestore() {
 			if (!isRestoring && restoreRandom.getFraction() < restoreShare) {
 				isRestoring = true;
--- a/packages/soak/src/soak-servers.ts
+++ b/packages/soak/src/soak-servers.ts
@@ -20,6 +20,8 @@
 	/** When the server crashed on a prompt. */
 	crashedAt: number | undefined;
 	limit: SoakLimit | undefined;
+	/** From when on all responses say that the server is leaving, while the store lists it as ready. */
+	leavingFrom: number | undefined;
 };
 
 /** A limit that a server names from `from` to `to`. */
@@ -33,6 +35,8 @@
 	drawServer(): SoakServer | undefined;
 	/** Starts a replacement, publishes a server as draining and removes it after `removeAfterMs`. */
 	drain(server: SoakServer, removeAfterMs: number): Promise<void>;
+	/** Starts a replacement, lets all responses of a server say that it is leaving, and removes it after `removeAfterMs`. */
+	leave(server: SoakServer, removeAfterMs: number): Promise<void>;
 	/** Removes a server at once and starts a replacement, which also accepts requests at the old address. */
 	crash(server: SoakServer): Promise<void>;
 	/** Lets a server name a limit, which it does until `limit.to` is set by `removeLimit`. */
@@ -77,7 +81,7 @@
 		});
 		const targetPort = Number(addressPortPattern.exec(standin.address)?.groups?.port ?? 0);
 		const server: SoakServer = {
-			id, service, standin, relay: await startByteRelay(targetPort), leftAt: undefined, crashedAt: undefined, limit: undefined,
+			id, service, standin, relay: await startByteRelay(targetPort), leftAt: undefined, crashedAt: undefined, limit: undefined, leavingFrom: undefined,
 		};
 		servers.push(server);
 		publishServer(server, 'ready');
@@ -131,6 +135,15 @@
 				void removeServer(server);
 			}, removeAfterMs);
 		},
+		async leave(server, removeAfterMs) {
+			await startServer(server.service);
+			server.standin.setLeaving(true);
+			server.leavingFrom = performance.now();
+			setTimeout(() => {
+				server.leftAt ??= performance.now();
+				void removeServer(server);
+			}, removeAfterMs);
+		},
 		async crash(server) {
 			server.leftAt = performance.now();
 			await removeServer(server);
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -88,7 +88,7 @@
 		script: settings.script, directory, storePort: Number(new URL(`http://${store.address}`).port), count: settings.gatewayCount,
 	});
 	const faults = createSoakFaults({
-		random, serverRandom: createRandom(settings.seed + 3), restoreRandom: createRandom(settings.seed + 4), script: settings.script, store, servers, gateways,
+		random, serverRandom: createRandom(settings.seed + 3), restoreRandom: createRandom(settings.seed + 4), announcementRandom: createRandom(settings.seed + 5), script: settings.script, store, servers, gateways,
 	});
 	const outcomes: CallOutcome[] = [];
 	await Promise.all(gateways.map(async gateway => waitUntilReady(gateway)));
@@ -108,6 +108,7 @@
 		faults.startRandomFault();
 		faults.startOccasionalServerFault();
 		faults.startOccasionalRestore();
+		faults.startOccasionalAnnouncement();
 		// eslint-disable-next-line no-await-in-loop
 		await wait(minimumFaultGapMs + random.getInteger(faultGapRangeMs));
 	}
--- a/packages/standins/src/platform-server-standin.ts
+++ b/packages/standins/src/platform-server-standin.ts
@@ -10,8 +10,8 @@
 /** How a server handles requests. */
 export type ServerBehaviour
 	= | Readonly<{kind: 'serve'}>
-		/** Refuses each request with 503 and `Not-Run`, without running it. */
-		| Readonly<{kind: 'refuse'}>
+		/** Refuses each request with 503 and `Not-Run`, without running it, and may ask for no requests for some time. */
+		| Readonly<{kind: 'refuse'; restMs?: number}>
 	/** Runs the request and resets the connection without a response. */
 		| Readonly<{kind: 'loseAnswer'}>
 	/** Resets the connection in the middle of the event that follows this many. */
@@ -35,8 +35,13 @@
 	startedAt: number;
 }>;
 
+/** A refused request, and for how long the server asked for no others. */
+export type RefusalRecord = Readonly<{requestId: string; refusedAt: number; restMs: number}>;
+
 export type PlatformServerStandin = Readonly<{
 	address: string;
+	/** Requests that were refused so far by a server that asked for time, in order. */
+	refusals: readonly RefusalRecord[];
 	/** Requests that were started so far, in order. */
 	runs: readonly RunRecord[];
 	/** Returns the ids of the memory reservations that have neither expired nor been released. */
@@ -72,6 +77,7 @@
 /** Starts a server on loopback. */
 export async function startPlatformServer(settings: PlatformServerSettings): Promise<PlatformServerStandin> {
 	const runs: RunRecord[] = [];
+	const refusals: RefusalRecord[] = [];
 	const reservations = new Map<string, NodeJS.Timeout>();
 	let behaviour: ServerBehaviour = {kind: 'serve'};
 	let requestsPerSecond: number | undefined;
@@ -139,7 +145,12 @@
 		}
 
 		if (behaviour.kind === 'refuse') {
-			response.writeHead(503, {'not-run': '1'});
+			const {restMs} = behaviour;
+			if (restMs !== undefined) {
+				refusals.push({requestId: getHeader(message, 'request-id') ?? '', refusedAt: performance.now(), restMs});
+			}
+
+			response.writeHead(503, {'not-run': '1', ...(restMs === undefined ? {} : {'retry-after': String(restMs / 1000)})});
 			response.end();
 			return;
 		}
@@ -207,6 +218,7 @@
 	return {
 		address: `127.0.0.1:${port}`,
 		runs,
+		refusals,
 		getReservations: () => [...reservations.keys()],
 		setBehaviour(newBehaviour) {
 			behaviour = newBehaviour;
