Attribute crashes to requests and segments by one test with stated error rates

Cause: the evidence against a segment or request was a set of counts and exceptions (three moments, five crashes, ten if completed before, two thirds of one request), which did not count crashes without the suspect, took repeats of one request for independent losses, and attributed all crashes of a rare cause to a frequent one beside it.

Change: core/gateway/crash-evidence weighs the crashes by a likelihood ratio averaged over the shares that a suspect may cause. A sound one reaches the required 50 with a probability of at most 1 in 50 (Ville), for given chances of being lost. Crashes within 50 ms count once, a moment counts at most 7-fold, all losses of one request at most 20-fold. Required is more the more often the suspect was completed shortly before (rule of succession). Reports of crashes hold the traits of each lost request, so that repeats and requests with a known cause are told from others. Of requests lost together none is blamed until one leads by 5:1, or all have come five times.

--- a/packages/core/src/gateway/fleet-properties.test.ts
+++ b/packages/core/src/gateway/fleet-properties.test.ts
@@ -122,6 +122,33 @@
 		}))).toEqual([]);
 	});
 
+	// Guards against a segment that is blamed for crashes under whole requests while a gateway that has just started knows few completed prompts.
+	test('refuse no sound request while the only gateway has completed few since its start', () => {
+		expect(findRequestCrashViolations(runFleetScenario({
+			seed: 1_231_538_628,
+			gatewayCount: 1,
+			soundPerSecond,
+			limits: [],
+			crashSegments: [],
+			crashRequests: [{startsAt: 5329, perSecond: 1, hasPrompt: false}, {startsAt: 7223, perSecond: 1, hasPrompt: false}],
+			disruptions: [
+				{
+					kind: 'restart', at: 13_726, gatewayIndex: 4, durationMs: 2348,
+				},
+				{
+					kind: 'cutFromStore', at: 22_970, gatewayIndex: 5, durationMs: 1523,
+				},
+				{
+					kind: 'restart', at: 1644, gatewayIndex: 1, durationMs: 5894,
+				},
+				{
+					kind: 'cutFromPeers', at: 8992, gatewayIndex: 1, durationMs: 5340,
+				},
+			],
+			kills: [[18_256, 3], [6956, 2], [17_374, 3], [15_032, 6], [13_239, 8], [5636, 1], [15_429, 7], [10_902, 10]].map(([at = 0, serverIndex = 0]) => ({at, serverIndex})),
+		}))).toEqual([]);
+	});
+
 	// Guards against the same while gateways restart or are cut off from each other or the store.
 	test('stop sending its repeats under random restarts and cuts', () => {
 		fc.assert(fc.property(requestScenario, input => {
--- a/packages/core/src/gateway/segment-suspicion.ts
+++ b/packages/core/src/gateway/segment-suspicion.ts
@@ -2,18 +2,21 @@
 Finds the segments of prompts that crash servers, from the crashes and the completed responses that all gateways report.
 
 A server that crashes loses all its open requests, most of which are sound, so the segments of all of them are suspects. A
-crash is the stronger evidence against a segment, the less likely it is that one of the lost requests contains the segment by
-chance. A completed response clears the segments of its prompt of all earlier crashes. A crash is attributed to the segment
-that explains most crashes, and then not counted against the others.
+completed response clears the segments of its prompt of all earlier crashes. The others are taken for a cause by the test in
+`crash-evidence.ts`, given how common they are among completed prompts.
 
-A request as a whole counts as one more segment, which its repeats share. It is only taken for the cause of crashes that no segment
-explains, and if it explains more of them than any other request: sound requests that a crash has ended are sent again, often to the
-same server as its cause.
+A request as a whole counts as one more segment, which its repeats share. A request that was lost is sent again, and often to the
+same server as others that were lost with it. Its repeats therefore say nothing about the segments of its prompt, and of requests
+that are lost together none is taken for the cause until one of them is lost without the others, or all have come more often than
+sound ones do.
 */
 import {LRUCache} from 'lru-cache';
 import type {Milliseconds, Timestamp} from '../types.js';
 import type {EndpointId, SegmentId} from './gateway-types.js';
 import type {GatewayName} from './load-view.js';
+import {
+	conclusiveEvidence, getCrashEvidence, sustainedEvidence, type CrashEvidence, type CrashIndication,
+} from './crash-evidence.js';
 import {isWholeRequest} from './request-traits.js';
 
 /** A segment of the prompts of a service. Servers of other services may process the same segment without a fault. */
@@ -32,6 +35,8 @@
 	/** Number of recently completed requests. */
 	completed: number;
 	suspects: readonly SuspectSegment[];
+	/** The segments of each lost request, with the request as a whole. */
+	lostPrompts: ReadonlyArray<readonly SegmentId[]>;
 	/** Time since the crash. */
 	ageMs: Milliseconds;
 }>;
@@ -44,8 +49,8 @@
 	/** Records that this gateway has completed a response to a prompt with these segments. */
 	recordCompletion(service: string, segments: readonly SegmentId[]): void;
 	/** Returns the numbers of lost requests and of recently completed ones, in total and for each segment of the lost requests. */
-	countRequests(service: string, lostPrompts: ReadonlyArray<readonly SegmentId[]>): Pick<CrashReport, 'requests' | 'completed' | 'suspects'>;
-	/** Returns the segments of the service that the crashes show to be their cause; less is required of the `known` ones. */
+	countRequests(service: string, lostPrompts: ReadonlyArray<readonly SegmentId[]>): Pick<CrashReport, 'requests' | 'completed' | 'suspects' | 'lostPrompts'>;
+	/** Returns the segments of the service that the crashes show to be their cause, and the `known` ones whose crashes are too long ago to be weighed again. */
 	takeCulprits(service: string, known: ReadonlySet<SegmentId>, now: Timestamp): readonly SegmentId[];
 	/** Returns when the reports about a crash are complete that `takeCulprits` has not seen yet, and the service. */
 	findNextDecision(): Readonly<{at: Timestamp; service: string}> | undefined;
@@ -66,47 +71,71 @@
 /** Number of requests, and of those among them whose prompts contain a segment. */
 type RequestCounts = Readonly<{total: number; withSegment: number}>;
 
+/** A request that a crash has ended. */
+type LostRequest = Readonly<{
+	traits: ReadonlySet<SegmentId>;
+	/** All traits, by which its repeats are told from other requests. */
+	request: string;
+	/** Whether an earlier crash has ended the same request. */
+	isRepeat: boolean;
+}>;
+
+/** A crash and the requests that it has ended, by the reports of all gateways. */
+type CrashRecord = Readonly<{crash: Crash; lost: readonly LostRequest[]}>;
+
+/** A crash and its lost requests by trait, without those that are attributed to a known cause. */
+type CrashView = Readonly<{
+	crash: Crash;
+	/** Whether any of its requests contains a known cause. */
+	isAttributed: boolean;
+	/** Number of the other requests, and of those among them that no earlier crash has ended. */
+	count: number;
+	freshCount: number;
+	/** One of the fresh requests, and one of the repeated ones, that contain each trait. */
+	freshByTrait: ReadonlyMap<SegmentId, LostRequest>;
+	repeatedByTrait: ReadonlyMap<SegmentId, LostRequest>;
+}>;
+
+/** A suspect, the crashes in which it was lost, and the evidence against it. */
 type SuspectRecord = Readonly<{
 	segment: SegmentId;
-	/** Crashes under the segment that no other segment explains. */
 	crashes: ReadonlySet<Crash>;
-	moments: number;
-	/** Number of moments with crashes under the segment, whether another one explains them or not. */
-	totalMoments: number;
 	/** Number of recently completed requests with the segment. */
 	completed: number;
-	/** Negative logarithm of the probability that all of the unexplained crashes are by chance. */
-	evidence: number;
+	evidence: CrashEvidence;
+}>;
+
+/** What crashes are attributed to so far. */
+type Attribution = Readonly<{
+	/** Segments and whole requests that are taken for causes, and the crashes as seen given these. */
+	culprits: ReadonlySet<SegmentId>;
+	views: readonly CrashView[];
+	/** Whole requests that crash servers, whether by themselves or by a segment of their prompts. */
+	repeaters: ReadonlySet<SegmentId>;
 }>;
 
 /** Time for which a crash counts. */
 export const crashWindowMs: Milliseconds = 600_000;
-const maximumCrashes = 1000;
+/** Number of the last crashes that count. More would add the errors of the estimated shares of segments to evidence. */
+const maximumCrashes = 150;
 /** Reports about one endpoint within this time are about the same crash. */
 export const sameCrashMs: Milliseconds = 2000;
 /** Time within which all gateways have checked the endpoint and reported a crash. */
 const reportDelayMs: Milliseconds = 400;
-/** Crashes within this time have one cause, such as the loss of a rack, and count once. */
-const sameMomentMs: Milliseconds = 100;
-/** Crashes under one request at a time are not of one cause from this interval on: it is sent to one server after the other. */
+/** Crashes within this time may have one cause from outside. */
+const sameMomentMs: Milliseconds = 50;
+/** The same for crashes under one request: it is sent to one server after the other. */
 const sameRequestMomentMs: Milliseconds = 10;
-/** Number of crashes from which on a whole request may be taken for their cause, though another one was lost in all of them. */
-const conclusiveRequestCrashes = 5;
-/** Number of moments with crashes from which on a segment may be taken for their cause. */
-const conclusiveMoments = 3;
-/** Share of the crashes under a segment from which on the request that was lost in them is the likelier cause. */
-const dominantRequestShare = 2 / 3;
-/** Number of crashes that suffice if they fall into at least two moments. */
-const conclusiveCrashes = 5;
-const minimumMoments = 2;
-/** Evidence required in addition, unless there are very many moments: crashes by chance must be less likely than one in fifty. */
-const minimumEvidence = Math.log(50);
-const conclusiveMomentsAlone = 10;
-/** Share of the strongest evidence from which on other suspects are taken for causes too, and from which on they remain so. */
-const similarEvidenceShare = 0.8;
-const knownEvidenceShare = 0.5;
+/** Ratio of evidence from which on one of two requests that were lost together is the likelier cause. */
+const decisiveRatio = 5;
+/** Number of crashes that no evidence can do without, whatever the moments count for. */
+const minimumCrashes = 3;
+/** Evidence from which on requests that were lost together are all taken for causes: sound ones don't come that often. */
+const jointEvidence = 5000;
+/** Chance that a sound request that is sent again is lost again in another crash. */
+const repeatChance = 0.125;
 /** Number of the last completed prompts that show how common segments are. */
-const maximumCompletedPrompts = 64;
+const maximumCompletedPrompts = 256;
 /** Number of completed prompts that show this without the lost requests. */
 const sufficientPrompts = 16;
 const maximumKnownSegments = 50_000;
@@ -151,55 +180,32 @@
 	return [...reports.values()].flatMap(({suspects}) => suspects.map(({segment}) => segment));
 }
 
-/** Counts the moments of crashes that lie at least an interval apart. */
-function countMoments(crashes: readonly Crash[], intervalMs: Milliseconds): number {
-	let count = 0;
-	let momentAt = Number.NEGATIVE_INFINITY;
-	for (const {at} of crashes.toSorted((left, right) => left.at - right.at)) {
-		if (at - momentAt >= intervalMs) {
-			count += 1;
-			momentAt = at;
+/** Returns the crashes in order, with the requests that each has ended. */
+function getCrashRecords(crashes: readonly Crash[]): readonly CrashRecord[] {
+	const seen = new Set<string>();
+	return crashes.toSorted((left, right) => left.at - right.at).map(crash => {
+		const lost = [...crash.reports.values()].flatMap(({lostPrompts}) => lostPrompts).map((segments): LostRequest => {
+			const request = segments.join(' ');
+			return {traits: new Set(segments), request, isRepeat: seen.has(request)};
+		});
+		for (const {request} of lost) {
+			seen.add(request);
 		}
-	}
 
-	return count;
+		return {crash, lost};
+	});
 }
 
-function isConclusive({crashes, moments, totalMoments, evidence}: SuspectRecord): boolean {
-	const isRepeated = moments >= minimumMoments && (totalMoments >= conclusiveMoments || crashes.size >= conclusiveCrashes);
-	return moments >= conclusiveMomentsAlone || (isRepeated && evidence >= minimumEvidence);
-}
-
-/** Returns whether a whole request is the cause of its crashes; more is required of one that was completed shortly before. */
-function isRequestConclusive({moments, evidence, completed}: SuspectRecord): boolean {
-	return moments >= (completed > 0 ? conclusiveMomentsAlone : conclusiveMoments) && evidence >= minimumEvidence;
-}
-
-/** Returns whether another request was lost in about the same crashes, and it is too early to tell which one is their cause. */
-function isAmbiguous(record: SuspectRecord, others: readonly SuspectRecord[]): boolean {
-	return record.crashes.size < conclusiveRequestCrashes && others.some(other => other !== record
-		&& other.crashes.size >= record.crashes.size && [...record.crashes].filter(crash => other.crashes.has(crash)).length * 2 >= record.crashes.size);
-}
-
-/** Returns the crashes under a segment; those under one request count as one if they are most of them, as they say little of its segments. */
-function removeRepeatedCrashes(crashes: readonly Crash[], requests: readonly SuspectRecord[]): readonly Crash[] {
-	const repeated = new Set(requests.flatMap(request => {
-		const shared = crashes.filter(crash => request.crashes.has(crash));
-		return shared.length >= crashes.length * dominantRequestShare ? shared.slice(1) : [];
-	}));
-	return crashes.filter(crash => !repeated.has(crash));
-}
-
-/** Returns whether another suspect explains at least half of the crashes of this one, and has more evidence against it. */
-function hasBetterExplanation({crashes, evidence}: SuspectRecord, others: readonly SuspectRecord[]): boolean {
-	return others.some(other => other.evidence > evidence && [...crashes].filter(crash => other.crashes.has(crash)).length * 2 >= crashes.size);
+/** Returns one of the requests that contain each trait. */
+function getRequestsByTrait(requests: readonly LostRequest[]): ReadonlyMap<SegmentId, LostRequest> {
+	return new Map(requests.flatMap(request => [...request.traits].map(trait => [trait, request])));
 }
 
 /**
-Returns for each crash under a segment the probability that it is by chance. The share of sound requests that contain the segment is
-estimated from completed prompts and, while there are few, from the lost requests; of these, the one that each crash needs is left out.
+Returns the estimated share of sound requests that contain a segment: from completed prompts and, while there are few, from the lost
+requests; of these, the one that each crash needs is left out.
 */
-function getChances(lost: readonly RequestCounts[], completed: RequestCounts): readonly number[] {
+function getSoundShare(lost: readonly RequestCounts[], completed: RequestCounts): number {
 	let total = completed.total + 1;
 	let withSegment = completed.withSegment + 0.5;
 	for (const counts of completed.total < sufficientPrompts ? lost : []) {
@@ -207,28 +213,12 @@
 		withSegment += counts.withSegment - 1;
 	}
 
-	const share = Math.min(1, withSegment / total);
-	return lost.map(counts => 1 - ((1 - share) ** counts.total));
-}
-
-/** Returns the evidence of crashes, each of which has a probability to be by chance. */
-function getEvidence(chances: readonly number[]): number {
-	return chances.reduce((sum, chance) => sum - Math.log(chance), 0);
+	return Math.min(1, withSegment / total);
 }
 
-/**
-Returns the evidence that a request was lost in some crashes and not in others: a bound on the logarithm of the probability of as many
-by chance (Chernoff). A popular request is lost in many crashes, but in no larger part of them than chance would give.
-*/
-function getShareEvidence(chances: readonly number[], crashCount: number): number {
-	const chance = chances.reduce((sum, value) => sum + value, 0) / chances.length;
-	const share = chances.length / crashCount;
-	if (share <= chance) {
-		return 0;
-	}
-
-	const absence = share < 1 ? (1 - share) * Math.log((1 - share) / (1 - chance)) : 0;
-	return crashCount * ((share * Math.log(share / chance)) + absence);
+/** Returns the probability that at least one of some requests contains a segment which a share of all requests contains. */
+function getChance(share: number, requestCount: number): number {
+	return 1 - ((1 - share) ** requestCount);
 }
 
 /** Creates an empty record. */
@@ -244,53 +234,97 @@
 		return at <= (clearedAt.get(getKey({service, segment})) ?? Number.NEGATIVE_INFINITY);
 	}
 
-	function createSuspectRecord(segment: SegmentId, suspected: readonly Crash[], allSuspected: readonly Crash[]): SuspectRecord {
-		return {
-			segment,
-			crashes: new Set(suspected),
-			moments: countMoments(suspected, isWholeRequest(segment) ? sameRequestMomentMs : sameMomentMs),
-			totalMoments: countMoments(allSuspected, sameMomentMs),
-			completed: countCompletedRequests(suspected, segment).withSegment,
-			evidence: getEvidence(getSegmentChances(segment, suspected)),
-		};
+	/** Returns whether a segment has been cleared since the last crash in which it was a suspect. */
+	function isClearedOfAll(service: string, segment: SegmentId): boolean {
+		const key = getKey({service, segment});
+		return (suspectedAt.get(key) ?? Number.NEGATIVE_INFINITY) <= (clearedAt.get(key) ?? Number.NEGATIVE_INFINITY);
+	}
+
+	/** Returns whether a request contains a suspect that the crash is attributed to. */
+	function isExplained({traits}: LostRequest, crash: Crash, culprits: ReadonlySet<SegmentId>): boolean {
+		return culprits.size > 0 && [...traits].some(segment => culprits.has(segment) && !isCleared(crash, segment));
+	}
+
+	/** Returns what the crashes look like once the requests that contain a known cause are left out. */
+	function getCrashViews(records: readonly CrashRecord[], culprits: ReadonlySet<SegmentId>): readonly CrashView[] {
+		return records.map(({crash, lost}) => {
+			const others = culprits.size === 0 ? lost : lost.filter(request => !isExplained(request, crash, culprits));
+			const fresh = others.filter(({isRepeat}) => !isRepeat);
+			const repeated = others.filter(({isRepeat}) => isRepeat);
+			return {
+				crash, isAttributed: others.length < lost.length, count: others.length, freshCount: fresh.length, freshByTrait: getRequestsByTrait(fresh), repeatedByTrait: getRequestsByTrait(repeated),
+			};
+		});
 	}
 
-	function getSegmentChances(segment: SegmentId, suspected: readonly Crash[]): readonly number[] {
-		return getChances(suspected.map(crash => countLostRequests(crash, segment)), countCompletedRequests(suspected, segment));
+	/** Returns what a crash says about a segment of prompts. */
+	function findSegmentIndication(view: CrashView, segment: SegmentId, share: number, repeaters: ReadonlySet<SegmentId>): CrashIndication | undefined {
+		const {crash: {at}, isAttributed, count, freshCount} = view;
+		const fresh = view.freshByTrait.get(segment);
+		if (fresh !== undefined) {
+			return {
+				kind: 'hit', at, chance: getChance(share, freshCount), request: fresh.request,
+			};
+		}
+
+		const repeated = view.repeatedByTrait.get(segment);
+		if (isAttributed || count === 0 || (repeated !== undefined && [...repeated.traits].some(trait => repeaters.has(trait)))) {
+			return undefined;
+		}
+
+		return repeated === undefined
+			? {kind: 'miss', at}
+			: {
+				kind: 'hit', at, chance: Math.max(repeatChance, getChance(share, count)), request: repeated.request,
+			};
 	}
 
-	/** Returns the record of a whole request, whose evidence is weakened by the crashes since its first one in which it was not lost. */
-	function createRequestRecord(segment: SegmentId, suspected: readonly Crash[], openCrashes: readonly Crash[]): SuspectRecord {
-		const firstAt = Math.min(...suspected.map(({at}) => at));
-		const crashCount = openCrashes.filter(({at}) => at >= firstAt).length;
-		return {...createSuspectRecord(segment, suspected, suspected), evidence: getShareEvidence(getSegmentChances(segment, suspected), crashCount)};
+	/** Returns what a crash says about a whole request. */
+	function findRequestIndication({crash: {at}, isAttributed, count, freshByTrait, repeatedByTrait}: CrashView, request: SegmentId, share: number): CrashIndication | undefined {
+		if (isAttributed || count === 0) {
+			return undefined;
+		}
+
+		const chance = getChance(share, count);
+		if (freshByTrait.has(request)) {
+			return {
+				kind: 'hit', at, chance, request: `${request} ${at}`,
+			};
+		}
+
+		return repeatedByTrait.has(request)
+			? {
+				kind: 'hit', at, chance: Math.max(repeatChance, chance), request: `${request} ${at}`,
+			}
+			: {kind: 'miss', at};
 	}
 
-	/** Returns the suspect that explains most of the crashes, if they suffice for the conclusion, and those with about as much evidence. */
-	function findCulprits(
-		openCrashes: readonly Crash[],
-		crashesBySuspect: ReadonlyMap<SegmentId, readonly Crash[]>,
-		requests: readonly SuspectRecord[],
-		known: ReadonlySet<SegmentId>,
-	): readonly SuspectRecord[] {
-		const records = [...getCrashesBySuspect(openCrashes)].filter(([segment]) => !isWholeRequest(segment))
-			.map(([segment, suspected]) => ({
-				...createSuspectRecord(segment, removeRepeatedCrashes(suspected, requests), crashesBySuspect.get(segment) ?? []),
-				crashes: new Set(suspected),
-			}))
-			.toSorted((left, right) => right.evidence - left.evidence);
-		const best = records.find(record => isConclusive(record) && !hasBetterExplanation(record, records));
-		return best === undefined ? [] : records.filter(record => isConclusive(record) && record.evidence >= best.evidence * (known.has(record.segment) ? knownEvidenceShare : similarEvidenceShare));
+	/** Returns the evidence against a suspect, given what crashes are attributed to. */
+	function createSuspectRecord(segment: SegmentId, suspected: readonly Crash[], {views, repeaters}: Attribution): SuspectRecord {
+		const isRequest = isWholeRequest(segment);
+		const completed = countCompletedRequests(suspected, segment);
+		const share = getSoundShare(suspected.map(crash => countLostRequests(crash, segment)), completed);
+		const times = suspected.map(({at}) => at);
+		const [firstAt, lastAt] = [Math.min(...times), Math.max(...times)];
+		const indications = views.filter(({crash: {at}}) => at >= firstAt && at <= lastAt).flatMap(view =>
+			(isRequest ? findRequestIndication(view, segment, share) : findSegmentIndication(view, segment, share, repeaters)) ?? []);
+		const {current, highest} = getCrashEvidence(indications, isRequest ? sameRequestMomentMs : sameMomentMs);
+		// A cause of crashes is in no completed prompt; a sound segment of this share is missing in all of them by chance only.
+		const absenceFactor = completed.withSegment === 0 ? (1 - share) ** -completed.total : 1;
+		return {
+			segment, crashes: new Set(suspected), completed: completed.withSegment, evidence: {current: current * absenceFactor, highest: highest * absenceFactor},
+		};
 	}
 
-	/** Returns the whole requests that explain the crashes, most crashes first. */
-	function findRequestCulprits(openCrashes: readonly Crash[], known: ReadonlySet<SegmentId>): readonly SuspectRecord[] {
-		const records = [...getCrashesBySuspect(openCrashes)]
-			.filter(([segment, suspected]) => isWholeRequest(segment) && suspected.length >= conclusiveMoments)
-			.map(([segment, suspected]) => createRequestRecord(segment, suspected, openCrashes))
-			.toSorted((left, right) => right.crashes.size - left.crashes.size || right.evidence - left.evidence);
-		const best = records.find(record => isRequestConclusive(record) && (known.has(record.segment) || !isAmbiguous(record, records)));
-		return best === undefined ? [] : [best, ...findRequestCulprits(openCrashes.filter(crash => !best.crashes.has(crash)), known)];
+	/** Returns whether another request was lost in about the same crashes, and it can't be told which one is their cause. */
+	function isAmbiguous({segment, crashes, evidence}: SuspectRecord, others: readonly SuspectRecord[]): boolean {
+		return others.some(other => other.segment !== segment && other.evidence.current * decisiveRatio > evidence.current
+			&& [...crashes].filter(crash => other.crashes.has(crash)).length * 2 >= crashes.size);
+	}
+
+	/** Returns whether the evidence against a suspect suffices. The more often it was completed shortly before, the more is required (rule of succession). */
+	function isConclusive({segment, completed, evidence}: SuspectRecord, known: ReadonlySet<SegmentId>): boolean {
+		return evidence.highest >= (known.has(segment) ? sustainedEvidence : conclusiveEvidence) * (completed + 1);
 	}
 
 	/** Returns the crashes in which each segment is a suspect. */
@@ -309,6 +343,22 @@
 		return crashesBySuspect;
 	}
 
+	/** Returns the segment with the most evidence, if it suffices, and those with about as much. */
+	function findCulprits(suspects: ReadonlyArray<readonly [SegmentId, readonly Crash[]]>, attribution: Attribution, known: ReadonlySet<SegmentId>): readonly SegmentId[] {
+		const conclusive = suspects.filter(([segment]) => !attribution.culprits.has(segment))
+			.map(([segment, suspected]) => createSuspectRecord(segment, suspected, attribution))
+			.filter(record => isConclusive(record, known));
+		const most = Math.max(...conclusive.map(({evidence}) => evidence.highest));
+		return conclusive.filter(({evidence}) => evidence.highest * decisiveRatio >= most).map(({segment}) => segment);
+	}
+
+	/** Returns the request with the most evidence, if it suffices and no other one is as likely the cause. */
+	function findRequestCulprits(suspects: ReadonlyArray<readonly [SegmentId, readonly Crash[]]>, attribution: Attribution, known: ReadonlySet<SegmentId>): readonly SegmentId[] {
+		const candidates = suspects.filter(([segment]) => !attribution.culprits.has(segment)).map(([segment, suspected]) => createSuspectRecord(segment, suspected, attribution));
+		return candidates.filter(record => isConclusive(record, known)
+			&& (known.has(record.segment) || record.evidence.highest >= jointEvidence || !isAmbiguous(record, candidates))).map(({segment}) => segment);
+	}
+
 	return {
 		recordCrash(report, now) {
 			const at = now - report.ageMs;
@@ -327,11 +377,10 @@
 			}
 		},
 		clear(segment, now) {
-			const key = getKey(segment);
-			const wasSuspect = (suspectedAt.get(key) ?? Number.NEGATIVE_INFINITY) > (clearedAt.get(key) ?? Number.NEGATIVE_INFINITY);
+			const wasSuspect = !isClearedOfAll(segment.service, segment.segment);
 			// Nearly all whole requests occur once, and would displace the segments.
 			if (wasSuspect || !isWholeRequest(segment.segment)) {
-				clearedAt.set(key, now);
+				clearedAt.set(getKey(segment), now);
 			}
 
 			return wasSuspect;
@@ -348,6 +397,7 @@
 			const prompts = completedPrompts.get(service) ?? [];
 			return {
 				requests: lostPrompts.length,
+				lostPrompts,
 				completed: prompts.length,
 				suspects: [...counts].map(([segment, requests]) => ({segment, requests, completed: prompts.filter(prompt => prompt.has(segment)).length})),
 			};
@@ -358,20 +408,25 @@
 				crash.isDecided = true;
 			}
 
-			const culprits: SegmentId[] = [];
-			const windowCrashes = dueCrashes.filter(({at}) => at > now - crashWindowMs);
-			const requests = findRequestCulprits(windowCrashes, known);
-			let openCrashes: readonly Crash[] = windowCrashes;
-			const crashesBySuspect = getCrashesBySuspect(openCrashes);
-			const find = (): readonly SuspectRecord[] => findCulprits(openCrashes, crashesBySuspect, requests, known);
-			for (let found = find(); found.length > 0; found = find()) {
-				culprits.push(...found.map(({segment}) => segment));
-				const explained = new Set(found.flatMap(record => [...record.crashes]));
-				openCrashes = openCrashes.filter(crash => !explained.has(crash));
-			}
+			const records = getCrashRecords(dueCrashes.filter(({at}) => at > now - crashWindowMs));
+			const crashesBySuspect = [...getCrashesBySuspect(records.map(({crash}) => crash))].filter(([, suspected]) => suspected.length >= minimumCrashes);
+			const segments = crashesBySuspect.filter(([segment]) => !isWholeRequest(segment));
+			const requests = crashesBySuspect.filter(([segment]) => isWholeRequest(segment));
+			const unattributed: Attribution = {culprits: new Set(), views: getCrashViews(records, new Set()), repeaters: new Set()};
+			const repeaters = new Set(requests.filter(([request, suspected]) => isConclusive(createSuspectRecord(request, suspected, unattributed), known)).map(([request]) => request));
+			let attribution: Attribution = {...unattributed, repeaters};
+			const attributeAll = (find: (current: Attribution) => readonly SegmentId[]): void => {
+				for (let found = find(attribution); found.length > 0; found = find(attribution)) {
+					const culprits = new Set([...attribution.culprits, ...found]);
+					attribution = {culprits, views: getCrashViews(records, culprits), repeaters};
+				}
+			};
 
-			const unexplained = windowCrashes.filter(crash => !getSegments(crash).some(segment => culprits.includes(segment) && !isCleared(crash, segment)));
-			return [...culprits, ...findRequestCulprits(unexplained, known).map(({segment}) => segment)];
+			attributeAll(current => findCulprits(segments, current, known));
+			attributeAll(current => findRequestCulprits(requests, current, known));
+			const suspects = new Set(crashesBySuspect.map(([segment]) => segment));
+			const displaced = [...known].filter(segment => !suspects.has(segment) && !isClearedOfAll(service, segment));
+			return [...attribution.culprits, ...displaced];
 		},
 		findNextDecision() {
 			const next = crashes.find(({isDecided}) => !isDecided);
--- a/packages/peer/src/gateway-peers.ts
+++ b/packages/peer/src/gateway-peers.ts
@@ -10,6 +10,7 @@
 import type {ExchangeScope} from '@currantcross/core/gateway/exchange-topology';
 import type {GatewayName, OpenWork} from '@currantcross/core/gateway/load-view';
 import type {PeerChange} from '@currantcross/core/gateway/peer-changes';
+import type {CrashReport} from '@currantcross/core/gateway/segment-suspicion';
 import type {Connections} from './connections.js';
 import * as wire from './gen/currantcross/v1/gateway_pb.js';
 
@@ -61,6 +62,14 @@
 	return create(wire.WorkSchema, {...work, helpers: work.helpers.map(helper => ({...helper}))});
 }
 
+function toWireCrash({suspects, lostPrompts, ...crash}: CrashReport): wire.Crash {
+	return create(wire.CrashSchema, {
+		...crash,
+		suspects: suspects.map(suspect => ({...suspect})),
+		lostPrompts: lostPrompts.map(segments => create(wire.LostPromptSchema, {segments: [...segments]})),
+	});
+}
+
 function toWireChange(change: PeerChange): wire.WorkChange {
 	switch (change.kind) {
 		case 'reset': {
@@ -80,7 +89,7 @@
 		}
 
 		case 'serverCrashed': {
-			return create(wire.WorkChangeSchema, {change: {case: 'crashed', value: create(wire.CrashSchema, {...change.crash, suspects: change.crash.suspects.map(suspect => ({...suspect}))})}});
+			return create(wire.WorkChangeSchema, {change: {case: 'crashed', value: toWireCrash(change.crash)}});
 		}
 
 		case 'segmentCleared': {
@@ -182,11 +191,12 @@
 		}
 
 		case 'crashed': {
-			const {service, endpoint, reporter, requests, completed, suspects, ageMs} = change.value;
+			const {service, endpoint, reporter, requests, completed, suspects, lostPrompts, ageMs} = change.value;
 			return {
 				kind: 'serverCrashed', crash: {
 					service, endpoint, reporter, requests, completed, ageMs,
 					suspects: suspects.map(suspect => ({segment: suspect.segment, requests: suspect.requests, completed: suspect.completed})),
+					lostPrompts: lostPrompts.map(({segments}) => segments),
 				},
 			};
 		}
