Let followers ask their relay for news before a placement instead of receiving each change

Cause: a gateway that follows a relay received a batch of all gateways' changes up to 100 times a second, whatever it served itself. At 68 gateways that is some 600 changes a second, while a gateway places three requests. The cost is by message more than by change: the processor time of following 100 requests/s was the same with 12 and with 30 gateways.

Change: FollowWork, a stream in both directions. The relay keeps changes of open work until the follower asks, for 250 ms at most, and sends at once what others must act on in time (crashes, quarantines, limits, unreachable and leaving servers). The follower asks before it places a request; requests that arrive meanwhile share the answer. A relay that does not answer within 25 ms is not asked for 500 ms, and requests are placed by what is known. Gateways that follow nobody are as before; a relay without FollowWork counts as lost.

Tests: a follower that places nothing gets at most 12 batches in 2 s (it got over 100), knows what the relay knows when it asks, gets the rest without asking, and waits no longer than a moment for a relay that has stopped.

--- a/packages/gateway/src/caller-server.test.ts
+++ b/packages/gateway/src/caller-server.test.ts
@@ -40,6 +40,7 @@
 		isDraining: () => false,
 		checkHead: () => undefined,
 		handleRequest,
+		findPendingNews: () => undefined,
 		getUnreadMs: () => 0,
 		recordRefusal: () => undefined,
 		recordDeparture: () => undefined,
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -21,6 +21,8 @@
 	isDraining(): boolean;
 	/** Checks a request by its head, before the body is read. Returns the failure if the request is refused. */
 	checkHead(message: IncomingMessage, head: CallerHead): Failure | undefined;
+	/** Returns a promise for what is to be known before a request is handled, or `undefined` if it is known. */
+	findPendingNews(): Promise<void> | undefined;
 	/** Handles a received request. Returns the function to call if the caller disconnects before the response is complete. */
 	handleRequest(exchange: CallerExchange, arrival: RequestArrival): () => void;
 	/** Returns the longest time that data which is read now can have waited. */
@@ -115,7 +117,7 @@
 			}
 
 			case 'complete': {
-				receiveExchange(createCallerExchange({message, head, body: result.body}, response, exchangeHost), response, arrival);
+				await receiveExchange(createCallerExchange({message, head, body: result.body}, response, exchangeHost), response, arrival);
 			}
 		}
 	}
@@ -130,8 +132,9 @@
 		createCallerExchange({message, head, body: new Uint8Array(0)}, response, exchangeHost).fail(failure);
 	}
 
-	function receiveExchange(exchange: CallerExchange, response: ServerResponse, arrival: RequestArrival): void {
+	async function receiveExchange(exchange: CallerExchange, response: ServerResponse, arrival: RequestArrival): Promise<void> {
 		const {head, hasCallerLeft} = exchange;
+		await host.findPendingNews();
 		intake.receive({
 			unreadMs: arrival.unreadMs,
 			hasCallerLeft,
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -103,6 +103,8 @@
 		self,
 		connections,
 		logger,
+		recordQuery: metrics.recordQuery,
+		recordBatch: metrics.recordBatch,
 		getSnapshot: peer => gateway.getSnapshot(peer, performance.now()),
 		dispatch(event) {
 			driver.dispatch(event);
@@ -239,6 +241,7 @@
 			const grantOrFailure = checkRoute(message, head);
 			return 'route' in grantOrFailure ? undefined : grantOrFailure;
 		},
+		findPendingNews: workExchange.findPendingNews,
 		handleRequest,
 		recordDeparture,
 		getUnreadMs: loopMonitor.getUnreadMs,
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -19,6 +19,10 @@
 	recordStoreRestore(): void;
 	/** Counts entries of a list that can't be used. */
 	recordUnusableEntries(list: string, count: number): void;
+	/** Records a query to the relay: whether it was answered in time, and the time that requests waited for it. */
+	recordQuery(outcome: string, durationMs: number): void;
+	/** Records a batch of the exchange that was received. */
+	recordBatch(scope: string, changeCount: number): void;
 	getText(): Promise<string>;
 }>;
 
@@ -27,6 +31,8 @@
 /** Histogram bounds in seconds; they cover the latency objectives and timeouts of short and long prompts. */
 const durationBucketsS = [0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3, 5, 10, 15];
 
+const queryBucketsS = [0.001, 0.002, 0.005, 0.01, 0.025, 0.1];
+
 const loopDelayBucketsS = [0.01, 0.05, 0.1, 0.2, 0.5, 1, 2, 5];
 
 /** Creates the metrics of a gateway in a registry of their own. */
@@ -54,6 +60,15 @@
 	const unusableEntries = new Counter({
 		name: 'currantcross_unusable_entries_total', help: 'Entries found in the lists of the store that can not be used', labelNames: ['list'], registers,
 	});
+	const queries = new Histogram({
+		name: 'currantcross_relay_query_seconds', help: 'Time for which requests wait for the latest news of other gateways', labelNames: ['outcome'], buckets: queryBucketsS, registers,
+	});
+	const batches = new Counter({
+		name: 'currantcross_exchange_batches_total', help: 'Batches of other gateways\' news that were received, by scope of the stream', labelNames: ['scope'], registers,
+	});
+	const changes = new Counter({
+		name: 'currantcross_exchange_changes_total', help: 'Changes received in these batches', labelNames: ['scope'], registers,
+	});
 	registry.registerMetric(new Gauge({
 		name: 'currantcross_open_requests',
 		help: 'Requests that are open',
@@ -84,6 +99,13 @@
 		recordUnusableEntries(list, count) {
 			unusableEntries.inc({list}, count);
 		},
+		recordQuery(outcome, durationMs) {
+			queries.observe({outcome}, durationMs / millisecondsPerSecond);
+		},
+		recordBatch(scope, changeCount) {
+			batches.inc({scope});
+			changes.inc({scope}, changeCount);
+		},
 		getText: async () => registry.metrics(),
 	};
 }
--- a/packages/gateway/src/work-exchange.test.ts
+++ b/packages/gateway/src/work-exchange.test.ts
@@ -36,6 +36,12 @@
 	publish(change: WorkChange): void;
 	/** Returns the changes received for a gateway. */
 	getChanges(gateway: string): readonly WorkChange[];
+	/** Returns the number of batches received so far. */
+	getBatchCount(): number;
+	/** Returns the endpoints that other gateways could not reach. */
+	getUnreachable(): readonly string[];
+	/** Returns how the queries to the relay ended. */
+	getQueryOutcomes(): readonly string[];
 	/** Returns the ids of the open requests that this peer knows of a gateway. */
 	getOpenIds(gateway: string): readonly number[];
 	stop(): Promise<void>;
@@ -46,6 +52,9 @@
 	const connections = createConnections({...defaultConnectionSettings, sharedKey, tls: undefined});
 	const loadView = createLoadView();
 	const changes: Array<Readonly<{gateway: string; change: WorkChange}>> = [];
+	const queryOutcomes: string[] = [];
+	const unreachable: string[] = [];
+	let batchCount = 0;
 	const registration = {
 		name, dataCentre, processorShare, peerUrl: '',
 	};
@@ -54,11 +63,21 @@
 		connections,
 		logger,
 		getSnapshot: loadView.getOpenWorkChanges,
+		recordQuery(outcome) {
+			queryOutcomes.push(outcome);
+		},
+		recordBatch() {
+			batchCount += 1;
+		},
 		dispatch(event) {
 			if (event.kind === 'peerChanged') {
 				for (const change of event.changes) {
-					changes.push({gateway: event.gateway, change});
-					loadView.applyChange(event.gateway, change, 0);
+					if (change.kind === 'endpointUnreachable') {
+						unreachable.push(change.endpoint);
+					} else {
+						changes.push({gateway: event.gateway, change});
+						loadView.applyChange(event.gateway, change, 0);
+					}
 				}
 			}
 		},
@@ -83,6 +102,9 @@
 			exchange.publish(change);
 		},
 		getChanges: gateway => changes.filter(item => item.gateway === gateway).map(({change}) => change),
+		getBatchCount: () => batchCount,
+		getUnreachable: () => unreachable,
+		getQueryOutcomes: () => queryOutcomes,
 		getOpenIds: gateway => loadView.getOpenWorkChanges(gateway).flatMap(change => change.kind === 'started' ? [change.work.id] : []),
 		stop,
 	};
@@ -185,6 +207,78 @@
 	});
 });
 
+describe('gateways that follow a relay', () => {
+	const publishIntervalMs = 4;
+	const publishedMs = 2000;
+
+	/** Starts nine gateways in one data centre, of which the first is the relay, and waits until all are connected. */
+	async function startFollowers(): Promise<readonly Peer[]> {
+		const peers = await Promise.all(Array.from({length: 9}, async (_, index) => startPeer(`a-${index}`, 'a', {processorShare: index === 0 ? 1 : 0.25})));
+		setPeers(peers);
+		peers[1]?.publish(createStartedChange(1));
+		await waitUntil(() => peers.every(peer => peer === peers[1] || peer.getOpenIds('a-1').length === 1));
+		return peers;
+	}
+
+	async function publishFor(peer: Peer, ms: number): Promise<void> {
+		const endsAt = performance.now() + ms;
+		for (let id = 100; performance.now() < endsAt; id += 1) {
+			peer.publish(createStartedChange(id));
+			peer.publish({kind: 'ended', id});
+			// eslint-disable-next-line no-await-in-loop
+			await new Promise(resolve => {
+				setTimeout(resolve, publishIntervalMs);
+			});
+		}
+	}
+
+	// Guards against work at a gateway that grows with the traffic of all others.
+	test('receive few batches while they place nothing, however much the others do', async () => {
+		const peers = await startFollowers();
+		const [, busy, idle] = peers;
+		const countBefore = idle?.getBatchCount() ?? 0;
+		await publishFor(busy!, publishedMs);
+		expect((idle?.getBatchCount() ?? 0) - countBefore).toBeLessThanOrEqual(12);
+	});
+
+	// Guards against placements by news that waited at the relay.
+	test('know all that the relay knows when they ask for it', async () => {
+		const peers = await startFollowers();
+		const [relay, , follower] = peers;
+		await waitUntil(() => follower?.exchange.findPendingNews() !== undefined);
+		await follower?.exchange.findPendingNews();
+		relay?.publish(createStartedChange(7));
+		// Longer than an answer counts as the latest news.
+		await new Promise(resolve => {
+			setTimeout(resolve, 15);
+		});
+		expect(follower?.getOpenIds('a-0')).toEqual([]);
+		await follower?.exchange.findPendingNews();
+		expect(follower?.getOpenIds('a-0')).toEqual([7]);
+		expect(follower?.getQueryOutcomes()).not.toContain('late');
+	});
+
+	// Guards against crashes, limits and leaving servers that are told as late as open work may be.
+	test('receive what is not open work without asking', async () => {
+		const peers = await startFollowers();
+		const [relay, , follower] = peers;
+		const publishedAt = performance.now();
+		relay?.exchange.publish({kind: 'endpointUnreachable', endpoint: 'm-9'});
+		await waitUntil(() => follower?.getUnreachable().join(',') === 'm-9');
+		expect(performance.now() - publishedAt).toBeLessThan(150);
+	});
+
+	// Guards against requests that wait for a relay which is gone.
+	test('wait no longer than a moment for a relay that has stopped', async () => {
+		const peers = await startFollowers();
+		const [relay, , follower] = peers;
+		await relay?.stop();
+		const askedAt = performance.now();
+		await follower?.exchange.findPendingNews();
+		expect(performance.now() - askedAt).toBeLessThan(150);
+	});
+});
+
 // Node.js emits a MaxListenersExceededWarning for more than 10 listeners on a signal; the test covers more than 10 retries.
 test('a gateway leaks no event listeners while it retries an unreachable gateway', async () => {
 	const warnings: string[] = [];
--- a/packages/gateway/src/work-exchange.ts
+++ b/packages/gateway/src/work-exchange.ts
@@ -12,6 +12,7 @@
 import type {Connections} from '@currantcross/peer/connections';
 import {streamPeerWork, type GatewayServiceHost, type GatewayWork} from '@currantcross/peer/gateway-peers';
 import type {GatewayRegistration} from './gateway-hosts.js';
+import {createRelayQueries, type QueryOutcome, type RelayQueries} from './relay-queries.js';
 import {createWorkPublisher} from './work-publisher.js';
 
 export type WorkExchangeHost = Readonly<{
@@ -21,9 +22,14 @@
 	dispatch(event: GatewayEvent): void;
 	/** Returns the changes that recreate the open work of this or another gateway, and for this one also what else it has learnt. */
 	getSnapshot(gateway: GatewayName): readonly PeerChange[];
+	recordQuery(outcome: QueryOutcome, durationMs: Milliseconds): void;
+	/** Records a batch received from a peer. */
+	recordBatch(scope: ExchangeScope, changeCount: number): void;
 }>;
 
 export type WorkExchange = GatewayServiceHost & Readonly<{
+	/** Returns a promise that resolves when the latest news of the other gateways have arrived or are late, or `undefined` if they are known. */
+	findPendingNews(): Promise<void> | undefined;
 	/** Streams a change to this gateway's own work, or what else it learns. */
 	publish(change: PeerChange): void;
 	/** Sets the other gateways of the deployment. */
@@ -79,6 +85,8 @@
 	const sources = new Map<GatewayName, WorkSource>();
 	const relayBackoffs = new Map<GatewayName, RelayBackoff>();
 	const timers = new Set<NodeJS.Timeout>();
+	/** Queries of the stream from this gateway's relay. */
+	let relayQueries: RelayQueries | undefined;
 	let registrations: readonly GatewayRegistration[] = [];
 	let isClosed = false;
 
@@ -150,6 +158,7 @@
 	/** Receives one stream until it ends, fails or times out. */
 	async function receiveStream({subscription: {member, scope}, controller}: ActiveSubscription): Promise<void> {
 		const source: WorkSource = {scope};
+		const queries = scope === 'all' ? createRelayQueries(host) : undefined;
 		const timeoutController = new AbortController();
 		const signal = AbortSignal.any([controller.signal, timeoutController.signal]);
 		let timer = setTimeout(() => {
@@ -157,7 +166,7 @@
 		}, streamTimeoutMs);
 		let hasSnapshot = false;
 		try {
-			for await (const batch of streamPeerWork(host.connections, member.peerUrl, {gateway: host.self.name, scope}, signal)) {
+			for await (const {works, answeredQuery} of streamPeerWork(host.connections, member.peerUrl, {gateway: host.self.name, scope}, {queries: queries?.numbers, signal})) {
 				clearTimeout(timer);
 				timer = setTimeout(() => {
 					timeoutController.abort();
@@ -165,15 +174,21 @@
 				if (!hasSnapshot) {
 					hasSnapshot = true;
 					relayBackoffs.delete(member.name);
-					host.logger.info('peerFound', {peer: member.name, scope, gateways: batch.length});
+					host.logger.info('peerFound', {peer: member.name, scope, gateways: works.length});
+					relayQueries = queries ?? relayQueries;
 				}
 
-				for (const work of batch) {
+				for (const work of works) {
 					receiveWork(source, work);
 				}
+
+				queries?.recordBatch(answeredQuery);
+				host.recordBatch(scope, works.reduce((sum, {changes}) => sum + changes.length, 0));
 			}
 		} finally {
 			clearTimeout(timer);
+			queries?.close();
+			relayQueries = relayQueries === queries ? undefined : relayQueries;
 			scheduleSourceRemoval(source);
 		}
 	}
@@ -248,6 +263,7 @@
 
 	return {
 		streamWork: publisher.streamWork,
+		findPendingNews: async () => relayQueries?.findPendingNews(),
 		publish(change) {
 			publisher.publish({gateway: host.self.name, changes: [change]}, ownScopes);
 		},
--- a/packages/peer/src/gateway-peers.ts
+++ b/packages/peer/src/gateway-peers.ts
@@ -5,7 +5,7 @@
 starts with a snapshot of the open requests, followed by changes. A peer whose stream broke subscribes again and gets a
 complete snapshot.
 */
-import {create} from '@bufbuild/protobuf';
+import {create, type MessageInitShape} from '@bufbuild/protobuf';
 import {createClient, type ConnectRouter} from '@connectrpc/connect';
 import type {ExchangeScope} from '@currantcross/core/gateway/exchange-topology';
 import type {GatewayName, OpenWork} from '@currantcross/core/gateway/load-view';
@@ -20,10 +20,19 @@
 /** The subscribing gateway, and the gateways whose requests the stream covers. */
 export type WorkStreamRequest = Readonly<{gateway: GatewayName; scope: ExchangeScope}>;
 
+/** Changes that are sent together, and the number of the subscriber's last query whose changes are complete with them. */
+export type WorkBatch = Readonly<{works: readonly GatewayWork[]; answeredQuery: number}>;
+
+/** The numbers of a subscriber's queries, by each of which it asks for all changes up to now. */
+export type WorkQueries = AsyncIterable<number>;
+
 /** The operations of a gateway that the service needs. */
 export type GatewayServiceHost = Readonly<{
-	/** Streams batches of changes, starting with a snapshot, until the signal aborts. */
-	streamWork(request: WorkStreamRequest, signal: AbortSignal): AsyncIterable<readonly GatewayWork[]>;
+	/**
+	Streams batches of changes, starting with a snapshot, until the signal aborts. With `queries`, changes of open work may wait for
+	the next query.
+	*/
+	streamWork(request: WorkStreamRequest, queries: WorkQueries | undefined, signal: AbortSignal): AsyncIterable<WorkBatch>;
 }>;
 
 function toWireScope(scope: ExchangeScope): wire.Scope {
@@ -235,14 +244,41 @@
 	}
 }
 
+function toWireBatch({works, answeredQuery}: WorkBatch): wire.WorkBatch {
+	return create(wire.WorkBatchSchema, {
+		works: works.map(({gateway, changes}) => create(wire.GatewayWorkSchema, {gateway, changes: changes.map(change => toWireChange(change))})),
+		answeredQuery,
+	});
+}
+
+function fromWireBatch({works, answeredQuery}: wire.WorkBatch): WorkBatch {
+	return {works: works.map(({gateway, changes}) => ({gateway, changes: changes.flatMap(change => tryParseChange(change) ?? [])})), answeredQuery};
+}
+
+/** Yields the numbers of the queries that follow the first message of a stream. */
+async function * streamQueries(messages: AsyncIterator<wire.FollowWorkRequest>): AsyncGenerator<number> {
+	for (let result = await messages.next(); result.done !== true; result = await messages.next()) { // eslint-disable-line no-await-in-loop -- one message after the other
+		yield result.value.query;
+	}
+}
+
 /** Registers the gateway service on an RPC server. */
 export function registerGatewayService(router: ConnectRouter, host: GatewayServiceHost): void {
 	router.service(wire.GatewayService, {
 		async * watchWork({gateway: subscriber, scope}, {signal}) {
-			for await (const works of host.streamWork({gateway: subscriber, scope: fromWireScope(scope)}, signal)) {
-				yield create(wire.WorkBatchSchema, {
-					works: works.map(({gateway, changes}) => create(wire.GatewayWorkSchema, {gateway, changes: changes.map(change => toWireChange(change))})),
-				});
+			for await (const batch of host.streamWork({gateway: subscriber, scope: fromWireScope(scope)}, undefined, signal)) {
+				yield toWireBatch(batch);
+			}
+		},
+		async * followWork(requests, {signal}) {
+			const messages = requests[Symbol.asyncIterator]();
+			const {value: first} = await messages.next() as IteratorResult<wire.FollowWorkRequest, undefined>;
+			if (first === undefined) {
+				return;
+			}
+
+			for await (const batch of host.streamWork({gateway: first.gateway, scope: fromWireScope(first.scope)}, streamQueries(messages), signal)) {
+				yield toWireBatch(batch);
 			}
 		},
 	});
@@ -250,7 +286,8 @@
 
 /**
 Subscribes to a peer and yields its batches of changes. The first batch is a snapshot; empty batches are heartbeats.
-Changes of an unknown kind, or with numbers that can't be used, are ignored.
+Changes of an unknown kind, or with numbers that can't be used, are ignored. With `queries`, the peer may keep changes of
+open work until the next query.
 
 @throws ConnectError when the stream breaks.
 */
@@ -258,10 +295,19 @@
 	connections: Connections,
 	peerUrl: string,
 	{gateway: subscriber, scope}: WorkStreamRequest,
-	signal: AbortSignal,
-): AsyncGenerator<readonly GatewayWork[]> {
+	{queries, signal}: Readonly<{queries: WorkQueries | undefined; signal: AbortSignal}>,
+): AsyncGenerator<WorkBatch> {
 	const client = createClient(wire.GatewayService, connections.getTransport(peerUrl, true));
-	for await (const {works} of client.watchWork({gateway: subscriber, scope: toWireScope(scope)}, {signal})) {
-		yield works.map(({gateway, changes}) => ({gateway, changes: changes.flatMap(change => tryParseChange(change) ?? [])}));
+	const request = {gateway: subscriber, scope: toWireScope(scope)};
+	async function * streamRequests(numbers: WorkQueries): AsyncGenerator<MessageInitShape<typeof wire.FollowWorkRequestSchema>> {
+		yield request;
+		for await (const query of numbers) {
+			yield {query};
+		}
+	}
+
+	const batches = queries === undefined ? client.watchWork(request, {signal}) : client.followWork(streamRequests(queries), {signal});
+	for await (const batch of batches) {
+		yield fromWireBatch(batch);
 	}
 }
