Let one gateway of each data centre read the store for the others

Cause: each gateway watched the configuration and listed endpoints, quarantines and gateways by itself, 1.36 priced calls a second. At 68 gateways that was two thirds of all prices, and it grew with the gateways.

Change: beyond eight gateways each data centre has a reader and a second one (core/gateway/feed-source, a pure state machine). The others follow the reader over WatchPlatform: the configuration as the platform writes it, changes of the endpoints, quarantines, gateways, and every 200 ms how recent all of it is. Ages are counted from the request that opened the stream, on the clock of the one who asks, so that nothing is taken for more recent than it is; streams are renewed every 100 s because of drift, and dropped when a process was suspended. A follower whose reader is silent for 500 ms, lost, or behind by 2.8 s reads the store itself at once, until another reader has told it something recent. Restores of the store are seen by the epoch, as before.

Beside it: an answer to a call that was under way when the process was suspended no longer counts as a verification.

Tests: the state machine alone, and in generated cases of kills, freezes, cuts from the store and from each other, delays, outages and clocks that differ: never fresher than the truth, never older than 3.2 s at a gateway that reaches the store, calls of one gateway in calm. With real connections, ten gateways: at most 20 lists in 4 s (133 before), a change and a leaving server in time when the reader stops at that moment, no key accepted 5 s after the store has gone. Limits of 2 s for the age of a state failed: a watch is up to 2 s old.

--- a/packages/core/src/gateway/exchange-topology.ts
+++ b/packages/core/src/gateway/exchange-topology.ts
@@ -32,10 +32,10 @@
 }>;
 
 /** Maximum number of gateways that subscribe to each other directly. */
-const maximumDirectGateways = 8;
+export const maximumDirectGateways = 8;
 
 /** Compares gateways by their preference as relay; a larger processor share comes first, since relaying costs it less. */
-function compareRelayPriority(left: ExchangeMember, right: ExchangeMember): number {
+export function compareRelayPriority(left: ExchangeMember, right: ExchangeMember): number {
 	return right.processorShare - left.processorShare || (left.name < right.name ? -1 : 1);
 }
 
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -27,6 +27,8 @@
 import {createGatewayMetrics, startStatusServer} from './metrics.js';
 import {createPlatformFeed} from './platform-feed.js';
 import {parseAddress, type GatewayDaemonSettings} from './settings.js';
+import {createReaderFollower} from './reader-follower.js';
+import {createStateStream} from './state-publisher.js';
 import {createWorkExchange} from './work-exchange.js';
 
 export type GatewayDaemonHost = Readonly<{wireFormat: WireFormat; platform: PlatformHost}>;
@@ -82,6 +84,8 @@
 		},
 	});
 	const connections = createConnections({...defaultConnectionSettings, sharedKey, tls: undefined});
+	// Streams of one set of connections replace each other's connection to a peer.
+	const readerConnections = createConnections({...defaultConnectionSettings, sharedKey, tls: undefined});
 	const clockJumpDetector = createClockJumpDetector(processClocks);
 	const loopMonitor = startLoopMonitor({
 		onTick(delayMs) {
@@ -148,15 +152,28 @@
 		},
 		onGateways(registrations) {
 			workExchange.setGateways(registrations);
+			readerFollower.setGateways(registrations);
 			driver.dispatch({kind: 'gatewayCountKnown', count: registrations.length + 1});
 		},
 	});
 
+	const readerFollower = createReaderFollower({
+		self, connections: readerConnections, logger, applyState: feed.applyState, setReading: feed.setReading,
+	});
+	const streamState = createStateStream({
+		getKnownState() {
+			checkClock();
+			return feed.getKnownState();
+		},
+		observeChanges: feed.observeChanges,
+	});
+
 	function checkClock(): void {
 		if (clockJumpDetector.hasJumped()) {
 			logger.warn('clockJumped', {configurationAgeMs: Math.round(gateway.getConfigurationAgeMs(performance.now()))});
 			driver.dispatch({kind: 'clockJumped'});
-			feed.refresh();
+			readerFollower.reset();
+			feed.refreshAfterSuspension();
 		}
 	}
 
@@ -231,7 +248,7 @@
 
 	const peerAddress = parseAddress(settings.peerAddress);
 	const peerServer = await startPeerServer({...peerAddress, sharedKey, tls: undefined}, router => {
-		registerGatewayService(router, workExchange);
+		registerGatewayService(router, {streamWork: workExchange.streamWork, streamState});
 	});
 	const callerServer = await startCallerServer(parseAddress(settings.callerAddress), {
 		wireFormat: host.wireFormat,
@@ -269,10 +286,12 @@
 			readinessServer.close();
 			metricsServer.close();
 			workExchange.close();
+			readerFollower.close();
 			feed.close();
 			driver.close();
 			client.close();
 			connections.close();
+			readerConnections.close();
 			await peerServer.close();
 		},
 		reload(readSettings) {
--- a/packages/gateway/src/gateway-hosts.ts
+++ b/packages/gateway/src/gateway-hosts.ts
@@ -80,6 +80,8 @@
 	configuration: ServingConfiguration | undefined;
 	/** Sequence of the revision at which the configuration was written. */
 	writtenAtRevision: number | undefined;
+	/** The configuration as the platform writes it. */
+	source: string | undefined;
 }>;
 
 /** A gateway's entry in the registry, by which the others find it. */
@@ -87,6 +89,8 @@
 
 /** Access to the platform. Calls reject on a timeout or an invalid response. */
 export type PlatformHost = Readonly<{
+	/** Decodes a configuration as the platform writes it. Throws if that can't be used. */
+	parseConfiguration(source: string): ServingConfiguration;
 	readConfiguration(): Promise<ConfigurationUpdate>;
 	/** Waits for a change of the configuration after the revision, for `waitMs` at most. */
 	watchConfiguration(after: Revision, waitMs: Milliseconds): Promise<ConfigurationUpdate>;
--- a/packages/gateway/src/platform-feed.ts
+++ b/packages/gateway/src/platform-feed.ts
@@ -2,11 +2,15 @@
 Keeps a gateway's view of the platform current: watches the configuration, and polls the lists of endpoints, of
 quarantines and of other gateways.
 
+While a reader of the data centre passes on what it reads, this gateway reads nothing itself, and takes the reader's states instead.
+
 The store may be restored from a copy at any time. Its revisions are then given out again, so that a revision says nothing about
 another epoch: positions are dropped, and all is read again.
 */
 import {getErrorText} from '@currantcross/core/error-text';
 import type {GatewayEvent} from '@currantcross/core/gateway/gateway-events';
+import type {ListedEndpoint, ServingConfiguration} from '@currantcross/core/gateway/gateway-types';
+import type {QuarantineRecord} from '@currantcross/core/gateway/segment-quarantine';
 import type {Milliseconds, Timestamp} from '@currantcross/core/types';
 import type {Logger} from '@currantcross/daemon/logger';
 import VError from 'verror';
@@ -14,6 +18,8 @@
 	ConfigurationUpdate, GatewayRegistration, Listing, PlatformHost, Revision, UnusableEntry,
 } from './gateway-hosts.js';
 import type {GatewayMetrics} from './metrics.js';
+import type {FollowedState} from './reader-follower.js';
+import type {KnownState} from './state-publisher.js';
 
 export type PlatformFeedHost = Readonly<{
 	platform: PlatformHost;
@@ -27,8 +33,17 @@
 
 export type PlatformFeed = Readonly<{
 	start(self: GatewayRegistration): void;
-	/** Reads the configuration immediately: after a clock jump, when the last response may be older than its timestamp, or when a peer has a newer one. */
+	/** Reads the configuration immediately, since a peer has a newer one. */
 	refresh(): void;
+	/** Reads the configuration immediately after a suspension of the process. What was asked before says nothing about how recent it is. */
+	refreshAfterSuspension(): void;
+	/** Sets whether this gateway reads the store itself. */
+	setReading(isReading: boolean): void;
+	/** Applies what a reader tells. Returns `false` if it is from before a restore of the store, or can't be used. */
+	applyState(state: FollowedState, verifiedAt: Timestamp): boolean;
+	getKnownState(): KnownState;
+	/** Calls the function at each change of what is known. Returns the function that ends this. */
+	observeChanges(handleChange: () => void): () => void;
 	close(): void;
 }>;
 
@@ -97,6 +112,15 @@
 	/** Names of the entries of each list that could not be used when it was last read. */
 	const unusableNames = new Map<string, ReadonlySet<string>>();
 	let knownGateways: ReadonlyMap<string, GatewayRegistration> = new Map();
+	let known: Omit<KnownState, 'revision'> = {
+		verifiedAt: Number.NEGATIVE_INFINITY, configuration: undefined, endpoints: undefined, endpointFailures: 0, quarantines: undefined, gateways: undefined,
+	};
+	const observers = new Set<() => void>();
+	let isReading = true;
+	let wakeReaders: Array<() => void> = [];
+	/** Number of suspensions of the process. */
+	let suspensionCount = 0;
+	let selfName = '';
 
 	async function wait(ms: Milliseconds): Promise<void> {
 		if (ms === 0) {
@@ -112,6 +136,25 @@
 		});
 	}
 
+	function setKnown(changes: Partial<Omit<KnownState, 'revision'>>): void {
+		known = {...known, ...changes};
+		for (const notify of observers) {
+			notify();
+		}
+	}
+
+	/** Waits while a reader passes on what it reads. */
+	async function waitUntilReading(): Promise<void> {
+		if (isReading || closing.signal.aborted) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			wakeReaders.push(resolve);
+		});
+		await waitUntilReading();
+	}
+
 	/** Drops what was known of the store's history, and ends the wait for a watch from that history. */
 	function handleRestore(): void {
 		revision = undefined;
@@ -225,16 +268,27 @@
 		return performance.now() < staleReadsTrustedAt ? Math.max(usualMs, getReadSpreadMs()) : usualMs;
 	}
 
-	function applyUpdate(update: ConfigurationUpdate, verifiedAt: Timestamp): void {
+	/** Applies an answer to a call that began at `verifiedAt`, before the given suspension of the process or after it. */
+	function applyUpdate(update: ConfigurationUpdate, verifiedAt: Timestamp, suspension: number): void {
 		const {epoch: updateEpoch, sequence} = update.revision;
 		revision = {epoch: updateEpoch, sequence: Math.max(revision?.sequence ?? 0, sequence)};
-		revisionVerifiedAt = performance.now();
-		host.onConfiguration(update, verifiedAt);
+		const isDated = suspension === suspensionCount;
+		revisionVerifiedAt = isDated ? performance.now() : revisionVerifiedAt;
+		host.onConfiguration(update, isDated ? verifiedAt : Number.NEGATIVE_INFINITY);
+		if (isDated) {
+			known = {...known, verifiedAt: Math.max(known.verifiedAt, verifiedAt)};
+		}
+
+		if (update.source !== undefined) {
+			setKnown({configuration: {source: update.source, writtenAtRevision: update.writtenAtRevision}});
+		}
 	}
 
 	async function runConfigurationWatch(): Promise<void> {
 		while (!closing.signal.aborted) {
+			await waitUntilReading(); // eslint-disable-line no-await-in-loop
 			const startedAt = performance.now();
+			const suspension = suspensionCount;
 			const {signal} = restoreController;
 			const after = revision;
 			// Each watch starts from the revision that the previous one returned.
@@ -249,7 +303,7 @@
 				// eslint-disable-next-line no-await-in-loop
 				await wait(getRetryDelayMs(configurationDependency));
 			} else {
-				applyUpdate(update, startedAt);
+				applyUpdate(update, startedAt, suspension);
 				// eslint-disable-next-line no-await-in-loop
 				await wait(update.configuration === undefined ? 0 : changeCoalescingMs);
 			}
@@ -262,12 +316,29 @@
 		return now - revisionVerifiedAt > maximumRevisionAgeMs || now < staleReadsTrustedAt ? undefined : revision;
 	}
 
+	/** Applies the list of endpoints, or `undefined` if it could not be read. */
+	function applyEndpoints(endpoints: readonly ListedEndpoint[] | undefined): void {
+		if (endpoints === undefined) {
+			host.dispatch({kind: 'endpointListFailed'});
+			setKnown({endpointFailures: known.endpointFailures + 1});
+		} else {
+			host.dispatch({kind: 'endpointsListed', endpoints});
+			setKnown({endpoints: {items: endpoints}});
+		}
+	}
+
+	function applyQuarantines(records: readonly QuarantineRecord[]): void {
+		host.dispatch({kind: 'quarantinesListed', records});
+		setKnown({quarantines: {items: records}});
+	}
+
 	async function runEndpointPolling(): Promise<void> {
 		const dependency: Dependency = {name: 'endpoints', isLost: false, failures: 0};
 		while (!closing.signal.aborted) {
+			await waitUntilReading(); // eslint-disable-line no-await-in-loop
 			// eslint-disable-next-line no-await-in-loop -- one poll at a time
 			const endpoints = await readList(dependency, async () => platform.listEndpoints(tryGetRecentRevision()));
-			host.dispatch(endpoints === undefined ? {kind: 'endpointListFailed'} : {kind: 'endpointsListed', endpoints});
+			applyEndpoints(endpoints);
 			// eslint-disable-next-line no-await-in-loop
 			await wait(endpoints === undefined ? getRetryDelayMs(dependency) : getPollIntervalMs(endpointPollIntervalMs));
 		}
@@ -276,10 +347,11 @@
 	async function runQuarantinePolling(): Promise<void> {
 		const dependency: Dependency = {name: 'quarantines', isLost: false, failures: 0};
 		while (!closing.signal.aborted) {
+			await waitUntilReading(); // eslint-disable-line no-await-in-loop
 			// eslint-disable-next-line no-await-in-loop -- one poll at a time
 			const records = await readList(dependency, async () => platform.listQuarantines(tryGetRecentRevision()));
 			if (records !== undefined) {
-				host.dispatch({kind: 'quarantinesListed', records});
+				applyQuarantines(records);
 			}
 
 			// eslint-disable-next-line no-await-in-loop
@@ -303,13 +375,14 @@
 		}
 	}
 
-	async function listGateways(self: GatewayRegistration): Promise<Listing<GatewayRegistration>> {
+	/** Registers this gateway if it is not registered, and lists all gateways while it reads the store itself. */
+	async function listGateways(self: GatewayRegistration): Promise<Listing<GatewayRegistration> | undefined> {
 		if (!isRegistered && performance.now() >= registrationDueAt) {
 			await platform.registerGateway(self);
 			isRegistered = true;
 		}
 
-		return platform.listGateways();
+		return isReading ? platform.listGateways() : undefined;
 	}
 
 	/** Returns the gateways of a list, and after a restore also those that it lacks because they have not registered again yet. */
@@ -319,22 +392,46 @@
 		return [...knownGateways.values()];
 	}
 
-	/** Logs the number of gateways in the registry when it changes, and whether this one is among them. */
-	function reportGateways(registrations: readonly GatewayRegistration[], self: GatewayRegistration): void {
+	/** Applies the list of gateways. Logs their number when it changes, and whether this one is among them. */
+	function applyGateways(registrations: readonly GatewayRegistration[]): void {
 		if (registrations.length !== gatewayCount) {
-			logger.info('gatewaysListed', {count: registrations.length, before: gatewayCount, isSelfListed: registrations.some(({name}) => name === self.name)});
+			logger.info('gatewaysListed', {count: registrations.length, before: gatewayCount, isSelfListed: registrations.some(({name}) => name === selfName)});
 			gatewayCount = registrations.length;
 		}
+
+		const listed = applyGatewayList(registrations);
+		if (JSON.stringify(listed) !== JSON.stringify(known.gateways?.items)) {
+			setKnown({gateways: {items: listed}});
+		}
+
+		host.onGateways(listed.filter(({name}) => name !== selfName));
+	}
+
+	/** Reads the list of gateways, which remains unread while a reader passes it on. */
+	async function readGateways(dependency: Dependency, self: GatewayRegistration): Promise<readonly GatewayRegistration[] | 'unread' | undefined> {
+		if (!isReading && isRegistered) {
+			return 'unread';
+		}
+
+		return callPlatform(dependency, async () => {
+			const listing = await listGateways(self);
+			if (listing === undefined) {
+				return 'unread';
+			}
+
+			checkEpoch(listing.epoch, dependency.name);
+			reportUnusable(dependency.name, listing.unusable);
+			return listing.items;
+		});
 	}
 
 	async function runGatewayPolling(self: GatewayRegistration): Promise<void> {
 		const dependency: Dependency = {name: 'gateways', isLost: false, failures: 0};
 		while (!closing.signal.aborted) {
 			// eslint-disable-next-line no-await-in-loop -- one poll at a time
-			const registrations = await readList(dependency, async () => listGateways(self));
-			if (registrations !== undefined) {
-				reportGateways(registrations, self);
-				host.onGateways(applyGatewayList(registrations).filter(({name}) => name !== self.name));
+			const registrations = await readGateways(dependency, self);
+			if (registrations !== undefined && registrations !== 'unread') {
+				applyGateways(registrations);
 			}
 
 			// eslint-disable-next-line no-await-in-loop
@@ -342,25 +439,97 @@
 		}
 	}
 
+	function readNow(): void {
+		revisionVerifiedAt = Number.NEGATIVE_INFINITY;
+		const startedAt = performance.now();
+		const suspension = suspensionCount;
+		void callPlatform(configurationDependency, readConfiguration).then(update => {
+			if (update !== undefined) {
+				applyUpdate(update, startedAt, suspension);
+			}
+		});
+	}
+
+	/** Parses the configuration of a state. Returns `undefined` if the state has none, and throws if it can't be used. */
+	function parseConfiguration({configuration}: FollowedState): ServingConfiguration | undefined {
+		return configuration === undefined ? undefined : platform.parseConfiguration(configuration.source);
+	}
+
+	function applyState(state: FollowedState, verifiedAt: Timestamp): boolean {
+		const {revision: stateRevision, configuration: told, endpoints, quarantines, gateways, hasEndpointFailure} = state;
+		let configuration: ServingConfiguration | undefined;
+		try {
+			checkEpoch(stateRevision.epoch, 'reader');
+			configuration = parseConfiguration(state);
+		} catch (error) {
+			logger.warn('readerStateRefused', {reason: getErrorText(error)});
+			return false;
+		}
+
+		revision = {epoch: stateRevision.epoch, sequence: Math.max(revision?.sequence ?? 0, stateRevision.sequence)};
+		revisionVerifiedAt = Math.max(revisionVerifiedAt, verifiedAt);
+		host.onConfiguration({
+			revision: stateRevision, configuration, writtenAtRevision: told?.writtenAtRevision, source: told?.source,
+		}, verifiedAt);
+		known = {...known, verifiedAt: Math.max(known.verifiedAt, verifiedAt), configuration: told ?? known.configuration};
+		if (hasEndpointFailure) {
+			applyEndpoints(undefined);
+		}
+
+		if (endpoints !== undefined) {
+			applyEndpoints(endpoints);
+		}
+
+		if (quarantines !== undefined) {
+			applyQuarantines(quarantines);
+		}
+
+		if (gateways !== undefined) {
+			applyGateways(gateways);
+		}
+
+		return true;
+	}
+
 	return {
 		start(self) {
+			selfName = self.name;
 			void runConfigurationWatch();
 			void runEndpointPolling();
 			void runQuarantinePolling();
 			void readCrashes();
 			void runGatewayPolling(self);
 		},
-		refresh() {
-			revisionVerifiedAt = Number.NEGATIVE_INFINITY;
-			const startedAt = performance.now();
-			void callPlatform(configurationDependency, readConfiguration).then(update => {
-				if (update !== undefined) {
-					applyUpdate(update, startedAt);
+		refresh: readNow,
+		refreshAfterSuspension() {
+			suspensionCount += 1;
+			known = {...known, verifiedAt: Number.NEGATIVE_INFINITY};
+			readNow();
+		},
+		setReading(value) {
+			isReading = value;
+			if (isReading) {
+				for (const wake of wakeReaders) {
+					wake();
 				}
-			});
+
+				wakeReaders = [];
+			}
+		},
+		applyState,
+		getKnownState: () => ({...known, revision}),
+		observeChanges(handleChange) {
+			observers.add(handleChange);
+			return () => {
+				observers.delete(handleChange);
+			};
 		},
 		close() {
 			closing.abort();
+			for (const wake of wakeReaders) {
+				wake();
+			}
+
 			for (const timer of timers) {
 				clearTimeout(timer);
 			}
--- a/packages/gateway/src/work-exchange.ts
+++ b/packages/gateway/src/work-exchange.ts
@@ -27,7 +27,7 @@
 	recordBatch(scope: ExchangeScope, changeCount: number): void;
 }>;
 
-export type WorkExchange = GatewayServiceHost & Readonly<{
+export type WorkExchange = Pick<GatewayServiceHost, 'streamWork'> & Readonly<{
 	/** Returns a promise that resolves when the latest news of the other gateways have arrived or are late, or `undefined` if they are known. */
 	findPendingNews(): Promise<void> | undefined;
 	/** Streams a change to this gateway's own work, or what else it learns. */
--- a/packages/peer/src/gateway-peers.ts
+++ b/packages/peer/src/gateway-peers.ts
@@ -13,6 +13,7 @@
 import type {CrashReport} from '@currantcross/core/gateway/segment-suspicion';
 import type {Connections} from './connections.js';
 import * as wire from './gen/currantcross/v1/gateway_pb.js';
+import {toWireState, type PlatformState} from './platform-peers.js';
 
 /** Changes to the requests of one gateway, in order. */
 export type GatewayWork = Readonly<{gateway: GatewayName; changes: readonly PeerChange[]}>;
@@ -33,6 +34,8 @@
 	the next query.
 	*/
 	streamWork(request: WorkStreamRequest, queries: WorkQueries | undefined, signal: AbortSignal): AsyncIterable<WorkBatch>;
+	/** Streams what the gateway knows of the platform until the signal aborts. */
+	streamState(gateway: GatewayName, signal: AbortSignal): AsyncIterable<PlatformState>;
 }>;
 
 function toWireScope(scope: ExchangeScope): wire.Scope {
@@ -281,6 +284,11 @@
 				yield toWireBatch(batch);
 			}
 		},
+		async * watchPlatform({gateway: subscriber}, {signal}) {
+			for await (const state of host.streamState(subscriber, signal)) {
+				yield toWireState(state);
+			}
+		},
 	});
 }
 
