Answer every request that is open, or whose body still arrives, when the grace period of a stop ends

Cause: at the end of the grace period the process closed all connections. Requests that were still open had no answer, among them calls that may not be repeated, and requests whose bodies had not arrived yet were not counted as open at all, so that a stop did not wait for them.

Change: a request counts as open from the acceptance of its head. 0.4 s before the kill each request that has not begun is refused as not run (503), each one that may have run is answered 502, unless its response has begun, which is broken off; connections close 0.1 s later.

Test: planned-stop, with real connections.

--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -692,6 +692,11 @@
 				return [...cancelCurrentSend(), ...closeSend('clientGone', '', now), {kind: 'forgetRequest', key: request.key}];
 			}
 
+			case 'graceEnded': {
+				const closeActions = [...cancelCurrentSend(), ...closeSend('stopped', '', now)];
+				return [...closeActions, ...endWithFailure(possibleRunCount === 0 ? createNotRunFailure('draining', 'the process ends', 0) : createFailure('outcomeUnknown', 'the process ends'))];
+			}
+
 			case 'timePassed': {
 				return handleTimePassed(now);
 			}
--- a/packages/core/src/gateway/gateway-events.ts
+++ b/packages/core/src/gateway/gateway-events.ts
@@ -34,6 +34,8 @@
 	/** An endpoint answered a probe; `report` is `undefined` if it can't be decoded. */
 		| Readonly<{kind: 'probeAnswered'; endpoint: EndpointId; report: EndpointReport | undefined}>
 		| Readonly<{kind: 'clientGone'}>
+	/** The process ends in a moment: each open request gets its final answer now. */
+		| Readonly<{kind: 'graceEnded'}>
 		| Readonly<{kind: 'timePassed'}>;
 
 /** An action that the driver performs. */
@@ -111,9 +113,9 @@
 
 /**
 How a send ended; `replaced` means that another endpoint now responds at the address, and `memoryUnused` that the receiver
-didn't begin a request for which other endpoints held memory.
+didn't begin a request for which other endpoints held memory, and `stopped` that this gateway's process ends.
 */
-export type SendResult = 'answered' | 'notRun' | 'replaced' | 'noMemory' | 'memoryUnused' | 'failedStatus' | 'corrupt' | 'broken' | 'silent' | 'deadline' | 'clientGone';
+export type SendResult = 'answered' | 'notRun' | 'replaced' | 'noMemory' | 'memoryUnused' | 'failedStatus' | 'corrupt' | 'broken' | 'silent' | 'deadline' | 'clientGone' | 'stopped';
 
 /** Summary of a completed response. */
 export type ResponseSummary = Readonly<{
@@ -147,4 +149,6 @@
 		| Readonly<{kind: 'quarantinesListed'; records: readonly QuarantineRecord[]}>
 	/** The crashes that gateways have recorded in the platform's store. */
 		| Readonly<{kind: 'crashesListed'; crashes: readonly CrashReport[]}>
+	/** The process ends in a moment: each open request gets its final answer now. */
+		| Readonly<{kind: 'graceEnded'}>
 		| Readonly<{kind: 'timePassed'}>;
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -330,6 +330,10 @@
 				return [];
 			}
 
+			case 'graceEnded': {
+				return [...requests.keys()].flatMap(key => stepRequest(key, {kind: 'graceEnded'}, now));
+			}
+
 			case 'timePassed': {
 				return [...quarantine.handleTimePassed(now), ...stepDueRequests(now)];
 			}
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -36,6 +36,10 @@
 	/** Port that the server listens on. */
 	port: number;
 	setLimits(limits: ServingLimits): void;
+	/** Returns the number of requests whose head was accepted and that are not begun: their bodies still arrive, or they wait. */
+	getPendingCount(): number;
+	/** Refuses these requests. */
+	refusePending(failure: Failure): void;
 	/** Stops listening and closes all connections. */
 	close(): void;
 }>;
@@ -84,6 +88,8 @@
 	const intake = createIntakeRunner();
 	let maximumBodyBytes = defaultMaximumBodyBytes;
 	let idleTimeoutMs = defaultIdleTimeoutMs;
+	/** Functions that refuse the requests that are not begun. */
+	const pendingRequests = new Set<(failure: Failure) => void>();
 	const exchangeHost = {
 		wireFormat: host.wireFormat, isDraining: () => host.isDraining(), getIdleTimeoutMs: () => idleTimeoutMs,
 	};
@@ -97,6 +103,17 @@
 			return;
 		}
 
+		const refusePendingRequest = (failure: Failure): void => {
+			pendingRequests.delete(refusePendingRequest);
+			if (!response.headersSent) {
+				refuseRequest(message, response, head, failure);
+			}
+		};
+
+		pendingRequests.add(refusePendingRequest);
+		response.once('close', () => {
+			pendingRequests.delete(refusePendingRequest);
+		});
 		const bodyTimer = setTimeout(() => {
 			refuseUnfinishedBody(message, response, head);
 		}, Math.max(0, (head.remainingMs ?? defaultBodyTimeoutMs) - arrival.unreadMs));
@@ -106,18 +123,23 @@
 			return;
 		}
 
+		// A response is sent only once the request is no longer pending.
+		const endPending = (): boolean => pendingRequests.delete(refusePendingRequest);
+
 		switch (result.kind) {
 			case 'aborted': {
+				endPending();
 				return;
 			}
 
 			case 'tooLarge': {
+				endPending();
 				refuseRequest(message, response, head, createNotRunFailure('payloadTooLarge'));
 				return;
 			}
 
 			case 'complete': {
-				await receiveExchange(createCallerExchange({message, head, body: result.body}, response, exchangeHost), response, arrival);
+				await receiveExchange(createCallerExchange({message, head, body: result.body}, response, exchangeHost), response, {arrival, endPending});
 			}
 		}
 	}
@@ -132,18 +154,23 @@
 		createCallerExchange({message, head, body: new Uint8Array(0)}, response, exchangeHost).fail(failure);
 	}
 
-	async function receiveExchange(exchange: CallerExchange, response: ServerResponse, arrival: RequestArrival): Promise<void> {
+	/** Begins a request whose body has arrived, once the news that its placement needs are known. */
+	async function receiveExchange(exchange: CallerExchange, response: ServerResponse, {arrival, endPending}: Readonly<{arrival: RequestArrival; endPending: () => boolean}>): Promise<void> {
 		const {head, hasCallerLeft} = exchange;
 		await host.findPendingNews();
 		intake.receive({
 			unreadMs: arrival.unreadMs,
 			hasCallerLeft,
 			begin() {
-				startRequest(exchange, response, arrival);
+				if (endPending()) {
+					startRequest(exchange, response, arrival);
+				}
 			},
 			refuse(failure) {
-				host.recordRefusal(head, failure);
-				exchange.fail(failure);
+				if (endPending()) {
+					host.recordRefusal(head, failure);
+					exchange.fail(failure);
+				}
 			},
 			drop() {
 				host.recordDeparture(head, arrival);
@@ -187,6 +214,12 @@
 			server.headersTimeout = limits.headerTimeoutMs;
 			server.keepAliveTimeout = limits.idleTimeoutMs + keepAliveMarginMs;
 		},
+		getPendingCount: () => pendingRequests.size,
+		refusePending(failure) {
+			for (const refuse of pendingRequests) {
+				refuse(failure);
+			}
+		},
 		close() {
 			server.close();
 			server.closeAllConnections();
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -3,7 +3,8 @@
 platform, and the graceful shutdown.
 */
 import type {IncomingMessage} from 'node:http';
-import {createGateway, type Gateway} from '@currantcross/core/gateway/gateway';
+import {setTimeout as setTimeoutPromise} from 'node:timers/promises';
+import {createGateway} from '@currantcross/core/gateway/gateway';
 import {defaultEndpointRegistrySettings} from '@currantcross/core/gateway/endpoint-registry';
 import {getWeightedService} from '@currantcross/core/gateway/route-table';
 import {getErrorText} from '@currantcross/core/error-text';
@@ -56,6 +57,8 @@
 /** How long before SIGKILL the requests that are still open are aborted; part of the grace period. */
 const stopMarginMs = 400;
 const stopPollIntervalMs = 50;
+/** How long the last answers may take to reach the network before connections are closed. */
+const lastAnswerMs = 100;
 /** Delay of the event loop from which on it is logged. */
 const loggedLoopDelayMs = 250;
 
@@ -278,8 +281,15 @@
 			stoppedAt ??= performance.now();
 			logger.info('stopping', {open: gateway.getOpenRequestCount()});
 			checkReadiness(); // Logs that the gateway is no longer ready.
-			await waitForRequests(gateway, stoppedAt, settings.graceMs);
-			logger.info('stopped', {open: gateway.getOpenRequestCount()});
+			const getOpenCount = (): number => gateway.getOpenRequestCount() + callerServer.getPendingCount();
+			await waitForRequests(getOpenCount, stoppedAt, settings.graceMs);
+			logger.info('stopped', {open: gateway.getOpenRequestCount(), pending: callerServer.getPendingCount()});
+			if (getOpenCount() > 0) {
+				callerServer.refusePending(createNotRunFailure('draining', 'the process ends', 0));
+				driver.dispatch({kind: 'graceEnded'});
+				await setTimeoutPromise(lastAnswerMs);
+			}
+
 			clearInterval(clockTimer);
 			loopMonitor.close();
 			callerServer.close();
@@ -312,11 +322,11 @@
 }
 
 /** Waits until new requests are no longer accepted and none is open, or until the grace period is almost over. */
-async function waitForRequests(gateway: Gateway, stoppedAt: number, graceMs: number): Promise<void> {
+async function waitForRequests(getOpenCount: () => number, stoppedAt: number, graceMs: number): Promise<void> {
 	await new Promise<void>(resolve => {
 		const timer = setInterval(() => {
 			const waitedMs = performance.now() - stoppedAt;
-			const isDone = waitedMs > acceptAfterStopMs && gateway.getOpenRequestCount() === 0;
+			const isDone = waitedMs > acceptAfterStopMs && getOpenCount() === 0;
 			if (isDone || waitedMs > graceMs - stopMarginMs) {
 				clearInterval(timer);
 				resolve();
