Keep what followers of a reader know within the age at which keys are refused

Cause: states went out every 200 ms, and a reader's own knowledge is up to two watches of a second old. Where keys are refused soon after the last verification (2.1 s in the soak, 4.1 s in the deployments), followers refused sound requests while all was well, and a reader counted as behind only at 2.8 s.

Change: a state goes out with each answer of the store; a gateway that others follow watches for 0.8 s instead of 1 s; the allowance for drift grows with the age of the stream instead of 50 ms at once; a reader is behind 0.4 s before keys are refused, between 1.9 and 2.8 s.

--- a/packages/core/src/gateway/feed-source.test.ts
+++ b/packages/core/src/gateway/feed-source.test.ts
@@ -7,7 +7,9 @@
 import fc from 'fast-check';
 import {describe, expect, test} from 'vitest';
 import type {Milliseconds, Timestamp} from '../types.js';
-import {createFeedSource, rankReaders, type FeedSource} from './feed-source.js';
+import {
+	createFeedSource, getMaximumStateAgeMs, rankReaders, type FeedSource,
+} from './feed-source.js';
 import type {ExchangeMember} from './exchange-topology.js';
 
 const parameters = {
@@ -15,6 +17,9 @@
 	numRuns: Number(process.env.CURRANTCROSS_RUNS ?? '500'),
 };
 
+/** Time after the last verification at which keys are refused. */
+const maximumKeyAgeMs = 4100;
+
 const members: readonly ExchangeMember[] = [
 	...Array.from({length: 5}, (_, index) => ({name: `a-${index}`, dataCentre: 'a', processorShare: 1 - (index / 10)})),
 	...Array.from({length: 5}, (_, index) => ({name: `b-${index}`, dataCentre: 'b', processorShare: 1})),
@@ -26,7 +31,7 @@
 		throw new Error(`no member ${name}`);
 	}
 
-	const source = createFeedSource(self);
+	const source = createFeedSource(self, getMaximumStateAgeMs(maximumKeyAgeMs));
 	source.setMembers(others.filter(other => other.name !== name), 0);
 	return source;
 }
@@ -73,6 +78,14 @@
 		expect(source.getDecision(2950)).toEqual({reader: undefined, isReading: true});
 	});
 
+	// Guards against keys that are refused before a gateway leaves a reader that is behind.
+	test('is the store well before keys are refused, also where they are refused soon', () => {
+		expect(getMaximumStateAgeMs(undefined)).toBe(2800);
+		expect(getMaximumStateAgeMs(4100)).toBe(2800);
+		expect(getMaximumStateAgeMs(2600)).toBe(2200);
+		expect(getMaximumStateAgeMs(2100)).toBe(1900);
+	});
+
 	test('avoids a reader that fails again and again, for longer each time', () => {
 		const source = createSource('a-0');
 		source.recordLoss('a-1', 0);
@@ -109,8 +122,8 @@
 const simulationMs = 20_000;
 const readIntervalMs = 1000;
 const stateIntervalMs = 200;
-/** Keys are refused 4.1 s after the last verification; a call of the store may take 0.9 s. */
-const maximumAgeMs = 4100 - 900;
+/** A call of the store may take 0.9 s. */
+const maximumAgeMs = maximumKeyAgeMs - 900;
 /** Time for which a gateway must have run and reached the store before the bound applies to it. */
 const touchMs = 3000;
 
--- a/packages/core/src/gateway/feed-source.ts
+++ b/packages/core/src/gateway/feed-source.ts
@@ -28,11 +28,11 @@
 
 /** Time without a state after which a reader is lost; more than two intervals of its states. */
 export const maximumSilenceMs: Milliseconds = 500;
-/**
-Age of a state from which on its reader is behind. It covers two watches of a second, their responses and a coalesced change, and leaves
-the time for a call of the store until keys are refused.
-*/
-export const maximumStateAgeMs: Milliseconds = 2800;
+/** Age of a state from which on its reader is behind, at most and at least; two watches and their responses are in time. */
+const longestStateAgeMs: Milliseconds = 2800;
+const shortestStateAgeMs: Milliseconds = 1900;
+/** Time that is left to read the store, from the age at which a reader is behind until keys are refused. */
+const ownReadingMs: Milliseconds = 400;
 /** Time within which a reader must send its first state. */
 const connectTimeoutMs: Milliseconds = 1500;
 /** Time for which a reader is avoided after a loss; doubles with each loss in a row. */
@@ -57,8 +57,13 @@
 	return members.toSorted(compareRelayPriority).slice(0, readerCount).toReversed().map(({name}) => name);
 }
 
+/** Returns the age of a state from which on its reader is behind, given the age at which keys are refused, if any. */
+export function getMaximumStateAgeMs(maximumKeyAgeMs: Milliseconds | undefined): Milliseconds {
+	return Math.min(longestStateAgeMs, Math.max(shortestStateAgeMs, (maximumKeyAgeMs ?? Number.POSITIVE_INFINITY) - ownReadingMs));
+}
+
 /** Creates the source of a gateway, which reads the store itself until it knows the others. */
-export function createFeedSource(self: ExchangeMember): FeedSource {
+export function createFeedSource(self: ExchangeMember, maximumStateAgeMs: Milliseconds): FeedSource {
 	const records = new Map<GatewayName, ReaderRecord>();
 	let candidates: readonly GatewayName[] = [];
 	let followed: FollowedReader | undefined;
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -6,6 +6,7 @@
 import {setTimeout as setTimeoutPromise} from 'node:timers/promises';
 import {createGateway} from '@currantcross/core/gateway/gateway';
 import {defaultEndpointRegistrySettings} from '@currantcross/core/gateway/endpoint-registry';
+import {getMaximumStateAgeMs} from '@currantcross/core/gateway/feed-source';
 import {getWeightedService} from '@currantcross/core/gateway/route-table';
 import {getErrorText} from '@currantcross/core/error-text';
 import {createNotRunFailure, type Failure} from '@currantcross/core/errors';
@@ -66,12 +67,13 @@
 export async function startGatewayDaemon(settings: GatewayDaemonSettings, host: GatewayDaemonHost): Promise<GatewayDaemon> {
 	const {peerKey: sharedKey} = settings;
 	const logger = createRateLimitedLogger(settings.logLevel, {process: settings.name});
+	const maximumKeyAgeMs = settings.revocationMs === undefined ? undefined : settings.revocationMs - revocationMarginMs;
 	const gateway = createGateway({
 		name: settings.name,
 		incarnation: createIncarnation(),
 		dataCentre: settings.dataCentre,
 		configuration: {
-			maximumKeyAgeMs: settings.revocationMs === undefined ? undefined : settings.revocationMs - revocationMarginMs,
+			maximumKeyAgeMs,
 			maximumAbsenceAgeMs,
 		},
 		endpoints: defaultEndpointRegistrySettings,
@@ -161,7 +163,7 @@
 	});
 
 	const readerFollower = createReaderFollower({
-		self, connections: readerConnections, logger, applyState: feed.applyState, setReading: feed.setReading,
+		self, connections: readerConnections, logger, maximumStateAgeMs: getMaximumStateAgeMs(maximumKeyAgeMs), applyState: feed.applyState, setReading: feed.setReading,
 	});
 	const streamState = createStateStream({
 		getKnownState() {
--- a/packages/gateway/src/platform-feed.ts
+++ b/packages/gateway/src/platform-feed.ts
@@ -49,6 +49,8 @@
 
 /** How long a watch waits. Two watches must fit into the few seconds for which keys are accepted after the last response. */
 const watchWaitMs: Milliseconds = 1000;
+/** The same at a gateway that reads for others, to which its answers come a little later. */
+const followedWatchWaitMs: Milliseconds = 800;
 /** Delay after a change, so that one watch covers a series of changes; well below the time allowed to apply a change. */
 const changeCoalescingMs: Milliseconds = 400;
 /** Polling interval of the endpoint list; well below the platform's deadline to stop using an endpoint that leaves. */
@@ -227,7 +229,7 @@
 	/** Watches the configuration. Returns `undefined` at once when the store is found to have been restored. */
 	async function watchConfiguration(after: Revision): Promise<ConfigurationUpdate | undefined> {
 		const {signal} = restoreController;
-		const update = await raceAbort(platform.watchConfiguration(after, watchWaitMs), signal);
+		const update = await raceAbort(platform.watchConfiguration(after, observers.size > 0 ? followedWatchWaitMs : watchWaitMs), signal);
 		if (update !== undefined) {
 			checkEpoch(update.revision.epoch, configurationDependency.name);
 		}
@@ -275,13 +277,10 @@
 		const isDated = suspension === suspensionCount;
 		revisionVerifiedAt = isDated ? performance.now() : revisionVerifiedAt;
 		host.onConfiguration(update, isDated ? verifiedAt : Number.NEGATIVE_INFINITY);
-		if (isDated) {
-			known = {...known, verifiedAt: Math.max(known.verifiedAt, verifiedAt)};
-		}
-
-		if (update.source !== undefined) {
-			setKnown({configuration: {source: update.source, writtenAtRevision: update.writtenAtRevision}});
-		}
+		setKnown({
+			verifiedAt: isDated ? Math.max(known.verifiedAt, verifiedAt) : known.verifiedAt,
+			configuration: update.source === undefined ? known.configuration : {source: update.source, writtenAtRevision: update.writtenAtRevision},
+		});
 	}
 
 	async function runConfigurationWatch(): Promise<void> {
@@ -471,7 +470,7 @@
 		host.onConfiguration({
 			revision: stateRevision, configuration, writtenAtRevision: told?.writtenAtRevision, source: told?.source,
 		}, verifiedAt);
-		known = {...known, verifiedAt: Math.max(known.verifiedAt, verifiedAt), configuration: told ?? known.configuration};
+		setKnown({verifiedAt: Math.max(known.verifiedAt, verifiedAt), configuration: told ?? known.configuration});
 		if (hasEndpointFailure) {
 			applyEndpoints(undefined);
 		}
--- a/packages/gateway/src/reader-follower.ts
+++ b/packages/gateway/src/reader-follower.ts
@@ -19,6 +19,8 @@
 	self: GatewayRegistration;
 	connections: Connections;
 	logger: Logger;
+	/** Age of what a reader tells from which on it is behind. */
+	maximumStateAgeMs: Milliseconds;
 	/** Applies a state. Returns `false` if it is from before a restore of the store or can't be used. */
 	applyState(state: FollowedState, verifiedAt: Timestamp): boolean;
 	/** Called when this gateway begins or ceases to read the store itself. */
@@ -32,15 +34,15 @@
 	close(): void;
 }>;
 
-/** Lifetime of a stream. The clocks of two hosts drift apart by less than the allowance in this time. */
+/** Lifetime of a stream, and the share of its age by which the clocks of two hosts may have drifted apart. */
 const streamLifetimeMs: Milliseconds = 100_000;
-const driftAllowanceMs: Milliseconds = 50;
+const maximumDrift = 0.0005;
 
 type OpenStream = Readonly<{reader: GatewayName; controller: AbortController}>;
 
 /** Creates a follower that knows no other gateways, so that this one reads the store. */
 export function createReaderFollower(host: ReaderFollowerHost): ReaderFollower {
-	const source = createFeedSource(host.self);
+	const source = createFeedSource(host.self, host.maximumStateAgeMs);
 	let registrations: ReadonlyMap<GatewayName, GatewayRegistration> = new Map();
 	let openStream: OpenStream | undefined;
 	let isReading = true;
@@ -63,7 +65,7 @@
 				}
 
 				const now = performance.now();
-				const verifiedAt = Math.min(now, openedAt + verifiedAfterMs - driftAllowanceMs);
+				const verifiedAt = Math.min(now, openedAt + verifiedAfterMs - ((now - openedAt) * maximumDrift));
 				if (openStream?.controller === controller && host.applyState({...state, endpoints: changes === undefined ? undefined : [...endpoints.values()]}, verifiedAt)) {
 					source.recordState(reader, verifiedAt, now);
 					applyDecision();
