--- a/packages/gateway/src/platform-feed.test.ts
+++ b/packages/gateway/src/platform-feed.test.ts
@@ -5,6 +5,8 @@
 import {createPlatformFeed, type PlatformFeed} from './platform-feed.js';
 
 const feeds: PlatformFeed[] = [];
+/** Whether the store of the test about suspensions does not answer any more. */
+let isStoreSilent = false;
 const waitStepMs = 10;
 const emptyListing = {epoch: 1, items: [], unusable: []} as const;
 
@@ -28,7 +30,10 @@
 function startFeed(platform: Partial<PlatformHost>, host: Partial<FeedHost> = {}): PlatformFeed {
 	const feed = createPlatformFeed({
 		platform: {
-			readConfiguration: async () => ({revision: {epoch: 1, sequence: 1}, configuration: undefined, writtenAtRevision: undefined}),
+			parseConfiguration: () => fixtureConfiguration,
+			readConfiguration: async () => ({
+				revision: {epoch: 1, sequence: 1}, configuration: undefined, writtenAtRevision: undefined, source: undefined,
+			}),
 			watchConfiguration: async () => new Promise<ConfigurationUpdate>(() => {
 				// The watch never completes.
 			}),
@@ -72,7 +77,9 @@
 			throw new Error('the store is unavailable');
 		}
 
-		return {revision: {epoch: 1, sequence: 1}, configuration: undefined, writtenAtRevision: undefined};
+		return {
+			revision: {epoch: 1, sequence: 1}, configuration: undefined, writtenAtRevision: undefined, source: undefined,
+		};
 	};
 
 	const feed = startFeed({readConfiguration}, {
@@ -100,10 +107,14 @@
 		revision += 1;
 	}, 20);
 	startFeed({
-		readConfiguration: async () => ({revision: {epoch: 1, sequence: revision}, configuration: {...fixtureConfiguration, version: revision}, writtenAtRevision: revision}),
+		readConfiguration: async () => ({
+			revision: {epoch: 1, sequence: revision}, configuration: {...fixtureConfiguration, version: revision}, writtenAtRevision: revision, source: undefined,
+		}),
 		async watchConfiguration() {
 			watchCount += 1;
-			return {revision: {epoch: 1, sequence: revision}, configuration: {...fixtureConfiguration, version: revision}, writtenAtRevision: revision};
+			return {
+				revision: {epoch: 1, sequence: revision}, configuration: {...fixtureConfiguration, version: revision}, writtenAtRevision: revision, source: undefined,
+			};
 		},
 	}, {
 		onConfiguration(update) {
@@ -116,6 +127,71 @@
 	await waitUntil(() => appliedRevisions.at(-1) === revision);
 });
 
+// Guards against followers that know for how long the store has been asked only when the next state is due.
+test('tells its observers of each answer of the store, and asks more often while it has some', async () => {
+	const waits: number[] = [];
+	const feed = startFeed({
+		async watchConfiguration(after, waitMs) {
+			waits.push(waitMs);
+			await new Promise<void>(resolve => {
+				setTimeout(resolve, waitStepMs);
+			});
+			return {
+				revision: after, configuration: undefined, writtenAtRevision: undefined, source: undefined,
+			};
+		},
+	});
+	await waitUntil(() => waits.length > 2);
+	const verified: number[] = [];
+	const stop = feed.observeChanges(() => {
+		verified.push(feed.getKnownState().verifiedAt);
+	});
+	await waitUntil(() => new Set(verified).size >= 5);
+	stop();
+	expect(new Set(waits)).toEqual(new Set([1000, 800]));
+});
+
+// Guards against a key that is accepted for the length of a suspension longer, since the clock stood still while the store was asked.
+test('takes no answer for a verification that was asked for before a suspension of the process', async () => {
+	const verifiedTimes: number[] = [];
+	let answerWatch = (): void => undefined;
+	let isAnswered = false;
+	const feed = startFeed({
+		watchConfiguration: async after => new Promise(resolve => {
+			answerWatch = () => {
+				if (!isAnswered) {
+					isAnswered = true;
+					resolve({
+						revision: after, configuration: undefined, writtenAtRevision: undefined, source: undefined,
+					});
+				}
+			};
+		}),
+		readConfiguration: async () => isStoreSilent
+			? new Promise<ConfigurationUpdate>(() => {
+				// The store does not answer after the suspension.
+			})
+			: {
+				revision: {epoch: 1, sequence: 1}, configuration: undefined, writtenAtRevision: undefined, source: undefined,
+			},
+	}, {
+		onConfiguration(_, verifiedAt) {
+			verifiedTimes.push(verifiedAt);
+		},
+	});
+	await waitUntil(() => verifiedTimes.length === 1);
+	isStoreSilent = true;
+	feed.refreshAfterSuspension();
+	expect(feed.getKnownState().verifiedAt).toBe(Number.NEGATIVE_INFINITY);
+	await new Promise<void>(resolve => {
+		setTimeout(resolve, waitStepMs * 3);
+	});
+	answerWatch();
+	await waitUntil(() => verifiedTimes.length === 2);
+	expect(verifiedTimes[1]).toBe(Number.NEGATIVE_INFINITY);
+	isStoreSilent = false;
+});
+
 // Guards against gateways that are dropped, and retry quotas that grow, until all have registered again after a restore.
 test('keeps the gateways that a restored store does not list yet, and registers again', async () => {
 	const others = ['gateway-2', 'gateway-3'].map(name => ({
