Read the configuration at once when a gateway leaves its reader

Cause: a gateway that began to read the store itself began with a watch, which waits up to a second for a change and verifies nothing until it has its answer.

The generated test of the source took a reading to be immediate, which the feed did not do.

Change: the configuration is read at once, and watch and polls go on after it. Both are spread by 2 ms for each gateway, 0.4 s at most, so that gateways that lose their reader together don't call the store at one moment.

The new test of the feed failed before (no reading within 15 s, as its watch never ends).

--- a/packages/gateway/src/platform-feed.test.ts
+++ b/packages/gateway/src/platform-feed.test.ts
@@ -151,6 +151,26 @@
 	expect(new Set(waits)).toEqual(new Set([1000, 800]));
 });
 
+// Guards against keys that are refused after a reader is lost, until a watch that waits for a change has its answer.
+test('reads the configuration at once when it begins to read the store itself', async () => {
+	let readCount = 0;
+	const feed = startFeed({
+		async readConfiguration() {
+			readCount += 1;
+			return {
+				revision: {epoch: 1, sequence: 1}, configuration: undefined, writtenAtRevision: undefined, source: undefined,
+			};
+		},
+	});
+	await waitUntil(() => readCount === 1);
+	feed.setReading(false);
+	const resumedAt = performance.now();
+	feed.setReading(true);
+	await waitUntil(() => feed.getKnownState().verifiedAt >= resumedAt);
+	expect(readCount).toBe(2);
+	expect(performance.now() - resumedAt).toBeLessThan(500);
+});
+
 // Guards against a key that is accepted for the length of a suspension longer, since the clock stood still while the store was asked.
 test('takes no answer for a verification that was asked for before a suspension of the process', async () => {
 	const verifiedTimes: number[] = [];
--- a/packages/gateway/src/platform-feed.ts
+++ b/packages/gateway/src/platform-feed.ts
@@ -157,6 +157,15 @@
 		await waitUntilReading();
 	}
 
+	/** Wakes what waits until this gateway reads; it waits on if that has changed meanwhile. */
+	function wakeWaiting(): void {
+		const waiting = wakeReaders;
+		wakeReaders = [];
+		for (const wake of waiting) {
+			wake();
+		}
+	}
+
 	/** Drops what was known of the store's history, and ends the wait for a watch from that history. */
 	function handleRestore(): void {
 		revision = undefined;
@@ -449,6 +458,22 @@
 		});
 	}
 
+	/**
+	Reads the configuration, since a watch may wait a second until it verifies anything, and resumes the watch and the polls. The calls of
+	many gateways that lose their reader at once are spread.
+	*/
+	async function resumeReading(): Promise<void> {
+		const spreadMs = Math.min(maximumReadDelayMs, getReadSpreadMs());
+		await wait(Math.random() * spreadMs);
+		if (!isReading || closing.signal.aborted) {
+			return;
+		}
+
+		readNow();
+		await wait(Math.random() * spreadMs);
+		wakeWaiting();
+	}
+
 	/** Parses the configuration of a state. Returns `undefined` if the state has none, and throws if it can't be used. */
 	function parseConfiguration({configuration}: FollowedState): ServingConfiguration | undefined {
 		return configuration === undefined ? undefined : platform.parseConfiguration(configuration.source);
@@ -508,11 +533,7 @@
 		setReading(value) {
 			isReading = value;
 			if (isReading) {
-				for (const wake of wakeReaders) {
-					wake();
-				}
-
-				wakeReaders = [];
+				void resumeReading();
 			}
 		},
 		applyState,
@@ -525,10 +546,7 @@
 		},
 		close() {
 			closing.abort();
-			for (const wake of wakeReaders) {
-				wake();
-			}
-
+			wakeWaiting();
 			for (const timer of timers) {
 				clearTimeout(timer);
 			}
