--- a/packages/gateway/src/reader-follower.ts
+++ b/packages/gateway/src/reader-follower.ts
@@ -10,6 +10,7 @@
 import type {Logger} from '@currantcross/daemon/logger';
 import type {Connections} from '@currantcross/peer/connections';
 import {streamPlatformState, type PlatformState} from '@currantcross/peer/platform-peers';
+import VError from 'verror';
 import type {GatewayRegistration} from './gateway-hosts.js';
 
 /** A state, with the complete list of endpoints after each reading of it. */
@@ -49,7 +50,7 @@
 	let timer: NodeJS.Timeout | undefined;
 	let isClosed = false;
 
-	/** Receives the states of one stream. */
+	/** Receives the states of one stream until its lifetime ends. */
 	async function receiveStates(peerUrl: string, {reader, controller}: OpenStream): Promise<void> {
 		const lifetime = AbortSignal.timeout(streamLifetimeMs);
 		const openedAt = performance.now();
@@ -75,7 +76,11 @@
 			if (!lifetime.aborted) {
 				throw error;
 			}
+
+			return;
 		}
+
+		throw new VError('the reader has ended the stream');
 	}
 
 	/** Keeps a stream open, one after the other, until one breaks or the reader is no longer followed. */
