Limit what a report of a crash holds

Cause: a report held each lost request with all segments that its caller had put into the head of the request, to all gateways and into the store.

Change: the last 64 lost requests, the first 31 segments of each and the request as a whole. The count of lost requests stays whole.

Test: 500 requests with 300 segments each; failed before.

--- a/packages/core/src/gateway/crash-evidence.test.ts
+++ b/packages/core/src/gateway/crash-evidence.test.ts
@@ -4,6 +4,7 @@
 */
 import {describe, expect, test} from 'vitest';
 import {createRandom} from '../random.js';
+import {createSegmentSuspicion} from './segment-suspicion.js';
 import {conclusiveEvidence, getCrashEvidence, type CrashIndication} from './crash-evidence.js';
 
 const momentMs = 50;
@@ -72,3 +73,14 @@
 		expect(current).toBeLessThan(highest);
 	});
 });
+
+// Guards against reports that grow with what callers put into the heads of their requests.
+test('a report of a crash holds a limited number of lost requests and of their segments, with each request as a whole', () => {
+	const lostPrompts = Array.from({length: 500}, (_, index) => [...Array.from({length: 300}, (_ignored, segment) => `${segment}`), `request-${index}`]);
+	const report = createSegmentSuspicion().countRequests('models', lostPrompts);
+	expect(report.requests).toBe(500);
+	expect(report.lostPrompts.length).toBeLessThanOrEqual(64);
+	expect(Math.max(...report.lostPrompts.map(({length}) => length))).toBeLessThanOrEqual(32);
+	expect(report.lostPrompts.every(traits => traits.at(-1)?.startsWith('request-'))).toBe(true);
+	expect(report.suspects.length).toBeLessThanOrEqual(64 + 32);
+});
--- a/packages/core/src/gateway/feed-source.ts
+++ b/packages/core/src/gateway/feed-source.ts
@@ -27,7 +27,7 @@
 }>;
 
 /** Time without a state after which a reader is lost; more than two intervals of its states. */
-export const maximumSilenceMs: Milliseconds = 500;
+const maximumSilenceMs: Milliseconds = 500;
 /** Age of a state from which on its reader is behind, at most and at least; two watches and their responses are in time. */
 const longestStateAgeMs: Milliseconds = 2800;
 const shortestStateAgeMs: Milliseconds = 1900;
--- a/packages/core/src/gateway/segment-suspicion.ts
+++ b/packages/core/src/gateway/segment-suspicion.ts
@@ -139,11 +139,19 @@
 /** Number of completed prompts that show this without the lost requests. */
 const sufficientPrompts = 16;
 const maximumKnownSegments = 50_000;
+/** Number of lost requests in a report, and of traits of each of them; more than servers process at once, and than usual prompts have. */
+const maximumReportedRequests = 64;
+const maximumReportedTraits = 32;
 
 function getKey({service, segment}: ServiceSegment): string {
 	return `${service} ${segment}`;
 }
 
+/** Returns the first traits of a request, and the last one, which is the request as a whole. */
+function getReportedTraits(traits: readonly SegmentId[]): readonly SegmentId[] {
+	return traits.length <= maximumReportedTraits ? traits : [...traits.slice(0, maximumReportedTraits - 1), ...traits.slice(-1)];
+}
+
 /** Counts a crash's lost requests over all reports. */
 function countLostRequests({reports}: Crash, segment: SegmentId): RequestCounts {
 	let total = 0;
@@ -388,7 +396,8 @@
 		recordCompletion(service, segments) {
 			completedPrompts.set(service, [...(completedPrompts.get(service) ?? []).slice(1 - maximumCompletedPrompts), new Set(segments)]);
 		},
-		countRequests(service, lostPrompts) {
+		countRequests(service, allLostPrompts) {
+			const lostPrompts = allLostPrompts.slice(-maximumReportedRequests).map(segments => getReportedTraits(segments));
 			const counts = new Map<SegmentId, number>();
 			for (const segment of lostPrompts.flatMap(segments => [...new Set(segments)])) {
 				counts.set(segment, (counts.get(segment) ?? 0) + 1);
@@ -396,7 +405,7 @@
 
 			const prompts = completedPrompts.get(service) ?? [];
 			return {
-				requests: lostPrompts.length,
+				requests: allLostPrompts.length,
 				lostPrompts,
 				completed: prompts.length,
 				suspects: [...counts].map(([segment, requests]) => ({segment, requests, completed: prompts.filter(prompt => prompt.has(segment)).length})),
