--- a/packages/daemon/src/logger.ts
+++ b/packages/daemon/src/logger.ts
@@ -15,7 +15,7 @@
 		| 'settingsReloaded' | 'settingsRefused' | 'clockJumped' | 'peerFound' | 'peerLost' | 'readinessChanged' | 'linesDropped'
 		| 'orderRefused' | 'orderFailed' | 'serverCrashed' | 'segmentQuarantined' | 'segmentReleased'
 		| 'quarantineNotRecorded' | 'crashesNotRecorded' | 'quarantineNotRemoved' | 'limitChanged'
-		| 'feedSourceChanged' | 'readerLost' | 'readerStateRefused' | 'entryUnusable' | 'loopStalled' | 'requestDropped' | 'sendDelayed';
+		| 'feedSourceChanged' | 'readerLost' | 'followerLost' | 'readerStateRefused' | 'entryUnusable' | 'loopStalled' | 'requestDropped' | 'sendDelayed';
 
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
--- a/packages/gateway/src/work-exchange.ts
+++ b/packages/gateway/src/work-exchange.ts
@@ -96,6 +96,9 @@
 			return [host.self.name, ...relayed].map(gateway => ({gateway, changes: [{kind: 'reset'}, ...host.getSnapshot(gateway)]}));
 		},
 		onRelayingChanged: applyTopology,
+		reportBrokenQueries(subscriber, error) {
+			host.logger.info('followerLost', {peer: subscriber, reason: getErrorText(error)});
+		},
 	});
 
 	function applyWork(source: WorkSource, work: GatewayWork): void {
--- a/packages/gateway/src/work-publisher.ts
+++ b/packages/gateway/src/work-publisher.ts
@@ -14,6 +14,8 @@
 	getSnapshot(scope: ExchangeScope): readonly GatewayWork[];
 	/** Called when `isRelaying` changes. */
 	onRelayingChanged(): void;
+	/** Called when the queries of a subscriber have broken off; it opens another stream. */
+	reportBrokenQueries(subscriber: GatewayName, error: unknown): void;
 }>;
 
 export type WorkPublisher = Readonly<{
@@ -134,8 +136,8 @@
 				subscriber.lastQuery = query;
 				scheduleBatch(subscriber, 0);
 			}
-		} catch {
-			// The stream broke; the subscriber opens another one.
+		} catch (error) {
+			host.reportBrokenQueries(subscriber.request.gateway, error);
 		}
 	}
 
