Find the changes of the list of endpoints once for all followers

Cause: each follower's stream went over the whole list at each reading, still servers times followers after entries were compared by identity.

Change: the feed finds the changes since the list read before; a stream that has told that one sends them, and only others compare the lists. Replaces the comparison by identity.

Test: the changes are found at the reading and name the list that they follow. The list had no such changes before.

--- a/packages/gateway/src/platform-feed.test.ts
+++ b/packages/gateway/src/platform-feed.test.ts
@@ -171,21 +171,23 @@
 	expect(performance.now() - resumedAt).toBeLessThan(500);
 });
 
-// Guards against followers that are told of every endpoint at each reading of the list.
-test('keeps the entries of endpoints that have not changed between two readings of the list', async () => {
+// Guards against work for each follower that grows with the number of endpoints.
+test('finds the changes of the list of endpoints once a reading', async () => {
 	let listCount = 0;
 	const feed = startFeed({
 		async listEndpoints() {
 			listCount += 1;
 			const endpoints = createFixtureEndpoints('models', 3).map((endpoint, index) => index === 1 && listCount > 1 ? {...endpoint, slots: 99} : {...endpoint});
-			return {epoch: 1, items: endpoints, unusable: []};
+			return {epoch: 1, items: listCount === 1 ? endpoints : endpoints.slice(0, 2), unusable: []};
 		},
 	});
-	await waitUntil(() => listCount === 1 && feed.getKnownState().endpoints !== undefined);
-	const before = feed.getKnownState().endpoints?.items ?? [];
-	await waitUntil(() => listCount === 2 && feed.getKnownState().endpoints?.items !== before);
-	const after = feed.getKnownState().endpoints?.items ?? [];
-	expect(after.map((endpoint, index) => endpoint === before[index])).toEqual([true, false, true]);
+	await waitUntil(() => feed.getKnownState().endpoints !== undefined);
+	const before = feed.getKnownState().endpoints;
+	expect(before?.changes.changed.length).toBe(3);
+	await waitUntil(() => feed.getKnownState().endpoints !== before);
+	const after = feed.getKnownState().endpoints;
+	expect(after?.previousItems).toBe(before?.items);
+	expect(after?.changes).toEqual({changed: after?.items.slice(1), removed: before?.items.slice(2).map(({id}) => id)});
 });
 
 // Guards against a key that is accepted for the length of a suspension longer, since the clock stood still while the store was asked.
--- a/packages/gateway/src/platform-feed.ts
+++ b/packages/gateway/src/platform-feed.ts
@@ -19,7 +19,7 @@
 } from './gateway-hosts.js';
 import type {GatewayMetrics} from './metrics.js';
 import type {FollowedState} from './reader-follower.js';
-import type {KnownState} from './state-publisher.js';
+import {createKnownEndpoints, type KnownState} from './state-publisher.js';
 
 export type PlatformFeedHost = Readonly<{
 	platform: PlatformHost;
@@ -92,12 +92,6 @@
 	});
 }
 
-/** Returns whether two entries of an endpoint are the same. */
-function isSameEntry(left: ListedEndpoint, right: ListedEndpoint): boolean {
-	return left.service === right.service && left.address === right.address && left.dataCentre === right.dataCentre && left.slots === right.slots
-		&& left.state === right.state && left.startedAt === right.startedAt;
-}
-
 /** Creates a feed that is not started. */
 export function createPlatformFeed(host: PlatformFeedHost): PlatformFeed {
 	const {platform, logger, metrics} = host;
@@ -254,9 +248,9 @@
 
 	/** Logs and counts the entries of a list that can't be used, each once while it is there. */
 	function reportUnusable(list: string, unusable: readonly UnusableEntry[]): void {
-		const known = unusableNames.get(list);
+		const knownNames = unusableNames.get(list);
 		unusableNames.set(list, new Set(unusable.map(({name}) => name)));
-		const added = unusable.filter(({name}) => known?.has(name) !== true);
+		const added = unusable.filter(({name}) => knownNames?.has(name) !== true);
 		for (const {name, reason} of added) {
 			logger.warn('entryUnusable', {list, name: name.slice(0, maximumLoggedLength), reason: reason.slice(0, maximumLoggedLength)});
 		}
@@ -330,15 +324,6 @@
 		return now - revisionVerifiedAt > maximumRevisionAgeMs || now < staleReadsTrustedAt ? undefined : revision;
 	}
 
-	/** Returns the list with the entries of the last one where they are the same, so that streams tell changes by identity. */
-	function keepUnchanged(endpoints: readonly ListedEndpoint[]): readonly ListedEndpoint[] {
-		const earlier = new Map(known.endpoints?.items.map(endpoint => [endpoint.id, endpoint]));
-		return endpoints.map(endpoint => {
-			const last = earlier.get(endpoint.id);
-			return last !== undefined && isSameEntry(last, endpoint) ? last : endpoint;
-		});
-	}
-
 	/** Applies the list of endpoints, or `undefined` if it could not be read. */
 	function applyEndpoints(endpoints: readonly ListedEndpoint[] | undefined): void {
 		if (endpoints === undefined) {
@@ -346,7 +331,7 @@
 			setKnown({endpointFailures: known.endpointFailures + 1});
 		} else {
 			host.dispatch({kind: 'endpointsListed', endpoints});
-			setKnown({endpoints: {items: keepUnchanged(endpoints)}});
+			setKnown({endpoints: createKnownEndpoints(endpoints, known.endpoints?.items)});
 		}
 	}
 
--- a/packages/gateway/src/reader-follower.test.ts
+++ b/packages/gateway/src/reader-follower.test.ts
@@ -10,7 +10,7 @@
 import {afterEach, expect, test} from 'vitest';
 import type {GatewayRegistration} from './gateway-hosts.js';
 import {createReaderFollower, type FollowedState} from './reader-follower.js';
-import {createStateStream, type KnownState} from './state-publisher.js';
+import {createKnownEndpoints, createStateStream, type KnownState} from './state-publisher.js';
 
 const sharedKey = 'test';
 const logger = {
@@ -82,7 +82,7 @@
 
 function createKnownState(endpoints: readonly ListedEndpoint[], verifiedAt: number): KnownState {
 	return {
-		verifiedAt, revision: {epoch: 1, sequence: 7}, configuration: {source: '{}', writtenAtRevision: 3}, endpoints: {items: endpoints}, endpointFailures: 0, quarantines: {items: []}, gateways: undefined,
+		verifiedAt, revision: {epoch: 1, sequence: 7}, configuration: {source: '{}', writtenAtRevision: 3}, endpoints: createKnownEndpoints(endpoints, undefined), endpointFailures: 0, quarantines: {items: []}, gateways: undefined,
 	};
 }
 
--- a/packages/gateway/src/state-publisher.ts
+++ b/packages/gateway/src/state-publisher.ts
@@ -9,13 +9,16 @@
 import type {EndpointChanges, PlatformState} from '@currantcross/peer/platform-peers';
 import type {GatewayRegistration, Revision} from './gateway-hosts.js';
 
+/** A list of endpoints, and what has changed since the one read before, so that it is found once and not for each stream. */
+export type KnownEndpoints = Readonly<{items: readonly ListedEndpoint[]; previousItems: readonly ListedEndpoint[] | undefined; changes: EndpointChanges}>;
+
 /** What this gateway knows of the platform, from the store or from its reader. Each reading of a list makes a new object. */
 export type KnownState = Readonly<{
 	/** When all of it was current; infinitely long ago if that isn't known. */
 	verifiedAt: Timestamp;
 	revision: Revision | undefined;
 	configuration: Readonly<{source: string; writtenAtRevision: number | undefined}> | undefined;
-	endpoints: Readonly<{items: readonly ListedEndpoint[]}> | undefined;
+	endpoints: KnownEndpoints | undefined;
 	/** Number of times that the list of endpoints could not be read. */
 	endpointFailures: number;
 	quarantines: Readonly<{items: readonly QuarantineRecord[]}> | undefined;
@@ -25,7 +28,7 @@
 export type StatePublisherHost = Readonly<{
 	/** Returns what is known, after a check whether this process was suspended. */
 	getKnownState(): KnownState;
-	/** Calls the function at each change but that of the time alone. Returns the function that ends this. */
+	/** Calls the function at each change, also of the time alone. Returns the function that ends this. */
 	observeChanges(handleChange: () => void): () => void;
 }>;
 
@@ -39,24 +42,32 @@
 	endpointFailures: number;
 	quarantines: KnownState['quarantines'];
 	gateways: KnownState['gateways'];
-	/** The endpoints that were told, by id. An entry that has not changed is the same object in each list. */
-	readonly toldEndpoints: Map<string, ListedEndpoint>;
 };
 
-/** Returns the changes since what was told, and records them as told. */
-function takeEndpointChanges(told: Map<string, ListedEndpoint>, endpoints: readonly ListedEndpoint[]): EndpointChanges {
-	const changed = endpoints.filter(endpoint => told.get(endpoint.id) !== endpoint);
-	for (const endpoint of changed) {
-		told.set(endpoint.id, endpoint);
-	}
+function isSameEntry(left: ListedEndpoint, right: ListedEndpoint): boolean {
+	return left.service === right.service && left.address === right.address && left.dataCentre === right.dataCentre && left.slots === right.slots
+		&& left.state === right.state && left.startedAt === right.startedAt;
+}
 
-	const ids = new Set(endpoints.map(({id}) => id));
-	const removed = [...told.keys()].filter(id => !ids.has(id));
-	for (const id of removed) {
-		told.delete(id);
-	}
+/** Returns the entries of a list that are new or other than in an earlier one, and the ids that it lacks. */
+function getChanges(earlier: readonly ListedEndpoint[], items: readonly ListedEndpoint[]): EndpointChanges {
+	const earlierById = new Map(earlier.map(endpoint => [endpoint.id, endpoint]));
+	const changed = items.filter(endpoint => {
+		const last = earlierById.get(endpoint.id);
+		return last === undefined || !isSameEntry(last, endpoint);
+	});
+	const ids = new Set(items.map(({id}) => id));
+	return {changed, removed: earlier.map(({id}) => id).filter(id => !ids.has(id))};
+}
+
+/** Creates the known endpoints from a list and the one read before. */
+export function createKnownEndpoints(items: readonly ListedEndpoint[], previousItems: readonly ListedEndpoint[] | undefined): KnownEndpoints {
+	return {items, previousItems, changes: getChanges(previousItems ?? [], items)};
+}
 
-	return {changed, removed};
+/** Returns the changes since what was told; those since the list read before are known. */
+function getUntoldChanges(told: readonly ListedEndpoint[] | undefined, {items, previousItems, changes}: KnownEndpoints): EndpointChanges {
+	return told === previousItems ? changes : getChanges(told ?? [], items);
 }
 
 /** Returns the state that follows what a stream has told, and records it as told. */
@@ -65,7 +76,7 @@
 		verifiedAfterMs: known.verifiedAt - openedAt,
 		revision,
 		configuration: known.configuration === cursor.configuration ? undefined : known.configuration,
-		endpoints: known.endpoints === undefined || known.endpoints === cursor.endpoints ? undefined : takeEndpointChanges(cursor.toldEndpoints, known.endpoints.items),
+		endpoints: known.endpoints === undefined || known.endpoints === cursor.endpoints ? undefined : getUntoldChanges(cursor.endpoints?.items, known.endpoints),
 		hasEndpointFailure: known.endpointFailures !== cursor.endpointFailures,
 		quarantines: known.quarantines === cursor.quarantines ? undefined : known.quarantines?.items,
 		gateways: known.gateways === cursor.gateways ? undefined : known.gateways?.items,
@@ -83,7 +94,7 @@
 	async function * streamState(_: GatewayName, signal: AbortSignal): AsyncGenerator<PlatformState> {
 		const openedAt = performance.now();
 		const cursor: Cursor = {
-			configuration: undefined, endpoints: undefined, endpointFailures: host.getKnownState().endpointFailures, quarantines: undefined, gateways: undefined, toldEndpoints: new Map(),
+			configuration: undefined, endpoints: undefined, endpointFailures: host.getKnownState().endpointFailures, quarantines: undefined, gateways: undefined,
 		};
 		while (!signal.aborted) {
 			const known = host.getKnownState();
