Name the wait for news by its verb, and correct two comments on evidence

`findPendingNews` always gave a promise and is `waitForNews` now. The stated chance of blaming a sound suspect was one in a thousand in a comment and one in 50 in the code and its test: one in 50 holds. Repeats of a request say little about its segments, not nothing. A test's wait that was always over at once is gone; what it guarded is checked by the lines after it.

--- a/packages/core/src/gateway/crash-evidence.ts
+++ b/packages/core/src/gateway/crash-evidence.ts
@@ -19,7 +19,7 @@
 */
 export type CrashIndication = Readonly<{kind: 'hit'; at: Timestamp; chance: number; request: string} | {kind: 'miss'; at: Timestamp}>;
 
-/** Evidence from which on a trait is taken for a cause. A sound one reaches it with a probability of one in a thousand at most. */
+/** Evidence from which on a trait is taken for a cause. A sound one reaches it with a probability of one in 50 at most, as far as the chances are right. */
 export const conclusiveEvidence = 50;
 /** Evidence down to which a trait that was taken for a cause remains so. */
 export const sustainedEvidence = 10;
--- a/packages/core/src/gateway/segment-suspicion.ts
+++ b/packages/core/src/gateway/segment-suspicion.ts
@@ -6,9 +6,9 @@
 `crash-evidence.ts`, given how common they are among completed prompts.
 
 A request as a whole counts as one more segment, which its repeats share. A request that was lost is sent again, and often to the
-same server as others that were lost with it. Its repeats therefore say nothing about the segments of its prompt, and of requests
-that are lost together none is taken for the cause until one of them is lost without the others, or all have come more often than
-sound ones do.
+same server as others that were lost with it. Its repeats therefore say little about the segments of its prompt, and nothing once it is
+known to crash servers by itself. Of requests that are lost together none is taken for the cause until one of them is lost without the
+others, or all have come more often than sound ones do.
 */
 import {LRUCache} from 'lru-cache';
 import type {Milliseconds, Timestamp} from '../types.js';
--- a/packages/gateway/src/caller-server.test.ts
+++ b/packages/gateway/src/caller-server.test.ts
@@ -40,7 +40,7 @@
 		isDraining: () => false,
 		checkHead: () => undefined,
 		handleRequest,
-		findPendingNews: () => undefined,
+		waitForNews: async () => undefined,
 		getUnreadMs: () => 0,
 		recordRefusal: () => undefined,
 		recordDeparture: () => undefined,
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -21,8 +21,8 @@
 	isDraining(): boolean;
 	/** Checks a request by its head, before the body is read. Returns the failure if the request is refused. */
 	checkHead(message: IncomingMessage, head: CallerHead): Failure | undefined;
-	/** Returns a promise for what is to be known before a request is handled, or `undefined` if it is known. */
-	findPendingNews(): Promise<void> | undefined;
+	/** Waits, for a moment at most, until what is to be known before a request is handled is known. */
+	waitForNews(): Promise<void>;
 	/** Handles a received request. Returns the function to call if the caller disconnects before the response is complete. */
 	handleRequest(exchange: CallerExchange, arrival: RequestArrival): () => void;
 	/** Returns the longest time that data which is read now can have waited. */
@@ -157,7 +157,7 @@
 	/** Begins a request whose body has arrived, once the news that its placement needs are known. */
 	async function receiveExchange(exchange: CallerExchange, response: ServerResponse, {arrival, endPending}: Readonly<{arrival: RequestArrival; endPending: () => boolean}>): Promise<void> {
 		const {head, hasCallerLeft} = exchange;
-		await host.findPendingNews();
+		await host.waitForNews();
 		intake.receive({
 			unreadMs: arrival.unreadMs,
 			hasCallerLeft,
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -263,7 +263,7 @@
 			const grantOrFailure = checkRoute(message, head);
 			return 'route' in grantOrFailure ? undefined : grantOrFailure;
 		},
-		findPendingNews: workExchange.findPendingNews,
+		waitForNews: workExchange.waitForNews,
 		handleRequest,
 		recordDeparture,
 		getUnreadMs: loopMonitor.getUnreadMs,
--- a/packages/gateway/src/relay-queries.ts
+++ b/packages/gateway/src/relay-queries.ts
@@ -20,8 +20,8 @@
 	numbers: WorkQueries;
 	/** Records a batch and the last query that it answers. */
 	recordBatch(answeredQuery: number): void;
-	/** Returns a promise that resolves when the news up to now have arrived or are late, or `undefined` if they are known. */
-	findPendingNews(): Promise<void> | undefined;
+	/** Waits until the news up to now have arrived or are late. */
+	waitForNews(): Promise<void>;
 	/** Ends the queries and all waits. */
 	close(): void;
 }>;
@@ -96,10 +96,10 @@
 				end();
 			}
 		},
-		async findPendingNews() {
+		async waitForNews() {
 			const now = performance.now();
 			if (closing.signal.aborted || now < pausedUntil || now - newsAt < freshMs) {
-				return undefined;
+				return;
 			}
 
 			if (pendingQuery === undefined) {
@@ -108,7 +108,7 @@
 				wakeSender?.();
 			}
 
-			return pendingQuery.news;
+			await pendingQuery.news;
 		},
 		close() {
 			closing.abort();
--- a/packages/gateway/src/work-exchange.test.ts
+++ b/packages/gateway/src/work-exchange.test.ts
@@ -245,15 +245,14 @@
 	test('know all that the relay knows when they ask for it', async () => {
 		const peers = await startFollowers();
 		const [relay, , follower] = peers;
-		await waitUntil(() => follower?.exchange.findPendingNews() !== undefined);
-		await follower?.exchange.findPendingNews();
+		await follower?.exchange.waitForNews();
 		relay?.publish(createStartedChange(7));
 		// Longer than an answer counts as the latest news.
 		await new Promise(resolve => {
 			setTimeout(resolve, 15);
 		});
 		expect(follower?.getOpenIds('a-0')).toEqual([]);
-		await follower?.exchange.findPendingNews();
+		await follower?.exchange.waitForNews();
 		expect(follower?.getOpenIds('a-0')).toEqual([7]);
 		expect(follower?.getQueryOutcomes()).not.toContain('late');
 	});
@@ -274,7 +273,7 @@
 		const [relay, , follower] = peers;
 		await relay?.stop();
 		const askedAt = performance.now();
-		await follower?.exchange.findPendingNews();
+		await follower?.exchange.waitForNews();
 		expect(performance.now() - askedAt).toBeLessThan(150);
 	});
 });
--- a/packages/gateway/src/work-exchange.ts
+++ b/packages/gateway/src/work-exchange.ts
@@ -28,8 +28,8 @@
 }>;
 
 export type WorkExchange = Pick<GatewayServiceHost, 'streamWork'> & Readonly<{
-	/** Returns a promise that resolves when the latest news of the other gateways have arrived or are late, or `undefined` if they are known. */
-	findPendingNews(): Promise<void> | undefined;
+	/** Waits until the latest news of the other gateways have arrived or are late. */
+	waitForNews(): Promise<void>;
 	/** Streams a change to this gateway's own work, or what else it learns. */
 	publish(change: PeerChange): void;
 	/** Sets the other gateways of the deployment. */
@@ -266,7 +266,9 @@
 
 	return {
 		streamWork: publisher.streamWork,
-		findPendingNews: async () => relayQueries?.findPendingNews(),
+		async waitForNews() {
+			await relayQueries?.waitForNews();
+		},
 		publish(change) {
 			publisher.publish({gateway: host.self.name, changes: [change]}, ownScopes);
 		},
