Fail an undelimited response whose reset arrives with its last bytes

Cause: a response with neither a length nor chunks ends with its connection, and only the socket's `error` event told a reset from a close. If the last bytes and the reset are read in the same turn, libuv reads the bytes, sees the hang-up of the same poll and reports the end of the stream without reading the error, so that there is no `error` event.

Evidence: the new tests write and reset at once. On the code before, the undelimited response fails them ({kind: 'ended', text: 'hal'} in the first trial); a length and chunks held already, with `Connection: close` too, since the parser knows that they are incomplete.

Change: at `end` the operating system is asked for the peer's address, which a connection that was reset no longer has. The detection moves into a module of its own, packages/endpoint/src/reset-detector.ts, for other clients.

Ruled out: the `error` handler coming too late (in these cases no such event comes at all).

--- /dev/null
+++ b/packages/endpoint/src/reset-detector.ts
@@ -0,0 +1,50 @@
+/**
+Tells a connection that is reset from one that its peer closes. A response with neither a length nor chunks ends with its connection,
+and undici ends it as complete in both cases.
+
+A reset is reported by an `error` event, but for one that is read in the same turn as the last bytes: the runtime then reports an
+ordinary `end`. Only the operating system still knows, and has no peer's address for the connection.
+*/
+import process from 'node:process';
+import {buildConnector} from 'undici';
+
+export type ResetDetector = Readonly<{
+	/** Opens connections whose resets are detected. */
+	connect: buildConnector.connector;
+	/** Returns whether the response that ends at this moment is ended by a reset of its connection. */
+	isHandlingReset(): boolean;
+}>;
+
+/** Creates a detector for the connections of one client. */
+export function createResetDetector(options: buildConnector.BuildOptions): ResetDetector {
+	const connect = buildConnector(options);
+	let isHandlingReset = false;
+
+	/** Responses end synchronously while undici handles the events of their socket. */
+	function recordReset(): void {
+		isHandlingReset = true;
+		process.nextTick(() => {
+			isHandlingReset = false;
+		});
+	}
+
+	return {
+		connect(connectOptions, callback) {
+			connect(connectOptions, (...[error, socket]) => {
+				if (error !== null) {
+					callback(error, socket);
+					return;
+				}
+
+				socket.on('error', recordReset);
+				socket.on('end', () => {
+					if (socket.remoteAddress === undefined) {
+						recordReset();
+					}
+				});
+				callback(error, socket);
+			});
+		},
+		isHandlingReset: () => isHandlingReset,
+	};
+}
--- a/packages/gateway/src/endpoint-client.test.ts
+++ b/packages/gateway/src/endpoint-client.test.ts
@@ -83,9 +83,28 @@
 	expect(await sendRequest(createClient(), address)).toEqual({kind: 'failed', wasSent: true});
 });
 
-test('fails a chunked response when the connection closes before the last chunk', async () => {
+// Guards against a part of a response that is passed on as whole, since its reset is read in the same turn as its last bytes.
+test.each([
+	['undelimited', 'Connection: close\r\n\r\nhal'],
+	['with a length', 'Connection: close\r\nContent-Length: 5\r\n\r\nhal'],
+	['chunked', 'Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhal\r\n'],
+])('fails a response (%s) whose last bytes arrive together with a reset', async (_framing, rest) => {
 	const address = await startEndpoint(socket => {
-		socket.end('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhal\r\n');
+		socket.write(`HTTP/1.1 200 OK\r\n${rest}`, () => {
+			socket.resetAndDestroy();
+		});
+	});
+	const client = createClient();
+	// Whether the two arrive together varies.
+	for (let trial = 0; trial < 20; trial += 1) {
+		// eslint-disable-next-line no-await-in-loop
+		expect(await sendRequest(client, address)).toEqual({kind: 'failed', wasSent: true});
+	}
+});
+
+test.each(['', 'Connection: close\r\n'])('fails a chunked response when the connection closes before the last chunk (%j)', async header => {
+	const address = await startEndpoint(socket => {
+		socket.end(`HTTP/1.1 200 OK\r\n${header}Transfer-Encoding: chunked\r\n\r\n3\r\nhal\r\n`);
 	});
 	expect(await sendRequest(createClient(), address)).toEqual({kind: 'failed', wasSent: true});
 });
--- a/packages/gateway/src/endpoint-client.ts
+++ b/packages/gateway/src/endpoint-client.ts
@@ -3,13 +3,11 @@
 */
 import {Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders} from 'node:http';
-import process from 'node:process';
 import {getErrorText} from '@currantcross/core/error-text';
 import type {RawHeaders} from '@currantcross/core/gateway/gateway-types';
 import type {SendId} from '@currantcross/core/gateway/gateway-events';
-import {
-	buildConnector, type Dispatcher, errors, Pool,
-} from 'undici';
+import {createResetDetector} from '@currantcross/endpoint/reset-detector';
+import {type Dispatcher, errors, Pool} from 'undici';
 import VError from 'verror';
 import type {ControlRequest} from './gateway-hosts.js';
 
@@ -119,35 +117,13 @@
 export function createEndpointClient(host: EndpointClientHost): EndpointClient {
 	const pools = new Map<string, Pool>();
 	const openSends = new Map<SendId, OpenSend>();
-	const connect = buildConnector({
+	const resetDetector = createResetDetector({
 		timeout: connectTimeoutMs, keepAlive: true, keepAliveInitialDelay: 1000, autoSelectFamily: false,
 	});
-	let isHandlingReset = false;
-
-	/**
-	Opens a connection and sets `isHandlingReset` while one of its socket errors is handled: undici ends an undelimited
-	response on a reset as if it were complete, and `onResponseEnd` must report a failure instead.
-	*/
-	function openConnection(options: buildConnector.Options, callback: buildConnector.Callback): void {
-		connect(options, (...[error, socket]) => {
-			if (error !== null) {
-				callback(error, socket);
-				return;
-			}
-
-			socket.on('error', () => {
-				isHandlingReset = true;
-				process.nextTick(() => {
-					isHandlingReset = false;
-				});
-			});
-			callback(error, socket);
-		});
-	}
 
 	function getPool(address: string): Pool {
 		const pool = pools.get(address) ?? new Pool(`http://${address}`, {
-			connect: openConnection,
+			connect: resetDetector.connect,
 			keepAliveTimeout: keepAliveTimeoutMs,
 			keepAliveTimeoutThreshold: keepAliveMarginMs,
 			headersTimeout: 0,
@@ -204,7 +180,7 @@
 					return;
 				}
 
-				if (isHandlingReset) {
+				if (resetDetector.isHandlingReset()) {
 					listener.onFailure(true, 'ECONNRESET');
 				} else {
 					listener.onEnd();
