Fail a business service's undelimited response when its connection is reset

What callers saw: an entry passed on a part of a service's response as the whole one after the service's connection was reset.

Cause: as in the gateway's client: undici ends a response with neither a length nor chunks as complete on a reset, and the agent's client had no detection.

Change: the client's connections are watched by the reset detector, and an interceptor fails each response that a reset ends, with `ran: 'unknown'`.

Model servers need no such detection, since their streams have an end marker.

--- a/packages/endpoint/src/business-service.ts
+++ b/packages/endpoint/src/business-service.ts
@@ -6,6 +6,7 @@
 	Milliseconds, Ran, ServiceAnswer, ServiceWork,
 } from '@currantcross/core/types';
 import {Agent, request, type Dispatcher} from 'undici';
+import {createResetDetector, createResetInterceptor} from './reset-detector.js';
 
 /** Outcome of a call; on failure, `ran` says whether the service may have run it. */
 export type ServiceCallOutcome
@@ -40,7 +41,8 @@
 /** Creates the client of the service at a URL. */
 export function createBusinessServiceClient(url: string): BusinessServiceClient {
 	// Connections are not reused: a call that fails on a stale connection can't be told from a call that ran.
-	const dispatcher = new Agent({pipelining: 0, keepAliveTimeout: 1});
+	const resetDetector = createResetDetector({});
+	const dispatcher = new Agent({pipelining: 0, keepAliveTimeout: 1, connect: resetDetector.connect}).compose(createResetInterceptor(resetDetector));
 
 	return {
 		async call(work, timeoutMs) {
--- a/packages/endpoint/src/reset-detector.ts
+++ b/packages/endpoint/src/reset-detector.ts
@@ -6,7 +6,7 @@
 ordinary `end`. Only the operating system still knows, and has no peer's address for the connection.
 */
 import process from 'node:process';
-import {buildConnector} from 'undici';
+import {buildConnector, errors, type Dispatcher} from 'undici';
 
 export type ResetDetector = Readonly<{
 	/** Opens connections whose resets are detected. */
@@ -48,3 +48,28 @@
 		isHandlingReset: () => isHandlingReset,
 	};
 }
+
+/** Creates an interceptor for a client with these connections, which fails each response that a reset ends. */
+export function createResetInterceptor({isHandlingReset}: ResetDetector): Dispatcher.DispatcherComposeInterceptor {
+	return dispatch => (options, handler) => dispatch(options, {
+		onRequestStart(controller, context) {
+			handler.onRequestStart?.(controller, context);
+		},
+		onResponseStart(controller, statusCode, headers, statusMessage) {
+			handler.onResponseStart?.(controller, statusCode, headers, statusMessage);
+		},
+		onResponseData(controller, chunk) {
+			handler.onResponseData?.(controller, chunk);
+		},
+		onResponseEnd(controller, trailers) {
+			if (isHandlingReset()) {
+				handler.onResponseError?.(controller, new errors.SocketError('the connection was reset'));
+			} else {
+				handler.onResponseEnd?.(controller, trailers);
+			}
+		},
+		onResponseError(controller, error) {
+			handler.onResponseError?.(controller, error);
+		},
+	});
+}
