Send streams in chunks, so that one that is broken off never looks complete

Cause: a stream with neither a length nor chunks was forwarded as such, so that the closing of the connection was the only mark of its end, whatever closed it.

Change: streams are sent in chunks, the last one only after the server's end. A stream that is resumed at an undelimited server is complete when that closes the connection after an event.

Ruled out: a reset alone at the end of the grace period, since the process may be killed.

--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -103,7 +103,6 @@
 	/** Failure of the last send, kept while the next one is deferred. */
 	let deferredFailure: Failure | undefined;
 	let hasStartedResponse = false;
-	let isStartedResponseUndelimited = false;
 	let {lastEventId} = request;
 	let firstEventAt: Timestamp | undefined;
 	let previousEventAt: Timestamp | undefined;
@@ -463,15 +462,18 @@
 		return actions;
 	}
 
+	/**
+	Starts a stream, in chunks however the endpoint delimits its own: events are forwarded as they arrive, and what ends in between,
+	the gateway's process too, must not look like the end of the stream.
+	*/
 	function startStream(head: EndpointResponseHead): readonly GatewayAction[] {
 		if (hasStartedResponse) {
 			return [];
 		}
 
 		hasStartedResponse = true;
-		isStartedResponseUndelimited = head.isUndelimited;
 		return [{
-			kind: 'startResponse', key: request.key, status: head.status, headers: head.headers, isUndelimited: head.isUndelimited,
+			kind: 'startResponse', key: request.key, status: head.status, headers: head.headers, isUndelimited: false,
 		}];
 	}
 
@@ -518,13 +520,8 @@
 			return handleLostSend('broken', 'the stream ended inside an event', now);
 		}
 
-		const actions = [...closeSend('answered', `status ${head.status}`, now), ...recordCompletion(head, now), ...startStream(head)];
-		if (head.isUndelimited && !isStartedResponseUndelimited) {
-			return [...actions, ...endWithFailure(createFailure('serverLost', 'the stream has no certain end'))];
-		}
-
 		hasEnded = true;
-		return [...actions, createEndAction(head.status)];
+		return [...closeSend('answered', `status ${head.status}`, now), ...recordCompletion(head, now), ...startStream(head), createEndAction(head.status)];
 	}
 
 	/** Retries after an error status. The endpoint isn't penalised, since the request itself is often the cause. */
--- a/packages/core/src/gateway/gateway-events.ts
+++ b/packages/core/src/gateway/gateway-events.ts
@@ -61,7 +61,7 @@
 		key: RequestKey;
 		status: number;
 		headers: RawHeaders;
-		/** Whether the body is delimited by connection close alone. */
+		/** Whether the body is delimited by connection close alone; that of a stream never is. */
 		isUndelimited: boolean;
 	}>
 	| Readonly<{kind: 'writeResponse'; key: RequestKey; bytes: Uint8Array}>
--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -12,7 +12,7 @@
 
 /**
 The head of a response. An undelimited body, which has neither a length nor chunks, is forwarded as it is and ends with the
-connection, since only its sender knows where it ends.
+connection, since only its sender knows where it ends. A body that is neither undelimited nor has a length is sent in chunks.
 */
 export type ResponseHead = Readonly<{status: number; headers: RawHeaders; isUndelimited: boolean}>;
 
@@ -23,7 +23,7 @@
 	startResponse(head: ResponseHead): void;
 	write(bytes: Uint8Array): void;
 	end(): void;
-	/** Destroys the connection, so that the caller does not take a partial response for a complete one. */
+	/** Destroys the connection, so that the caller does not take a partial response for a complete one: by a reset if closing it would end the response. */
 	breakConnection(): void;
 	/** Sends an error response, or destroys the connection where a response has started. */
 	fail(failure: Failure): void;
@@ -82,6 +82,15 @@
 		response.writeHead(status);
 	}
 
+	function breakConnection(): void {
+		if (response.chunkedEncoding || response.hasHeader('content-length')) {
+			message.socket.destroy();
+		} else {
+			// The response is undelimited, as a stream to an HTTP/1.0 caller is, too.
+			message.socket.resetAndDestroy();
+		}
+	}
+
 	return {
 		...request,
 		hasCallerLeft: () => response.destroyed || message.socket.destroyed || message.socket.readableEnded,
@@ -101,18 +110,17 @@
 			response.end();
 			if (!response.writableFinished) {
 				message.socket.setTimeout(host.getIdleTimeoutMs());
+				response.once('timeout', breakConnection);
 				// Runs before the server sets its own timeout for idle connections.
 				response.prependOnceListener('finish', () => {
 					message.socket.setTimeout(0);
 				});
 			}
 		},
-		breakConnection() {
-			message.socket.destroy();
-		},
+		breakConnection,
 		fail(failure) {
 			if (response.headersSent || response.destroyed) {
-				message.socket.destroy();
+				breakConnection();
 				return;
 			}
 
--- a/packages/gateway/src/caller-server.test.ts
+++ b/packages/gateway/src/caller-server.test.ts
@@ -28,6 +28,14 @@
 	return () => undefined;
 };
 
+/** Answers a request at once with as many bytes that have neither a length nor chunks. */
+const answerUndelimited: RequestHandler = exchange => {
+	exchange.startResponse({status: 200, headers: [], isUndelimited: true});
+	exchange.write(Buffer.alloc(responseBytes));
+	exchange.end();
+	return () => undefined;
+};
+
 async function startServer(handleRequest: RequestHandler = answerAtOnce): Promise<CallerServer> {
 	const wireFormat: Pick<WireFormat, 'parseCallerHead' | 'formatFailureHead'> = {
 		parseCallerHead: () => ({
@@ -75,6 +83,29 @@
 	expect(await readAfter(port, 5 * idleTimeoutMs)).toBeLessThan(responseBytes);
 });
 
+// Guards against a part of an undelimited response that looks complete, since the connection is closed and not reset.
+test.each(['idle timeout', 'close of the server'] as const)('resets the connection of an undelimited response that is not delivered by the %s', async cause => {
+	const {port, close} = await startServer(answerUndelimited);
+	const socket = net.connect(port, '127.0.0.1');
+	socket.write('GET / HTTP/1.1\r\nHost: a.example\r\n\r\n');
+	await new Promise(resolve => {
+		setTimeout(resolve, cause === 'idle timeout' ? 5 * idleTimeoutMs : idleTimeoutMs / 2);
+	});
+	if (cause === 'close of the server') {
+		close();
+	}
+
+	const end = await new Promise(resolve => {
+		socket.on('error', () => {
+			resolve('reset');
+		}).once('end', () => {
+			// A reset that is read together with the last bytes is reported as an end.
+			resolve(socket.remoteAddress === undefined ? 'reset' : 'closed');
+		}).resume();
+	});
+	expect(end).toBe('reset');
+});
+
 test('delivers a complete response to a caller that pauses for less than the idle timeout', async () => {
 	const {port} = await startServer();
 	expect(await readAfter(port, idleTimeoutMs / 4)).toBeGreaterThan(responseBytes);
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -88,6 +88,8 @@
 	const intake = createIntakeRunner();
 	let maximumBodyBytes = defaultMaximumBodyBytes;
 	let idleTimeoutMs = defaultIdleTimeoutMs;
+	/** Requests that are begun and whose responses are not delivered. */
+	const openExchanges = new Set<CallerExchange>();
 	/** Functions that refuse the requests that are not begun. */
 	const pendingRequests = new Set<(failure: Failure) => void>();
 	const exchangeHost = {
@@ -180,9 +182,11 @@
 
 	function startRequest(exchange: CallerExchange, response: ServerResponse, arrival: RequestArrival): void {
 		const {socket} = exchange.message;
+		openExchanges.add(exchange);
 		const notifyDisconnect = host.handleRequest(exchange, arrival);
 		let isClosed = false;
 		const handleClose = (): void => {
+			openExchanges.delete(exchange);
 			socket.off('close', handleClose);
 			if (!isClosed && !response.writableFinished) {
 				notifyDisconnect();
@@ -221,6 +225,10 @@
 			}
 		},
 		close() {
+			for (const exchange of openExchanges) {
+				exchange.breakConnection();
+			}
+
 			server.close();
 			server.closeAllConnections();
 		},
