Let single requests through that tell quarantined segments apart

Cause: both segments are in all lost prompts, so both are taken for causes, and only a completed response to a prompt with the sound one could have cleared it, which the quarantine itself prevented.

Change: a request that lacks a segment which the crashes don't tell apart from its quarantined ones is sent, one at a time over all gateways, which tell each other. The check of simulations compares requests of the same first segment too.

Ruled out: sparing one of several likely causes by chance, since it may be the one.

--- a/packages/core/src/gateway/fleet-checks.ts
+++ b/packages/core/src/gateway/fleet-checks.ts
@@ -36,8 +36,17 @@
 	return records.filter(({hasBegun}) => hasBegun).length / records.length;
 }
 
-/** Returns whether sound requests begin less than half as often, while requests with the segment still come, as before the first crash. */
-function isSoundTrafficLost(result: FleetResult, segment: SegmentId): boolean {
+/** Returns the first segments of the prompts with a crash segment. */
+function getFirstSegments({records, crashSegments}: FleetResult, crashSegment: SegmentId): readonly SegmentId[] {
+	const first = records.filter(({segments}) => segments.includes(crashSegment)).flatMap(({segments}) => segments.slice(0, 1));
+	return [...new Set(first)].filter(segment => !crashSegments.includes(segment));
+}
+
+/**
+Returns whether sound requests, of all or of those with the same first segment, begin less than half as often, while requests with the crash
+segment still come, as before the first crash.
+*/
+function isSoundTrafficLost(result: FleetResult, segment: SegmentId, firstSegment?: SegmentId): boolean {
 	const crashTimes = getCrashTimes(result, segment);
 	const lastCrashAt = crashTimes[boundedCrashNumber - 1] ?? crashTimes.at(-1);
 	if (lastCrashAt === undefined) {
@@ -47,7 +56,8 @@
 	const firstCrashAt = result.crashes[0]?.at ?? 0;
 	const lastRequestAt = result.records.findLast(({segments}) => segments.includes(segment))?.sentAt ?? 0;
 	const soundRecords = result.records.filter(({segments, isRepeat, gatewayIndex, sentAt}) =>
-		!isRepeat && !segments.some(other => result.crashSegments.includes(other)) && result.isInTouch(gatewayIndex, sentAt));
+		!isRepeat && !segments.some(other => result.crashSegments.includes(other)) && (firstSegment === undefined || segments[0] === firstSegment)
+		&& result.isInTouch(gatewayIndex, sentAt));
 	const compared = soundRecords.filter(({sentAt}) => sentAt > lastCrashAt + (2 * stableWindowMs) && sentAt < lastRequestAt);
 	const usual = soundRecords.filter(({sentAt}) => sentAt < firstCrashAt - stableWindowMs);
 	return compared.length >= minimumComparedRequests && usual.length >= minimumComparedRequests
@@ -89,6 +99,8 @@
 		return [
 			...(lateArrivals > maximumLateArrivals ? [`${lateArrivals} requests with ${segment} reached servers after the bound`] : []),
 			...(isSoundTrafficLost(result, segment) ? [`sound requests began less than half as often beside ${segment}`] : []),
+			...getFirstSegments(result, segment).filter(first => isSoundTrafficLost(result, segment, first))
+				.map(first => `sound requests with ${first} began less than half as often beside ${segment}`),
 		];
 	});
 }
--- a/packages/core/src/gateway/fleet-properties.test.ts
+++ b/packages/core/src/gateway/fleet-properties.test.ts
@@ -85,6 +85,30 @@
 		}))).toEqual([]);
 	});
 
+	// Guards against a sound first segment that stays quarantined with the crash segment, since all lost prompts contain both.
+	test.each([
+		[7, 1.5], [15, 1.5], [7, 3], [7, 8], [15, 8],
+	])('serve sound requests with a first segment that all lost prompts share, at a gateway that has lost none (seed %i, %f a second)', (seed, perSecond) => {
+		expect(findCrashViolations(runFleetScenario({
+			seed,
+			gatewayCount: 3,
+			soundPerSecond,
+			limits: [],
+			crashSegments: [],
+			disruptions: [],
+			requestsEndAt: 90_000,
+			flowCrashSegments: ['crash-flow'],
+			fixedFlows: [
+				{
+					startsAt: 0, perSecond: 0.7, segments: ['organisation'], gatewayIndexes: [0],
+				},
+				{
+					startsAt: 43_000, perSecond, segments: ['organisation', 'crash-flow'], gatewayIndexes: [1, 2],
+				},
+			],
+		}))).toEqual([]);
+	});
+
 	// Guards against a rare crash segment whose crashes are all attributed to a frequent one, until that one is quarantined.
 	test('stop sending requests with a rare segment that crashes servers beside a frequent one', () => {
 		expect(findCrashViolations(runFleetScenario({
--- a/packages/core/src/gateway/fleet-simulation.ts
+++ b/packages/core/src/gateway/fleet-simulation.ts
@@ -20,6 +20,9 @@
 /** Callers send the same request, which crashes servers, `perSecond` times from `startsAt` on. It has a prompt with shared segments, or none. */
 export type CrashRequest = Readonly<{startsAt: Timestamp; perSecond: number; hasPrompt: boolean}>;
 
+/** Callers send requests whose prompts have these segments at fixed gateways, as over connections that they keep. */
+export type FixedFlow = Readonly<{startsAt: Timestamp; perSecond: number; segments: readonly SegmentId[]; gatewayIndexes: readonly number[]}>;
+
 export type FleetDisruption = Readonly<{
 	/** `restoreStore` lets the store go back to what it held `durationMs` before. */
 	kind: 'restart' | 'cutFromPeers' | 'cutFromStore' | 'restoreStore';
@@ -35,10 +38,14 @@
 	soundPerSecond: number;
 	crashSegments: readonly CrashSegment[];
 	crashRequests?: readonly CrashRequest[];
+	fixedFlows?: readonly FixedFlow[];
+	/** Further segments that crash servers, in prompts of the fixed flows. */
+	flowCrashSegments?: readonly SegmentId[];
 	/** Servers that are ended from outside. */
 	kills?: ReadonlyArray<Readonly<{at: Timestamp; serverIndex: number}>>;
 	limits: readonly ServerLimit[];
 	disruptions: readonly FleetDisruption[];
+	requestsEndAt?: Timestamp;
 }>;
 
 /** What the caller and the servers of a request observed. */
@@ -77,9 +84,10 @@
 
 /** Time for which a gateway must have run and reached the store before bounds apply to it. */
 export const stableWindowMs: Milliseconds = 3000;
-/** End of the requests; the last ones end within the rest of the simulation. */
-const requestsEndAt: Timestamp = 28_000;
-const simulationEndAt: Timestamp = 32_000;
+/** End of the requests, unless the scenario has another. */
+const usualRequestsEndAt: Timestamp = 28_000;
+/** Time after that, in which the last requests end. */
+const lastRequestsMs: Milliseconds = 4000;
 const sharedSegmentCount = 8;
 const exchangeDelayMs: Milliseconds = 20;
 /** Time after which gateways notice that a stream between them is cut. */
@@ -123,9 +131,9 @@
 }
 
 /** Returns random times at a mean rate, in order. */
-function drawTimes(random: Random, from: Timestamp, perSecond: number): readonly Timestamp[] {
+function drawTimes(random: Random, {startsAt, perSecond}: Readonly<{startsAt: Timestamp; perSecond: number}>, endsAt: Timestamp): readonly Timestamp[] {
 	const times: Timestamp[] = [];
-	for (let at = from; at < requestsEndAt; at += -Math.log(1 - random.getFraction()) * millisecondsPerSecond / perSecond) {
+	for (let at = startsAt; at < endsAt; at += -Math.log(1 - random.getFraction()) * millisecondsPerSecond / perSecond) {
 		times.push(at);
 	}
 
@@ -134,11 +142,13 @@
 
 /** Runs a scenario to its end. */
 export function runFleetScenario(scenario: FleetScenario): FleetResult {
+	const {requestsEndAt = usualRequestsEndAt} = scenario;
+	const simulationEndAt = requestsEndAt + lastRequestsMs;
 	const random = createRandom(scenario.seed);
 	const tasks = new TinyQueue<Task>([], (left, right) => left.at - right.at || left.order - right.order);
 	/** Draws fingerprints. A generator of its own keeps the other draws of a seed as they are. */
 	const fingerprintRandom = createRandom(scenario.seed + 1);
-	const crashSegments = scenario.crashSegments.map((_, index) => `crash-${index}`);
+	const crashSegments = [...scenario.crashSegments.map((_, index) => `crash-${index}`), ...scenario.flowCrashSegments ?? []];
 	const crashFingerprints = (scenario.crashRequests ?? []).map((_, index) => `crash-request-${index}`);
 	const records: FleetRequestRecord[] = [];
 	const crashes: FleetCrash[] = [];
@@ -225,7 +235,7 @@
 		record.isAnswered = isAnswered;
 		if (!isAnswered && !record.isRepeat) {
 			schedule(repeatDelayMs, () => {
-				startRequest(record.segments, record.fingerprint, true);
+				startRequest(record.segments, record.fingerprint, {isRepeat: true});
 			});
 		}
 	}
@@ -366,8 +376,8 @@
 		}
 	}
 
-	function startRequest(segments: readonly SegmentId[], fingerprint: string, isRepeat: boolean): void {
-		const running = gateways.filter(({gateway}) => gateway !== undefined);
+	function startRequest(segments: readonly SegmentId[], fingerprint: string, {isRepeat, gatewayIndexes}: Readonly<{isRepeat: boolean; gatewayIndexes?: readonly number[]}>): void {
+		const running = gateways.filter(({gateway, index}) => gateway !== undefined && (gatewayIndexes?.includes(index) ?? true));
 		const simulated = running[random.getInteger(Math.max(1, running.length))];
 		if (simulated === undefined) {
 			return;
@@ -526,9 +536,21 @@
 
 	function scheduleCrashRequests({startsAt, perSecond, hasPrompt}: CrashRequest, fingerprint: string): void {
 		const segments = hasPrompt ? drawSegments(fingerprintRandom, undefined) : [];
-		for (const at of drawTimes(fingerprintRandom, startsAt, perSecond)) {
+		for (const at of drawTimes(fingerprintRandom, {startsAt, perSecond}, requestsEndAt)) {
+			schedule(at, () => {
+				startRequest(segments, fingerprint, {isRepeat: false});
+			});
+		}
+	}
+
+	function startUniqueRequest({segments, gatewayIndexes}: FixedFlow): void {
+		startRequest(segments, `unique-${requestCount}`, {isRepeat: false, gatewayIndexes});
+	}
+
+	function scheduleFixedFlow(flow: FixedFlow): void {
+		for (const at of drawTimes(fingerprintRandom, flow, requestsEndAt)) {
 			schedule(at, () => {
-				startRequest(segments, fingerprint, false);
+				startUniqueRequest(flow);
 			});
 		}
 	}
@@ -536,7 +558,7 @@
 	function scheduleRequests(times: readonly Timestamp[], crashSegment: SegmentId | undefined): void {
 		for (const at of times) {
 			schedule(at, () => {
-				startRequest(drawSegments(random, crashSegment), drawFingerprint(), false);
+				startRequest(drawSegments(random, crashSegment), drawFingerprint(), {isRepeat: false});
 			});
 		}
 	}
@@ -545,15 +567,19 @@
 		startGateway(simulated);
 	}
 
-	scheduleRequests(drawTimes(random, 0, scenario.soundPerSecond), undefined);
+	scheduleRequests(drawTimes(random, {startsAt: 0, perSecond: scenario.soundPerSecond}, requestsEndAt), undefined);
 	for (const [index, {startsAt, perSecond}] of scenario.crashSegments.entries()) {
-		scheduleRequests(drawTimes(random, startsAt, perSecond), crashSegments[index]);
+		scheduleRequests(drawTimes(random, {startsAt, perSecond}, requestsEndAt), crashSegments[index]);
 	}
 
 	for (const [index, crashRequest] of (scenario.crashRequests ?? []).entries()) {
 		scheduleCrashRequests(crashRequest, crashFingerprints[index] ?? '');
 	}
 
+	for (const flow of scenario.fixedFlows ?? []) {
+		scheduleFixedFlow(flow);
+	}
+
 	for (const {at, serverIndex} of scenario.kills ?? []) {
 		schedule(at, () => {
 			servers.kill(serverIndex);
--- a/packages/core/src/gateway/forwarded-request.test.ts
+++ b/packages/core/src/gateway/forwarded-request.test.ts
@@ -614,7 +614,9 @@
 		endpoint, helpers: [], prefillMs: 10, firstEventMs: 10, interferenceCost: 0,
 	};
 	const decisions: PlacementDecision[] = [
-		{kind: 'placed', placement, candidates: 1},
+		{
+			kind: 'placed', placement, candidates: 1, trialActions: [],
+		},
 		{kind: 'deferred', untilAt: 300},
 		{kind: 'refused', failure: createNotRunFailure('deadlineUnreachable')},
 	];
@@ -629,6 +631,7 @@
 		recordBrokenSend: () => [],
 		recordLimit: () => [],
 		recordCompletion: () => [],
+		recordUncertainCompletion: () => [],
 		recordWork: () => undefined,
 	});
 	request.step({kind: 'started'}, 0);
--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -48,12 +48,15 @@
 	recordLimit(endpoint: EndpointId, requestsPerSecond: number | undefined, now: Timestamp): readonly GatewayAction[];
 	/** Records that an endpoint has completed a response to the request. */
 	recordCompletion(request: GatewayRequest, now: Timestamp): readonly GatewayAction[];
+	/** Records that an endpoint has completed a response, unless it has crashed and the end of its connection only looks like that. */
+	recordUncertainCompletion(request: GatewayRequest, endpoint: ListedEndpoint, now: Timestamp): readonly GatewayAction[];
 	/** Applies a change of this gateway's open requests to its own load view. */
 	recordWork(change: WorkChange, now: Timestamp): void;
 }>;
 
 export type PlacementDecision
-	= | Readonly<{kind: 'placed'; placement: Placement; candidates: number}>
+	/** `trialActions` are due if the request is sent to learn whether quarantined segments are sound. */
+	= | Readonly<{kind: 'placed'; placement: Placement; candidates: number; trialActions: readonly GatewayAction[]}>
 	/** The request waits, and its placement is retried at `untilAt`. */
 		| Readonly<{kind: 'deferred'; untilAt: Timestamp}>
 		| Readonly<{kind: 'refused'; failure: Failure}>;
@@ -167,6 +170,7 @@
 		current.checkAt = now + (current.memory === undefined ? getSilenceTimeoutMs(route, current) : reservationTimeoutMs);
 		excluded.add(placement.endpoint.id);
 		return [
+			...decision.trialActions,
 			createPlacementReport(request, current, decision.candidates),
 			...recordWork({
 				kind: 'started',
@@ -495,7 +499,7 @@
 		context.registry.recordSuccess(finishedSend.placement.endpoint.id);
 		return [
 			...closeSend('answered', `status ${head.status}`, now),
-			...(head.status < firstErrorStatus ? recordCompletion(head, now) : []),
+			...(head.status < firstErrorStatus ? recordCompletion(finishedSend, head, now) : []),
 			...endWithResponse({head, chunks: finishedSend.chunks}),
 		];
 	}
@@ -510,9 +514,8 @@
 		return createResponseActions(response);
 	}
 
-	/** Records a completed response, unless its end is uncertain. */
-	function recordCompletion(head: EndpointResponseHead, now: Timestamp): readonly GatewayAction[] {
-		return head.isUndelimited ? [] : context.recordCompletion(request, now);
+	function recordCompletion({placement}: Send, head: EndpointResponseHead, now: Timestamp): readonly GatewayAction[] {
+		return head.isUndelimited ? context.recordUncertainCompletion(request, placement.endpoint, now) : context.recordCompletion(request, now);
 	}
 
 	function completeStream(finishedSend: Send, head: EndpointResponseHead, now: Timestamp): readonly GatewayAction[] {
@@ -521,7 +524,7 @@
 		}
 
 		hasEnded = true;
-		return [...closeSend('answered', `status ${head.status}`, now), ...recordCompletion(head, now), ...startStream(head), createEndAction(head.status)];
+		return [...closeSend('answered', `status ${head.status}`, now), ...recordCompletion(finishedSend, head, now), ...startStream(head), createEndAction(head.status)];
 	}
 
 	/** Retries after an error status. The endpoint isn't penalised, since the request itself is often the cause. */
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -123,10 +123,10 @@
 	}
 
 	function choosePlacement(request: GatewayRequest, excluded: ReadonlySet<EndpointId>, now: Timestamp): PlacementDecision {
-		const quarantined = quarantine.find(request.service, getTraits(request), now);
-		if (quarantined !== undefined) {
-			const {segment, remainingMs} = quarantined;
-			return refuse(createNotRunFailure(isWholeRequest(segment) ? 'requestQuarantined' : 'promptQuarantined', `segment ${segment}`, remainingMs));
+		const quarantineCheck = quarantine.check(request.service, getTraits(request), now);
+		if (quarantineCheck.kind === 'quarantined') {
+			const {segment, retryAfterMs} = quarantineCheck;
+			return refuse(createNotRunFailure(isWholeRequest(segment) ? 'requestQuarantined' : 'promptQuarantined', `segment ${segment}`, retryAfterMs));
 		}
 
 		const available = registry.getAvailable(request.service, now).filter(({id}) => registry.getRestMs(id, now) === 0);
@@ -146,7 +146,10 @@
 			return refuse(createNotRunFailure('deadlineUnreachable', undefined, Math.ceil(Math.max(noEndpointRetryMs, placement.firstEventMs))));
 		}
 
-		return {kind: 'placed', placement, candidates: endpoints.length};
+		const trialActions = quarantineCheck.kind === 'mayTry' ? quarantine.startTrial(quarantineCheck.segments, now) : [];
+		return {
+			kind: 'placed', placement, candidates: endpoints.length, trialActions,
+		};
 	}
 
 	/** Counts new requests of this or another gateway against the limits of their endpoints. */
@@ -188,6 +191,7 @@
 		recordLeaving,
 		recordLimit: limits.recordResponse,
 		recordCompletion: (request: GatewayRequest, now: Timestamp) => quarantine.recordCompletion(request.service, getTraits(request), now),
+		recordUncertainCompletion: (request: GatewayRequest, endpoint: ListedEndpoint, now: Timestamp) => quarantine.recordUncertainCompletion(endpoint, getTraits(request), now),
 		recordWork(change: WorkChange, now: Timestamp) {
 			load.applyChange(settings.name, change, now);
 			recordStarts([change], now);
@@ -249,6 +253,7 @@
 
 			case 'serverCrashed':
 			case 'segmentCleared':
+			case 'segmentTried':
 			case 'segmentQuarantined': {
 				return quarantine.applyPeerChange(change, now);
 			}
--- a/packages/core/src/gateway/segment-quarantine.ts
+++ b/packages/core/src/gateway/segment-quarantine.ts
@@ -5,12 +5,16 @@
 Gateways tell each other of crashes, of segments that a completed response has cleared, and of quarantines. Quarantines are
 also recorded in the platform's store, for gateways that start, and for those that the others don't reach. So are the crashes that
 have not led to one, since all gateways may restart at once.
+
+A sound segment may be quarantined with the one that crashes servers. Single requests are let through to tell them apart: see
+`quarantine-trials.ts`.
 */
 import {LRUCache} from 'lru-cache';
 import type {Milliseconds, Timestamp} from '../types.js';
 import type {GatewayAction} from './gateway-events.js';
 import type {EndpointId, ListedEndpoint, SegmentId} from './gateway-types.js';
 import type {GatewayName} from './load-view.js';
+import {createQuarantineTrials} from './quarantine-trials.js';
 import {
 	crashWindowMs, createSegmentSuspicion, sameCrashMs, type CrashReport, type ServiceSegment,
 } from './segment-suspicion.js';
@@ -26,22 +30,36 @@
 	= | Readonly<{kind: 'serverCrashed'; crash: CrashReport}>
 	/** A response to a prompt with the segment was completed after crashes under it. */
 		| Readonly<{kind: 'segmentCleared'; segment: ServiceSegment}>
-		| Readonly<{kind: 'segmentQuarantined'; quarantine: Quarantine}>;
+		| Readonly<{kind: 'segmentQuarantined'; quarantine: Quarantine}>
+	/** The gateway sends a request with the quarantined segment, to learn whether it is sound. */
+		| Readonly<{kind: 'segmentTried'; segment: ServiceSegment}>;
+
+/** What is known of the segments of a request. */
+export type QuarantineCheck
+	= | Readonly<{kind: 'free'}>
+		| Readonly<{kind: 'quarantined'; segment: SegmentId; retryAfterMs: Milliseconds}>
+	/** The segments are quarantined, and the request may be sent to learn whether they are sound. */
+		| Readonly<{kind: 'mayTry'; segments: readonly ServiceSegment[]}>;
 
 /** A decision on a segment, for the log. */
 export type QuarantineReport
 	= | Readonly<{kind: 'crashed'; endpoint: EndpointId; segments: readonly SegmentId[]}>
 		| Readonly<{kind: 'quarantined'; segment: ServiceSegment; source: QuarantineSource; remainingMs: Milliseconds}>
+		| Readonly<{kind: 'tried'; segment: ServiceSegment}>
 		| Readonly<{kind: 'released'; segment: ServiceSegment; reason: ReleaseReason}>;
 
 export type SegmentQuarantine = Readonly<{
-	/** Finds a quarantined segment among those of a prompt. */
-	find(service: string, segments: readonly SegmentId[], now: Timestamp): Quarantine | undefined;
+	/** Checks the segments of a prompt. */
+	check(service: string, segments: readonly SegmentId[], now: Timestamp): QuarantineCheck;
+	/** Records that a request is sent to learn whether these segments are sound. */
+	startTrial(segments: readonly ServiceSegment[], now: Timestamp): readonly GatewayAction[];
 	/** Records the endpoint of a request whose connection broke, and asks for a check of whether the endpoint has crashed. */
 	recordBrokenSend(endpoint: ListedEndpoint, segments: readonly SegmentId[], now: Timestamp): readonly GatewayAction[];
 	/** Applies the result of such a check. `startedAt` is the start time that the endpoint reports, if any. */
 	applyCheck(endpoint: EndpointId, result: EndpointCheck, now: Timestamp): readonly GatewayAction[];
 	recordCompletion(service: string, segments: readonly SegmentId[], now: Timestamp): readonly GatewayAction[];
+	/** Records a completed response that a crash of its endpoint may only have made look complete. Asks for a check if that matters. */
+	recordUncertainCompletion(endpoint: ListedEndpoint, segments: readonly SegmentId[], now: Timestamp): readonly GatewayAction[];
 	applyPeerChange(change: QuarantineChange, now: Timestamp): readonly GatewayAction[];
 	/** Sets the number of gateways, over which the calls of the store are spread. */
 	setGatewayCount(count: number): void;
@@ -86,8 +104,8 @@
 
 type ReleaseReason = 'completion' | 'peer' | 'store' | 'expiry' | 'reconsidered';
 
-/** A check of an endpoint, and the prompts of the requests that it lost. */
-type PendingCheck = Readonly<{endpoint: ListedEndpoint; lostPrompts: Array<readonly SegmentId[]>; brokenAt: Timestamp}>;
+/** A check of an endpoint, the prompts of the requests that it lost, and of those that look complete but were lost if it has crashed. */
+type PendingCheck = Readonly<{endpoint: ListedEndpoint; lostPrompts: Array<readonly SegmentId[]>; uncertainPrompts: Array<readonly SegmentId[]>; brokenAt: Timestamp}>;
 
 /** The requests that this gateway has lost in a crash. */
 type OwnCrash = Readonly<{lostPrompts: ReadonlyArray<readonly SegmentId[]>; brokenAt: Timestamp}>;
@@ -100,6 +118,8 @@
 const abandonedRecordMs: Milliseconds = 600_000;
 /** Time over which the writes of gateways that know the same quarantine are spread: the first one suffices, and the others see it. */
 const recordSpreadPerGatewayMs: Milliseconds = 20;
+/** Retry delay of a request that may be sent once the outcome of a trial is known. */
+const trialRetryMs: Milliseconds = 1000;
 const maximumQuarantines = 10_000;
 const maximumOwnCrashes = 1000;
 /** Number of this gateway's last crashes that the store keeps; more than a conclusion needs. */
@@ -117,6 +137,7 @@
 	const suspicion = createSegmentSuspicion();
 	const quarantined = new LRUCache<string, QuarantinedSegment>({max: maximumQuarantines});
 	const releases = new LRUCache<string, Release>({max: maximumQuarantines});
+	const trials = createQuarantineTrials({getRivals});
 	const pendingChecks = new Map<EndpointId, PendingCheck>();
 	const ownCrashes = new LRUCache<EndpointId, OwnCrash>({max: maximumOwnCrashes});
 
@@ -141,8 +162,8 @@
 		return [{kind: 'recordCrashes', crashes}];
 	}
 
-	/** Returns the delay after which this gateway records a quarantine that another one should have recorded. */
-	function getRecordDelayMs(segment: ServiceSegment): Milliseconds {
+	/** Returns the delay after which this gateway does what one gateway has to do, and another one has not done by then. */
+	function getSpreadDelayMs(segment: ServiceSegment): Milliseconds {
 		return settings.getRank(getKey(segment)) * gatewayCount * recordSpreadPerGatewayMs;
 	}
 
@@ -168,8 +189,9 @@
 			source,
 			until: now + remainingMs,
 			listedAt: source === 'store' ? now : undefined,
-			recordDueAt: source === 'peer' ? now + getRecordDelayMs(segment) : now,
+			recordDueAt: source === 'peer' ? now + getSpreadDelayMs(segment) : now,
 		});
+		trials.addSegment(segment, getSpreadDelayMs(segment), now);
 		return [report({
 			kind: 'quarantined', segment, source, remainingMs,
 		})];
@@ -211,7 +233,9 @@
 	}
 
 	/** Records a crash that this gateway has seen, and tells the other gateways of all requests that it has lost in it. */
-	function recordOwnCrash({endpoint, lostPrompts, brokenAt}: PendingCheck, now: Timestamp): readonly GatewayAction[] {
+	function recordOwnCrash(check: PendingCheck, now: Timestamp): readonly GatewayAction[] {
+		const {endpoint, brokenAt} = check;
+		const lostPrompts = [...check.lostPrompts, ...check.uncertainPrompts];
 		const earlier = ownCrashes.get(endpoint.id);
 		const isSameCrash = earlier !== undefined && brokenAt - earlier.brokenAt < sameCrashMs;
 		const ownCrash = isSameCrash ? {lostPrompts: [...earlier.lostPrompts, ...lostPrompts], brokenAt: earlier.brokenAt} : {lostPrompts, brokenAt};
@@ -225,6 +249,35 @@
 		return [report({kind: 'crashed', endpoint: id, segments: crash.suspects.map(({segment}) => segment)}), publish({kind: 'serverCrashed', crash})];
 	}
 
+	/** Asks for a check of an endpoint unless one is under way, and adds to what depends on its result. */
+	function startCheck(endpoint: ListedEndpoint, now: Timestamp, addPrompt: (check: PendingCheck) => void): readonly GatewayAction[] {
+		const pending = pendingChecks.get(endpoint.id);
+		const check = pending ?? {
+			endpoint, lostPrompts: [], uncertainPrompts: [], brokenAt: now,
+		};
+		addPrompt(check);
+		pendingChecks.set(endpoint.id, check);
+		return pending === undefined ? [{kind: 'checkEndpoint', endpoint}] : [];
+	}
+
+	function recordCompletion(service: string, segments: readonly SegmentId[], now: Timestamp): readonly GatewayAction[] {
+		suspicion.recordCompletion(service, segments);
+		return segments.flatMap(segment => {
+			const serviceSegment = {service, segment};
+			const wasSuspect = suspicion.clear(serviceSegment, now);
+			if (wasSuspect && ownCrashes.size > 0) {
+				scheduleCrashRecord(now);
+			}
+
+			const released = release(serviceSegment, 'completion', now);
+			return [
+				...released,
+				...(released.length > 0 ? [{kind: 'removeQuarantine', segment: serviceSegment} as const] : []),
+				...(wasSuspect || released.length > 0 ? [publish({kind: 'segmentCleared', segment: serviceSegment})] : []),
+			];
+		});
+	}
+
 	/** Applies a record, or removes it if it has ended or if this gateway has released its segment. */
 	function checkRecord(record: QuarantineRecord, now: Timestamp): readonly GatewayAction[] {
 		const {service, segment, remainingMs, gateway} = record;
@@ -260,27 +313,45 @@
 		return now - listedAt > removalDelayMs ? release(segment, 'store', now) : [];
 	}
 
+	/** Returns the other quarantined segments that the crashes don't tell apart from this one. */
+	function getRivals(segment: ServiceSegment, now: Timestamp): ReadonlySet<SegmentId> {
+		const others = [...suspicion.getCommonSuspects(segment, now)].filter(other => other !== segment.segment);
+		return new Set(others.filter(other => isQuarantined({service: segment.service, segment: other}, now)));
+	}
+
 	return {
-		find(service, segments, now) {
-			for (const segment of segments) {
-				const entry = quarantined.get(getKey({service, segment}));
-				if (entry !== undefined && entry.until > now) {
-					return {service, segment, remainingMs: entry.until - now};
-				}
+		check(service, segments, now) {
+			const found = segments.map((segment): ServiceSegment => ({service, segment})).filter(segment => isQuarantined(segment, now));
+			const [first] = found;
+			if (first === undefined) {
+				return {kind: 'free'};
 			}
 
-			return undefined;
-		},
-		recordBrokenSend(endpoint, segments, now) {
-			const pending = pendingChecks.get(endpoint.id);
-			if (pending === undefined) {
-				pendingChecks.set(endpoint.id, {endpoint, lostPrompts: [segments], brokenAt: now});
-				return [{kind: 'checkEndpoint', endpoint}];
-			}
+			const decision = trials.decide(found, segments, now);
+			switch (decision.kind) {
+				case 'mayTry': {
+					return {kind: 'mayTry', segments: found};
+				}
 
-			pending.lostPrompts.push(segments);
-			return [];
+				case 'wait': {
+					return {kind: 'quarantined', segment: first.segment, retryAfterMs: trialRetryMs};
+				}
+
+				case 'useless': {
+					const {segment} = decision;
+					return {kind: 'quarantined', segment, retryAfterMs: (quarantined.get(getKey({service, segment}))?.until ?? now) - now};
+				}
+			}
 		},
+		startTrial(segments, now) {
+			return segments.flatMap(segment => {
+				trials.recordTrial(segment, now);
+				return [report({kind: 'tried', segment}), publish({kind: 'segmentTried', segment})];
+			});
+		},
+		recordBrokenSend: (endpoint, segments, now) => startCheck(endpoint, now, ({lostPrompts}) => {
+			lostPrompts.push(segments);
+		}),
 		applyCheck(id, {isAlive, startedAt}, now) {
 			const pending = pendingChecks.get(id);
 			pendingChecks.delete(id);
@@ -289,24 +360,18 @@
 			}
 
 			const hasCrashed = !isAlive || (startedAt !== undefined && startedAt !== pending.endpoint.startedAt);
-			return hasCrashed ? recordOwnCrash(pending, now) : [];
+			return hasCrashed
+				? recordOwnCrash(pending, now)
+				: pending.uncertainPrompts.flatMap(segments => recordCompletion(pending.endpoint.service, segments, now));
 		},
-		recordCompletion(service, segments, now) {
-			suspicion.recordCompletion(service, segments);
-			return segments.flatMap(segment => {
-				const serviceSegment = {service, segment};
-				const wasSuspect = suspicion.clear(serviceSegment, now);
-				if (wasSuspect && ownCrashes.size > 0) {
-					scheduleCrashRecord(now);
-				}
-
-				const released = release(serviceSegment, 'completion', now);
-				return [
-					...released,
-					...(released.length > 0 ? [{kind: 'removeQuarantine', segment: serviceSegment} as const] : []),
-					...(wasSuspect || released.length > 0 ? [publish({kind: 'segmentCleared', segment: serviceSegment})] : []),
-				];
-			});
+		recordCompletion,
+		recordUncertainCompletion(endpoint, segments, now) {
+			const {service} = endpoint;
+			return segments.some(segment => suspicion.isSuspect({service, segment}) || isQuarantined({service, segment}, now))
+				? startCheck(endpoint, now, ({uncertainPrompts}) => {
+					uncertainPrompts.push(segments);
+				})
+				: [];
 		},
 		applyPeerChange(change, now) {
 			switch (change.kind) {
@@ -323,6 +388,11 @@
 				case 'segmentQuarantined': {
 					return add(change.quarantine, 'peer', now);
 				}
+
+				case 'segmentTried': {
+					trials.recordTrial(change.segment, now);
+					return [];
+				}
 			}
 		},
 		setGatewayCount(count) {
@@ -340,7 +410,7 @@
 
 			for (const entry of quarantined.values()) {
 				entry.listedAt = undefined;
-				entry.recordDueAt = now + getRecordDelayMs(entry.segment);
+				entry.recordDueAt = now + getSpreadDelayMs(entry.segment);
 			}
 		},
 		applyRecords(records, now) {
--- a/packages/core/src/gateway/segment-suspicion.ts
+++ b/packages/core/src/gateway/segment-suspicion.ts
@@ -46,12 +46,16 @@
 	recordCrash(report: CrashReport, now: Timestamp): void;
 	/** Clears a segment of all crashes so far. Returns whether it was a suspect. */
 	clear(segment: ServiceSegment, now: Timestamp): boolean;
+	/** Returns whether a segment is a suspect of a crash. */
+	isSuspect(segment: ServiceSegment): boolean;
 	/** Records that this gateway has completed a response to a prompt with these segments. */
 	recordCompletion(service: string, segments: readonly SegmentId[]): void;
 	/** Returns the numbers of lost requests and of recently completed ones, in total and for each segment of the lost requests. */
 	countRequests(service: string, lostPrompts: ReadonlyArray<readonly SegmentId[]>): Pick<CrashReport, 'requests' | 'completed' | 'suspects' | 'lostPrompts'>;
 	/** Returns the segments of the service that the crashes show to be their cause, and the `known` ones whose crashes are too long ago to be weighed again. */
 	takeCulprits(service: string, known: ReadonlySet<SegmentId>, now: Timestamp): readonly SegmentId[];
+	/** Returns the suspects of all crashes in which the segment is one, itself included: these crashes don't tell them apart. */
+	getCommonSuspects(segment: ServiceSegment, now: Timestamp): ReadonlySet<SegmentId>;
 	/** Returns when the reports about a crash are complete that `takeCulprits` has not seen yet, and the service. */
 	findNextDecision(): Readonly<{at: Timestamp; service: string}> | undefined;
 	/** Returns the reports on all crashes in which segments are still suspects. */
@@ -393,6 +397,7 @@
 
 			return wasSuspect;
 		},
+		isSuspect: ({service, segment}) => !isClearedOfAll(service, segment),
 		recordCompletion(service, segments) {
 			completedPrompts.set(service, [...(completedPrompts.get(service) ?? []).slice(1 - maximumCompletedPrompts), new Set(segments)]);
 		},
@@ -437,6 +442,13 @@
 			const displaced = [...known].filter(segment => !suspects.has(segment) && !isClearedOfAll(service, segment));
 			return [...attribution.culprits, ...displaced];
 		},
+		getCommonSuspects({service, segment}, now) {
+			const suspectSets = crashes.filter(crash => crash.service === service && crash.at > now - crashWindowMs)
+				.map(crash => new Set(getSegments(crash).filter(suspect => !isCleared(crash, suspect))))
+				.filter(suspects => suspects.has(segment));
+			const [first = new Set<SegmentId>(), ...others] = suspectSets;
+			return new Set([...first].filter(suspect => others.every(suspects => suspects.has(suspect))));
+		},
 		findNextDecision() {
 			const next = crashes.find(({isDecided}) => !isDecided);
 			return next === undefined ? undefined : {at: next.at + reportDelayMs, service: next.service};
--- a/packages/daemon/src/logger.ts
+++ b/packages/daemon/src/logger.ts
@@ -13,7 +13,7 @@
 		| 'hostListFailed' | 'configurationInForce' | 'configurationOutdated' | 'storeRestored' | 'gatewaysListed' | 'configurationRead' | 'probeFailed' | 'silenceChecked' | 'serverFailed' | 'orderSent' | 'internalError'
 		| 'requestPlaced' | 'sendEnded' | 'requestRefused' | 'endpointChanged' | 'dependencyLost' | 'dependencyRegained'
 		| 'settingsReloaded' | 'settingsRefused' | 'clockJumped' | 'peerFound' | 'peerLost' | 'readinessChanged' | 'linesDropped'
-		| 'orderRefused' | 'orderFailed' | 'serverCrashed' | 'segmentQuarantined' | 'segmentReleased'
+		| 'orderRefused' | 'orderFailed' | 'serverCrashed' | 'segmentQuarantined' | 'segmentReleased' | 'segmentTried'
 		| 'quarantineNotRecorded' | 'crashesNotRecorded' | 'quarantineNotRemoved' | 'limitChanged'
 		| 'feedSourceChanged' | 'readerLost' | 'followerLost' | 'readerStateRefused' | 'entryUnusable' | 'loopStalled' | 'requestDropped' | 'sendDelayed';
 
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -241,6 +241,11 @@
 				return;
 			}
 
+			case 'tried': {
+				host.logger.warn('segmentTried', getSegmentFields(report.segment));
+				return;
+			}
+
 			case 'released': {
 				const {segment: {service, segment}, reason} = report;
 				host.logger.warn('segmentReleased', {service, segment, reason});
--- a/packages/gateway/src/work-publisher.ts
+++ b/packages/gateway/src/work-publisher.ts
@@ -66,6 +66,7 @@
 		case 'serverCrashed':
 		case 'segmentCleared':
 		case 'segmentQuarantined':
+		case 'segmentTried':
 		case 'limitChanged':
 		case 'endpointUnreachable':
 		case 'endpointLeaving':
--- a/packages/peer/src/gateway-peers.ts
+++ b/packages/peer/src/gateway-peers.ts
@@ -108,6 +108,10 @@
 			return create(wire.WorkChangeSchema, {change: {case: 'cleared', value: create(wire.SegmentSchema, change.segment)}});
 		}
 
+		case 'segmentTried': {
+			return create(wire.WorkChangeSchema, {change: {case: 'tried', value: create(wire.SegmentSchema, change.segment)}});
+		}
+
 		case 'limitChanged': {
 			const {endpoint, requestsPerSecond} = change;
 			return create(wire.WorkChangeSchema, {
@@ -167,7 +171,8 @@
 		case 'ended':
 		case 'endpointUnreachable':
 		case 'configurationInForce':
-		case 'segmentCleared': {
+		case 'segmentCleared':
+		case 'segmentTried': {
 			return true;
 		}
 	}
@@ -218,6 +223,11 @@
 			return {kind: 'segmentCleared', segment: {service, segment}};
 		}
 
+		case 'tried': {
+			const {service, segment} = change.value;
+			return {kind: 'segmentTried', segment: {service, segment}};
+		}
+
 		case 'limited': {
 			const {endpoint, requestsPerSecond} = change.value;
 			return {kind: 'limitChanged', endpoint, requestsPerSecond};
