End a stream without events, and don't make an event of each blank line

Cause: each pair of line feeds became an event with objects many times its size, each event a write of its own.

Evidence: the tests failed before: 15,000 events of 30,000 line feeds; no end after 320 KB of blank lines, comments or other lines without content.

Change: blank lines before an event belong to none. Bytes that bring no event with an id or data are counted, and the response is taken for endless from the limit on that held for a single event.

--- a/packages/core/src/gateway/event-splitter.ts
+++ b/packages/core/src/gateway/event-splitter.ts
@@ -2,11 +2,14 @@
 Splits a stream of server-sent events into complete events, so that a stream that breaks inside an event can be resumed
 at another endpoint without a duplicate or a partial event.
 */
+import {Buffer} from 'node:buffer';
 
-/** A complete event, including its terminating blank line. */
+/** A complete event, including its terminating blank line. Blank lines before an event belong to none and are left out. */
 export type StreamEvent = Readonly<{
 	/** Value of the `id` field, if present. */
 	id: string | undefined;
+	/** Whether it has an id or data, and is more than a comment. */
+	hasContent: boolean;
 	bytes: Uint8Array;
 }>;
 
@@ -20,12 +23,22 @@
 const lineFeed = 10;
 const carriageReturn = 13;
 const idPattern = /^id: ?(?<id>.*)$/mv;
+const contentPattern = /^(?:id|data)(?::|$)/mv;
 
-function mergeBytes(left: Uint8Array, right: Uint8Array): Uint8Array {
-	const joined = new Uint8Array(left.length + right.length);
-	joined.set(left);
-	joined.set(right, left.length);
-	return joined;
+/** Returns the parts as one; a single part is not copied. */
+export function joinBytes(parts: readonly Uint8Array[]): Uint8Array {
+	const [first] = parts;
+	return first !== undefined && parts.length === 1 ? first : Buffer.concat(parts);
+}
+
+/** Returns the index after the blank lines at `start`. */
+function skipBlankLines(bytes: Uint8Array, start: number): number {
+	let index = start;
+	while (bytes[index] === lineFeed || (bytes[index] === carriageReturn && bytes[index + 1] === lineFeed)) {
+		index += bytes[index] === lineFeed ? 1 : 2;
+	}
+
+	return index;
 }
 
 /** Returns the index after the blank line that ends the event at `start`, or -1 if the event is incomplete. */
@@ -54,9 +67,9 @@
 
 	return {
 		addBytes(bytes) {
-			const buffered = remainder.length === 0 ? bytes : mergeBytes(remainder, bytes);
+			const buffered = remainder.length === 0 ? bytes : joinBytes([remainder, bytes]);
 			const events: StreamEvent[] = [];
-			let start = 0;
+			let start = skipBlankLines(buffered, 0);
 			for (;;) {
 				const end = findEventEnd(buffered, start);
 				if (end === -1) {
@@ -64,9 +77,9 @@
 				}
 
 				const event = buffered.subarray(start, end);
-				const id = idPattern.exec(decoder.decode(event))?.groups?.id?.trim();
-				events.push({id, bytes: event});
-				start = end;
+				const text = decoder.decode(event);
+				events.push({id: idPattern.exec(text)?.groups?.id?.trim(), hasContent: contentPattern.test(text), bytes: event});
+				start = skipBlankLines(buffered, end);
 			}
 
 			remainder = buffered.slice(start);
--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -8,7 +8,7 @@
 import {createNotRunFailure, type ErrorKind, type Failure} from '../errors.js';
 import type {Milliseconds, Timestamp} from '../types.js';
 import type {EndpointRegistry, SentRequest} from './endpoint-registry.js';
-import {createEventSplitter, type StreamEvent} from './event-splitter.js';
+import {createEventSplitter, joinBytes, type StreamEvent} from './event-splitter.js';
 import type {
 	EndpointId, EndpointReport, EndpointResponseHead, GatewayRequest, ListedEndpoint,
 } from './gateway-types.js';
@@ -164,6 +164,7 @@
 			lastProgressAt: now,
 			checkAt: now,
 			isProbed: false,
+			unproductiveBytes: 0,
 			reportedOutcomes: new Set(),
 			hasEvents: false,
 		};
@@ -424,27 +425,40 @@
 			return [];
 		}
 
+		return addStreamBytes(current, current.head, bytes, now);
+	}
+
+	/** Delivers the events that the bytes complete, in one write. */
+	function addStreamBytes(send: Send, head: EndpointResponseHead, bytes: Uint8Array, now: Timestamp): readonly GatewayAction[] {
 		const actions: GatewayAction[] = [];
-		for (const event of current.splitter.addBytes(bytes)) {
-			const eventActions = deliverEvent(event, now);
+		const delivered: Uint8Array[] = [];
+		let detail: string | undefined;
+		send.unproductiveBytes += bytes.length;
+		for (const event of send.splitter.addBytes(bytes)) {
+			const eventActions = deliverEvent(send, head, event, now);
 			if (eventActions === undefined) {
-				return [...actions, ...cancelCurrentSend(), ...handleLostSend('corrupt', `event ${event.id ?? ''} is out of order`, now)];
+				detail = `event ${event.id ?? ''} is out of order`;
+				break;
 			}
 
 			actions.push(...eventActions);
+			delivered.push(event.bytes);
+			send.unproductiveBytes = event.hasContent ? 0 : send.unproductiveBytes;
 		}
 
-		return current.splitter.getIncompleteByteCount() > maximumEventBytes
-			? [...actions, ...cancelCurrentSend(), ...handleLostSend('corrupt', 'an event exceeds the maximum length', now)]
-			: actions;
-	}
+		if (delivered.length > 0) {
+			actions.push({kind: 'writeResponse', key: request.key, bytes: joinBytes(delivered)});
+		}
 
-	/** Delivers an event to the caller; returns `undefined` if its number doesn't follow the last one. */
-	function deliverEvent(event: StreamEvent, now: Timestamp): readonly GatewayAction[] | undefined {
-		if (current?.head === undefined) {
-			return [];
+		if (Math.max(send.unproductiveBytes, send.splitter.getIncompleteByteCount()) > maximumEventBytes) {
+			detail ??= 'an event exceeds the maximum length';
 		}
 
+		return detail === undefined ? actions : [...actions, ...cancelCurrentSend(), ...handleLostSend('corrupt', detail, now)];
+	}
+
+	/** Returns what the delivery of an event requires before it is written, or `undefined` if its number doesn't follow the last one. */
+	function deliverEvent(send: Send, head: EndpointResponseHead, event: StreamEvent, now: Timestamp): readonly GatewayAction[] | undefined {
 		const number = parseEventNumber(event.id);
 		const lastNumber = parseEventNumber(lastEventId);
 		if (number !== undefined && lastNumber !== undefined && number !== lastNumber + 1) {
@@ -455,14 +469,14 @@
 		longestPauseMs = Math.max(longestPauseMs, now - (previousEventAt ?? now));
 		previousEventAt = now;
 		const actions: GatewayAction[] = [];
-		if (!current.hasEvents) {
-			current.hasEvents = true;
+		if (!send.hasEvents) {
+			send.hasEvents = true;
 			firstEventAt ??= now;
-			context.registry.recordSuccess(current.placement.endpoint.id);
-			actions.push(...recordWork({kind: 'writing', id: current.id}, now));
+			context.registry.recordSuccess(send.placement.endpoint.id);
+			actions.push(...recordWork({kind: 'writing', id: send.id}, now));
 		}
 
-		actions.push(...startStream(current.head), {kind: 'writeResponse', key: request.key, bytes: event.bytes});
+		actions.push(...startStream(head));
 		return actions;
 	}
 
--- a/packages/core/src/gateway/gateway-parts.test.ts
+++ b/packages/core/src/gateway/gateway-parts.test.ts
@@ -208,6 +208,17 @@
 	});
 });
 
+describe('createEventSplitter, given blank lines', () => {
+	// Guards against blank lines without end, each pair of which became an event and filled the memory.
+	test.each(['\n', '\r\n'])('returns no events for them, and keeps none of their bytes (%j)', lineEnd => {
+		const splitter = createEventSplitter();
+		expect(splitter.addBytes(Buffer.from(lineEnd.repeat(30_000)))).toEqual([]);
+		expect(splitter.getIncompleteByteCount()).toBe(0);
+		expect(splitter.addBytes(Buffer.from(`id: 1${lineEnd}${lineEnd}${lineEnd}`)).map(({id, bytes}) => [id, bytes.length])).toEqual([['1', 5 + (2 * lineEnd.length)]]);
+		expect(splitter.getIncompleteByteCount()).toBe(0);
+	});
+});
+
 describe('createLoadView', () => {
 	const work: OpenWork = {
 		id: 1, endpoint: 'a', helpers: [{endpoint: 'b', reservedTokens: 0}], promptTokens: 100_000, readMs: 400, longestPauseMs: 600,
--- a/packages/core/src/gateway/request-send.ts
+++ b/packages/core/src/gateway/request-send.ts
@@ -24,7 +24,7 @@
 	probeMs: 300,
 } as const;
 
-/** Maximum length of an event; a longer one is taken for an endless response. */
+/** Maximum number of bytes of a stream without an event that has content; more are taken for an endless response. */
 export const maximumEventBytes = 262_144;
 
 const okStatus = 200;
@@ -44,6 +44,8 @@
 	/** When to check next whether the send is lost. */
 	checkAt: Timestamp;
 	isProbed: boolean;
+	/** Number of bytes received since the last progress that were none. */
+	unproductiveBytes: number;
 	/** Outcomes of silence checks that were reported; each is reported once. */
 	readonly reportedOutcomes: Set<SilenceOutcome>;
 	hasEvents: boolean;
--- a/packages/standins/src/platform-endless-server-standin.ts
+++ b/packages/standins/src/platform-endless-server-standin.ts
@@ -7,7 +7,7 @@
 import {listen} from '@currantcross/core/listen';
 
 /** The part of the response that has no end; `garbage` is not HTTP, and `refusal` has an endless body. */
-export type EndlessResponse = 'garbage' | 'header' | 'headers' | 'informational' | 'trailers' | 'chunkExtension' | 'body' | 'event' | 'refusal';
+export type EndlessResponse = 'garbage' | 'reason' | 'header' | 'headers' | 'informational' | 'trailers' | 'chunkSize' | 'chunkExtension' | 'body' | 'event' | 'comments' | 'blankLines' | 'refusal';
 
 export type EndlessServerStandin = Readonly<{
 	address: string;
@@ -31,6 +31,10 @@
 			return {start: '', block: filler};
 		}
 
+		case 'reason': {
+			return {start: 'HTTP/1.1 200 ', block: filler};
+		}
+
 		case 'header': {
 			return {start: `${head}X-Long: `, block: filler};
 		}
@@ -47,6 +51,10 @@
 			return {start: `${chunked}0\r\n`, block: 'X-More: x\r\n'.repeat(1000)};
 		}
 
+		case 'chunkSize': {
+			return {start: chunked, block: '0'.repeat(blockBytes)};
+		}
+
 		case 'chunkExtension': {
 			return {start: `${chunked}5;`, block: filler};
 		}
@@ -59,6 +67,14 @@
 			return {start: `${head}Content-Type: text/event-stream\r\n\r\ndata: `, block: filler};
 		}
 
+		case 'comments': {
+			return {start: `${head}Content-Type: text/event-stream\r\n\r\n`, block: ':\n\n'.repeat(Math.ceil(blockBytes / 3))};
+		}
+
+		case 'blankLines': {
+			return {start: `${head}Content-Type: text/event-stream\r\n\r\n`, block: '\n'.repeat(blockBytes)};
+		}
+
 		case 'refusal': {
 			return {start: `HTTP/1.1 503 Service Unavailable\r\nRequest-Id: ${requestId}\r\nNot-Run: 1\r\n\r\n`, block: filler};
 		}
