Close connections whose bytes bring the response no further

Cause: the parser drops these bytes. Nothing that measures length or progress sees them, and the silence of the response is excused by the server's other responses.

Evidence: seven of the new tests failed before, none within 10 s: a reason phrase, a chunk's size and extension as fast as they are read, and these and a header at a byte each 2 ms.

Change: for each connection the client counts the bytes read since the response last got any further (its head, data or end).

Ruled out: a limit on each part of the framing, since the next form of endless bytes would be missed; a time limit alone, since a sound slow stream may leave the framing of a chunk incomplete between two events (a test with such pauses passes).

--- a/packages/core/src/gateway/event-splitter.ts
+++ b/packages/core/src/gateway/event-splitter.ts
@@ -26,13 +26,13 @@
 const contentPattern = /^(?:id|data)(?::|$)/mv;
 
 /** Returns the parts as one; a single part is not copied. */
-export function joinBytes(parts: readonly Uint8Array[]): Uint8Array {
+export function mergeBytes(parts: readonly Uint8Array[]): Uint8Array {
 	const [first] = parts;
 	return first !== undefined && parts.length === 1 ? first : Buffer.concat(parts);
 }
 
 /** Returns the index after the blank lines at `start`. */
-function skipBlankLines(bytes: Uint8Array, start: number): number {
+function getContentStart(bytes: Uint8Array, start: number): number {
 	let index = start;
 	while (bytes[index] === lineFeed || (bytes[index] === carriageReturn && bytes[index + 1] === lineFeed)) {
 		index += bytes[index] === lineFeed ? 1 : 2;
@@ -67,9 +67,9 @@
 
 	return {
 		addBytes(bytes) {
-			const buffered = remainder.length === 0 ? bytes : joinBytes([remainder, bytes]);
+			const buffered = remainder.length === 0 ? bytes : mergeBytes([remainder, bytes]);
 			const events: StreamEvent[] = [];
-			let start = skipBlankLines(buffered, 0);
+			let start = getContentStart(buffered, 0);
 			for (;;) {
 				const end = findEventEnd(buffered, start);
 				if (end === -1) {
@@ -79,7 +79,7 @@
 				const event = buffered.subarray(start, end);
 				const text = decoder.decode(event);
 				events.push({id: idPattern.exec(text)?.groups?.id?.trim(), hasContent: contentPattern.test(text), bytes: event});
-				start = skipBlankLines(buffered, end);
+				start = getContentStart(buffered, end);
 			}
 
 			remainder = buffered.slice(start);
--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -8,7 +8,7 @@
 import {createNotRunFailure, type ErrorKind, type Failure} from '../errors.js';
 import type {Milliseconds, Timestamp} from '../types.js';
 import type {EndpointRegistry, SentRequest} from './endpoint-registry.js';
-import {createEventSplitter, joinBytes, type StreamEvent} from './event-splitter.js';
+import {createEventSplitter, mergeBytes, type StreamEvent} from './event-splitter.js';
 import type {
 	EndpointId, EndpointReport, EndpointResponseHead, GatewayRequest, ListedEndpoint,
 } from './gateway-types.js';
@@ -447,7 +447,7 @@
 		}
 
 		if (delivered.length > 0) {
-			actions.push({kind: 'writeResponse', key: request.key, bytes: joinBytes(delivered)});
+			actions.push({kind: 'writeResponse', key: request.key, bytes: mergeBytes(delivered)});
 		}
 
 		if (Math.max(send.unproductiveBytes, send.splitter.getIncompleteByteCount()) > maximumEventBytes) {
--- a/packages/endpoint/src/reset-detector.ts
+++ b/packages/endpoint/src/reset-detector.ts
@@ -5,6 +5,7 @@
 A reset is reported by an `error` event, but for one that is read in the same turn as the last bytes: the runtime then reports an
 ordinary `end`. Only the operating system still knows, and has no peer's address for the connection.
 */
+import type {Socket} from 'node:net';
 import process from 'node:process';
 import {buildConnector, errors, type Dispatcher} from 'undici';
 
@@ -15,8 +16,8 @@
 	isHandlingReset(): boolean;
 }>;
 
-/** Creates a detector for the connections of one client. */
-export function createResetDetector(options: buildConnector.BuildOptions): ResetDetector {
+/** Creates a detector for the connections of one client. `onConnection` is called with each of them before it is used. */
+export function createResetDetector(options: buildConnector.BuildOptions, onConnection?: (socket: Socket) => void): ResetDetector {
 	const connect = buildConnector(options);
 	let isHandlingReset = false;
 
@@ -42,6 +43,7 @@
 						recordReset();
 					}
 				});
+				onConnection?.(socket);
 				callback(error, socket);
 			});
 		},
--- a/packages/gateway/src/endpoint-client.test.ts
+++ b/packages/gateway/src/endpoint-client.test.ts
@@ -121,7 +121,7 @@
 });
 
 // Guards against a faulty endpoint whose endless response fills the memory or keeps the connection.
-test.each(['garbage', 'header', 'headers', 'informational', 'trailers', 'body'] as const)('fails an endless response (%s) and closes the connection', async kind => {
+test.each(['garbage', 'reason', 'header', 'headers', 'informational', 'trailers', 'chunkSize', 'chunkExtension', 'body'] as const)('fails an endless response (%s) and closes the connection', async kind => {
 	const endpoint = await startEndlessServer(kind);
 	closers.push(endpoint.close);
 	expect(await sendRequest(createClient(), endpoint.address)).toEqual({kind: 'failed', wasSent: true});
@@ -131,6 +131,40 @@
 	expect(endpoint.getSentByteCount()).toBeLessThan(maximumEndlessBytes);
 });
 
+// Guards against a response that is waited for until the deadline, since bytes go on to come and bring it no further.
+test.each([
+	['reason', 'HTTP/1.1 200 ', 'x'],
+	['header', 'HTTP/1.1 200 OK\r\nX-Long: ', 'x'],
+	['chunk size', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n', '0'],
+	['chunk extension', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;', 'x'],
+])('fails a response whose %s never ends, though its bytes come slowly', async (_, start, part) => {
+	const address = await startEndpoint(socket => {
+		socket.write(start);
+		const timer = setInterval(() => {
+			socket.write(part);
+		}, 2);
+		socket.once('close', () => {
+			clearInterval(timer);
+		});
+	});
+	const startedAt = performance.now();
+	expect(await sendRequest(createClient(), address)).toEqual({kind: 'failed', wasSent: true});
+	expect(performance.now() - startedAt).toBeLessThan(2500);
+});
+
+// Guards against a slow sound response that is taken for one without progress.
+test('completes a response whose chunks and their framing come apart, with pauses', async () => {
+	const parts = ['HTTP/1.1 200 OK\r\n', 'Transfer-Encoding: chunked\r\n\r\n', ...Array.from({length: 8}, () => ['3;a=b\r\n', 'abc', '\r\n']).flat(), '0\r\n\r\n'];
+	const address = await startEndpoint(socket => {
+		for (const [index, part] of parts.entries()) {
+			setTimeout(() => {
+				socket.write(part);
+			}, index * 150);
+		}
+	});
+	expect(await sendRequest(createClient(), address)).toEqual({kind: 'ended', text: 'abc'.repeat(8)});
+});
+
 // Guards against a faulty endpoint whose endless response to a probe fills the memory.
 test('rejects a control request with an endless response, and closes the connection', async () => {
 	const endpoint = await startEndlessServer('body');
--- a/packages/gateway/src/endpoint-client.ts
+++ b/packages/gateway/src/endpoint-client.ts
@@ -10,6 +10,7 @@
 import {type Dispatcher, errors, Pool} from 'undici';
 import VError from 'verror';
 import type {ControlRequest} from './gateway-hosts.js';
+import {createResponseGuard} from './response-guard.js';
 
 /** A send: one transmission of a caller's request to an endpoint. A request that is retried has several sends. */
 export type EndpointRequest = Readonly<{
@@ -115,13 +116,14 @@
 
 /** Creates a client. Connections are opened on demand. */
 export function createEndpointClient(host: EndpointClientHost): EndpointClient {
-	const pools = new Map<string, Pool>();
+	const pools = new Map<string, Dispatcher>();
+	const responseGuard = createResponseGuard();
 	const openSends = new Map<SendId, OpenSend>();
 	const resetDetector = createResetDetector({
 		timeout: connectTimeoutMs, keepAlive: true, keepAliveInitialDelay: 1000, autoSelectFamily: false,
-	});
+	}, responseGuard.watchConnection);
 
-	function getPool(address: string): Pool {
+	function getPool(address: string): Dispatcher {
 		const pool = pools.get(address) ?? new Pool(`http://${address}`, {
 			connect: resetDetector.connect,
 			keepAliveTimeout: keepAliveTimeoutMs,
@@ -130,7 +132,7 @@
 			bodyTimeout: 0,
 			pipelining: 1,
 			maxResponseSize: maximumResponseBytes,
-		});
+		}).compose(responseGuard.intercept);
 		pools.set(address, pool);
 		return pool;
 	}
