Abandon a response that dribbles

What callers saw: 504 at the deadline while a faulty server sent a body of one byte each 2 ms, though the request may be repeated and other servers were there.

Cause: any byte counted as progress, and a response without progress was excused by the server's other responses.

Evidence: three of the new tests failed before: a body, a stream before its first event and blank lines of a stream, a byte each 20 ms (no action within 1.5 s).

Change: progress is the head, an event with content, or a kilobyte of another body. A response whose bytes come without progress is abandoned after the usual time of silence, without the proof that a silent one needs, if its request may be repeated.

--- a/packages/core/src/gateway/forwarded-request.test.ts
+++ b/packages/core/src/gateway/forwarded-request.test.ts
@@ -296,6 +296,34 @@
 		}, 20)).toEqual(['fail serverLost ran=unknown']);
 	});
 
+	// Guards against responses that are waited for until the deadline, since a byte now and then counts as progress.
+	test.each([
+		['a body', fixtureIdempotentRoute, 'x', ['send shop']],
+		['a stream, before its first event', fixtureStreamRoute, ':', ['send models']],
+		['blank lines of a stream', fixtureStreamRoute, '\n', ['send models']],
+	])('is sent again if its endpoint goes on with a byte at a time of %s', (_, route, part, expected) => {
+		const harness = startRequest({...route, timeoutMs: 9000});
+		const sendId = harness.getSendId();
+		harness.step({kind: 'responseStarted', sendId, head: createFixtureHead()}, 10);
+		const actions: string[] = [];
+		for (let now = 20; now < 1500 && actions.length === 0; now += 20) {
+			harness.step({kind: 'responseBytes', sendId, bytes: getBytes(part)}, now);
+			actions.push(...harness.gateway.step({kind: 'timePassed'}, now).flatMap(action => formatAction(action)));
+		}
+
+		expect(actions).toEqual(['cancel', ...expected]);
+	});
+
+	test('waits for a body that comes slowly but at a usual pace', () => {
+		const harness = startRequest({...fixtureIdempotentRoute, timeoutMs: 9000});
+		const sendId = harness.getSendId();
+		harness.step({kind: 'responseStarted', sendId, head: createFixtureHead()}, 10);
+		for (let now = 20; now < 4000; now += 200) {
+			harness.step({kind: 'responseBytes', sendId, bytes: getBytes('x'.repeat(1200))}, now);
+			expect(harness.gateway.step({kind: 'timePassed'}, now).flatMap(action => formatAction(action))).toEqual([]);
+		}
+	});
+
 	test('is sent again if its endpoint goes silent and does not answer a probe', () => {
 		const harness = startRequest({...fixtureIdempotentRoute, timeoutMs: 5000});
 		expect(harness.gateway.step({kind: 'timePassed'}, 899).flatMap(action => formatAction(action))).toEqual([]);
--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -21,7 +21,7 @@
 	GatewayAction, RequestEvent, SendId, SendResult, SilenceOutcome,
 } from './gateway-events.js';
 import {
-	getSilenceTimeoutMs, isStreamResponse, maximumEventBytes, parseEventNumber, silenceTimeouts, type SavedResponse, type Send,
+	getSilenceTimeoutMs, isStreamResponse, maximumEventBytes, minimumProgressBytes, parseEventNumber, silenceTimeouts, type SavedResponse, type Send,
 } from './request-send.js';
 import type {RetryQuota} from './retry-quota.js';
 import {createPlacementReport, createSendEndReport, createSilenceReports} from './send-reports.js';
@@ -419,9 +419,13 @@
 			return [];
 		}
 
-		recordProgress(current, now);
+		current.unproductiveBytes += bytes.length;
 		if (!isStreamResponse(request, current.head)) {
 			current.chunks.push(bytes);
+			if (current.unproductiveBytes >= minimumProgressBytes) {
+				recordProgress(current, now);
+			}
+
 			return [];
 		}
 
@@ -433,7 +437,6 @@
 		const actions: GatewayAction[] = [];
 		const delivered: Uint8Array[] = [];
 		let detail: string | undefined;
-		send.unproductiveBytes += bytes.length;
 		for (const event of send.splitter.addBytes(bytes)) {
 			const eventActions = deliverEvent(send, head, event, now);
 			if (eventActions === undefined) {
@@ -443,7 +446,9 @@
 
 			actions.push(...eventActions);
 			delivered.push(event.bytes);
-			send.unproductiveBytes = event.hasContent ? 0 : send.unproductiveBytes;
+			if (event.hasContent) {
+				recordProgress(send, now);
+			}
 		}
 
 		if (delivered.length > 0) {
@@ -610,7 +615,7 @@
 	/**
 	Checks a send without recent progress. The request is sent again if its endpoint has begun to answer a later request of
 	at least its length, or doesn't answer a probe, or reports that it has no open request. The endpoint is probed only if
-	nothing was received from it recently.
+	nothing was received from it recently. A response that only dribbles needs no further proof.
 	*/
 	function checkSilence(silentSend: Send, now: Timestamp): readonly GatewayAction[] {
 		const {placement, lastProgressAt, isProbed} = silentSend;
@@ -621,6 +626,10 @@
 			return reportSilence(silentSend, 'retryForbidden', now);
 		}
 
+		if (silentSend.unproductiveBytes > 0) {
+			return abandonSilentSend(silentSend, 'the response does not progress', now);
+		}
+
 		const isOvertaken = context.registry.isOvertaken(id, getSentRequest(silentSend), lastProgressAt);
 		if (!isOvertaken && context.registry.hasRespondedSince(id, now - silenceTimeouts.minimumMs)) {
 			return reportSilence(silentSend, 'endpointResponded', now);
@@ -665,6 +674,7 @@
 
 	function recordProgress(send: Send, now: Timestamp): void {
 		send.lastProgressAt = now;
+		send.unproductiveBytes = 0;
 		send.isProbed = false;
 		send.memory?.recordProgress(now);
 		send.checkAt = now + getSilenceTimeoutMs(route, send);
--- a/packages/core/src/gateway/request-send.ts
+++ b/packages/core/src/gateway/request-send.ts
@@ -27,6 +27,9 @@
 /** Maximum number of bytes of a stream without an event that has content; more are taken for an endless response. */
 export const maximumEventBytes = 262_144;
 
+/** Number of bytes of a body that count as progress; fewer do if they complete it. */
+export const minimumProgressBytes = 1024;
+
 const okStatus = 200;
 
 /** One send of a request to an endpoint, and the response received so far. */
@@ -39,7 +42,7 @@
 	readonly memory: MemoryReservation | undefined;
 	head: EndpointResponseHead | undefined;
 	readonly sentAt: Timestamp;
-	/** When the last bytes were received, or the request was sent. */
+	/** When the request was sent, or its response last progressed: by its head, events with content, or enough bytes of another body. */
 	lastProgressAt: Timestamp;
 	/** When to check next whether the send is lost. */
 	checkAt: Timestamp;
