--- a/packages/core/src/gateway/fleet-properties.test.ts
+++ b/packages/core/src/gateway/fleet-properties.test.ts
@@ -173,6 +173,32 @@
 		}))).toEqual([]);
 	});
 
+	// Guards against a segment that is blamed, and its sound requests refused, because servers are ended from outside while they run them.
+	test('refuse hardly any sound request while many servers are ended from outside', () => {
+		expect(findRequestCrashViolations(runFleetScenario({
+			seed: 1_107_521_500,
+			gatewayCount: 5,
+			soundPerSecond,
+			limits: [],
+			crashSegments: [],
+			crashRequests: [{startsAt: 9550, perSecond: 0.5, hasPrompt: true}, {startsAt: 4505, perSecond: 1, hasPrompt: true}],
+			disruptions: [
+				{
+					kind: 'restart', at: 25_000, gatewayIndex: 1, durationMs: 206,
+				},
+				{
+					kind: 'cutFromPeers', at: 24_989, gatewayIndex: 1, durationMs: 5281,
+				},
+				{
+					kind: 'cutFromPeers', at: 17_806, gatewayIndex: 2, durationMs: 208,
+				},
+			],
+			kills: [
+				[13_925, 3], [8564, 1], [11_653, 6], [14_855, 9], [16_721, 8], [9122, 1], [11_404, 7], [13_308, 9], [24_854, 7], [10_261, 8], [10_307, 5], [12_196, 10], [23_160, 5],
+			].map(([at = 0, serverIndex = 0]) => ({at, serverIndex})),
+		}))).toEqual([]);
+	});
+
 	// Guards against the same while gateways restart or are cut off from each other or the store.
 	test('stop sending its repeats under random restarts and cuts', () => {
 		fc.assert(fc.property(requestScenario, input => {
