Read priorities, home regions, cold endpoints and evacuations, and pass them on

Cause: nothing in the product reads a route's or an organisation's priority and home regions, for how long an endpoint stays cold, what rate a service tolerates then, or the operator's evacuations, so no decision can rest on them.

Change: configuration, entries and responses are decoded with them; the priority of a request follows its organisation before its route. Readers list the evacuations, where the settings say that there are such, and pass them on. Open work carries its priority and its predicted service time. Settings: regions, evacuationMs, coldEndpoints. No decision uses any of it yet; the two polls of lists share their loop.

--- a/packages/core/src/gateway/forwarded-request.test.ts
+++ b/packages/core/src/gateway/forwarded-request.test.ts
@@ -459,7 +459,7 @@
 		const harness = createHarness();
 		for (let id = 0; id < 16 * 3; id += 1) {
 			const work = {
-				id, endpoint: `models-${id % 16}`, helpers: [], promptTokens: 5000, readMs: 34, longestPauseMs: 250,
+				id, endpoint: `models-${id % 16}`, helpers: [], promptTokens: 5000, readMs: 34, longestPauseMs: 250, priority: 1, serviceMs: 0,
 			};
 			harness.gateway.step({kind: 'peerChanged', gateway: 'gateway-2', changes: [{kind: 'started', work}]}, 0);
 			harness.gateway.step({kind: 'peerChanged', gateway: 'gateway-2', changes: [{kind: 'writing', id}]}, 0);
@@ -492,7 +492,7 @@
 	test('refuses a prompt at once if its first event is predicted too close to the estimated client timeout, or after it', () => {
 		const harness = createHarness();
 		const openWork = Array.from({length: 16 * 30}, (_, index) => ({
-			id: index, endpoint: `models-${index % 16}`, helpers: [], promptTokens: 5000, readMs: 34, longestPauseMs: 250,
+			id: index, endpoint: `models-${index % 16}`, helpers: [], promptTokens: 5000, readMs: 34, longestPauseMs: 250, priority: 1, serviceMs: 0,
 		}));
 		for (const work of openWork) {
 			harness.gateway.step({kind: 'peerChanged', gateway: 'gateway-2', changes: [{kind: 'started', work}]}, 0);
--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -182,6 +182,8 @@
 					promptTokens: request.prompt?.promptTokens ?? 0,
 					readMs: placement.prefillMs,
 					longestPauseMs: route.longestPauseMs,
+					priority: request.priority,
+					serviceMs: 0,
 				},
 			}, now),
 			...current.memory === undefined ? dispatchSend(current, now) : reserve(current.memory.reservations),
--- a/packages/core/src/gateway/gateway-events.ts
+++ b/packages/core/src/gateway/gateway-events.ts
@@ -147,6 +147,8 @@
 		| Readonly<{kind: 'endpointChecked'; endpoint: EndpointId; result: EndpointCheck}>
 	/** All quarantines that the platform's store lists. */
 		| Readonly<{kind: 'quarantinesListed'; records: readonly QuarantineRecord[]}>
+	/** The data centres whose endpoints are to get no requests. */
+		| Readonly<{kind: 'evacuationsListed'; dataCentres: ReadonlySet<string>}>
 	/** The crashes that gateways have recorded in the platform's store. */
 		| Readonly<{kind: 'crashesListed'; crashes: readonly CrashReport[]}>
 	/** The process ends in a moment: each open request gets its final answer now. */
--- a/packages/core/src/gateway/gateway-fixtures.ts
+++ b/packages/core/src/gateway/gateway-fixtures.ts
@@ -20,7 +20,7 @@
 };
 
 const commonRoute = {
-	host: 'a.example', isPublic: false, services: [{service: 'models', weight: 1}],
+	host: 'a.example', isPublic: false, priority: 1, homeRegions: [], services: [{service: 'models', weight: 1}],
 } as const;
 
 export const fixtureStreamRoute: ServedRoute = {
@@ -63,10 +63,11 @@
 	version: 1,
 	routes: [fixtureStreamRoute, fixtureLongStreamRoute, fixtureNonIdempotentRoute, fixtureIdempotentRoute],
 	services: new Map([
-		['models', {name: 'models', engine: fixtureEngine}],
-		['shop', {name: 'shop', engine: undefined}],
+		['models', {name: 'models', engine: fixtureEngine, coldTolerance: undefined}],
+		['shop', {name: 'shop', engine: undefined, coldTolerance: undefined}],
 	]),
 	organisationsByKey: new Map([[fixtureApiKey, 'club']]),
+	organisations: new Map([['club', {name: 'club', priority: undefined, homeRegions: []}]]),
 	limits: {maximumBodyBytes: 1_000_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000},
 };
 
@@ -80,6 +81,7 @@
 		slots: service === 'models' ? 11 : 6,
 		state: 'ready' as const,
 		startedAt: 1,
+		coldRemainingMs: 0,
 	}));
 }
 
@@ -93,6 +95,8 @@
 		ratio: 0.2, fixedSends: 100, windowMs: 10_000, usedShare: 0.75,
 	},
 	memoryIdleMs: 9000,
+	regions: new Map(),
+	coldEndpoints: undefined,
 };
 
 /** Returns a request of the route; without changes it arrives at time 0. */
@@ -104,6 +108,7 @@
 		route,
 		service: route.services[0]?.service ?? '',
 		organisation: 'club',
+		priority: route.priority,
 		credential: fixtureApiKey,
 		deadlineAt: arrivedAt + route.timeoutMs,
 		arrivedAt,
@@ -129,6 +134,7 @@
 		isUndelimited: false,
 		isLeaving: false,
 		requestsPerSecond: undefined,
+		coldRemainingMs: undefined,
 		retryAfterMs: undefined,
 		...changes,
 	};
--- a/packages/core/src/gateway/gateway-parts.test.ts
+++ b/packages/core/src/gateway/gateway-parts.test.ts
@@ -221,7 +221,7 @@
 
 describe('createLoadView', () => {
 	const work: OpenWork = {
-		id: 1, endpoint: 'a', helpers: [{endpoint: 'b', reservedTokens: 0}], promptTokens: 100_000, readMs: 400, longestPauseMs: 600,
+		id: 1, endpoint: 'a', helpers: [{endpoint: 'b', reservedTokens: 0}], promptTokens: 100_000, readMs: 400, longestPauseMs: 600, priority: 1, serviceMs: 0,
 	};
 
 	test('prefill counts at the receiver and the helper, decoding only at the receiver', () => {
--- a/packages/core/src/gateway/gateway-types.ts
+++ b/packages/core/src/gateway/gateway-types.ts
@@ -36,9 +36,29 @@
 	isResumable: boolean;
 	/** Target for the longest pause between a stream's events; 0 if the route has none. */
 	longestPauseMs: Milliseconds;
+	/** Urgency of the requests; 0 is the most urgent. */
+	priority: number;
+	/** Regions whose endpoints may get the requests; any region if empty. */
+	homeRegions: readonly string[];
 	services: readonly WeightedService[];
 }>;
 
+/** An organisation, which holds API keys. */
+export type ServedOrganisation = Readonly<{
+	name: string;
+	/** Urgency of its requests, which takes precedence over that of their route. */
+	priority: number | undefined;
+	/** Regions whose endpoints may get its requests; any region if empty. */
+	homeRegions: readonly string[];
+}>;
+
+/** What endpoints of a service take while they are cold: for some time after a start, and whenever they say so. */
+export type ColdTolerance = Readonly<{
+	requestsPerSecond: number;
+	/** Time for which an endpoint is cold after a start. */
+	durationMs: Milliseconds;
+}>;
+
 /** Capacity and timing model of a model server, from the configuration. */
 export type EngineProfile = Readonly<{
 	/** Number of requests that are processed at once. */
@@ -59,6 +79,8 @@
 	name: string;
 	/** Defined if the service's endpoints are model servers. */
 	engine: EngineProfile | undefined;
+	/** Defined if the service's endpoints bound the requests that they take while cold. */
+	coldTolerance: ColdTolerance | undefined;
 }>;
 
 export type ServingLimits = Readonly<{
@@ -74,6 +96,7 @@
 	services: ReadonlyMap<string, ServedService>;
 	/** Organisation of each API key; `undefined` if no route requires a key. */
 	organisationsByKey: ReadonlyMap<string, string> | undefined;
+	organisations: ReadonlyMap<string, ServedOrganisation>;
 	limits: ServingLimits;
 }>;
 
@@ -90,6 +113,8 @@
 	state: EndpointState;
 	/** Start time of the endpoint's process by its own wall clock; distinguishes restarts under the same id. */
 	startedAt: number;
+	/** Time for which the endpoint stays cold, counted from when its entry was read; 0 if it isn't cold. */
+	coldRemainingMs: Milliseconds;
 }>;
 
 /** Identifies a segment of a prompt by its content; requests whose prompts contain the same segment name the same id. */
@@ -106,6 +131,8 @@
 	route: ServedRoute;
 	service: string;
 	organisation: string | undefined;
+	/** Urgency, from its organisation or else its route; 0 is the most urgent. */
+	priority: number;
 	/** API key of the caller, checked again before each send. */
 	credential: string | undefined;
 	/** Earlier of the caller's deadline and the route's timeout. */
@@ -157,6 +184,8 @@
 	isLeaving: boolean;
 	/** Number of requests a second that the endpoint takes from all gateways together; `undefined` if it has no limit. */
 	requestsPerSecond: number | undefined;
+	/** Time for which the endpoint says it stays cold; `undefined` if it says nothing of it. */
+	coldRemainingMs: Milliseconds | undefined;
 	/** Delay after which the endpoint suggests a retry. */
 	retryAfterMs: Milliseconds | undefined;
 }>;
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -13,7 +13,7 @@
 import {createEndpointRanking} from './endpoint-ranking.js';
 import {createEndpointRegistry, type EndpointRegistrySettings} from './endpoint-registry.js';
 import type {
-	EndpointId, GatewayRequest, ListedEndpoint, RequestKey, ServingConfiguration,
+	EndpointId, GatewayRequest, ListedEndpoint, RequestKey, ServedRoute, ServingConfiguration,
 } from './gateway-types.js';
 import {createLoadView, type GatewayName, type WorkChange} from './load-view.js';
 import {
@@ -39,8 +39,15 @@
 	retryQuota: RetryQuotaSettings;
 	/** Time for which the platform allows reserved memory to be unused. */
 	memoryIdleMs: Milliseconds;
+	/** Region of each data centre; empty if the deployment has none. */
+	regions: ReadonlyMap<string, string>;
+	/** Limit on the requests to cold endpoints of all gateways together; `undefined` if there is none. */
+	coldEndpoints: ColdEndpointSettings | undefined;
 }>;
 
+/** In any second, a cold endpoint gets at most `ratio` times the requests that its service tolerates, plus `fixedRequests`. */
+export type ColdEndpointSettings = Readonly<{ratio: number; fixedRequests: number}>;
+
 export type Gateway = Readonly<{
 	step(event: GatewayEvent, now: Timestamp): readonly GatewayAction[];
 	/** Returns when the next `timePassed` is due, or `undefined` if none is. */
@@ -48,6 +55,8 @@
 	/** Finds the route of a request and checks its API key. */
 	checkRoute(host: string, path: string, credential: string | undefined, now: Timestamp): RouteGrant | RouteRefusal;
 	tryGetConfiguration(): ServingConfiguration | undefined;
+	/** Returns the priority of an organisation's requests of a route. */
+	getPriority(route: ServedRoute, organisation: string | undefined): number;
 	/** Returns the time since the configuration was last verified to be current. */
 	getConfigurationAgeMs(now: Timestamp): Milliseconds;
 	/** Returns whether a peer has a newer configuration that neither this gateway nor the store has. */
@@ -330,6 +339,10 @@
 				return quarantine.applyRecords(event.records, now);
 			}
 
+			case 'evacuationsListed': {
+				return [];
+			}
+
 			case 'crashesListed': {
 				quarantine.applyCrashRecords(event.crashes, now);
 				return [];
@@ -357,6 +370,7 @@
 		},
 		checkRoute: configuration.checkRoute,
 		tryGetConfiguration: configuration.tryGet,
+		getPriority: (route, organisation) => configuration.tryGet()?.organisations.get(organisation ?? '')?.priority ?? route.priority,
 		getConfigurationAgeMs: configuration.getAgeMs,
 		isConfigurationOutdated: configuration.isOutdated,
 		isReady: now => configuration.tryGet() !== undefined && !configuration.isOutdated(now) && registry.hasList(),
--- a/packages/core/src/gateway/load-view.ts
+++ b/packages/core/src/gateway/load-view.ts
@@ -28,6 +28,10 @@
 	readMs: Milliseconds;
 	/** Target for the longest pause between the request's events; 0 if it has none. */
 	longestPauseMs: Milliseconds;
+	/** Urgency; 0 is the most urgent. */
+	priority: number;
+	/** Predicted service time at the endpoint without a queue; 0 if it isn't predicted. */
+	serviceMs: Milliseconds;
 }>;
 
 /** A change to the open requests of one gateway. */
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -79,6 +79,8 @@
 		endpoints: defaultEndpointRegistrySettings,
 		retryQuota: {...settings.retries, usedShare: usedRetryQuotaShare},
 		memoryIdleMs: settings.memoryIdleMs,
+		regions: new Map(Object.entries(settings.regions)),
+		coldEndpoints: settings.coldEndpoints,
 	});
 	const hasher = await createHasher();
 	const metrics = createGatewayMetrics(gateway.getOpenRequestCount);
@@ -129,6 +131,7 @@
 		platform: host.platform,
 		logger,
 		metrics,
+		hasEvacuations: settings.evacuationMs !== undefined,
 		dispatch(event) {
 			driver.dispatch(event);
 			if (event.kind === 'endpointsListed') {
@@ -229,6 +232,7 @@
 			route,
 			service: getWeightedService(route, Math.random()),
 			organisation,
+			priority: gateway.getPriority(route, organisation),
 			credential: head.credential,
 			deadlineAt: arrivedAt + Math.min(route.timeoutMs, head.remainingMs ?? route.timeoutMs),
 			arrivedAt,
--- a/packages/gateway/src/gateway-hosts.ts
+++ b/packages/gateway/src/gateway-hosts.ts
@@ -98,6 +98,8 @@
 	listEndpoints(minimumRevision: Revision | undefined): Promise<Listing<ListedEndpoint>>;
 	/** Lists the quarantines at `minimumRevision` or later, as `listEndpoints` does. */
 	listQuarantines(minimumRevision: Revision | undefined): Promise<Listing<QuarantineRecord>>;
+	/** Lists the data centres whose endpoints are to get no requests, at `minimumRevision` or later, as `listEndpoints` does. */
+	listEvacuations(minimumRevision: Revision | undefined): Promise<Listing<string>>;
 	/** Creates a record of a quarantine, or keeps the existing one of its segment. */
 	recordQuarantine(record: QuarantineRecord): Promise<void>;
 	removeQuarantine(segment: ServiceSegment): Promise<void>;
--- a/packages/gateway/src/platform-feed.ts
+++ b/packages/gateway/src/platform-feed.ts
@@ -1,6 +1,6 @@
 /**
 Keeps a gateway's view of the platform current: watches the configuration, and polls the lists of endpoints, of
-quarantines and of other gateways.
+quarantines, of evacuations where there are such, and of other gateways.
 
 While a reader of the data centre passes on what it reads, this gateway reads nothing itself, and takes the reader's states instead.
 
@@ -25,6 +25,8 @@
 	platform: PlatformHost;
 	logger: Logger;
 	metrics: GatewayMetrics;
+	/** Whether the operator may evacuate data centres, so that the list of evacuations is read. */
+	hasEvacuations: boolean;
 	dispatch(event: GatewayEvent): void;
 	/** Called after each read or watch. The update was the newest state at `verifiedAt`. */
 	onConfiguration(update: ConfigurationUpdate, verifiedAt: Timestamp): void;
@@ -59,6 +61,8 @@
 const maximumRevisionAgeMs: Milliseconds = 1300;
 /** Polling interval of the quarantines; bounds how long a gateway that peers don't reach sends requests that crash servers. */
 const quarantinePollIntervalMs: Milliseconds = 1000;
+/** Polling interval of the evacuations; leaves most of the time in which an evacuation must be in force. */
+const evacuationPollIntervalMs: Milliseconds = 1000;
 const gatewayPollIntervalMs: Milliseconds = 3000;
 /** Time after a restore in which stale lists may be from before it, so that current ones are read. */
 const staleReadDistrustMs: Milliseconds = 5000;
@@ -115,7 +119,7 @@
 	const unusableNames = new Map<string, ReadonlySet<string>>();
 	let knownGateways: ReadonlyMap<string, GatewayRegistration> = new Map();
 	let known: Omit<KnownState, 'revision'> = {
-		verifiedAt: Number.NEGATIVE_INFINITY, configuration: undefined, endpoints: undefined, endpointFailures: 0, quarantines: undefined, gateways: undefined,
+		verifiedAt: Number.NEGATIVE_INFINITY, configuration: undefined, endpoints: undefined, endpointFailures: 0, quarantines: undefined, evacuations: undefined, gateways: undefined,
 	};
 	const observers = new Set<() => void>();
 	let isReading = true;
@@ -340,6 +344,11 @@
 		setKnown({quarantines: {items: records}});
 	}
 
+	function applyEvacuations(dataCentres: readonly string[]): void {
+		host.dispatch({kind: 'evacuationsListed', dataCentres: new Set(dataCentres)});
+		setKnown({evacuations: {items: dataCentres}});
+	}
+
 	async function runEndpointPolling(): Promise<void> {
 		const dependency: Dependency = {name: 'endpoints', isLost: false, failures: 0};
 		while (!closing.signal.aborted) {
@@ -352,18 +361,19 @@
 		}
 	}
 
-	async function runQuarantinePolling(): Promise<void> {
-		const dependency: Dependency = {name: 'quarantines', isLost: false, failures: 0};
+	/** Polls a list while this gateway reads the store itself. */
+	async function runPolling<Item>(name: string, intervalMs: Milliseconds, list: (minimumRevision: Revision | undefined) => Promise<Listing<Item>>, applyItems: (items: readonly Item[]) => void): Promise<void> {
+		const dependency: Dependency = {name, isLost: false, failures: 0};
 		while (!closing.signal.aborted) {
 			await waitUntilReading(); // eslint-disable-line no-await-in-loop
 			// eslint-disable-next-line no-await-in-loop -- one poll at a time
-			const records = await readList(dependency, async () => platform.listQuarantines(tryGetRecentRevision()));
-			if (records !== undefined) {
-				applyQuarantines(records);
+			const items = await readList(dependency, async () => list(tryGetRecentRevision()));
+			if (items !== undefined) {
+				applyItems(items);
 			}
 
 			// eslint-disable-next-line no-await-in-loop
-			await wait(records === undefined ? getRetryDelayMs(dependency) : getPollIntervalMs(quarantinePollIntervalMs));
+			await wait(items === undefined ? getRetryDelayMs(dependency) : getPollIntervalMs(intervalMs));
 		}
 	}
 
@@ -480,7 +490,7 @@
 	}
 
 	function applyState(state: FollowedState, verifiedAt: Timestamp): boolean {
-		const {revision: stateRevision, configuration: told, endpoints, quarantines, gateways, hasEndpointFailure} = state;
+		const {revision: stateRevision, configuration: told, endpoints, quarantines, evacuations, gateways, hasEndpointFailure} = state;
 		let configuration: ServingConfiguration | undefined;
 		try {
 			checkEpoch(stateRevision.epoch, 'reader');
@@ -508,6 +518,10 @@
 			applyQuarantines(quarantines);
 		}
 
+		if (evacuations !== undefined) {
+			applyEvacuations(evacuations);
+		}
+
 		if (gateways !== undefined) {
 			applyGateways(gateways);
 		}
@@ -520,7 +534,11 @@
 			selfName = self.name;
 			void runConfigurationWatch();
 			void runEndpointPolling();
-			void runQuarantinePolling();
+			void runPolling('quarantines', quarantinePollIntervalMs, platform.listQuarantines, applyQuarantines);
+			if (host.hasEvacuations) {
+				void runPolling('evacuations', evacuationPollIntervalMs, platform.listEvacuations, applyEvacuations);
+			}
+
 			void readCrashes();
 			void runGatewayPolling(self);
 		},
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -35,6 +35,15 @@
 	revocationMs: z.number().positive().optional(),
 	/** Time for which endpoints may hold reserved memory that no request uses. */
 	memoryIdleMs: z.number().positive().default(defaultMemoryIdleMs),
+	/** Region of each data centre. */
+	regions: z.record(z.string(), z.string()).default({}),
+	/** Time within which an evacuated data centre's endpoints must get no more requests; absent if none is ever evacuated. */
+	evacuationMs: z.number().positive().optional(),
+	/** Limit on the requests to a cold endpoint in any second, of all gateways together: a ratio of what its service tolerates plus a fixed number. */
+	coldEndpoints: z.strictObject({
+		ratio: z.number().positive(),
+		fixedRequests: z.number().min(0),
+	}).optional(),
 	/** Limit on sends beyond the first of each request: a ratio of the requests plus a fixed number for all gateways, per window. */
 	retries: z.strictObject({
 		ratio: z.number().min(0),
--- a/packages/gateway/src/state-publisher.ts
+++ b/packages/gateway/src/state-publisher.ts
@@ -22,6 +22,8 @@
 	/** Number of times that the list of endpoints could not be read. */
 	endpointFailures: number;
 	quarantines: Readonly<{items: readonly QuarantineRecord[]}> | undefined;
+	/** Data centres whose endpoints are to get no requests. */
+	evacuations: Readonly<{items: readonly string[]}> | undefined;
 	gateways: Readonly<{items: readonly GatewayRegistration[]}> | undefined;
 }>;
 
@@ -41,12 +43,13 @@
 	endpoints: KnownState['endpoints'];
 	endpointFailures: number;
 	quarantines: KnownState['quarantines'];
+	evacuations: KnownState['evacuations'];
 	gateways: KnownState['gateways'];
 };
 
 function isSameEntry(left: ListedEndpoint, right: ListedEndpoint): boolean {
 	return left.service === right.service && left.address === right.address && left.dataCentre === right.dataCentre && left.slots === right.slots
-		&& left.state === right.state && left.startedAt === right.startedAt;
+		&& left.state === right.state && left.startedAt === right.startedAt && left.coldRemainingMs === right.coldRemainingMs;
 }
 
 /** Returns the entries of a list that are new or other than in an earlier one, and the ids that it lacks. */
@@ -79,12 +82,14 @@
 		endpoints: known.endpoints === undefined || known.endpoints === cursor.endpoints ? undefined : getUntoldChanges(cursor.endpoints?.items, known.endpoints),
 		hasEndpointFailure: known.endpointFailures !== cursor.endpointFailures,
 		quarantines: known.quarantines === cursor.quarantines ? undefined : known.quarantines?.items,
+		evacuations: known.evacuations === cursor.evacuations ? undefined : known.evacuations?.items,
 		gateways: known.gateways === cursor.gateways ? undefined : known.gateways?.items,
 	};
 	cursor.configuration = known.configuration;
 	cursor.endpoints = known.endpoints;
 	cursor.endpointFailures = known.endpointFailures;
 	cursor.quarantines = known.quarantines;
+	cursor.evacuations = known.evacuations;
 	cursor.gateways = known.gateways;
 	return state;
 }
@@ -94,7 +99,7 @@
 	async function * streamState(_: GatewayName, signal: AbortSignal): AsyncGenerator<PlatformState> {
 		const openedAt = performance.now();
 		const cursor: Cursor = {
-			configuration: undefined, endpoints: undefined, endpointFailures: host.getKnownState().endpointFailures, quarantines: undefined, gateways: undefined,
+			configuration: undefined, endpoints: undefined, endpointFailures: host.getKnownState().endpointFailures, quarantines: undefined, evacuations: undefined, gateways: undefined,
 		};
 		while (!signal.aborted) {
 			const known = host.getKnownState();
--- a/packages/gateway/src/work-exchange.test.ts
+++ b/packages/gateway/src/work-exchange.test.ts
@@ -25,7 +25,7 @@
 
 function createWork(id: number): OpenWork {
 	return {
-		id, endpoint: 'm-1', helpers: [{endpoint: 'm-2', reservedTokens: 7}], promptTokens: 5000, readMs: 34.5, longestPauseMs: 250,
+		id, endpoint: 'm-1', helpers: [{endpoint: 'm-2', reservedTokens: 7}], promptTokens: 5000, readMs: 34.5, longestPauseMs: 250, priority: 1, serviceMs: 12.5,
 	};
 }
 
--- a/packages/peer/src/gateway-peers.ts
+++ b/packages/peer/src/gateway-peers.ts
@@ -147,7 +147,7 @@
 function isUsable(change: PeerChange): boolean {
 	switch (change.kind) {
 		case 'started': {
-			return isAmount(change.work.readMs) && isAmount(change.work.longestPauseMs);
+			return isAmount(change.work.readMs) && isAmount(change.work.longestPauseMs) && isAmount(change.work.priority) && isAmount(change.work.serviceMs);
 		}
 
 		case 'serverCrashed': {
@@ -191,10 +191,10 @@
 		}
 
 		case 'started': {
-			const {id, endpoint, helpers, promptTokens, readMs, longestPauseMs} = change.value;
+			const {id, endpoint, helpers, promptTokens, readMs, longestPauseMs, priority, serviceMs} = change.value;
 			return {
 				kind: 'started', work: {
-					id, endpoint, helpers: helpers.map(helper => ({endpoint: helper.endpoint, reservedTokens: helper.reservedTokens})), promptTokens, readMs, longestPauseMs,
+					id, endpoint, helpers: helpers.map(helper => ({endpoint: helper.endpoint, reservedTokens: helper.reservedTokens})), promptTokens, readMs, longestPauseMs, priority, serviceMs,
 				},
 			};
 		}
--- a/packages/peer/src/platform-peers.ts
+++ b/packages/peer/src/platform-peers.ts
@@ -28,11 +28,13 @@
 	endpoints: EndpointChanges | undefined;
 	hasEndpointFailure: boolean;
 	quarantines: readonly QuarantineRecord[] | undefined;
+	/** Data centres whose endpoints are to get no requests. */
+	evacuations: readonly string[] | undefined;
 	gateways: ReadonlyArray<ExchangeMember & Readonly<{peerUrl: string}>> | undefined;
 }>;
 
 /** Converts a state to its wire form. */
-export function toWireState({verifiedAfterMs, revision, configuration, endpoints, hasEndpointFailure, quarantines, gateways}: PlatformState): wire.PlatformState {
+export function toWireState({verifiedAfterMs, revision, configuration, endpoints, hasEndpointFailure, quarantines, evacuations, gateways}: PlatformState): wire.PlatformState {
 	return create(wire.PlatformStateSchema, {
 		verifiedAfterMs,
 		epoch: BigInt(revision.epoch),
@@ -44,18 +46,19 @@
 			: {endpoints: create(wire.EndpointChangesSchema, {changed: endpoints.changed.map(({state, ...endpoint}) => ({...endpoint, isDraining: state === 'draining'})), removed: [...endpoints.removed]})}),
 		hasEndpointFailure,
 		...(quarantines === undefined ? {} : {quarantines: create(wire.QuarantineListSchema, {quarantines: quarantines.map(quarantine => ({...quarantine}))})}),
+		...(evacuations === undefined ? {} : {evacuations: create(wire.EvacuationListSchema, {dataCentres: [...evacuations]})}),
 		...(gateways === undefined ? {} : {gateways: create(wire.GatewayListSchema, {gateways: gateways.map(gateway => ({...gateway}))})}),
 	});
 }
 
-function fromWireEndpoint({id, service, address, dataCentre, slots, isDraining, startedAt}: wire.Endpoint): ListedEndpoint {
+function fromWireEndpoint({id, service, address, dataCentre, slots, isDraining, startedAt, coldRemainingMs}: wire.Endpoint): ListedEndpoint {
 	return {
-		id, service, address, dataCentre, slots, state: isDraining ? 'draining' : 'ready', startedAt,
+		id, service, address, dataCentre, slots, state: isDraining ? 'draining' : 'ready', startedAt, coldRemainingMs,
 	};
 }
 
 /** Converts a state from its wire form. */
-export function fromWireState({verifiedAfterMs, epoch, sequence, configuration, writtenAtRevision, endpoints, hasEndpointFailure, quarantines, gateways}: wire.PlatformState): PlatformState {
+export function fromWireState({verifiedAfterMs, epoch, sequence, configuration, writtenAtRevision, endpoints, hasEndpointFailure, quarantines, evacuations, gateways}: wire.PlatformState): PlatformState {
 	return {
 		verifiedAfterMs,
 		revision: {epoch: Number(epoch), sequence: Number(sequence)},
@@ -65,6 +68,7 @@
 		quarantines: quarantines?.quarantines.map(({service, segment, remainingMs, gateway}) => ({
 			service, segment, remainingMs, gateway,
 		})),
+		evacuations: evacuations?.dataCentres,
 		gateways: gateways?.gateways.map(({name, dataCentre, processorShare, peerUrl}) => ({
 			name, dataCentre, processorShare, peerUrl,
 		})),
