Take an answer without an id for nobody's

Cause: a leftover answer to one of the gateway's own control requests, which have no id, was taken for the answer to the next request on the connection, with its promise that it had not run.

Change: only an answer with the request's own id says anything about it. The test server names the id in its refusals, as servers do.

--- a/packages/core/src/gateway/forwarded-request.test.ts
+++ b/packages/core/src/gateway/forwarded-request.test.ts
@@ -228,7 +228,8 @@
 		expect(sendTimes).toEqual([0, 0, 0, 3000, 3000, 3000]);
 	});
 
-	// Guards against an earlier refusal that a server writes once more on a connection, and that would be taken for this request's.
+	// Guards against an earlier refusal that a server writes once more on a connection, and that would be taken for this request's. The
+	// gateway's own control requests have no id, and neither have the responses to them.
 	test.each([
 		['a refusal', {
 			status: 503, isNotRun: true, hasStamp: false, retryAfterMs: 2000,
@@ -238,12 +239,14 @@
 		}],
 		['a response of another instance', {status: 421, hasStamp: false}],
 		['a limit', {status: 200, requestsPerSecond: 0}],
-	])('fails as possibly run, without a second send, after %s with the id of an earlier request', (_, changes) => {
-		const harness = startRequest(fixtureNonIdempotentRoute);
-		const head = createFixtureHead({...changes, requestId: 'r-0'});
-		expect(harness.step({kind: 'responseStarted', sendId: harness.getSendId(), head}, 10)).toEqual(['cancel', 'fail serverLost ran=unknown']);
-		const others = Array.from({length: 6}, (__, index) => harness.gateway.step({kind: 'requestArrived', request: createFixtureGatewayRequest(fixtureNonIdempotentRoute, {key: 10 + index, arrivedAt: 11})}, 11));
-		expect(others.flat().filter(({kind}) => kind === 'send')).toHaveLength(6);
+	])('fails as possibly run, without a second send, after %s with the id of an earlier request or without an id', (_, changes) => {
+		for (const requestId of ['r-0', undefined]) {
+			const harness = startRequest(fixtureNonIdempotentRoute);
+			const head = createFixtureHead({...changes, requestId});
+			expect(harness.step({kind: 'responseStarted', sendId: harness.getSendId(), head}, 10)).toEqual(['cancel', 'fail serverLost ran=unknown']);
+			const others = Array.from({length: 6}, (__, index) => harness.gateway.step({kind: 'requestArrived', request: createFixtureGatewayRequest(fixtureNonIdempotentRoute, {key: 10 + index, arrivedAt: 11})}, 11));
+			expect(others.flat().filter(({kind}) => kind === 'send')).toHaveLength(6);
+		}
 	});
 
 	test('fails as not run if every endpoint refuses it as not run', () => {
--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -383,8 +383,8 @@
 			return [];
 		}
 
-		// A promise, a limit or a status counts only if the response belongs to this request.
-		if (head.requestId !== undefined && head.requestId !== request.requestId) {
+		// A promise, a limit or a status counts only if the response belongs to this request. One without an id may be left over from a control request.
+		if ((head.requestId ?? '') !== request.requestId) {
 			return [...cancelCurrentSend(), ...handleLostSend('corrupt', 'the answer belongs to another request', now)];
 		}
 
--- a/packages/standins/src/platform-server-standin.ts
+++ b/packages/standins/src/platform-server-standin.ts
@@ -150,7 +150,7 @@
 				refusals.push({requestId: getHeader(message, 'request-id') ?? '', refusedAt: performance.now(), restMs});
 			}
 
-			response.writeHead(503, {'not-run': '1', ...(restMs === undefined ? {} : {'retry-after': String(restMs / 1000)})});
+			response.writeHead(503, {'not-run': '1', 'request-id': getHeader(message, 'request-id') ?? '', ...(restMs === undefined ? {} : {'retry-after': String(restMs / 1000)})});
 			response.end();
 			return;
 		}
@@ -199,7 +199,7 @@
 		}
 
 		if (getHeader(message, 'expect-instance') !== settings.instanceId) {
-			response.writeHead(421, {'instance-id': settings.instanceId});
+			response.writeHead(421, {'instance-id': settings.instanceId, 'request-id': getHeader(message, 'request-id') ?? ''});
 			response.end();
 			return;
 		}
