Send nothing to evacuated data centres, nor outside of home regions

Cause: the product read evacuations and home regions, but no decision used them. Where the operator emptied a data centre, requests went on to its endpoints.

Lists of evacuations are dated: an older one changes nothing, and after a restore of the store none ends until the operator has had the time to write it again. A gateway whose settings have evacuationMs is not ready, and refuses, until it has read a recent list. A reader's states are as old as its list of evacuations, beyond a poll. Where no endpoint is left the request is refused at once as not run (noServerPermitted), with returns spread over 1 to 2 s.

Weighed: refusing everything without recent lists makes each outage of the store one of the service; a watch of the entries costs a call a second more for 1 s.

--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -48,6 +48,9 @@
 	overloaded: {
 		status: 503, category: 'capacity', isRetryable: true, text: 'No server can take the request now',
 	},
+	noServerPermitted: {
+		status: 503, category: 'operator', isRetryable: true, text: 'No server may take the request now',
+	},
 	requestQuarantined: {
 		status: 503, category: 'endpoint', isRetryable: true, text: 'Servers crash on this request',
 	},
--- a/packages/core/src/gateway/fleet-simulation.ts
+++ b/packages/core/src/gateway/fleet-simulation.ts
@@ -356,6 +356,7 @@
 
 			case 'reportQuarantine':
 			case 'reportLimit':
+			case 'reportEvacuations':
 			case 'reserveMemory':
 			case 'releaseMemory':
 			case 'startResponse':
--- a/packages/core/src/gateway/forwarded-request.test.ts
+++ b/packages/core/src/gateway/forwarded-request.test.ts
@@ -76,6 +76,7 @@
 		case 'recordCrashes':
 		case 'reportQuarantine':
 		case 'reportLimit':
+		case 'reportEvacuations':
 		case 'readConfiguration':
 		case 'reportEndpoint':
 		case 'reportDecision': {
@@ -668,6 +669,7 @@
 		createSendId: () => 1,
 		createReservationId: () => 'm',
 		choosePlacement: () => decisions.shift() ?? {kind: 'refused', failure: createNotRunFailure('overloaded')},
+		isPermitted: () => true,
 		checkCredential: () => undefined,
 		recordBrokenSend: () => [],
 		recordLimit: () => [],
--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -37,6 +37,8 @@
 	createReservationId(sendId: SendId, index: number): ReservationId;
 	/** Chooses the endpoints of a request, or defers or refuses it. */
 	choosePlacement(request: GatewayRequest, excluded: ReadonlySet<EndpointId>, now: Timestamp): PlacementDecision;
+	/** Returns whether the request may be sent to the endpoint, which may have changed since it was chosen. */
+	isPermitted(request: GatewayRequest, endpoint: ListedEndpoint): boolean;
 	checkCredential(request: GatewayRequest, now: Timestamp): Failure | undefined;
 	/** Records that the connection of a request broke at an endpoint that may have run it. */
 	recordBrokenSend(request: GatewayRequest, endpoint: ListedEndpoint, now: Timestamp): readonly GatewayAction[];
@@ -233,6 +235,10 @@
 			}
 
 			case 'held': {
+				if (!isPlacementPermitted(current.placement)) {
+					return abandonForbiddenSend(current, now);
+				}
+
 				current.checkAt = now + getSilenceTimeoutMs(route, current);
 				return dispatchSend(current, now);
 			}
@@ -243,6 +249,17 @@
 		}
 	}
 
+	function isPlacementPermitted({endpoint, helpers}: Placement): boolean {
+		return [endpoint, ...helpers.map(helper => helper.endpoint)].every(other => context.isPermitted(request, other));
+	}
+
+	/** Abandons a send whose endpoints may no longer get the request, though memory is reserved, and tries others. */
+	function abandonForbiddenSend({placement}: Send, now: Timestamp): readonly GatewayAction[] {
+		excluded.delete(placement.endpoint.id);
+		const closeActions = closeSend('forbidden', 'the endpoints may no longer get the request', now);
+		return [...closeActions, ...send(now, possibleRunCount === 0 ? undefined : createFailure('serverLost'))];
+	}
+
 	/** Abandons a send whose memory could not be reserved, and tries other endpoints. */
 	function handleReservationFailure({placement}: Send, memory: MemoryReservation, now: Timestamp): readonly GatewayAction[] {
 		failedReservations += 1;
@@ -274,7 +291,7 @@
 		}
 
 		current = undefined;
-		const isKnownNotRun = result === 'notRun' || result === 'replaced' || result === 'noMemory';
+		const isKnownNotRun = result === 'notRun' || result === 'replaced' || result === 'noMemory' || result === 'forbidden';
 		if (isKnownNotRun) {
 			possibleRunCount -= 1;
 		}
--- a/packages/core/src/gateway/gateway-events.ts
+++ b/packages/core/src/gateway/gateway-events.ts
@@ -11,6 +11,7 @@
 import type {GatewayName} from './load-view.js';
 import type {Reservation, ReservationId} from './memory-reservation.js';
 import type {PeerChange} from './peer-changes.js';
+import type {EvacuationChanges, EvacuationList} from './placement-restrictions.js';
 import type {
 	EndpointCheck, Quarantine, QuarantineRecord, QuarantineReport,
 } from './segment-quarantine.js';
@@ -84,6 +85,7 @@
 	| Readonly<{kind: 'reportQuarantine'; report: QuarantineReport}>
 	| Readonly<{kind: 'reportEndpoint'; change: EndpointChange}>
 	| Readonly<{kind: 'reportLimit'; report: LimitReport}>
+	| Readonly<{kind: 'reportEvacuations'; changes: EvacuationChanges; source: EvacuationList['source']; listAgeMs: Milliseconds}>
 	| Readonly<{kind: 'reportDecision'; key: RequestKey; decision: ReportedDecision}>;
 
 /** A change of an endpoint's limit, `undefined` if it has none, for the log. */
@@ -113,9 +115,9 @@
 
 /**
 How a send ended; `replaced` means that another endpoint now responds at the address, and `memoryUnused` that the receiver
-didn't begin a request for which other endpoints held memory, and `stopped` that this gateway's process ends.
+didn't begin a request for which other endpoints held memory, `forbidden` that its endpoints may no longer get the request, and `stopped` that this gateway's process ends.
 */
-export type SendResult = 'answered' | 'notRun' | 'replaced' | 'noMemory' | 'memoryUnused' | 'failedStatus' | 'corrupt' | 'broken' | 'silent' | 'deadline' | 'clientGone' | 'stopped';
+export type SendResult = 'answered' | 'notRun' | 'replaced' | 'noMemory' | 'forbidden' | 'memoryUnused' | 'failedStatus' | 'corrupt' | 'broken' | 'silent' | 'deadline' | 'clientGone' | 'stopped';
 
 /** Summary of a completed response. */
 export type ResponseSummary = Readonly<{
@@ -148,7 +150,7 @@
 	/** All quarantines that the platform's store lists. */
 		| Readonly<{kind: 'quarantinesListed'; records: readonly QuarantineRecord[]}>
 	/** The data centres whose endpoints are to get no requests. */
-		| Readonly<{kind: 'evacuationsListed'; dataCentres: ReadonlySet<string>}>
+		| (Readonly<{kind: 'evacuationsListed'}> & EvacuationList)
 	/** The crashes that gateways have recorded in the platform's store. */
 		| Readonly<{kind: 'crashesListed'; crashes: readonly CrashReport[]}>
 	/** The process ends in a moment: each open request gets its final answer now. */
--- a/packages/core/src/gateway/gateway-fault-simulation.ts
+++ b/packages/core/src/gateway/gateway-fault-simulation.ts
@@ -250,6 +250,7 @@
 			case 'recordCrashes':
 			case 'reportQuarantine':
 			case 'reportLimit':
+			case 'reportEvacuations':
 			case 'readConfiguration':
 			case 'reportEndpoint':
 			case 'reportDecision': {
--- a/packages/core/src/gateway/gateway-fixtures.ts
+++ b/packages/core/src/gateway/gateway-fixtures.ts
@@ -96,6 +96,7 @@
 	},
 	memoryIdleMs: 9000,
 	regions: new Map(),
+	evacuationMs: undefined,
 	coldEndpoints: undefined,
 };
 
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -13,13 +13,14 @@
 import {createEndpointRanking} from './endpoint-ranking.js';
 import {createEndpointRegistry, type EndpointRegistrySettings} from './endpoint-registry.js';
 import type {
-	EndpointId, GatewayRequest, ListedEndpoint, RequestKey, ServedRoute, ServingConfiguration,
+	EndpointId, GatewayRequest, ListedEndpoint, RequestKey, ServedOrganisation, ServedRoute, ServingConfiguration,
 } from './gateway-types.js';
 import {createLoadView, type GatewayName, type WorkChange} from './load-view.js';
 import {
 	findPromptPlacement, findServicePlacement, getCandidates, type Placement,
 } from './placement.js';
 import {getClientTimeoutEstimateMs} from './placement-cost.js';
+import {createPlacementRestrictions, type EvacuationList} from './placement-restrictions.js';
 import type {
 	GatewayEvent, GatewayAction, RequestEvent, SendId,
 } from './gateway-events.js';
@@ -41,6 +42,8 @@
 	memoryIdleMs: Milliseconds;
 	/** Region of each data centre; empty if the deployment has none. */
 	regions: ReadonlyMap<string, string>;
+	/** Time within which evacuations must be in force; `undefined` if the operator evacuates no data centre. */
+	evacuationMs: Milliseconds | undefined;
 	/** Limit on the requests to cold endpoints of all gateways together; `undefined` if there is none. */
 	coldEndpoints: ColdEndpointSettings | undefined;
 }>;
@@ -78,6 +81,8 @@
 const deferralIntervalMs: Milliseconds = 200;
 /** Retry delay for callers when no endpoint is available. */
 const noEndpointRetryMs: Milliseconds = 400;
+/** Retry delay for callers until the evacuations have been read once. */
+const unknownEvacuationsRetryMs: Milliseconds = 500;
 
 /**
 Returns whether to defer a prompt: it would miss its objective anyway, placing it now would delay many other requests,
@@ -97,6 +102,7 @@
 	const getRank = createEndpointRanking(settings.name);
 	const quarantine = createSegmentQuarantine({gateway: settings.name, getRank});
 	const limits = createEndpointLimits();
+	const restrictions = createPlacementRestrictions(settings);
 	const requests = new Map<RequestKey, ForwardedRequest>();
 	let sendCount = 0;
 
@@ -131,6 +137,10 @@
 		return waits.length === 0 ? noEndpointRetryMs : Math.max(noEndpointRetryMs, Math.min(...waits));
 	}
 
+	function findOrganisation({organisation}: GatewayRequest): ServedOrganisation | undefined {
+		return organisation === undefined ? undefined : configuration.tryGet()?.organisations.get(organisation);
+	}
+
 	function choosePlacement(request: GatewayRequest, excluded: ReadonlySet<EndpointId>, now: Timestamp): PlacementDecision {
 		const quarantineCheck = quarantine.check(request.service, getTraits(request), now);
 		if (quarantineCheck.kind === 'quarantined') {
@@ -138,12 +148,14 @@
 			return refuse(createNotRunFailure(isWholeRequest(segment) ? 'requestQuarantined' : 'promptQuarantined', `segment ${segment}`, retryAfterMs));
 		}
 
-		const available = registry.getAvailable(request.service, now).filter(({id}) => registry.getRestMs(id, now) === 0);
-		const ready = available.some(({id}) => !excluded.has(id)) ? available : registry.getListed(request.service);
+		const organisation = findOrganisation(request);
+		const available = restrictions.getPermitted(request, organisation, registry.getAvailable(request.service, now)).filter(({id}) => registry.getRestMs(id, now) === 0);
+		const ready = available.some(({id}) => !excluded.has(id)) ? available : restrictions.getPermitted(request, organisation, registry.getListed(request.service));
 		const endpoints = ready.filter(({id}) => getEndpointWaitMs(id, now) === 0);
 		const placement = findPlacement(request, endpoints, excluded, now);
 		if (placement === undefined) {
-			return refuse(createNotRunFailure('overloaded', 'no endpoint is available', getEndpointRetryMs(ready, excluded, now)));
+			const restriction = ready.length === 0 ? restrictions.findRefusal(request, organisation, registry.getListed(request.service)) : undefined;
+			return refuse(restriction ?? createNotRunFailure('overloaded', 'no endpoint is available', getEndpointRetryMs(ready, excluded, now)));
 		}
 
 		if (isDeferred(request, placement, now)) {
@@ -161,6 +173,18 @@
 		};
 	}
 
+	/** Applies a list of evacuations. The endpoints of the data centres whose evacuation has ended may be cold. */
+	function applyEvacuations(list: EvacuationList, now: Timestamp): readonly GatewayAction[] {
+		const changes = restrictions.applyEvacuations(list, now);
+		if (changes.begun.length + changes.ended.length === 0) {
+			return [];
+		}
+
+		return [{
+			kind: 'reportEvacuations', changes, source: list.source, listAgeMs: now - list.readAt,
+		}];
+	}
+
 	/** Counts new requests of this or another gateway against the limits of their endpoints. */
 	function recordStarts(changes: readonly PeerChange[], now: Timestamp): void {
 		for (const change of changes) {
@@ -193,6 +217,7 @@
 		},
 		createReservationId: (sendId: SendId, index: number) => `${settings.name}.${settings.incarnation}.${sendId}.${index}`,
 		choosePlacement,
+		isPermitted: (request: GatewayRequest, endpoint: ListedEndpoint) => restrictions.isPermitted(request, findOrganisation(request), endpoint),
 		checkCredential: (request: GatewayRequest, now: Timestamp) => configuration.checkCredential(request.route, request.credential, now),
 		recordBrokenSend: (request: GatewayRequest, endpoint: ListedEndpoint, now: Timestamp) => quarantine.recordBrokenSend(endpoint, getTraits(request), now),
 		recordUnreachable: (endpoint: EndpointId, now: Timestamp): readonly GatewayAction[] =>
@@ -292,6 +317,7 @@
 
 			case 'storeRestored': {
 				registry.recordRestore(now);
+				restrictions.recordRestore(now);
 				quarantine.recordRestore(now);
 				configuration.recordRestore(now);
 				return getVersionChanges().map((change): GatewayAction => ({kind: 'publishChange', change}));
@@ -340,7 +366,7 @@
 			}
 
 			case 'evacuationsListed': {
-				return [];
+				return applyEvacuations(event, now);
 			}
 
 			case 'crashesListed': {
@@ -368,12 +394,16 @@
 
 			return Number.isFinite(earliest) ? earliest : undefined;
 		},
-		checkRoute: configuration.checkRoute,
+		checkRoute(host, path, credential, now) {
+			return restrictions.isKnown()
+				? configuration.checkRoute(host, path, credential, now)
+				: {kind: 'refused', failure: createNotRunFailure('notReady', 'the evacuations are not known', unknownEvacuationsRetryMs)};
+		},
 		tryGetConfiguration: configuration.tryGet,
 		getPriority: (route, organisation) => configuration.tryGet()?.organisations.get(organisation ?? '')?.priority ?? route.priority,
 		getConfigurationAgeMs: configuration.getAgeMs,
 		isConfigurationOutdated: configuration.isOutdated,
-		isReady: now => configuration.tryGet() !== undefined && !configuration.isOutdated(now) && registry.hasList(),
+		isReady: now => configuration.tryGet() !== undefined && !configuration.isOutdated(now) && registry.hasList() && restrictions.isKnown(),
 		getOpenRequestCount: () => requests.size,
 		getSnapshot: (gateway, now) => [...load.getOpenWorkChanges(gateway), ...(gateway === settings.name ? [...quarantine.getSnapshot(now), ...limits.getSnapshot(), ...getVersionChanges(), ...getLeavingChanges()] : [])],
 	};
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -80,6 +80,7 @@
 		retryQuota: {...settings.retries, usedShare: usedRetryQuotaShare},
 		memoryIdleMs: settings.memoryIdleMs,
 		regions: new Map(Object.entries(settings.regions)),
+		evacuationMs: settings.evacuationMs,
 		coldEndpoints: settings.coldEndpoints,
 	});
 	const hasher = await createHasher();
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -189,6 +189,15 @@
 				return;
 			}
 
+			case 'reportEvacuations': {
+				const {changes, source, listAgeMs} = action;
+				host.logger.info('evacuationsChanged', {
+					begun: changes.begun.join(','), ended: changes.ended.join(','), source, listAgeMs: Math.round(listAgeMs),
+				});
+				host.metrics.recordEvacuations(changes.begun.length, changes.ended.length);
+				return;
+			}
+
 			case 'checkEndpoint': {
 				void performCheck(action.endpoint);
 				return;
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -23,6 +23,8 @@
 	recordQuery(outcome: string, durationMs: number): void;
 	/** Records a batch of the exchange that was received. */
 	recordBatch(scope: string, changeCount: number): void;
+	/** Records how many evacuations of data centres have begun and ended. */
+	recordEvacuations(begun: number, ended: number): void;
 	getText(): Promise<string>;
 }>;
 
@@ -69,6 +71,9 @@
 	const changes = new Counter({
 		name: 'currantcross_exchange_changes_total', help: 'Changes received in these batches', labelNames: ['scope'], registers,
 	});
+	const evacuations = new Counter({
+		name: 'currantcross_evacuations_total', help: 'Evacuations of data centres that were learnt of, and their ends', labelNames: ['change'], registers,
+	});
 	registry.registerMetric(new Gauge({
 		name: 'currantcross_open_requests',
 		help: 'Requests that are open',
@@ -106,6 +111,10 @@
 			batches.inc({scope});
 			changes.inc({scope}, changeCount);
 		},
+		recordEvacuations(begun, ended) {
+			evacuations.inc({change: 'begun'}, begun);
+			evacuations.inc({change: 'ended'}, ended);
+		},
 		getText: async () => registry.metrics(),
 	};
 }
--- a/packages/gateway/src/platform-feed.ts
+++ b/packages/gateway/src/platform-feed.ts
@@ -10,6 +10,7 @@
 import {getErrorText} from '@currantcross/core/error-text';
 import type {GatewayEvent} from '@currantcross/core/gateway/gateway-events';
 import type {ListedEndpoint, ServingConfiguration} from '@currantcross/core/gateway/gateway-types';
+import type {EvacuationList} from '@currantcross/core/gateway/placement-restrictions';
 import type {QuarantineRecord} from '@currantcross/core/gateway/segment-quarantine';
 import type {Milliseconds, Timestamp} from '@currantcross/core/types';
 import type {Logger} from '@currantcross/daemon/logger';
@@ -63,6 +64,8 @@
 const quarantinePollIntervalMs: Milliseconds = 1000;
 /** Polling interval of the evacuations; leaves most of the time in which an evacuation must be in force. */
 const evacuationPollIntervalMs: Milliseconds = 1000;
+/** Time from one list of evacuations to the next one while the store answers. */
+const maximumEvacuationPollMs: Milliseconds = 1300;
 const gatewayPollIntervalMs: Milliseconds = 3000;
 /** Time after a restore in which stale lists may be from before it, so that current ones are read. */
 const staleReadDistrustMs: Milliseconds = 5000;
@@ -149,6 +152,13 @@
 		}
 	}
 
+	/** Returns when all that is known was current. What a reader passes on is as old as its list of evacuations, beyond a poll and its response. */
+	function getVerifiedAt(): Timestamp {
+		return host.hasEvacuations
+			? Math.min(known.verifiedAt, (known.evacuations?.readAt ?? Number.NEGATIVE_INFINITY) + maximumEvacuationPollMs)
+			: known.verifiedAt;
+	}
+
 	/** Waits while a reader passes on what it reads. */
 	async function waitUntilReading(): Promise<void> {
 		if (isReading || closing.signal.aborted) {
@@ -344,9 +354,14 @@
 		setKnown({quarantines: {items: records}});
 	}
 
-	function applyEvacuations(dataCentres: readonly string[]): void {
-		host.dispatch({kind: 'evacuationsListed', dataCentres: new Set(dataCentres)});
-		setKnown({evacuations: {items: dataCentres}});
+	/** Applies the list of evacuations, which was current at `readAt`, and passes on the newest one. */
+	function applyEvacuations(dataCentres: readonly string[], source: EvacuationList['source'], readAt: Timestamp): void {
+		host.dispatch({
+			kind: 'evacuationsListed', dataCentres: new Set(dataCentres), source, readAt,
+		});
+		if (readAt >= (known.evacuations?.readAt ?? Number.NEGATIVE_INFINITY)) {
+			setKnown({evacuations: {items: dataCentres, readAt}});
+		}
 	}
 
 	async function runEndpointPolling(): Promise<void> {
@@ -362,14 +377,15 @@
 	}
 
 	/** Polls a list while this gateway reads the store itself. */
-	async function runPolling<Item>(name: string, intervalMs: Milliseconds, list: (minimumRevision: Revision | undefined) => Promise<Listing<Item>>, applyItems: (items: readonly Item[]) => void): Promise<void> {
+	async function runPolling<Item>(name: string, intervalMs: Milliseconds, list: (minimumRevision: Revision | undefined) => Promise<Listing<Item>>, applyItems: (items: readonly Item[], readAt: Timestamp) => void): Promise<void> {
 		const dependency: Dependency = {name, isLost: false, failures: 0};
 		while (!closing.signal.aborted) {
 			await waitUntilReading(); // eslint-disable-line no-await-in-loop
+			const startedAt = performance.now();
 			// eslint-disable-next-line no-await-in-loop -- one poll at a time
 			const items = await readList(dependency, async () => list(tryGetRecentRevision()));
 			if (items !== undefined) {
-				applyItems(items);
+				applyItems(items, startedAt);
 			}
 
 			// eslint-disable-next-line no-await-in-loop
@@ -519,7 +535,7 @@
 		}
 
 		if (evacuations !== undefined) {
-			applyEvacuations(evacuations);
+			applyEvacuations(evacuations, 'reader', verifiedAt);
 		}
 
 		if (gateways !== undefined) {
@@ -536,7 +552,9 @@
 			void runEndpointPolling();
 			void runPolling('quarantines', quarantinePollIntervalMs, platform.listQuarantines, applyQuarantines);
 			if (host.hasEvacuations) {
-				void runPolling('evacuations', evacuationPollIntervalMs, platform.listEvacuations, applyEvacuations);
+				void runPolling('evacuations', evacuationPollIntervalMs, platform.listEvacuations, (dataCentres, readAt) => {
+					applyEvacuations(dataCentres, 'store', readAt);
+				});
 			}
 
 			void readCrashes();
@@ -555,7 +573,7 @@
 			}
 		},
 		applyState,
-		getKnownState: () => ({...known, revision}),
+		getKnownState: () => ({...known, verifiedAt: getVerifiedAt(), revision}),
 		observeChanges(handleChange) {
 			observers.add(handleChange);
 			return () => {
--- a/packages/gateway/src/state-publisher.ts
+++ b/packages/gateway/src/state-publisher.ts
@@ -23,7 +23,7 @@
 	endpointFailures: number;
 	quarantines: Readonly<{items: readonly QuarantineRecord[]}> | undefined;
 	/** Data centres whose endpoints are to get no requests. */
-	evacuations: Readonly<{items: readonly string[]}> | undefined;
+	evacuations: Readonly<{items: readonly string[]; readAt: Timestamp}> | undefined;
 	gateways: Readonly<{items: readonly GatewayRegistration[]}> | undefined;
 }>;
 
