Bound the requests to a cold endpoint, of all gateways together

Cause: nothing bounds what gateways send to an endpoint that has just started or says that it is cold. The limit that endpoints name is kept by counting each other's requests, so gateways that are cut off, or that act within the delay of the exchange, exceed it.

Change: a gateway divides what an endpoint takes by the gateways that it knows and a margin, gives the remainder to those that rank first for the endpoint, and counts its own requests in a sliding window. An endpoint without room is no candidate. Endpoints are cold by their entry, their responses or a peer, and presumed to be after a start, a broken connection or the return of their data centre. Cold endpoints don't help with other prompts. Gateways tell each other what responses say, and three for each endpoint what its entry says. Only with `coldEndpoints` in the settings.

Ruled out: a bucket for each gateway refilled at the rest of the limit takes half as much from 28 gateways as the window with a remainder does.

--- a/packages/core/src/gateway/endpoint-ranking.ts
+++ b/packages/core/src/gateway/endpoint-ranking.ts
@@ -19,7 +19,8 @@
 const mixShift = 15;
 const mixFactor = 0x2C_1B_3C_6D;
 
-function getHash(text: string): number {
+/** Returns a 32-bit hash of a text. */
+export function getHash(text: string): number {
 	let hash = hashBasis;
 	for (let index = 0; index < text.length; index += 1) {
 		hash = Math.imul(hash ^ (text.codePointAt(index) ?? 0), hashPrime); // eslint-disable-line no-bitwise -- a hash
@@ -30,6 +31,13 @@
 	return (hash ^ (hash >>> mixShift)) >>> 0; // eslint-disable-line no-bitwise
 }
 
+/** Returns a hash of a pair of texts, by their hashes, for comparing many pairs. */
+export function getPairHash(left: number, right: number): number {
+	let hash = Math.imul(left ^ Math.imul(right, hashPrime), mixFactor); // eslint-disable-line no-bitwise -- a hash
+	hash = Math.imul(hash ^ (hash >>> mixShift), mixFactor); // eslint-disable-line no-bitwise
+	return (hash ^ (hash >>> mixShift)) >>> 0; // eslint-disable-line no-bitwise
+}
+
 /** Creates the endpoint order of one gateway. */
 export function createEndpointRanking(gateway: GatewayName): EndpointRanking {
 	const ranks = new LRUCache<EndpointId, number>({max: maximumCachedRanks});
--- a/packages/core/src/gateway/fleet-simulation.ts
+++ b/packages/core/src/gateway/fleet-simulation.ts
@@ -357,6 +357,7 @@
 			case 'reportQuarantine':
 			case 'reportLimit':
 			case 'reportEvacuations':
+			case 'reportColdEndpoint':
 			case 'reserveMemory':
 			case 'releaseMemory':
 			case 'startResponse':
--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -48,6 +48,8 @@
 	recordLeaving(endpoint: ListedEndpoint): readonly GatewayAction[];
 	/** Records the limit that an endpoint names in a response. */
 	recordLimit(endpoint: EndpointId, requestsPerSecond: number | undefined, now: Timestamp): readonly GatewayAction[];
+	/** Records for how long an endpoint says in a response that it stays cold. */
+	recordCold(endpoint: EndpointId, remainingMs: Milliseconds | undefined, now: Timestamp): readonly GatewayAction[];
 	/** Records that an endpoint has completed a response to the request. */
 	recordCompletion(request: GatewayRequest, now: Timestamp): readonly GatewayAction[];
 	/** Records that an endpoint has completed a response, unless it has crashed and the end of its connection only looks like that. */
@@ -405,7 +407,10 @@
 			return [...cancelCurrentSend(), ...handleLostSend('corrupt', 'the answer belongs to another request', now)];
 		}
 
-		const limitActions = head.status === misdirectedStatus ? [] : context.recordLimit(current.placement.endpoint.id, head.requestsPerSecond, now);
+		const {id} = current.placement.endpoint;
+		const limitActions = head.status === misdirectedStatus
+			? []
+			: [...context.recordLimit(id, head.requestsPerSecond, now), ...context.recordCold(id, head.coldRemainingMs, now)];
 		if (head.status === unavailableStatus && head.retryAfterMs !== undefined) {
 			context.registry.recordRest(current.placement.endpoint.id, head.retryAfterMs, now);
 		}
--- a/packages/core/src/gateway/gateway-events.ts
+++ b/packages/core/src/gateway/gateway-events.ts
@@ -3,6 +3,7 @@
 */
 import type {Failure} from '../errors.js';
 import type {Milliseconds, Timestamp} from '../types.js';
+import type {ColdReport} from './cold-endpoints.js';
 import type {ConfigurationAnswer} from './configuration-state.js';
 import type {EndpointChange} from './endpoint-registry.js';
 import type {
@@ -86,6 +87,7 @@
 	| Readonly<{kind: 'reportEndpoint'; change: EndpointChange}>
 	| Readonly<{kind: 'reportLimit'; report: LimitReport}>
 	| Readonly<{kind: 'reportEvacuations'; changes: EvacuationChanges; source: EvacuationList['source']; listAgeMs: Milliseconds}>
+	| Readonly<{kind: 'reportColdEndpoint'; report: ColdReport}>
 	| Readonly<{kind: 'reportDecision'; key: RequestKey; decision: ReportedDecision}>;
 
 /** A change of an endpoint's limit, `undefined` if it has none, for the log. */
@@ -142,8 +144,12 @@
 		| Readonly<{kind: 'clockJumped'}>
 		| Readonly<{kind: 'peerChanged'; gateway: GatewayName; changes: readonly PeerChange[]}>
 		| Readonly<{kind: 'gatewayCountKnown'; count: number}>
+	/** The names of the other gateways that the platform lists. */
+		| Readonly<{kind: 'gatewaysListed'; names: readonly GatewayName[]}>
 	/** An endpoint says in a response to a control request that it is leaving. */
 		| Readonly<{kind: 'endpointLeaving'; endpoint: ListedEndpoint}>
+	/** An endpoint says in a response to a control request for how long it stays cold. */
+		| Readonly<{kind: 'endpointColdStated'; endpoint: ListedEndpoint; remainingMs: Milliseconds}>
 	/** An endpoint wants no requests from this gateway for some time, by its response to a control request. */
 		| Readonly<{kind: 'endpointResting'; endpoint: ListedEndpoint; restMs: Milliseconds}>
 		| Readonly<{kind: 'endpointChecked'; endpoint: EndpointId; result: EndpointCheck}>
--- a/packages/core/src/gateway/gateway-fault-simulation.ts
+++ b/packages/core/src/gateway/gateway-fault-simulation.ts
@@ -251,6 +251,7 @@
 			case 'reportQuarantine':
 			case 'reportLimit':
 			case 'reportEvacuations':
+			case 'reportColdEndpoint':
 			case 'readConfiguration':
 			case 'reportEndpoint':
 			case 'reportDecision': {
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -9,6 +9,8 @@
 import {
 	createConfigurationState, type ConfigurationStateSettings, type RouteGrant, type RouteRefusal,
 } from './configuration-state.js';
+import {createColdEndpoints, type ColdCounts, type ColdEndpointSettings} from './cold-endpoints.js';
+import {createColdShares} from './cold-shares.js';
 import {createEndpointLimits} from './endpoint-limits.js';
 import {createEndpointRanking} from './endpoint-ranking.js';
 import {createEndpointRegistry, type EndpointRegistrySettings} from './endpoint-registry.js';
@@ -48,9 +50,6 @@
 	coldEndpoints: ColdEndpointSettings | undefined;
 }>;
 
-/** In any second, a cold endpoint gets at most `ratio` times the requests that its service tolerates, plus `fixedRequests`. */
-export type ColdEndpointSettings = Readonly<{ratio: number; fixedRequests: number}>;
-
 export type Gateway = Readonly<{
 	step(event: GatewayEvent, now: Timestamp): readonly GatewayAction[];
 	/** Returns when the next `timePassed` is due, or `undefined` if none is. */
@@ -67,6 +66,7 @@
 	/** Returns whether the current configuration and the list of endpoints are known, so that requests can be served. */
 	isReady(now: Timestamp): boolean;
 	getOpenRequestCount(): number;
+	getColdCounts(now: Timestamp): ColdCounts;
 	/** Returns the changes that recreate the open requests of this or another gateway, and for this one also what else it has learnt. */
 	getSnapshot(gateway: GatewayName, now: Timestamp): readonly PeerChange[];
 }>;
@@ -103,6 +103,10 @@
 	const quarantine = createSegmentQuarantine({gateway: settings.name, getRank});
 	const limits = createEndpointLimits();
 	const restrictions = createPlacementRestrictions(settings);
+	const shares = createColdShares(settings.name);
+	const cold = settings.coldEndpoints === undefined
+		? undefined
+		: createColdEndpoints({settings: settings.coldEndpoints, shares, getTolerance: service => configuration.tryGet()?.services.get(service)?.coldTolerance});
 	const requests = new Map<RequestKey, ForwardedRequest>();
 	let sendCount = 0;
 
@@ -111,7 +115,7 @@
 	}
 
 	function findPlacement(request: GatewayRequest, endpoints: readonly ListedEndpoint[], excluded: ReadonlySet<EndpointId>, now: Timestamp): Placement | undefined {
-		const candidates = getCandidates(endpoints, excluded, id => ({load: load.getLoad(id, now), rank: getRank(id)}));
+		const candidates = getCandidates(endpoints, excluded, id => ({load: load.getLoad(id, now), rank: getRank(id), isCold: cold?.isCold(id, now)}));
 		const engine = configuration.tryGet()?.services.get(request.service)?.engine;
 		if (engine === undefined || request.prompt === undefined) {
 			return findServicePlacement(candidates, settings.dataCentre);
@@ -126,9 +130,9 @@
 		});
 	}
 
-	/** Returns the time until an endpoint may get another request by its limit, and by the time that it has asked for. */
+	/** Returns the time until an endpoint may get another request by its limit, by the time that it has asked for, and while it is cold. */
 	function getEndpointWaitMs(id: EndpointId, now: Timestamp): Milliseconds {
-		return Math.max(limits.getWaitMs(id, now), registry.getRestMs(id, now));
+		return Math.max(limits.getWaitMs(id, now), registry.getRestMs(id, now), cold?.getWaitMs(id, now) ?? 0);
 	}
 
 	/** Returns the time until an endpoint that isn't excluded may get another request, at least the usual retry delay. */
@@ -152,6 +156,10 @@
 		const available = restrictions.getPermitted(request, organisation, registry.getAvailable(request.service, now)).filter(({id}) => registry.getRestMs(id, now) === 0);
 		const ready = available.some(({id}) => !excluded.has(id)) ? available : restrictions.getPermitted(request, organisation, registry.getListed(request.service));
 		const endpoints = ready.filter(({id}) => getEndpointWaitMs(id, now) === 0);
+		if (endpoints.length < ready.length) {
+			cold?.recordChoice(ready, now);
+		}
+
 		const placement = findPlacement(request, endpoints, excluded, now);
 		if (placement === undefined) {
 			const restriction = ready.length === 0 ? restrictions.findRefusal(request, organisation, registry.getListed(request.service)) : undefined;
@@ -207,6 +215,11 @@
 		return registry.getLeaving().map(({id, startedAt}) => ({kind: 'endpointLeaving', endpoint: id, startedAt}));
 	}
 
+	/** Returns what this gateway has learnt, for peers that have just connected. */
+	function getLearntChanges(now: Timestamp): readonly PeerChange[] {
+		return [...quarantine.getSnapshot(now), ...limits.getSnapshot(), ...getVersionChanges(), ...getLeavingChanges(), ...cold?.getSnapshot(now) ?? []];
+	}
+
 	const context = {
 		registry,
 		retryQuota,
@@ -219,16 +232,24 @@
 		choosePlacement,
 		isPermitted: (request: GatewayRequest, endpoint: ListedEndpoint) => restrictions.isPermitted(request, findOrganisation(request), endpoint),
 		checkCredential: (request: GatewayRequest, now: Timestamp) => configuration.checkCredential(request.route, request.credential, now),
-		recordBrokenSend: (request: GatewayRequest, endpoint: ListedEndpoint, now: Timestamp) => quarantine.recordBrokenSend(endpoint, getTraits(request), now),
+		recordBrokenSend: (request: GatewayRequest, endpoint: ListedEndpoint, now: Timestamp) =>
+			[...quarantine.recordBrokenSend(endpoint, getTraits(request), now), ...cold?.recordLost(endpoint.id, now) ?? []],
 		recordUnreachable: (endpoint: EndpointId, now: Timestamp): readonly GatewayAction[] =>
-			registry.recordUnreachable(endpoint, now) ? [{kind: 'publishChange', change: {kind: 'endpointUnreachable', endpoint}}] : [],
+			[
+				...(registry.recordUnreachable(endpoint, now) ? [{kind: 'publishChange', change: {kind: 'endpointUnreachable', endpoint}} as const] : []),
+				...cold?.recordLost(endpoint, now) ?? [],
+			],
 		recordLeaving,
 		recordLimit: limits.recordResponse,
+		recordCold: (endpoint: EndpointId, remainingMs: Milliseconds | undefined, now: Timestamp) => cold?.recordResponse(endpoint, remainingMs, now) ?? [],
 		recordCompletion: (request: GatewayRequest, now: Timestamp) => quarantine.recordCompletion(request.service, getTraits(request), now),
 		recordUncertainCompletion: (request: GatewayRequest, endpoint: ListedEndpoint, now: Timestamp) => quarantine.recordUncertainCompletion(endpoint, getTraits(request), now),
 		recordWork(change: WorkChange, now: Timestamp) {
 			load.applyChange(settings.name, change, now);
 			recordStarts([change], now);
+			if (change.kind === 'started') {
+				cold?.recordSend(change.work.endpoint, now);
+			}
 		},
 	};
 
@@ -269,7 +290,7 @@
 
 			case 'endpointUnreachable': {
 				registry.recordUnreachable(change.endpoint, now);
-				return [];
+				return cold?.recordLost(change.endpoint, now) ?? [];
 			}
 
 			case 'endpointLeaving': {
@@ -285,7 +306,14 @@
 				return limits.applyPeerChange(change, now);
 			}
 
-			case 'serverCrashed':
+			case 'endpointCold': {
+				return cold?.applyPeerChange(change, now) ?? [];
+			}
+
+			case 'serverCrashed': {
+				return [...quarantine.applyPeerChange(change, now), ...cold?.recordLost(change.crash.endpoint, now) ?? []];
+			}
+
 			case 'segmentCleared':
 			case 'segmentTried':
 			case 'segmentQuarantined': {
@@ -294,7 +322,30 @@
 		}
 	}
 
+	/** Counts the requests that reach endpoints besides those that were counted when they were placed. */
+	function recordControlRequest(action: GatewayAction, now: Timestamp): void {
+		if (action.kind === 'reserveMemory' || action.kind === 'releaseMemory') {
+			cold?.recordSend(action.reservation.endpoint.id, now);
+		} else if (action.kind === 'probeEndpoint' || action.kind === 'checkEndpoint') {
+			cold?.recordSend(action.endpoint.id, now);
+		} else if (action.kind === 'send' && action.helpers.some(({reservationId}) => reservationId !== undefined)) {
+			// Placed earlier, it is sent only now that memory is reserved.
+			cold?.recordSend(action.endpoint.id, now);
+		}
+	}
+
 	function step(event: GatewayEvent, now: Timestamp): readonly GatewayAction[] {
+		const actions = stepEvent(event, now);
+		if (cold !== undefined) {
+			for (const action of actions) {
+				recordControlRequest(action, now);
+			}
+		}
+
+		return actions;
+	}
+
+	function stepEvent(event: GatewayEvent, now: Timestamp): readonly GatewayAction[] {
 		switch (event.kind) {
 			case 'requestArrived': {
 				const {key} = event.request;
@@ -307,7 +358,10 @@
 			}
 
 			case 'endpointsListed': {
-				return registry.applyList(event.endpoints, now).map((change): GatewayAction => ({kind: 'reportEndpoint', change}));
+				return [
+					...registry.applyList(event.endpoints, now).map((change): GatewayAction => ({kind: 'reportEndpoint', change})),
+					...cold?.applyList(event.endpoints, now) ?? [],
+				];
 			}
 
 			case 'endpointListFailed': {
@@ -348,6 +402,15 @@
 				return [];
 			}
 
+			case 'gatewaysListed': {
+				shares.recordGateways(event.names, now);
+				return [];
+			}
+
+			case 'endpointColdStated': {
+				return cold?.recordResponse(event.endpoint.id, event.remainingMs, now) ?? [];
+			}
+
 			case 'endpointLeaving': {
 				return recordLeaving(event.endpoint);
 			}
@@ -405,6 +468,7 @@
 		isConfigurationOutdated: configuration.isOutdated,
 		isReady: now => configuration.tryGet() !== undefined && !configuration.isOutdated(now) && registry.hasList() && restrictions.isKnown(),
 		getOpenRequestCount: () => requests.size,
-		getSnapshot: (gateway, now) => [...load.getOpenWorkChanges(gateway), ...(gateway === settings.name ? [...quarantine.getSnapshot(now), ...limits.getSnapshot(), ...getVersionChanges(), ...getLeavingChanges()] : [])],
+		getColdCounts: now => cold?.getCounts(now) ?? {coldEndpoints: 0, heldRequests: 0},
+		getSnapshot: (gateway, now) => [...load.getOpenWorkChanges(gateway), ...(gateway === settings.name ? getLearntChanges(now) : [])],
 	};
 }
--- a/packages/core/src/gateway/peer-changes.ts
+++ b/packages/core/src/gateway/peer-changes.ts
@@ -2,13 +2,14 @@
 What gateways tell each other: changes to their open requests, what they learn about endpoints and prompts, and the version of
 the configuration that they have in force, where a peer or the store may have an older one.
 */
+import type {ColdChange} from './cold-endpoints.js';
 import type {EndpointId} from './gateway-types.js';
 import type {LimitChange} from './endpoint-limits.js';
 import type {WorkChange} from './load-view.js';
 import type {QuarantineChange} from './segment-quarantine.js';
 
 /** A message from one gateway to the others. */
-export type PeerChange = WorkChange | QuarantineChange | LimitChange | ConfigurationChange | UnreachableChange | LeavingChange;
+export type PeerChange = WorkChange | QuarantineChange | LimitChange | ConfigurationChange | UnreachableChange | LeavingChange | ColdChange;
 
 /** An endpoint does not accept connections. */
 export type UnreachableChange = Readonly<{kind: 'endpointUnreachable'; endpoint: EndpointId}>;
--- a/packages/core/src/gateway/placement-cost.ts
+++ b/packages/core/src/gateway/placement-cost.ts
@@ -16,6 +16,8 @@
 	load: EndpointLoad;
 	/** Tie-breaker from 0 to 1, lower is better. It differs between gateways, so that they don't all choose the same of equal endpoints. */
 	rank: number;
+	/** Whether the endpoint takes few requests for now, so that it doesn't help with other prompts. */
+	isCold?: boolean;
 }>;
 
 /** Requirements of a prompt on its placement. */
--- a/packages/core/src/gateway/placement.ts
+++ b/packages/core/src/gateway/placement.ts
@@ -80,7 +80,7 @@
 
 	const helperParts = helperCount === 0
 		? []
-		: candidates.filter(candidate => candidate !== receiver.candidate && candidate.load.helpedRequests < engine.slots - spareHelperSlots).map((candidate): PromptPart => {
+		: candidates.filter(candidate => candidate !== receiver.candidate && candidate.isCold !== true && candidate.load.helpedRequests < engine.slots - spareHelperSlots).map((candidate): PromptPart => {
 			const readyMs = getPartPrefillMs(engine, candidate.load, prefillMs);
 			return {candidate, readyMs, cost: getDecodingPenalty(engine, candidate.load, prefillMs) + getDelayCost(weight, readyMs, demand)};
 		});
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -84,7 +84,7 @@
 		coldEndpoints: settings.coldEndpoints,
 	});
 	const hasher = await createHasher();
-	const metrics = createGatewayMetrics(gateway.getOpenRequestCount);
+	const metrics = createGatewayMetrics(gateway.getOpenRequestCount, () => gateway.getColdCounts(performance.now()));
 	const client = createEndpointClient({
 		isCallerResponse(status, headers) {
 			const {requestId} = host.wireFormat.parseResponseHead(status, headers);
@@ -163,6 +163,7 @@
 			workExchange.setGateways(registrations);
 			readerFollower.setGateways(registrations);
 			driver.dispatch({kind: 'gatewayCountKnown', count: registrations.length + 1});
+			driver.dispatch({kind: 'gatewaysListed', names: registrations.map(registration => registration.name)});
 		},
 	});
 
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -6,6 +6,7 @@
 import type {
 	GatewayRequest, ListedEndpoint, RequestKey, SegmentId,
 } from '@currantcross/core/gateway/gateway-types';
+import type {ColdReport} from '@currantcross/core/gateway/cold-endpoints';
 import type {Gateway} from '@currantcross/core/gateway/gateway';
 import type {PeerChange} from '@currantcross/core/gateway/peer-changes';
 import type {
@@ -47,6 +48,7 @@
 }>;
 
 const okStatus = 200;
+const misdirectedStatus = 421;
 const unavailableStatus = 503;
 /** Longest time that a timer of Node.js can be set to; it would fire at once if set to more. */
 const maximumTimerMs = 2_147_483_647;
@@ -229,12 +231,30 @@
 				return;
 			}
 
+			case 'reportColdEndpoint': {
+				reportColdEndpoint(action.report);
+				return;
+			}
+
 			case 'reportDecision': {
 				reportDecision(action.key, action.decision);
 			}
 		}
 	}
 
+	function reportColdEndpoint(report: ColdReport): void {
+		switch (report.kind) {
+			case 'cold': {
+				host.logger.info('endpointCold', {endpoint: report.endpoint, remainingMs: Math.round(report.remainingMs), source: report.source});
+				return;
+			}
+
+			case 'warm': {
+				host.logger.info('endpointWarm', {endpoint: report.endpoint});
+			}
+		}
+	}
+
 	function reportQuarantine(report: QuarantineReport): void {
 		switch (report.kind) {
 			case 'crashed': {
@@ -342,14 +362,18 @@
 		dispatchRelayEvent(key, {kind: 'memoryAnswered', reservationId: reservation.id, isHeld});
 	}
 
-	/** Sends a control request, and records if the endpoint says in its response that it is leaving or wants no requests for some time. */
+	/** Sends a control request, and records if the endpoint says in its response that it is leaving, stays cold, or wants no requests for some time. */
 	async function callEndpoint(endpoint: ListedEndpoint, controlRequest: ControlRequest): Promise<ControlResponse> {
 		const response = await host.client.sendControlRequest(endpoint.address, controlRequest);
-		const {isLeaving, retryAfterMs} = host.wireFormat.parseResponseHead(response.status, response.headers);
+		const {isLeaving, retryAfterMs, coldRemainingMs} = host.wireFormat.parseResponseHead(response.status, response.headers);
 		if (isLeaving) {
 			dispatch({kind: 'endpointLeaving', endpoint});
 		}
 
+		if (coldRemainingMs !== undefined && response.status !== misdirectedStatus) {
+			dispatch({kind: 'endpointColdStated', endpoint, remainingMs: coldRemainingMs});
+		}
+
 		if (response.status === unavailableStatus && retryAfterMs !== undefined) {
 			dispatch({kind: 'endpointResting', endpoint, restMs: retryAfterMs});
 		}
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -2,6 +2,7 @@
 Counters and latency histograms in the Prometheus text format, and the HTTP server for metrics and readiness checks.
 */
 import http, {type Server} from 'node:http';
+import type {ColdCounts} from '@currantcross/core/gateway/cold-endpoints';
 import {listen} from '@currantcross/core/listen';
 import {
 	Counter, Gauge, Histogram, Registry,
@@ -38,7 +39,7 @@
 const loopDelayBucketsS = [0.01, 0.05, 0.1, 0.2, 0.5, 1, 2, 5];
 
 /** Creates the metrics of a gateway in a registry of their own. */
-export function createGatewayMetrics(getOpenRequestCount: () => number): GatewayMetrics {
+export function createGatewayMetrics(getOpenRequestCount: () => number, getColdCounts: () => ColdCounts): GatewayMetrics {
 	const registry = new Registry();
 	const registers = [registry];
 	const requests = new Histogram({
@@ -82,6 +83,23 @@
 			this.set(getOpenRequestCount());
 		},
 	}));
+	registry.registerMetric(new Gauge({
+		name: 'currantcross_cold_endpoints',
+		help: 'Endpoints that are cold',
+		registers: [],
+		collect() {
+			this.set(getColdCounts().coldEndpoints);
+		},
+	}));
+	registry.registerMetric(new Counter({
+		name: 'currantcross_cold_held_total',
+		help: 'Placements for which a cold endpoint had no room',
+		registers: [],
+		collect() {
+			this.reset();
+			this.inc(getColdCounts().heldRequests);
+		},
+	}));
 	return {
 		recordRequest(outcome, durationMs) {
 			requests.observe({outcome}, durationMs / millisecondsPerSecond);
--- a/packages/gateway/src/platform-feed.test.ts
+++ b/packages/gateway/src/platform-feed.test.ts
@@ -48,7 +48,7 @@
 		logger: {
 			debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined,
 		},
-		metrics: createGatewayMetrics(() => 0),
+		metrics: createGatewayMetrics(() => 0, () => ({coldEndpoints: 0, heldRequests: 0})),
 		dispatch: () => undefined,
 		onConfiguration: () => undefined,
 		onGateways: () => undefined,
--- a/packages/gateway/src/work-publisher.ts
+++ b/packages/gateway/src/work-publisher.ts
@@ -70,6 +70,7 @@
 		case 'limitChanged':
 		case 'endpointUnreachable':
 		case 'endpointLeaving':
+		case 'endpointCold':
 		case 'configurationInForce': {
 			return false;
 		}
--- a/packages/peer/src/gateway-peers.ts
+++ b/packages/peer/src/gateway-peers.ts
@@ -128,6 +128,11 @@
 			return create(wire.WorkChangeSchema, {change: {case: 'leaving', value: create(wire.LeavingSchema, {endpoint, startedAt})}});
 		}
 
+		case 'endpointCold': {
+			const {endpoint, remainingMs} = change;
+			return create(wire.WorkChangeSchema, {change: {case: 'cold', value: create(wire.ColdSchema, {endpoint, remainingMs})}});
+		}
+
 		case 'configurationInForce': {
 			return create(wire.WorkChangeSchema, {change: {case: 'configured', value: create(wire.ConfigurationSchema, {version: BigInt(change.version)})}});
 		}
@@ -162,6 +167,10 @@
 			return isAmount(change.startedAt);
 		}
 
+		case 'endpointCold': {
+			return isAmount(change.remainingMs);
+		}
+
 		case 'segmentQuarantined': {
 			return isAmount(change.quarantine.remainingMs);
 		}
@@ -242,6 +251,11 @@
 			return {kind: 'endpointLeaving', endpoint, startedAt};
 		}
 
+		case 'cold': {
+			const {endpoint, remainingMs} = change.value;
+			return {kind: 'endpointCold', endpoint, remainingMs};
+		}
+
 		case 'configured': {
 			return {kind: 'configurationInForce', version: Number(change.value.version)};
 		}
