--- a/packages/gateway/src/work-exchange.test.ts
+++ b/packages/gateway/src/work-exchange.test.ts
@@ -278,6 +278,17 @@
 	});
 });
 
+test('a peer is told that an endpoint is cold, and for how long', async () => {
+	const peers = [await startPeer('gateway-1'), await startPeer('gateway-2')];
+	setPeers(peers);
+	const [teller, peer] = peers;
+	await waitUntil(() => peer?.getChanges('gateway-1').length === 1);
+	const change = {kind: 'endpointCold', endpoint: 'm-9', remainingMs: 2500} as const;
+	teller?.exchange.publish(change);
+	await waitUntil(() => peer?.getChanges('gateway-1').length === 2);
+	expect(peer?.getChanges('gateway-1').at(-1)).toEqual(change);
+});
+
 // Node.js emits a MaxListenersExceededWarning for more than 10 listeners on a signal; the test covers more than 10 retries.
 test('a gateway leaks no event listeners while it retries an unreachable gateway', async () => {
 	const warnings: string[] = [];
