Take the endpoints of a data centre that is back in use for cold

Cause: evacuations and cold endpoints were built side by side; nothing told the latter that an evacuation had ended, after which endpoints may be cold before their entries say so.

Change: the end of an evacuation is recorded as the return of its data centre.

--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -188,9 +188,12 @@
 			return [];
 		}
 
-		return [{
-			kind: 'reportEvacuations', changes, source: list.source, listAgeMs: now - list.readAt,
-		}];
+		return [
+			{
+				kind: 'reportEvacuations', changes, source: list.source, listAgeMs: now - list.readAt,
+			},
+			...changes.ended.flatMap(dataCentre => cold?.recordReturn(dataCentre, now) ?? []),
+		];
 	}
 
 	/** Counts new requests of this or another gateway against the limits of their endpoints. */
--- a/packages/core/src/gateway/placement-restrictions.test.ts
+++ b/packages/core/src/gateway/placement-restrictions.test.ts
@@ -236,6 +236,17 @@
 	});
 
 	// Guards against callers that wait, or that all come back at once, while no data centre is left.
+	// Guards against a herd on the endpoints of a data centre that has just come back.
+	test('have endpoints that count as cold once they are taken back', () => {
+		const models = {name: 'models', engine: undefined, coldTolerance: {requestsPerSecond: 10, durationMs: 3000}};
+		const gateway = startGateway({coldEndpoints: {ratio: 1, fixedRequests: 0}}, {...fixtureConfiguration, services: new Map([['models', models]])});
+		list(gateway, ['a'], 1000);
+		expect(gateway.getColdCounts(1500).coldEndpoints).toBe(0);
+		list(gateway, [], 2000);
+		expect(gateway.getColdCounts(2500).coldEndpoints).toBe(4);
+		expect(gateway.getColdCounts(5500).coldEndpoints).toBe(0);
+	});
+
 	test('leave requests to be refused at once, as not run, with returns that are spread', () => {
 		const gateway = startGateway();
 		list(gateway, dataCentres, 0);
