--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -29,6 +29,10 @@
 	logLevel: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
 	/** Share of a processor available to the host; gateways with a larger share are preferred as relays. */
 	processorShare: z.number().positive().default(1),
+	/** Memory of the host that the process may use, in megabytes; absent if what callers make it hold is not bounded by it. */
+	memoryMb: z.number().positive().optional(),
+	/** Descriptors that the process may have open; absent if the connections of callers are not bounded by it. */
+	maximumDescriptors: z.int().positive().optional(),
 	/** Time between SIGTERM and SIGKILL. */
 	graceMs: z.number().positive(),
 	/** Maximum time for which a revoked key is still accepted; absent if there is no such limit. */
