Bound what callers make a gateway hold, by the memory and descriptors of its host

Change: one account of what callers make the gateway hold (core/gateway/caller-memory.ts); beyond it those give way that have held most for longest. Connections are bounded by the descriptors, the requests of one connection by 16, and slow heads are looked for every second instead of every 30 s. A body is no longer copied for each send.

--- a/packages/daemon/src/logger.ts
+++ b/packages/daemon/src/logger.ts
@@ -12,7 +12,7 @@
 	= | 'started' | 'stopping' | 'stopped' | 'requestEnded' | 'attemptStarted' | 'attemptEnded' | 'streamBroken'
 		| 'hostListFailed' | 'configurationInForce' | 'configurationOutdated' | 'storeRestored' | 'gatewaysListed' | 'configurationRead' | 'probeFailed' | 'silenceChecked' | 'serverFailed' | 'orderSent' | 'internalError'
 		| 'requestPlaced' | 'sendEnded' | 'requestRefused' | 'endpointChanged' | 'evacuationsChanged' | 'dependencyLost' | 'dependencyRegained'
-		| 'settingsReloaded' | 'settingsRefused' | 'clockJumped' | 'peerFound' | 'peerLost' | 'readinessChanged' | 'linesDropped'
+		| 'settingsReloaded' | 'settingsRefused' | 'clockJumped' | 'callersBounded' | 'peerFound' | 'peerLost' | 'readinessChanged' | 'linesDropped'
 		| 'orderRefused' | 'orderFailed' | 'serverCrashed' | 'segmentQuarantined' | 'segmentReleased' | 'segmentTried'
 		| 'quarantineNotRecorded' | 'crashesNotRecorded' | 'quarantineNotRemoved' | 'limitChanged' | 'endpointCold' | 'endpointWarm'
 		| 'feedSourceChanged' | 'readerLost' | 'followerLost' | 'readerStateRefused' | 'entryUnusable' | 'loopStalled' | 'requestDropped' | 'sendDelayed';
--- /dev/null
+++ b/packages/gateway/src/caller-connections.ts
@@ -0,0 +1,129 @@
+/**
+The connections of callers. Bounds their number, the requests that wait on each, and the heads that have not arrived completely.
+*/
+import type {Socket} from 'node:net';
+import type {CallerMemory} from '@currantcross/core/gateway/caller-memory';
+
+/** The bound because of which a connection is closed or a request is refused. */
+export type CallerBound = 'memory' | 'connections' | 'pipelining';
+
+/** Releases what a caller makes the gateway hold, because of a bound. */
+export type GiveWay = (bound: CallerBound) => void;
+
+export type CallerConnections = Readonly<{
+	add(socket: Socket): void;
+	/** Records a request whose head has arrived. Returns false, and closes the connection, if too many of its requests wait. */
+	tryAddRequest(socket: Socket): boolean;
+	/** Records that the response to a request is complete. */
+	removeRequest(socket: Socket): void;
+	close(): void;
+}>;
+
+export type CallerConnectionsHost = Readonly<{
+	maximumConnections: number;
+	/** Size beyond which a head is refused; a body that is discarded after its response counts as much. */
+	maximumHeadBytes: number;
+	/** Memory in which the incomplete heads are counted, by the function that closes their connection. */
+	memory: CallerMemory<GiveWay>;
+	recordBound(bound: CallerBound): void;
+}>;
+
+/** Requests of one connection that may wait for their responses. Callers that don't pipeline have one. */
+const maximumRequests = 16;
+/** Interval at which the incomplete heads are counted; in it no more arrives than a host's link lets through. */
+const headCheckIntervalMs = 250;
+
+type Connection = {
+	openRequests: number;
+	/** Bytes that were read when the last head had arrived or the last response was complete. */
+	bytesBeforeHead: number;
+	readonly giveWay: GiveWay;
+};
+
+/** Creates a record without connections. */
+export function createCallerConnections(host: CallerConnectionsHost): CallerConnections {
+	const connections = new Map<Socket, Connection>();
+	/** Connections without a request, the one that has been so for longest first. */
+	const idleSockets = new Set<Socket>();
+
+	function closeFurthestBehind(newest: Socket): void {
+		const [oldestIdle] = idleSockets;
+		const furthest = oldestIdle === newest ? host.memory.tryTakeFurthestBehind(performance.now()) : connections.get(oldestIdle ?? newest)?.giveWay;
+		(furthest ?? connections.get(newest)?.giveWay)?.('connections');
+	}
+
+	function removeConnection(socket: Socket): void {
+		const connection = connections.get(socket);
+		if (connection !== undefined) {
+			host.memory.remove(connection.giveWay);
+			connections.delete(socket);
+			idleSockets.delete(socket);
+		}
+	}
+
+	const headTimer = setInterval(() => {
+		const now = performance.now();
+		for (const socket of idleSockets) {
+			const connection = connections.get(socket);
+			const headBytes = connection === undefined ? 0 : Math.min(host.maximumHeadBytes, socket.bytesRead - connection.bytesBeforeHead);
+			if (connection !== undefined && headBytes > 0) {
+				for (const giveWay of host.memory.setHeld(connection.giveWay, headBytes, now)) {
+					giveWay('memory');
+				}
+			}
+		}
+	}, headCheckIntervalMs);
+
+	return {
+		add(socket) {
+			connections.set(socket, {
+				openRequests: 0,
+				bytesBeforeHead: 0,
+				giveWay(bound) {
+					host.recordBound(bound);
+					socket.destroy();
+					removeConnection(socket);
+				},
+			});
+			idleSockets.add(socket);
+			socket.once('close', () => {
+				removeConnection(socket);
+			});
+			if (connections.size > host.maximumConnections) {
+				closeFurthestBehind(socket);
+			}
+		},
+		tryAddRequest(socket) {
+			const connection = connections.get(socket);
+			if (connection === undefined || socket.destroyed) {
+				return false;
+			}
+
+			host.memory.remove(connection.giveWay);
+			idleSockets.delete(socket);
+			connection.openRequests += 1;
+			if (connection.openRequests > maximumRequests) {
+				host.recordBound('pipelining');
+				socket.destroy();
+				return false;
+			}
+
+			return true;
+		},
+		removeRequest(socket) {
+			const connection = connections.get(socket);
+			if (connection === undefined) {
+				return;
+			}
+
+			connection.openRequests -= 1;
+			if (connection.openRequests === 0) {
+				connection.bytesBeforeHead = socket.bytesRead;
+				idleSockets.add(socket);
+			}
+		},
+		close() {
+			clearInterval(headTimer);
+		},
+	};
+}
--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -20,6 +20,8 @@
 export type CallerExchange = ReceivedRequest & Readonly<{
 	/** Returns whether the caller's close has been read. The exchange is told of it some turns of the event loop later. */
 	hasCallerLeft(): boolean;
+	/** Sets how much of a response has been received from the endpoint that is held until it is complete. */
+	setReceivedBytes(bytes: number): void;
 	startResponse(head: ResponseHead): void;
 	write(bytes: Uint8Array): void;
 	end(): void;
@@ -60,8 +62,13 @@
 	isDraining(): boolean;
 	/** Returns the time for which a caller may read nothing of a complete response before its connection is closed. */
 	getIdleTimeoutMs(): number;
+	/** Called after each part with the bytes of the response that are held, 0 for as few as every caller may leave unread, and the function that breaks it off. */
+	onQueued(breakConnection: () => void, bytes: number): void;
 }>;
 
+/** Memory that a part of a response takes while it waits, besides its bytes. */
+const queuedPartBytes = 512;
+
 /** Creates the exchange for a received request. */
 export function createCallerExchange(
 	request: ReceivedRequest,
@@ -69,6 +76,19 @@
 	host: CallerExchangeHost,
 ): CallerExchange {
 	const {message, head} = request;
+	/** Parts that were written while others waited already. */
+	let queuedParts = 0;
+	let receivedBytes = 0;
+
+	function reportQueued(): void {
+		const heldBytes = response.destroyed ? 0 : receivedBytes + response.writableLength + (queuedParts * queuedPartBytes);
+		host.onQueued(breakConnection, heldBytes > response.writableHighWaterMark ? heldBytes : 0);
+	}
+
+	response.on('drain', () => {
+		queuedParts = 0;
+		reportQueued();
+	});
 
 	function writeHead(status: number, headers: RawHeaders): void {
 		if (host.isDraining()) {
@@ -94,7 +114,12 @@
 	return {
 		...request,
 		hasCallerLeft: () => response.destroyed || message.socket.destroyed || message.socket.readableEnded,
+		setReceivedBytes(bytes) {
+			receivedBytes = bytes;
+			reportQueued();
+		},
 		startResponse({status, headers, isUndelimited}) {
+			receivedBytes = 0;
 			if (isUndelimited) {
 				response.setHeader('connection', 'close');
 				response.removeHeader('transfer-encoding');
@@ -104,10 +129,13 @@
 			response.flushHeaders();
 		},
 		write(bytes) {
+			queuedParts = response.writableLength === 0 ? 0 : queuedParts + 1;
 			response.write(bytes);
+			reportQueued();
 		},
 		end() {
 			response.end();
+			reportQueued();
 			if (!response.writableFinished) {
 				message.socket.setTimeout(host.getIdleTimeoutMs());
 				response.once('timeout', breakConnection);
--- a/packages/gateway/src/caller-server.test.ts
+++ b/packages/gateway/src/caller-server.test.ts
@@ -18,7 +18,7 @@
 	}
 });
 
-type RequestHandler = Parameters<typeof startCallerServer>[1]['handleRequest'];
+type RequestHandler = Parameters<typeof startCallerServer>[2]['handleRequest'];
 
 /** Answers a request at once with `responseBytes` bytes. */
 const answerAtOnce: RequestHandler = exchange => {
@@ -43,7 +43,7 @@
 		}),
 		formatFailureHead: () => [],
 	};
-	const server = await startCallerServer({host: '127.0.0.1', port: 0}, {
+	const server = await startCallerServer({host: '127.0.0.1', port: 0}, {memoryMb: undefined, maximumConnections: Number.POSITIVE_INFINITY}, {
 		wireFormat: wireFormat as WireFormat, // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the other members are not used
 		isDraining: () => false,
 		checkHead: () => undefined,
@@ -52,6 +52,7 @@
 		getUnreadMs: () => 0,
 		recordRefusal: () => undefined,
 		recordDeparture: () => undefined,
+		recordBound: () => undefined,
 	});
 	server.setLimits({maximumBodyBytes, headerTimeoutMs: 1000, idleTimeoutMs});
 	closers.push(server.close);
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -1,13 +1,15 @@
 /**
 HTTP server for callers. Reads each request completely, within the configured limits, and passes it to its host.
 */
-import {Buffer} from 'node:buffer';
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import {drainUnreadBody} from '@currantcross/caller/unread-body';
+import {createCallerMemory, getBoundFailure, getCallerMemoryLimit} from '@currantcross/core/gateway/caller-memory';
 import {createNotRunFailure, type Failure} from '@currantcross/core/errors';
 import {listen} from '@currantcross/core/listen';
 import type {ServingLimits} from '@currantcross/core/gateway/gateway-types';
 import type {Milliseconds, Timestamp} from '@currantcross/core/types';
+import {createBodyReader} from './body-reader.js';
+import {createCallerConnections, type CallerBound, type GiveWay} from './caller-connections.js';
 import {createCallerExchange, type CallerExchange} from './caller-exchange.js';
 import type {CallerHead, WireFormat} from './gateway-hosts.js';
 import {createIntakeRunner} from './intake-runner.js';
@@ -28,6 +30,8 @@
 	/** Returns the longest time that data which is read now can have waited. */
 	getUnreadMs(): Milliseconds;
 	recordRefusal(head: CallerHead, failure: Failure): void;
+	/** Records that a request was refused, or a connection closed, because of a bound on what callers make the gateway hold. */
+	recordBound(bound: CallerBound): void;
 	/** Records a request that is not begun since its caller has left. */
 	recordDeparture(head: CallerHead, arrival: RequestArrival): void;
 }>;
@@ -57,45 +61,63 @@
 /** Added to the callers' idle timeout, so that no connection is closed while a caller sends a request on it. */
 const keepAliveMarginMs = 2000;
 
-type ReadResult
-	= | Readonly<{kind: 'complete'; body: Uint8Array}>
-		| Readonly<{kind: 'tooLarge'}>
-		| Readonly<{kind: 'aborted'}>;
-
-async function readBody(message: IncomingMessage, maximumBytes: number): Promise<ReadResult> {
-	const chunks: Uint8Array[] = [];
-	let size = 0;
-	try {
-		for await (const chunk of message.iterator({destroyOnReturn: false}) as AsyncIterable<Uint8Array>) {
-			size += chunk.length;
-			if (size > maximumBytes) {
-				return {kind: 'tooLarge'};
-			}
+/** Memory that an open request takes besides its body. */
+const requestBytes = 8192;
+/** Memory that the framing of an unfinished body without a length, and its trailers, may take. */
+const framingBytes = maximumHeaderBytes;
+/** Interval at which heads that take too long are looked for. */
+const headerCheckIntervalMs = 1000;
 
-			chunks.push(chunk);
-		}
-	} catch {
-		// The caller disconnected, so no response can be sent.
-		return {kind: 'aborted'};
-	}
-
-	const [first] = chunks;
-	return {kind: 'complete', body: chunks.length === 1 && first !== undefined ? first : Buffer.concat(chunks)};
-}
+/** What the callers of a server may make it hold. */
+export type CallerBounds = Readonly<{memoryMb: number | undefined; maximumConnections: number}>;
 
 /** Starts the server and returns once it listens. */
-export async function startCallerServer(address: SocketAddress, host: CallerServerHost): Promise<CallerServer> {
+export async function startCallerServer(address: SocketAddress, bounds: CallerBounds, host: CallerServerHost): Promise<CallerServer> {
 	const intake = createIntakeRunner();
+	const memory = createCallerMemory<GiveWay>();
+	const bodyReader = createBodyReader();
+	const connections = createCallerConnections({
+		maximumConnections: bounds.maximumConnections, maximumHeadBytes: maximumHeaderBytes, memory, recordBound: host.recordBound,
+	});
+	/** Functions that give way for a response, by the functions that break it off. */
+	const responseHolders = new WeakMap<() => void, GiveWay>();
+	let refusedCount = 0;
 	let maximumBodyBytes = defaultMaximumBodyBytes;
 	let idleTimeoutMs = defaultIdleTimeoutMs;
+	memory.setLimit(getCallerMemoryLimit(bounds.memoryMb, maximumBodyBytes));
 	/** Requests that are begun and whose responses are not delivered. */
 	const openExchanges = new Set<CallerExchange>();
 	/** Functions that refuse the requests that are not begun. */
 	const pendingRequests = new Set<(failure: Failure) => void>();
 	const exchangeHost = {
-		wireFormat: host.wireFormat, isDraining: () => host.isDraining(), getIdleTimeoutMs: () => idleTimeoutMs,
+		wireFormat: host.wireFormat, isDraining: () => host.isDraining(), getIdleTimeoutMs: () => idleTimeoutMs, onQueued: setQueuedBytes,
 	};
 
+	/** Sets what a holder holds, and lets those give way that have to. */
+	function setHeldBytes(holder: GiveWay, bytes: number): void {
+		for (const giveWay of memory.setHeld(holder, bytes, performance.now())) {
+			giveWay('memory');
+		}
+	}
+
+	function setQueuedBytes(breakConnection: () => void, bytes: number): void {
+		const known = responseHolders.get(breakConnection);
+		if (bytes === 0) {
+			if (known !== undefined) {
+				memory.remove(known);
+			}
+
+			return;
+		}
+
+		const holder: GiveWay = known ?? (bound => {
+			host.recordBound(bound);
+			breakConnection();
+		});
+		responseHolders.set(breakConnection, holder);
+		setHeldBytes(holder, bytes);
+	}
+
 	async function receiveRequest(message: IncomingMessage, response: ServerResponse): Promise<void> {
 		const arrival: RequestArrival = {readAt: performance.now(), unreadMs: host.getUnreadMs()};
 		const head = host.wireFormat.parseCallerHead(message.headers);
@@ -105,29 +127,51 @@
 			return;
 		}
 
+		const unfinishedBytes = requestBytes + (message.headers['transfer-encoding'] === undefined ? 0 : framingBytes);
+		const reading = bodyReader.read(message, maximumBodyBytes, bytes => {
+			setHeldBytes(giveWay, unfinishedBytes + bytes);
+		});
 		const refusePendingRequest = (failure: Failure): void => {
-			pendingRequests.delete(refusePendingRequest);
+			endPending();
+			reading.discard();
 			if (!response.headersSent) {
 				refuseRequest(message, response, head, failure);
 			}
 		};
 
+		const giveWay: GiveWay = bound => {
+			host.recordBound(bound);
+			refusePendingRequest(getBoundFailure(refusedCount));
+			refusedCount += 1;
+			if (bound === 'connections') {
+				message.socket.destroy();
+			}
+		};
+
+		// A response is sent only once the request is no longer pending.
+		const endPending = (): boolean => {
+			memory.remove(giveWay);
+			return pendingRequests.delete(refusePendingRequest);
+		};
+
 		pendingRequests.add(refusePendingRequest);
 		response.once('close', () => {
-			pendingRequests.delete(refusePendingRequest);
+			endPending();
 		});
+		setHeldBytes(giveWay, unfinishedBytes);
+		if (response.headersSent) {
+			return;
+		}
+
 		const bodyTimer = setTimeout(() => {
-			refuseUnfinishedBody(message, response, head);
+			refusePendingRequest(createNotRunFailure('deadlineExceeded', 'the body did not arrive'));
 		}, Math.max(0, (head.remainingMs ?? defaultBodyTimeoutMs) - arrival.unreadMs));
-		const result = await readBody(message, maximumBodyBytes);
+		const result = await reading.result;
 		clearTimeout(bodyTimer);
 		if (response.headersSent) {
 			return;
 		}
 
-		// A response is sent only once the request is no longer pending.
-		const endPending = (): boolean => pendingRequests.delete(refusePendingRequest);
-
 		switch (result.kind) {
 			case 'aborted': {
 				endPending();
@@ -141,16 +185,12 @@
 			}
 
 			case 'complete': {
+				setHeldBytes(giveWay, requestBytes + result.body.length);
 				await receiveExchange(createCallerExchange({message, head, body: result.body}, response, exchangeHost), response, {arrival, endPending});
 			}
 		}
 	}
 
-	/** Refuses a request whose body didn't arrive in time. */
-	function refuseUnfinishedBody(message: IncomingMessage, response: ServerResponse, head: CallerHead): void {
-		refuseRequest(message, response, head, createNotRunFailure('deadlineExceeded', 'the body did not arrive'));
-	}
-
 	function refuseRequest(message: IncomingMessage, response: ServerResponse, head: CallerHead, failure: Failure): void {
 		host.recordRefusal(head, failure);
 		createCallerExchange({message, head, body: new Uint8Array(0)}, response, exchangeHost).fail(failure);
@@ -175,6 +215,7 @@
 				}
 			},
 			drop() {
+				endPending();
 				host.recordDeparture(head, arrival);
 			},
 		});
@@ -183,9 +224,16 @@
 	function startRequest(exchange: CallerExchange, response: ServerResponse, arrival: RequestArrival): void {
 		const {socket} = exchange.message;
 		openExchanges.add(exchange);
+		const keptBytes = requestBytes + exchange.body.length;
+		memory.addKept(keptBytes);
 		const notifyDisconnect = host.handleRequest(exchange, arrival);
 		let isClosed = false;
 		const handleClose = (): void => {
+			if (!isClosed) {
+				memory.addKept(-keptBytes);
+				setQueuedBytes(exchange.breakConnection, 0);
+			}
+
 			openExchanges.delete(exchange);
 			socket.off('close', handleClose);
 			if (!isClosed && !response.writableFinished) {
@@ -201,19 +249,29 @@
 	}
 
 	const server = http.createServer({
-		maxHeaderSize: maximumHeaderBytes, requestTimeout: 0, keepAlive: true, noDelay: true,
+		maxHeaderSize: maximumHeaderBytes, requestTimeout: 0, keepAlive: true, noDelay: true, connectionsCheckingInterval: headerCheckIntervalMs,
 	}, (message, response) => {
+		const {socket} = message;
+		if (!connections.tryAddRequest(socket)) {
+			return;
+		}
+
+		response.once('close', () => {
+			connections.removeRequest(socket);
+		});
 		response.on('error', () => {
 			// The caller disconnected; the `close` event follows and is handled there.
 		});
 		drainUnreadBody(message, response);
 		void receiveRequest(message, response);
 	});
+	server.on('connection', connections.add);
 	const port = await listen(server, {...address, backlog: connectionBacklog});
 	return {
 		port,
 		setLimits(limits) {
 			maximumBodyBytes = limits.maximumBodyBytes;
+			memory.setLimit(getCallerMemoryLimit(bounds.memoryMb, maximumBodyBytes));
 			idleTimeoutMs = limits.idleTimeoutMs;
 			server.headersTimeout = limits.headerTimeoutMs;
 			server.keepAliveTimeout = limits.idleTimeoutMs + keepAliveMarginMs;
@@ -229,6 +287,7 @@
 				exchange.breakConnection();
 			}
 
+			connections.close();
 			server.close();
 			server.closeAllConnections();
 		},
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -4,6 +4,7 @@
 */
 import type {IncomingMessage} from 'node:http';
 import {setTimeout as setTimeoutPromise} from 'node:timers/promises';
+import {getMaximumConnections} from '@currantcross/core/gateway/caller-memory';
 import {createGateway} from '@currantcross/core/gateway/gateway';
 import {defaultEndpointRegistrySettings} from '@currantcross/core/gateway/endpoint-registry';
 import {getMaximumStateAgeMs} from '@currantcross/core/gateway/feed-source';
@@ -262,6 +263,8 @@
 		registerGatewayService(router, {streamWork: workExchange.streamWork, streamState});
 	});
 	const callerServer = await startCallerServer(parseAddress(settings.callerAddress), {
+		memoryMb: settings.memoryMb, maximumConnections: getMaximumConnections(settings.maximumDescriptors),
+	}, {
 		wireFormat: host.wireFormat,
 		isDraining: () => stoppedAt !== undefined,
 		checkHead(message, head) {
@@ -274,6 +277,10 @@
 		recordDeparture,
 		getUnreadMs: loopMonitor.getUnreadMs,
 		recordRefusal,
+		recordBound(bound) {
+			metrics.recordCallerBound(bound);
+			logger.warn('callersBounded', {bound});
+		},
 	});
 	const readinessServer = await startStatusServer(parseAddress(settings.readinessAddress), async () => {
 		checkClock();
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -7,6 +7,7 @@
 	GatewayRequest, ListedEndpoint, RequestKey, SegmentId,
 } from '@currantcross/core/gateway/gateway-types';
 import type {ColdReport} from '@currantcross/core/gateway/cold-endpoints';
+import {isStreamResponse} from '@currantcross/core/gateway/request-send';
 import type {Gateway} from '@currantcross/core/gateway/gateway';
 import type {PeerChange} from '@currantcross/core/gateway/peer-changes';
 import type {
@@ -486,8 +487,10 @@
 		}
 
 		const handedOverAt = performance.now();
+		let isHeld = false;
+		let receivedBytes = 0;
 		host.client.send({
-			sendId, address: endpoint.address, method: message.method ?? 'GET', target: message.url ?? '/', headers, body: Buffer.from(body),
+			sendId, address: endpoint.address, method: message.method ?? 'GET', target: message.url ?? '/', headers, body: Buffer.from(body.buffer, body.byteOffset, body.byteLength),
 		}, {
 			onStart() {
 				const waitedMs = performance.now() - handedOverAt;
@@ -498,9 +501,16 @@
 				}
 			},
 			onHead(status, responseHeaders) {
-				dispatchRelayEvent(key, {kind: 'responseStarted', sendId, head: host.wireFormat.parseResponseHead(status, responseHeaders)});
+				const head = host.wireFormat.parseResponseHead(status, responseHeaders);
+				isHeld = !isStreamResponse(openRequest.request, head);
+				dispatchRelayEvent(key, {kind: 'responseStarted', sendId, head});
 			},
 			onBytes(bytes) {
+				receivedBytes += bytes.length;
+				if (isHeld) {
+					openRequest.exchange.setReceivedBytes(receivedBytes);
+				}
+
 				dispatchRelayEvent(key, {kind: 'responseBytes', sendId, bytes});
 			},
 			onEnd() {
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -20,6 +20,8 @@
 	recordStoreRestore(): void;
 	/** Counts entries of a list that can't be used. */
 	recordUnusableEntries(list: string, count: number): void;
+	/** Records that a request was refused, or a connection closed, because of a bound on what callers make the gateway hold. */
+	recordCallerBound(bound: string): void;
 	/** Records a query to the relay: whether it was answered in time, and the time that requests waited for it. */
 	recordQuery(outcome: string, durationMs: number): void;
 	/** Records a batch of the exchange that was received. */
@@ -63,6 +65,9 @@
 	const unusableEntries = new Counter({
 		name: 'currantcross_unusable_entries_total', help: 'Entries found in the lists of the store that can not be used', labelNames: ['list'], registers,
 	});
+	const callerBounds = new Counter({
+		name: 'currantcross_caller_bounds_total', help: 'Requests refused and connections closed because of what callers made the gateway hold', labelNames: ['bound'], registers,
+	});
 	const queries = new Histogram({
 		name: 'currantcross_relay_query_seconds', help: 'Time for which requests wait for the latest news of other gateways', labelNames: ['outcome'], buckets: queryBucketsS, registers,
 	});
@@ -122,6 +127,9 @@
 		recordUnusableEntries(list, count) {
 			unusableEntries.inc({list}, count);
 		},
+		recordCallerBound(bound) {
+			callerBounds.inc({bound});
+		},
 		recordQuery(outcome, durationMs) {
 			queries.observe({outcome}, durationMs / millisecondsPerSecond);
 		},
