Test that older lists and the first ones after a restore end no evacuation

Cause: with the check of a list's age taken out, the generated cases passed (50 runs): their old lists are followed by a poll too soon to show it each time.

Change: a test of its own for both rules.

Measured: it passes, and fails with either rule taken out; the test of memory that was reserved before the evacuation fails without its check.

--- a/packages/core/src/gateway/placement-restrictions.test.ts
+++ b/packages/core/src/gateway/placement-restrictions.test.ts
@@ -190,6 +190,16 @@
 		expect(gateway.isReady(10_100)).toBe(true);
 	});
 
+	// Guards against an evacuation that ends by the list of a reader that lies behind, or of a store that was restored.
+	test('stay evacuated while an older list, or the first ones after a restore, lack them', () => {
+		const gateway = startGateway();
+		list(gateway, ['a'], 5000);
+		expect(list(gateway, [], 5100, 4000)).toEqual([]);
+		gateway.step({kind: 'storeRestored'}, 6000);
+		expect(list(gateway, [], 8000)).toEqual([]);
+		expect(list(gateway, [], 10_000)).toMatchObject([{kind: 'reportEvacuations', changes: {begun: [], ended: ['a']}}]);
+	});
+
 	// Guards against helpers' parts and reservations in an evacuated data centre.
 	test('get neither parts of long prompts nor reservations', () => {
 		const prompt = {promptTokens: 600_000, maximumTokens: 1000};
