--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -17,7 +17,9 @@
 import type {
 	EndpointId, GatewayRequest, ListedEndpoint, RequestKey, ServedOrganisation, ServedRoute, ServingConfiguration,
 } from './gateway-types.js';
-import {createLoadView, type GatewayName, type WorkChange} from './load-view.js';
+import {
+	createLoadView, type GatewayName, type OpenWork, type WorkChange,
+} from './load-view.js';
 import {
 	findPromptPlacement, findServicePlacement, getCandidates, type Placement,
 } from './placement.js';
@@ -205,6 +207,14 @@
 		}
 	}
 
+	/** Counts the requests of a send: to its receiver, and the parts that reach its helpers. */
+	function recordColdSends({endpoint, helpers}: OpenWork, now: Timestamp): void {
+		cold?.recordSend(endpoint, now);
+		for (const helper of helpers) {
+			cold?.recordSend(helper.endpoint, now);
+		}
+	}
+
 	/** Records that an endpoint says it is leaving, and tells the peers if this is news. */
 	function recordLeaving({id, startedAt}: ListedEndpoint): readonly GatewayAction[] {
 		const change = registry.recordLeaving(id, startedAt);
@@ -251,7 +261,7 @@
 			load.applyChange(settings.name, change, now);
 			recordStarts([change], now);
 			if (change.kind === 'started') {
-				cold?.recordSend(change.work.endpoint, now);
+				recordColdSends(change.work, now);
 			}
 		},
 	};
