Place requests by their learned cost and by what endpoints still have to do

Cause: requests without a prompt go to the endpoint with the fewest requests for its slots, whatever these cost; gateways whose news of each other is late herd on one endpoint; a model server that is slow by itself is used like the others.

Change: with "workRouting": {"isEnabled": true} in the settings, a gateway learns service times by route and organisation, and each endpoint's pace, and tells others of paces that deviate. A request without a prompt goes to the one of two drawn endpoints where it ends sooner; how far the loads seen are trusted is learned from the loads that endpoints report in responses, which are now decoded. The pace scales the predicted times of prompts. Without it placements are as before.

Tests of the core modules touched and of packages/gateway pass.

--- a/packages/core/src/gateway/fleet-simulation.ts
+++ b/packages/core/src/gateway/fleet-simulation.ts
@@ -358,6 +358,7 @@
 			case 'reportLimit':
 			case 'reportEvacuations':
 			case 'reportColdEndpoint':
+			case 'reportTiming':
 			case 'reserveMemory':
 			case 'releaseMemory':
 			case 'startResponse':
--- a/packages/core/src/gateway/forwarded-request.test.ts
+++ b/packages/core/src/gateway/forwarded-request.test.ts
@@ -77,6 +77,8 @@
 		case 'reportQuarantine':
 		case 'reportLimit':
 		case 'reportEvacuations':
+		case 'reportColdEndpoint':
+		case 'reportTiming':
 		case 'readConfiguration':
 		case 'reportEndpoint':
 		case 'reportDecision': {
@@ -675,6 +677,7 @@
 		recordLimit: () => [],
 		recordCompletion: () => [],
 		recordUncertainCompletion: () => [],
+		learnWork: () => [],
 		recordWork: () => undefined,
 	});
 	request.step({kind: 'started'}, 0);
--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -10,7 +10,7 @@
 import type {EndpointRegistry, SentRequest} from './endpoint-registry.js';
 import {createEventSplitter, mergeBytes, type StreamEvent} from './event-splitter.js';
 import type {
-	EndpointId, EndpointReport, EndpointResponseHead, GatewayRequest, ListedEndpoint,
+	EndpointId, EndpointReport, EndpointResponseHead, GatewayRequest, ListedEndpoint, ReportedLoad,
 } from './gateway-types.js';
 import type {WorkChange} from './load-view.js';
 import {
@@ -24,6 +24,7 @@
 	getSilenceTimeoutMs, isStreamResponse, maximumEventBytes, minimumProgressBytes, parseEventNumber, silenceTimeouts, type SavedResponse, type Send,
 } from './request-send.js';
 import type {RetryQuota} from './retry-quota.js';
+import type {WorkObservation} from './work-routing.js';
 import {createPlacementReport, createSendEndReport, createSilenceReports} from './send-reports.js';
 
 /** Services that the gateway provides to its requests. */
@@ -54,6 +55,8 @@
 	recordCompletion(request: GatewayRequest, now: Timestamp): readonly GatewayAction[];
 	/** Records that an endpoint has completed a response, unless it has crashed and the end of its connection only looks like that. */
 	recordUncertainCompletion(request: GatewayRequest, endpoint: ListedEndpoint, now: Timestamp): readonly GatewayAction[];
+	/** Learns what a send shows of the work of its request and of its endpoint. */
+	learnWork(observation: WorkObservation, now: Timestamp): readonly GatewayAction[];
 	/** Applies a change of this gateway's open requests to its own load view. */
 	recordWork(change: WorkChange, now: Timestamp): void;
 }>;
@@ -187,7 +190,7 @@
 					readMs: placement.prefillMs,
 					longestPauseMs: route.longestPauseMs,
 					priority: request.priority,
-					serviceMs: 0,
+					serviceMs: placement.serviceMs ?? 0,
 				},
 			}, now),
 			...current.memory === undefined ? dispatchSend(current, now) : reserve(current.memory.reservations),
@@ -435,7 +438,7 @@
 
 		current.head = head;
 		recordProgress(current, now);
-		return [];
+		return head.load === undefined ? [] : learnLoad(head.load, now);
 	}
 
 	function addBytes(bytes: Uint8Array, now: Timestamp): readonly GatewayAction[] {
@@ -502,13 +505,27 @@
 			send.hasEvents = true;
 			firstEventAt ??= now;
 			context.registry.recordSuccess(send.placement.endpoint.id);
-			actions.push(...recordWork({kind: 'writing', id: send.id}, now));
+			actions.push(...recordWork({kind: 'writing', id: send.id}, now), ...learnTime(send, now));
 		}
 
 		actions.push(...startStream(head));
 		return actions;
 	}
 
+	function learnLoad(load: ReportedLoad, now: Timestamp): readonly GatewayAction[] {
+		return current === undefined || request.prompt !== undefined
+			? []
+			: context.learnWork({
+				kind: 'loadReported', service: request.service, endpoint: current.placement.endpoint.id, load,
+			}, now);
+	}
+
+	function learnTime({placement, sentAt}: Send, now: Timestamp): readonly GatewayAction[] {
+		return context.learnWork({
+			kind: 'responseTimed', request, placement, observedMs: now - sentAt,
+		}, now);
+	}
+
 	/**
 	Starts a stream, in chunks however the endpoint delimits its own: events are forwarded as they arrive, and what ends in between,
 	the gateway's process too, must not look like the end of the stream.
@@ -542,7 +559,8 @@
 		context.registry.recordSuccess(finishedSend.placement.endpoint.id);
 		return [
 			...closeSend('answered', `status ${head.status}`, now),
-			...(head.status < firstErrorStatus ? recordCompletion(finishedSend, head, now) : []),
+			// An error says nothing of the work that the request would have been.
+			...(head.status < firstErrorStatus ? [...recordCompletion(finishedSend, head, now), ...learnTime(finishedSend, now)] : []),
 			...endWithResponse({head, chunks: finishedSend.chunks}),
 		];
 	}
--- a/packages/core/src/gateway/gateway-events.ts
+++ b/packages/core/src/gateway/gateway-events.ts
@@ -88,11 +88,17 @@
 	| Readonly<{kind: 'reportLimit'; report: LimitReport}>
 	| Readonly<{kind: 'reportEvacuations'; changes: EvacuationChanges; source: EvacuationList['source']; listAgeMs: Milliseconds}>
 	| Readonly<{kind: 'reportColdEndpoint'; report: ColdReport}>
+	| Readonly<{kind: 'reportTiming'; report: TimingReport}>
 	| Readonly<{kind: 'reportDecision'; key: RequestKey; decision: ReportedDecision}>;
 
 /** A change of an endpoint's limit, `undefined` if it has none, for the log. */
 export type LimitReport = Readonly<{endpoint: EndpointId; requestsPerSecond: number | undefined; source: 'response' | 'peer'}>;
 
+/** The predicted and the observed time of a response, for metrics; `isTold` if the other gateways are told of the endpoint's pace. */
+export type TimingReport = Readonly<{
+	route: string; endpoint: EndpointId; predictedMs: Milliseconds; observedMs: Milliseconds; pace: number; isTold: boolean;
+}>;
+
 /** A decision about a send, for the log. */
 export type ReportedDecision
 	= | Readonly<{
--- a/packages/core/src/gateway/gateway-fault-simulation.ts
+++ b/packages/core/src/gateway/gateway-fault-simulation.ts
@@ -252,6 +252,7 @@
 			case 'reportLimit':
 			case 'reportEvacuations':
 			case 'reportColdEndpoint':
+			case 'reportTiming':
 			case 'readConfiguration':
 			case 'reportEndpoint':
 			case 'reportDecision': {
--- a/packages/core/src/gateway/gateway-fixtures.ts
+++ b/packages/core/src/gateway/gateway-fixtures.ts
@@ -98,6 +98,7 @@
 	regions: new Map(),
 	evacuationMs: undefined,
 	coldEndpoints: undefined,
+	isWorkAware: false,
 };
 
 /** Returns a request of the route; without changes it arrives at time 0. */
@@ -136,6 +137,7 @@
 		isLeaving: false,
 		requestsPerSecond: undefined,
 		coldRemainingMs: undefined,
+		load: undefined,
 		retryAfterMs: undefined,
 		...changes,
 	};
--- a/packages/core/src/gateway/gateway-types.ts
+++ b/packages/core/src/gateway/gateway-types.ts
@@ -160,6 +160,9 @@
 	startedAt: number | undefined;
 }>;
 
+/** What an endpoint says in a response of the requests that it has. */
+export type ReportedLoad = Readonly<{runningRequests: number; waitingRequests: number; slots: number}>;
+
 /** Headers as alternating names and values. */
 export type RawHeaders = readonly string[];
 
@@ -186,6 +189,8 @@
 	requestsPerSecond: number | undefined;
 	/** Time for which the endpoint says it stays cold; `undefined` if it says nothing of it. */
 	coldRemainingMs: Milliseconds | undefined;
+	/** What the endpoint says of its load; `undefined` if it says nothing of it. */
+	load: ReportedLoad | undefined;
 	/** Delay after which the endpoint suggests a retry. */
 	retryAfterMs: Milliseconds | undefined;
 }>;
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -5,6 +5,7 @@
 replaying a recorded list of events yields the same actions.
 */
 import {createNotRunFailure, type Failure} from '../errors.js';
+import {createRandom} from '../random.js';
 import type {Milliseconds, Timestamp} from '../types.js';
 import {
 	createConfigurationState, type ConfigurationStateSettings, type RouteGrant, type RouteRefusal,
@@ -12,7 +13,7 @@
 import {createColdEndpoints, type ColdCounts, type ColdEndpointSettings} from './cold-endpoints.js';
 import {createColdShares} from './cold-shares.js';
 import {createEndpointLimits} from './endpoint-limits.js';
-import {createEndpointRanking} from './endpoint-ranking.js';
+import {createEndpointRanking, getHash} from './endpoint-ranking.js';
 import {createEndpointRegistry, type EndpointRegistrySettings} from './endpoint-registry.js';
 import type {
 	EndpointId, GatewayRequest, ListedEndpoint, RequestKey, ServedOrganisation, ServedRoute, ServingConfiguration,
@@ -32,6 +33,7 @@
 import type {PeerChange} from './peer-changes.js';
 import {getTraits, isWholeRequest} from './request-traits.js';
 import {createSegmentQuarantine} from './segment-quarantine.js';
+import {createWorkRouting, type WorkObservation} from './work-routing.js';
 import {createRetryQuota, type RetryQuotaSettings} from './retry-quota.js';
 
 export type GatewaySettings = Readonly<{
@@ -50,6 +52,8 @@
 	evacuationMs: Milliseconds | undefined;
 	/** Limit on the requests to cold endpoints of all gateways together; `undefined` if there is none. */
 	coldEndpoints: ColdEndpointSettings | undefined;
+	/** Whether placements depend on the learned cost of requests and pace of endpoints. */
+	isWorkAware: boolean;
 }>;
 
 export type Gateway = Readonly<{
@@ -109,6 +113,9 @@
 	const cold = settings.coldEndpoints === undefined
 		? undefined
 		: createColdEndpoints({settings: settings.coldEndpoints, shares, getTolerance: service => configuration.tryGet()?.services.get(service)?.coldTolerance});
+	const workRouting = settings.isWorkAware
+		? createWorkRouting({load, dataCentre: settings.dataCentre, random: createRandom(getHash(`${settings.name}/${settings.incarnation}`))})
+		: undefined;
 	const requests = new Map<RequestKey, ForwardedRequest>();
 	let sendCount = 0;
 
@@ -120,10 +127,10 @@
 		const candidates = getCandidates(endpoints, excluded, id => ({load: load.getLoad(id, now), rank: getRank(id), isCold: cold?.isCold(id, now)}));
 		const engine = configuration.tryGet()?.services.get(request.service)?.engine;
 		if (engine === undefined || request.prompt === undefined) {
-			return findServicePlacement(candidates, settings.dataCentre);
+			return workRouting === undefined ? findServicePlacement(candidates, settings.dataCentre) : workRouting.findServicePlacement(request, candidates, now);
 		}
 
-		return findPromptPlacement(engine, candidates, {
+		return findPromptPlacement(engine, workRouting?.addPace(candidates, now) ?? candidates, {
 			promptTokens: request.prompt.promptTokens,
 			objectiveMs: request.route.objectiveMs,
 			longestPauseMs: request.route.longestPauseMs,
@@ -257,6 +264,7 @@
 		recordCold: (endpoint: EndpointId, remainingMs: Milliseconds | undefined, now: Timestamp) => cold?.recordResponse(endpoint, remainingMs, now) ?? [],
 		recordCompletion: (request: GatewayRequest, now: Timestamp) => quarantine.recordCompletion(request.service, getTraits(request), now),
 		recordUncertainCompletion: (request: GatewayRequest, endpoint: ListedEndpoint, now: Timestamp) => quarantine.recordUncertainCompletion(endpoint, getTraits(request), now),
+		learnWork: (observation: WorkObservation, now: Timestamp): readonly GatewayAction[] => workRouting?.learn(observation, now) ?? [],
 		recordWork(change: WorkChange, now: Timestamp) {
 			load.applyChange(settings.name, change, now);
 			recordStarts([change], now);
@@ -315,6 +323,11 @@
 				return configuration.learnVersion(change.version, now) ? [{kind: 'readConfiguration'}] : [];
 			}
 
+			case 'paceObserved': {
+				workRouting?.applyPeerChange(change, now);
+				return [];
+			}
+
 			case 'limitChanged': {
 				return limits.applyPeerChange(change, now);
 			}
--- a/packages/core/src/gateway/load-view.ts
+++ b/packages/core/src/gateway/load-view.ts
@@ -63,6 +63,8 @@
 export type LoadView = Readonly<{
 	applyChange(gateway: GatewayName, change: WorkChange, now: Timestamp): void;
 	getLoad(endpoint: EndpointId, now: Timestamp): EndpointLoad;
+	/** Returns the service time that is left of an endpoint's requests; those whose service time isn't predicted count with `unpredictedMs`. */
+	getWorkLeftMs(endpoint: EndpointId, unpredictedMs: Milliseconds, now: Timestamp): Milliseconds;
 	/** Returns the open requests of one gateway as changes, for a peer that has just connected. */
 	getOpenWorkChanges(gateway: GatewayName): readonly WorkChange[];
 }>;
@@ -77,6 +79,9 @@
 /** Minimum share of a request's prefill time that is counted in the receiver's backlog until the first event arrives. */
 const minimumPrefillShare = 0.25;
 
+/** Minimum share of a request's service time that counts as left until it ends. */
+const minimumServiceShare = 0.25;
+
 /** Number of endpoints whose last completed prefill is tracked; more than any fleet has. */
 const maximumTrackedEndpoints = 20_000;
 
@@ -230,6 +235,18 @@
 				memoryTokens,
 			};
 		},
+		getWorkLeftMs(endpoint, unpredictedMs, now) {
+			let leftMs = 0;
+			for (const {work, startedAt} of openWorkByEndpoint.get(endpoint) ?? []) {
+				const ageMs = now - startedAt;
+				if (work.endpoint === endpoint && ageMs <= maximumWorkAgeMs) {
+					const serviceMs = work.serviceMs > 0 ? work.serviceMs : unpredictedMs;
+					leftMs += Math.max(serviceMs - ageMs, serviceMs * minimumServiceShare);
+				}
+			}
+
+			return leftMs;
+		},
 		getOpenWorkChanges(gateway) {
 			const openWork = [...openWorkByGateway.get(gateway)?.values() ?? []];
 			return openWork.flatMap(({work, isDecoding}): readonly WorkChange[] =>
--- a/packages/core/src/gateway/peer-changes.ts
+++ b/packages/core/src/gateway/peer-changes.ts
@@ -4,12 +4,13 @@
 */
 import type {ColdChange} from './cold-endpoints.js';
 import type {EndpointId} from './gateway-types.js';
+import type {PaceChange} from './endpoint-pace.js';
 import type {LimitChange} from './endpoint-limits.js';
 import type {WorkChange} from './load-view.js';
 import type {QuarantineChange} from './segment-quarantine.js';
 
 /** A message from one gateway to the others. */
-export type PeerChange = WorkChange | QuarantineChange | LimitChange | ConfigurationChange | UnreachableChange | LeavingChange | ColdChange;
+export type PeerChange = WorkChange | QuarantineChange | LimitChange | PaceChange | ConfigurationChange | UnreachableChange | LeavingChange | ColdChange;
 
 /** An endpoint does not accept connections. */
 export type UnreachableChange = Readonly<{kind: 'endpointUnreachable'; endpoint: EndpointId}>;
--- a/packages/core/src/gateway/placement-cost.ts
+++ b/packages/core/src/gateway/placement-cost.ts
@@ -18,6 +18,8 @@
 	rank: number;
 	/** Whether the endpoint takes few requests for now, so that it doesn't help with other prompts. */
 	isCold?: boolean;
+	/** Factor by which the endpoint is slower than predicted; 1 if absent. */
+	pace?: number;
 }>;
 
 /** Requirements of a prompt on its placement. */
@@ -152,11 +154,11 @@
 
 /** Returns the cost of placing a prompt on a receiver, for its decoding sequences and the prompt, without the delay of the first event. */
 export function getReceiverCost(engine: EngineProfile, candidate: Candidate, demand: PromptDemand, {prefillMs, idleScarcity}: PlacementContext): number {
-	const {load} = candidate;
+	const {load, pace = 1} = candidate;
 	const weight = getLatenessWeight(demand.promptTokens);
 	const passMs = getDecodePassMs(engine, load.decodingSequences.length + 1, getContextTokens(load.decodingSequences) + demand.promptTokens);
 	let cost = getDecodingPenalty(engine, load, prefillMs);
-	cost += weight * getTargetPenalty(passMs + load.prefillBacklogMs, demand.longestPauseMs);
+	cost += weight * getTargetPenalty((passMs + load.prefillBacklogMs) * pace, demand.longestPauseMs);
 	if (candidate.endpoint.dataCentre !== demand.dataCentre) {
 		cost += weight * remoteDataCentreCost;
 	}
--- a/packages/core/src/gateway/placement.ts
+++ b/packages/core/src/gateway/placement.ts
@@ -31,6 +31,12 @@
 	firstEventMs: Milliseconds;
 	/** Cost to other requests, in units of a late short request. */
 	interferenceCost: number;
+	/** Predicted service time without a queue, at an endpoint of usual pace; absent if it isn't known. */
+	serviceMs?: Milliseconds;
+	/** Pace of the endpoint that is part of the predictions; 1 if absent. */
+	pace?: number;
+	/** Whether all slots of the endpoint were taken; absent if it doesn't matter. */
+	isQueued?: boolean;
 }>;
 
 /** Load added to endpoints in another data centre, as a share of their slots. */
@@ -70,7 +76,7 @@
 	const prefillMs = getPrefillMs(engine, demand.promptTokens) / (helperCount + 1);
 	const fitting = helperCount > 0 ? candidates : candidates.filter(({load}) => getFreeTokens(engine, load) >= demand.promptTokens);
 	const receivers = fitting.map((candidate): PromptPart => {
-		const readyMs = getPartPrefillMs(engine, candidate.load, prefillMs) + getSlotWaitMs(engine, candidate.load);
+		const readyMs = (getPartPrefillMs(engine, candidate.load, prefillMs) * (candidate.pace ?? 1)) + getSlotWaitMs(engine, candidate.load);
 		return {candidate, readyMs, cost: getReceiverCost(engine, candidate, demand, {prefillMs, idleScarcity}) + getDelayCost(weight, readyMs, demand)};
 	});
 	const receiver = findCheapest(receivers);
@@ -81,7 +87,7 @@
 	const helperParts = helperCount === 0
 		? []
 		: candidates.filter(candidate => candidate !== receiver.candidate && candidate.isCold !== true && candidate.load.helpedRequests < engine.slots - spareHelperSlots).map((candidate): PromptPart => {
-			const readyMs = getPartPrefillMs(engine, candidate.load, prefillMs);
+			const readyMs = getPartPrefillMs(engine, candidate.load, prefillMs) * (candidate.pace ?? 1);
 			return {candidate, readyMs, cost: getDecodingPenalty(engine, candidate.load, prefillMs) + getDelayCost(weight, readyMs, demand)};
 		});
 	const helpers = helperParts.toSorted(compareParts).slice(0, helperCount);
@@ -106,6 +112,7 @@
 			prefillMs,
 			firstEventMs,
 			interferenceCost,
+			...(receiver.candidate.pace === undefined ? {} : {pace: receiver.candidate.pace}),
 		},
 		cost: partCosts + getDelayCost(weight, firstEventMs, demand) + (helperCount * additionalHelperCost) + blockingCost
 			+ (reserved.filter(tokens => tokens > 0).length * getReservationCost(weight)),
--- /dev/null
+++ b/packages/core/src/gateway/work-routing.test.ts
@@ -0,0 +1,194 @@
+import {describe, expect, test} from 'vitest';
+import {createRandom} from '../random.js';
+import {createGateway} from './gateway.js';
+import type {GatewayAction} from './gateway-events.js';
+import {
+	createFixtureEndpoints, createFixtureGatewayRequest, fixtureConfiguration, fixtureEngine, fixtureGatewaySettings, fixtureIdempotentRoute, fixtureStreamRoute,
+} from './gateway-fixtures.js';
+import {createEndpointPaces} from './endpoint-pace.js';
+import {createLoadView} from './load-view.js';
+import {findPromptPlacement, type Placement} from './placement.js';
+import {createServiceTimes, type RequestClass} from './service-times.js';
+import {createWorkRouting} from './work-routing.js';
+
+const shop = createFixtureEndpoints('shop', 3);
+const request = createFixtureGatewayRequest(fixtureIdempotentRoute);
+
+function getMean(times: ReturnType<typeof createServiceTimes>, requestClass: RequestClass, now: number): number {
+	return times.tryGetEstimate(requestClass, now)?.meanMs ?? Number.NaN;
+}
+
+describe('service times', () => {
+	test('are unknown before the first response and after they were forgotten', () => {
+		const times = createServiceTimes();
+		expect(times.tryGetEstimate({route: 'look', organisation: 'club'}, 0)).toBeUndefined();
+		times.learn({route: 'look', organisation: 'club'}, 40, 0);
+		expect(getMean(times, {route: 'look', organisation: 'other'}, 1000)).toBeCloseTo(40);
+		expect(times.tryGetEstimate({route: 'look', organisation: 'club'}, 600_000)).toBeUndefined();
+	});
+
+	// Guards against a hot key, or odd requests of one organisation, that set the estimate of all others.
+	test('of a route stay near those of its organisations while one sends many and dear requests', () => {
+		const times = createServiceTimes();
+		for (let now = 0; now < 60_000; now += 10) {
+			times.learn({route: 'look', organisation: 'hot'}, 400, now);
+			if (now % 1000 === 0) {
+				for (let index = 0; index < 9; index += 1) {
+					times.learn({route: 'look', organisation: `club-${index}`}, 40, now);
+				}
+			}
+		}
+
+		expect(getMean(times, {route: 'look', organisation: 'new'}, 60_000)).toBeLessThan(120);
+		expect(getMean(times, {route: 'look', organisation: 'hot'}, 60_000)).toBeGreaterThan(350);
+	});
+
+	test('are hardly moved by a single response that hung', () => {
+		const times = createServiceTimes();
+		for (let now = 0; now < 20_000; now += 1000) {
+			times.learn({route: 'look', organisation: `club-${now / 1000 % 4}`}, 40, now);
+		}
+
+		times.learn({route: 'look', organisation: 'club-1'}, 10_000, 20_000);
+		expect(getMean(times, {route: 'look', organisation: 'club-2'}, 20_000)).toBeLessThan(80);
+	});
+});
+
+describe('endpoint paces', () => {
+	const usual = {service: 'models', predictedMs: 80, observedMs: 90};
+
+	test('of an endpoint that turns slow rise at this gateway and at those it tells, and are forgotten', () => {
+		const [paces, peer] = [createEndpointPaces(), createEndpointPaces()];
+		for (let now = 0; now < 9000; now += 100) {
+			paces.learn({...usual, endpoint: `models-${now / 100 % 10}`}, now);
+		}
+
+		for (const now of [9000, 9500, 10_000]) {
+			const change = paces.learn({...usual, endpoint: 'models-3', observedMs: 400}, now);
+			if (change !== undefined) {
+				peer.applyPeerChange(change, now + 20);
+			}
+		}
+
+		expect(paces.getPace('models-3', 10_020)).toBeGreaterThan(1.5);
+		expect(peer.getPace('models-3', 10_020)).toBeGreaterThan(1.5);
+		expect(paces.getPace('models-4', 10_020)).toBe(1);
+		expect(peer.getPace('models-3', 30_000)).toBe(1);
+	});
+
+	test('of a recovered endpoint are told too', () => {
+		const paces = createEndpointPaces();
+		paces.learn({...usual, endpoint: 'models-3', observedMs: 600}, 0);
+		expect(paces.learn({...usual, endpoint: 'models-3'}, 1000)).toBeDefined();
+	});
+
+	// Guards against messages of every gateway about every endpoint under overload.
+	test('stay usual, and are no longer told, while all endpoints of a service are slow alike', () => {
+		const paces = createEndpointPaces();
+		let toldCount = 0;
+		for (let now = 0; now < 20_000; now += 50) {
+			const change = paces.learn({...usual, endpoint: `models-${now / 50 % 10}`, observedMs: 500}, now);
+			toldCount += change === undefined || now < 8000 ? 0 : 1;
+		}
+
+		expect(paces.getPace('models-3', 20_000)).toBe(1);
+		expect(toldCount).toBe(0);
+	});
+});
+
+test('a prompt is placed on another server than one that is slow', () => {
+	const idle = {
+		requests: 0, prefillBacklogMs: 0, helpedRequests: 0, decodingSequences: [], memoryTokens: 0,
+	};
+	const candidates = createFixtureEndpoints('models', 3).map((endpoint, index) => ({
+		endpoint, load: idle, rank: 0, pace: index === 0 ? 4 : 1,
+	}));
+	const placement = findPromptPlacement(fixtureEngine, candidates, {
+		promptTokens: 20_000, objectiveMs: 300, longestPauseMs: 250, remainingMs: 10_000, dataCentre: 'east',
+	});
+	expect(placement?.endpoint.id).toBe('models-2');
+});
+
+describe('work-aware routing', () => {
+	function createRouting(): Readonly<{routing: ReturnType<typeof createWorkRouting>; load: ReturnType<typeof createLoadView>}> {
+		const load = createLoadView();
+		return {load, routing: createWorkRouting({load, dataCentre: 'east', random: createRandom(1)})};
+	}
+
+	function findPlacement({routing, load}: ReturnType<typeof createRouting>, now: number): Placement | undefined {
+		return routing.findServicePlacement(request, shop.map(endpoint => ({endpoint, load: load.getLoad(endpoint.id, now), rank: 0})), now);
+	}
+
+	test('learns the service time that placements and their open work carry', () => {
+		const setup = createRouting();
+		const first = findPlacement(setup, 0);
+		expect(first?.serviceMs).toBeUndefined();
+		const actions: readonly GatewayAction[] = first === undefined
+			? []
+			: setup.routing.learn({
+				kind: 'responseTimed', request, placement: first, observedMs: 50,
+			}, 50);
+		expect(actions).toEqual([]);
+		expect(findPlacement(setup, 60)?.serviceMs).toBeCloseTo(50);
+	});
+
+	test('counts the requests that only an endpoint knows of, for a second', () => {
+		const setup = createRouting();
+		const placement = findPlacement(setup, 0);
+		if (placement !== undefined) {
+			setup.routing.learn({
+				kind: 'responseTimed', request, placement, observedMs: 50,
+			}, 50);
+		}
+
+		const drawEndpoints = (now: number): ReadonlySet<string | undefined> => new Set(Array.from({length: 40}, () => findPlacement(setup, now)?.endpoint.id));
+		setup.routing.learn({
+			kind: 'loadReported', service: 'shop', endpoint: 'shop-0', load: {runningRequests: 6, waitingRequests: 20, slots: 6},
+		}, 60);
+		expect(drawEndpoints(60)).toEqual(new Set(['shop-1', 'shop-2']));
+		expect(drawEndpoints(1200)).toEqual(new Set(['shop-0', 'shop-2']));
+	});
+
+	test('learns nothing of a prompt that several servers process', () => {
+		const [endpoint, helper] = createFixtureEndpoints('models', 2);
+		if (endpoint === undefined || helper === undefined) {
+			throw new Error('no endpoints');
+		}
+
+		const placement: Placement = {
+			endpoint, helpers: [{endpoint: helper, reservedTokens: 0}], prefillMs: 500, firstEventMs: 500, interferenceCost: 0,
+		};
+		const {routing} = createRouting();
+		expect(routing.learn({
+			kind: 'responseTimed', request: createFixtureGatewayRequest(fixtureStreamRoute), placement, observedMs: 4000,
+		}, 4000)).toEqual([]);
+	});
+});
+
+test('work left is what remains of predicted service times, and a share of those that have passed', () => {
+	const load = createLoadView();
+	const common = {
+		endpoint: 'shop-0', helpers: [], promptTokens: 0, readMs: 0, longestPauseMs: 0, priority: 1,
+	};
+	load.applyChange('gateway-1', {kind: 'started', work: {...common, id: 1, serviceMs: 100}}, 0);
+	load.applyChange('gateway-2', {kind: 'started', work: {...common, id: 1, serviceMs: 0}}, 0);
+	expect(load.getWorkLeftMs('shop-0', 40, 0)).toBe(140);
+	expect(load.getWorkLeftMs('shop-0', 40, 90)).toBe(35);
+	load.applyChange('gateway-1', {kind: 'ended', id: 1}, 95);
+	expect(load.getWorkLeftMs('shop-0', 40, 95)).toBe(10);
+});
+
+test.each([
+	['elsewhere with work-aware routing', true, false],
+	['as before without it', false, true],
+])('a gateway that is told that an endpoint is slow places prompts %s', (_, isWorkAware, usesSlowEndpoint) => {
+	const gateway = createGateway({...fixtureGatewaySettings, isWorkAware});
+	gateway.step({kind: 'configurationVerified', configuration: fixtureConfiguration, verifiedAt: 0}, 0);
+	gateway.step({kind: 'endpointsListed', endpoints: createFixtureEndpoints('models', 4)}, 0);
+	const findEndpoint = (key: number): string | undefined => gateway.step({kind: 'requestArrived', request: createFixtureGatewayRequest(fixtureStreamRoute, {key})}, 0)
+		.flatMap(action => action.kind === 'send' ? [action.endpoint.id] : [])[0];
+	const endpoint = findEndpoint(1) ?? '';
+	gateway.step({kind: 'requestChanged', key: 1, event: {kind: 'clientGone'}}, 0);
+	gateway.step({kind: 'peerChanged', gateway: 'gateway-2', changes: [{kind: 'paceObserved', endpoint, ratio: 8}, {kind: 'paceObserved', endpoint, ratio: 8}]}, 0);
+	expect(findEndpoint(2) === endpoint).toBe(usesSlowEndpoint);
+});
--- a/packages/daemon/src/logger.ts
+++ b/packages/daemon/src/logger.ts
@@ -14,7 +14,7 @@
 		| 'requestPlaced' | 'sendEnded' | 'requestRefused' | 'endpointChanged' | 'evacuationsChanged' | 'dependencyLost' | 'dependencyRegained'
 		| 'settingsReloaded' | 'settingsRefused' | 'clockJumped' | 'callersBounded' | 'peerFound' | 'peerLost' | 'readinessChanged' | 'linesDropped'
 		| 'orderRefused' | 'orderFailed' | 'serverCrashed' | 'segmentQuarantined' | 'segmentReleased' | 'segmentTried'
-		| 'quarantineNotRecorded' | 'crashesNotRecorded' | 'quarantineNotRemoved' | 'limitChanged' | 'endpointCold' | 'endpointWarm'
+		| 'quarantineNotRecorded' | 'crashesNotRecorded' | 'quarantineNotRemoved' | 'limitChanged' | 'paceObserved' | 'endpointCold' | 'endpointWarm'
 		| 'feedSourceChanged' | 'readerLost' | 'followerLost' | 'readerStateRefused' | 'entryUnusable' | 'loopStalled' | 'requestDropped' | 'sendDelayed';
 
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -83,6 +83,7 @@
 		regions: new Map(Object.entries(settings.regions)),
 		evacuationMs: settings.evacuationMs,
 		coldEndpoints: settings.coldEndpoints,
+		isWorkAware: settings.workRouting.isEnabled,
 	});
 	const hasher = await createHasher();
 	const metrics = createGatewayMetrics(gateway.getOpenRequestCount, () => gateway.getColdCounts(performance.now()));
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -11,7 +11,7 @@
 import type {Gateway} from '@currantcross/core/gateway/gateway';
 import type {PeerChange} from '@currantcross/core/gateway/peer-changes';
 import type {
-	ResponseSummary, GatewayEvent, GatewayAction, ReportedDecision, RequestEvent, SendId,
+	ResponseSummary, GatewayEvent, GatewayAction, ReportedDecision, RequestEvent, SendId, TimingReport,
 } from '@currantcross/core/gateway/gateway-events';
 import {getErrorText} from '@currantcross/core/error-text';
 import type {Failure} from '@currantcross/core/errors';
@@ -237,6 +237,11 @@
 				return;
 			}
 
+			case 'reportTiming': {
+				reportTiming(action.report);
+				return;
+			}
+
 			case 'reportDecision': {
 				reportDecision(action.key, action.decision);
 			}
@@ -256,6 +261,15 @@
 		}
 	}
 
+	function reportTiming({route, endpoint, predictedMs, observedMs, pace, isTold}: TimingReport): void {
+		host.metrics.recordTiming(route, predictedMs, observedMs);
+		if (isTold) {
+			host.logger.info('paceObserved', {
+				endpoint, route, predictedMs: Math.round(predictedMs), observedMs: Math.round(observedMs), pace: Number(pace.toFixed(2)),
+			});
+		}
+	}
+
 	function reportQuarantine(report: QuarantineReport): void {
 		switch (report.kind) {
 			case 'crashed': {
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -28,6 +28,8 @@
 	recordBatch(scope: string, changeCount: number): void;
 	/** Records how many evacuations of data centres have begun and ended. */
 	recordEvacuations(begun: number, ended: number): void;
+	/** Records the predicted and the observed time of a response. */
+	recordTiming(route: string, predictedMs: number, observedMs: number): void;
 	getText(): Promise<string>;
 }>;
 
@@ -40,6 +42,9 @@
 
 const loopDelayBucketsS = [0.01, 0.05, 0.1, 0.2, 0.5, 1, 2, 5];
 
+/** Number of routes whose timings are told apart; those beyond are counted as `other`. */
+const maximumLabelledRoutes = 50;
+
 /** Creates the metrics of a gateway in a registry of their own. */
 export function createGatewayMetrics(getOpenRequestCount: () => number, getColdCounts: () => ColdCounts): GatewayMetrics {
 	const registry = new Registry();
@@ -80,6 +85,30 @@
 	const evacuations = new Counter({
 		name: 'currantcross_evacuations_total', help: 'Evacuations of data centres that were learnt of, and their ends', labelNames: ['change'], registers,
 	});
+	const timings = {
+		predicted: new Counter({
+			name: 'currantcross_predicted_response_seconds_total', help: 'Predicted times of the responses whose time was predicted', labelNames: ['route'], registers,
+		}),
+		observed: new Counter({
+			name: 'currantcross_observed_response_seconds_total', help: 'Observed times of these responses', labelNames: ['route'], registers,
+		}),
+		error: new Counter({
+			name: 'currantcross_response_prediction_error_seconds_total', help: 'Differences between both, without sign', labelNames: ['route'], registers,
+		}),
+		count: new Counter({
+			name: 'currantcross_predicted_responses_total', help: 'Responses whose time was predicted', labelNames: ['route'], registers,
+		}),
+	};
+	const labelledRoutes = new Set<string>();
+
+	function getRouteLabel(route: string): string {
+		if (labelledRoutes.size < maximumLabelledRoutes) {
+			labelledRoutes.add(route);
+		}
+
+		return labelledRoutes.has(route) ? route : 'other';
+	}
+
 	registry.registerMetric(new Gauge({
 		name: 'currantcross_open_requests',
 		help: 'Requests that are open',
@@ -141,6 +170,13 @@
 			evacuations.inc({change: 'begun'}, begun);
 			evacuations.inc({change: 'ended'}, ended);
 		},
+		recordTiming(routeName, predictedMs, observedMs) {
+			const route = getRouteLabel(routeName);
+			timings.predicted.inc({route}, predictedMs / millisecondsPerSecond);
+			timings.observed.inc({route}, observedMs / millisecondsPerSecond);
+			timings.error.inc({route}, Math.abs(observedMs - predictedMs) / millisecondsPerSecond);
+			timings.count.inc({route});
+		},
 		getText: async () => registry.metrics(),
 	};
 }
--- a/packages/gateway/src/work-exchange.test.ts
+++ b/packages/gateway/src/work-exchange.test.ts
@@ -142,8 +142,9 @@
 		expect(subscriber.getChanges('gateway-1')).toEqual(snapshot);
 		publisher.publish({kind: 'writing', id: 2});
 		publisher.publish({kind: 'ended', id: 2});
-		await waitUntil(() => subscriber.getChanges('gateway-1').length === 6);
-		expect(subscriber.getChanges('gateway-1').slice(4)).toEqual([{kind: 'writing', id: 2}, {kind: 'ended', id: 2}]);
+		publisher.publish({kind: 'paceObserved', endpoint: 'm-1', ratio: 2.5});
+		await waitUntil(() => subscriber.getChanges('gateway-1').length === 7);
+		expect(subscriber.getChanges('gateway-1').slice(4)).toEqual([{kind: 'writing', id: 2}, {kind: 'ended', id: 2}, {kind: 'paceObserved', endpoint: 'm-1', ratio: 2.5}]);
 	});
 
 	test('a gateway removes the work of a peer that stops, and receives its new work after a restart', async () => {
--- a/packages/gateway/src/work-publisher.ts
+++ b/packages/gateway/src/work-publisher.ts
@@ -53,13 +53,14 @@
 	notify: (() => void) | undefined;
 };
 
-/** Returns whether a change concerns single requests only, so that it matters to the placement of the next request and to nothing else. */
+/** Returns whether a change matters to the placement of the next request and to nothing else. */
 function isWorkChange({kind}: PeerChange): boolean {
 	switch (kind) {
 		case 'reset':
 		case 'started':
 		case 'writing':
-		case 'ended': {
+		case 'ended':
+		case 'paceObserved': {
 			return true;
 		}
 
--- a/packages/peer/src/gateway-peers.ts
+++ b/packages/peer/src/gateway-peers.ts
@@ -119,6 +119,11 @@
 			});
 		}
 
+		case 'paceObserved': {
+			const {endpoint, ratio} = change;
+			return create(wire.WorkChangeSchema, {change: {case: 'paced', value: create(wire.PaceObservationSchema, {endpoint, ratio})}});
+		}
+
 		case 'endpointUnreachable': {
 			return create(wire.WorkChangeSchema, {change: {case: 'unreachable', value: change.endpoint}});
 		}
@@ -163,6 +168,10 @@
 			return change.requestsPerSecond === undefined || isAmount(change.requestsPerSecond);
 		}
 
+		case 'paceObserved': {
+			return isAmount(change.ratio) && change.ratio > 0;
+		}
+
 		case 'endpointLeaving': {
 			return isAmount(change.startedAt);
 		}
@@ -242,6 +251,11 @@
 			return {kind: 'limitChanged', endpoint, requestsPerSecond};
 		}
 
+		case 'paced': {
+			const {endpoint, ratio} = change.value;
+			return {kind: 'paceObserved', endpoint, ratio};
+		}
+
 		case 'unreachable': {
 			return {kind: 'endpointUnreachable', endpoint: change.value};
 		}
