Learn no service time from the first event of a stream without a prompt

Cause: a stream without a prompt is timed at its first event, which was taken for the service time of the whole request. Change: such streams teach nothing. Found by reading; a test guards it.

--- a/packages/core/src/gateway/work-routing.test.ts
+++ b/packages/core/src/gateway/work-routing.test.ts
@@ -149,6 +149,19 @@
 		expect(drawEndpoints(1200)).toEqual(new Set(['shop-0', 'shop-2']));
 	});
 
+	test('learns no service time from the first event of a stream without a prompt', () => {
+		const setup = createRouting();
+		const stream = createFixtureGatewayRequest({...fixtureIdempotentRoute, kind: 'streaming'});
+		const placement = findPlacement(setup, 0);
+		if (placement !== undefined) {
+			setup.routing.learn({
+				kind: 'responseTimed', request: stream, placement, observedMs: 5,
+			}, 5);
+		}
+
+		expect(findPlacement(setup, 60)?.serviceMs).toBeUndefined();
+	});
+
 	test('learns nothing of a prompt that several servers process', () => {
 		const [endpoint, helper] = createFixtureEndpoints('models', 2);
 		if (endpoint === undefined || helper === undefined) {
--- a/packages/core/src/gateway/work-routing.ts
+++ b/packages/core/src/gateway/work-routing.ts
@@ -86,6 +86,11 @@
 
 	function learnTime(request: GatewayRequest, placement: Placement, observedMs: Milliseconds, now: Timestamp): readonly GatewayAction[] {
 		const endpoint = placement.endpoint.id;
+		// The first event of a stream doesn't tell its service time.
+		if (request.prompt === undefined && request.route.kind === 'streaming') {
+			return [];
+		}
+
 		if (request.prompt === undefined && placement.isQueued === false && getUnseenCount(endpoint, now) === 0) {
 			serviceTimes.learn(getRequestClass(request), observedMs / paces.getPace(endpoint, now), now);
 		}
