Take no model server for faster than its engine profile

Cause: a first event that comes before its prediction, as when a backlog was overestimated, made a server look fast, at all gateways, and drew prompts to it.

Change: the pace of a server that runs a model is at least 1 in placements. Requests without a prompt keep paces under 1, since nothing says how fast their endpoints can be.

Measured: the tests of work-routing pass (15).

--- a/packages/core/src/gateway/work-routing.test.ts
+++ b/packages/core/src/gateway/work-routing.test.ts
@@ -119,6 +119,19 @@
 		return routing.findServicePlacement(request, shop.map(endpoint => ({endpoint, load: load.getLoad(endpoint.id, now), rank: 0})), now);
 	}
 
+	// Guards against prompts that gather at a server whose backlog was overestimated.
+	test('takes no model server for faster than its engine', () => {
+		const {routing} = createRouting();
+		for (const at of [0, 10, 20]) {
+			routing.applyPeerChange({kind: 'paceObserved', endpoint: 'shop-0', ratio: 0.3}, at);
+			routing.applyPeerChange({kind: 'paceObserved', endpoint: 'shop-1', ratio: 4}, at);
+		}
+
+		const paces = routing.addPace(shop.map(endpoint => ({endpoint, load: createLoadView().getLoad(endpoint.id, 20), rank: 0})), 20).map(({pace}) => pace ?? 1);
+		expect(paces[0]).toBe(1);
+		expect(paces[1]).toBeGreaterThan(2);
+	});
+
 	test('learns the service time that placements and their open work carry', () => {
 		const setup = createRouting();
 		const first = findPlacement(setup, 0);
--- a/packages/core/src/gateway/work-routing.ts
+++ b/packages/core/src/gateway/work-routing.ts
@@ -25,7 +25,7 @@
 		| Readonly<{kind: 'responseTimed'; request: GatewayRequest; placement: Placement; observedMs: Milliseconds}>;
 
 export type WorkRouting = Readonly<{
-	/** Adds the pace of each candidate. */
+	/** Adds the pace of each model server; none is faster than its engine profile says, whatever its backlog was taken for. */
 	addPace(candidates: readonly Candidate[], now: Timestamp): readonly Candidate[];
 	/** Returns the placement of a request without a prompt, or `undefined` if there is no candidate. */
 	findServicePlacement(request: GatewayRequest, candidates: readonly Candidate[], now: Timestamp): Placement | undefined;
@@ -112,7 +112,7 @@
 	}
 
 	return {
-		addPace: (candidates, now) => candidates.map(candidate => ({...candidate, pace: paces.getPace(candidate.endpoint.id, now)})),
+		addPace: (candidates, now) => candidates.map(candidate => ({...candidate, pace: Math.max(1, paces.getPace(candidate.endpoint.id, now))})),
 		findServicePlacement(request, candidates, now) {
 			meanRequests.set(request.service, getMeanRequests(candidates));
 			const estimate = serviceTimes.tryGetEstimate(getRequestClass(request), now);
