Let urgency decide what waits and which servers long prompts leave alone

Cause: routes and organisations carry a priority, and no decision uses it. Long, less urgent prompts can wait for seconds and hold every server; short, urgent ones are then refused or late. Prompts that wait are retried by timers of their own, in an order of chance.

A service with one priority is served as before. The literals of forwarded-request.test.ts and placement.test.ts have the new fields; no check is changed.

--- a/packages/core/src/gateway/endpoint-ranking.ts
+++ b/packages/core/src/gateway/endpoint-ranking.ts
@@ -38,11 +38,16 @@
 	return (hash ^ (hash >>> mixShift)) >>> 0; // eslint-disable-line no-bitwise
 }
 
+/** Returns a number in [0, 1) that depends only on the text. */
+export function getHashFraction(text: string): number {
+	return getHash(text) / hashRange;
+}
+
 /** Creates the endpoint order of one gateway. */
 export function createEndpointRanking(gateway: GatewayName): EndpointRanking {
 	const ranks = new LRUCache<EndpointId, number>({max: maximumCachedRanks});
 	return endpoint => {
-		const rank = ranks.get(endpoint) ?? getHash(`${gateway}/${endpoint}`) / hashRange;
+		const rank = ranks.get(endpoint) ?? getHashFraction(`${gateway}/${endpoint}`);
 		ranks.set(endpoint, rank);
 		return rank;
 	};
--- a/packages/core/src/gateway/forwarded-request.test.ts
+++ b/packages/core/src/gateway/forwarded-request.test.ts
@@ -661,7 +661,7 @@
 		{
 			kind: 'placed', placement, candidates: 1, trialActions: [],
 		},
-		{kind: 'deferred', untilAt: 300},
+		{kind: 'deferred', untilAt: 300, reports: []},
 		{kind: 'refused', failure: createNotRunFailure('deadlineUnreachable')},
 	];
 	const request = createForwardedRequest(createFixtureGatewayRequest(fixtureStreamRoute), {
--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -65,7 +65,7 @@
 	/** `trialActions` are due if the request is sent to learn whether quarantined segments are sound. */
 	= | Readonly<{kind: 'placed'; placement: Placement; candidates: number; trialActions: readonly GatewayAction[]}>
 	/** The request waits, and its placement is retried at `untilAt`. */
-		| Readonly<{kind: 'deferred'; untilAt: Timestamp}>
+		| Readonly<{kind: 'deferred'; untilAt: Timestamp; reports: readonly GatewayAction[]}>
 		| Readonly<{kind: 'refused'; failure: Failure}>;
 
 export type ForwardedRequest = Readonly<{
@@ -149,7 +149,7 @@
 		if (decision.kind === 'deferred') {
 			deferredUntil = decision.untilAt;
 			deferredFailure = lastFailure;
-			return [];
+			return decision.reports;
 		}
 
 		if (decision.kind === 'refused') {
--- a/packages/core/src/gateway/gateway-events.ts
+++ b/packages/core/src/gateway/gateway-events.ts
@@ -111,6 +111,8 @@
 		candidates: number;
 		sharedSegments: readonly SegmentId[];
 	}>
+	/** A prompt waits for room since placing it now would cost more urgent ones more than it is worth, or since a more urgent one waits. */
+	| Readonly<{kind: 'deferred'; priority: number; firstEventMs: Milliseconds; interferenceCost: number}>
 	/** A send made no progress for `silentMs`. */
 	| Readonly<{kind: 'silenceChecked'; sendId: SendId; endpoint: string; silentMs: Milliseconds; outcome: SilenceOutcome}>
 	| Readonly<{kind: 'sendEnded'; sendId: SendId; endpoint: string; result: SendResult; mayHaveRun: boolean; hasEvents: boolean; detail: string}>;
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -24,7 +24,8 @@
 import {
 	findPromptPlacement, findServicePlacement, getCandidates, type Placement,
 } from './placement.js';
-import {getClientTimeoutEstimateMs} from './placement-cost.js';
+import {createOrganisationWork} from './organisation-work.js';
+import {getClientTimeoutEstimateMs, getLatenessWeight} from './placement-cost.js';
 import {createPlacementRestrictions, type EvacuationList} from './placement-restrictions.js';
 import type {
 	GatewayEvent, GatewayAction, RequestEvent, SendId,
@@ -35,6 +36,11 @@
 import {createSegmentQuarantine} from './segment-quarantine.js';
 import {createWorkRouting, type WorkObservation} from './work-routing.js';
 import {createRetryQuota, type RetryQuotaSettings} from './retry-quota.js';
+import {
+	canWaitForMemory, getSpreadRetryMs, getUrgencyLevels, hasUrgency, isWaitingForUrgent, singleLevel, tryGetAdmissionPriority, type UrgencyLevels,
+} from './urgency.js';
+import {createUrgentRoom} from './urgent-room.js';
+import {createWaitingPrompts} from './waiting-prompts.js';
 
 export type GatewaySettings = Readonly<{
 	name: GatewayName;
@@ -65,6 +71,8 @@
 	tryGetConfiguration(): ServingConfiguration | undefined;
 	/** Returns the priority of an organisation's requests of a route. */
 	getPriority(route: ServedRoute, organisation: string | undefined): number;
+	/** Returns the priority by which an endpoint admits a request, or `undefined` if all requests of its service have the same. */
+	tryGetAdmissionPriority(request: Pick<GatewayRequest, 'service' | 'priority'>): number | undefined;
 	/** Returns the time since the configuration was last verified to be current. */
 	getConfigurationAgeMs(now: Timestamp): Milliseconds;
 	/** Returns whether a peer has a newer configuration that neither this gateway nor the store has. */
@@ -85,6 +93,8 @@
 const deferralMarginFactor = 1.3;
 /** Interval at which the placement of a deferred prompt is retried. */
 const deferralIntervalMs: Milliseconds = 200;
+/** Prefill time of all parts up to which a prompt passes more urgent ones that wait. */
+const blockingPrefillMs: Milliseconds = 250;
 /** Retry delay for callers when no endpoint is available. */
 const noEndpointRetryMs: Milliseconds = 400;
 /** Retry delay for callers until the evacuations have been read once. */
@@ -116,9 +126,22 @@
 	const workRouting = settings.isWorkAware
 		? createWorkRouting({load, dataCentre: settings.dataCentre, random: createRandom(getHash(`${settings.name}/${settings.incarnation}`))})
 		: undefined;
+	const organisationWork = createOrganisationWork();
+	const waitingPrompts = createWaitingPrompts(organisationWork);
+	const urgentRoom = createUrgentRoom();
 	const requests = new Map<RequestKey, ForwardedRequest>();
+	let urgencyLevels: Readonly<{configuration: ServingConfiguration | undefined; byService: ReadonlyMap<string, UrgencyLevels>}> = {configuration: undefined, byService: new Map()};
 	let sendCount = 0;
 
+	function getLevels(service: string): UrgencyLevels {
+		const current = configuration.tryGet();
+		if (urgencyLevels.configuration !== current) {
+			urgencyLevels = {configuration: current, byService: current === undefined ? new Map() : getUrgencyLevels(current)};
+		}
+
+		return urgencyLevels.byService.get(service) ?? singleLevel;
+	}
+
 	function refuse(failure: Failure): PlacementDecision {
 		return {kind: 'refused', failure};
 	}
@@ -130,13 +153,16 @@
 			return workRouting === undefined ? findServicePlacement(candidates, settings.dataCentre) : workRouting.findServicePlacement(request, candidates, now);
 		}
 
-		return findPromptPlacement(engine, workRouting?.addPace(candidates, now) ?? candidates, {
+		const demand = {
 			promptTokens: request.prompt.promptTokens,
 			objectiveMs: request.route.objectiveMs,
 			longestPauseMs: request.route.longestPauseMs,
 			remainingMs: request.deadlineAt - now,
 			dataCentre: settings.dataCentre,
-		});
+			urgency: {priority: request.priority, levels: getLevels(request.service)},
+		};
+		const open = urgentRoom.getOpenCandidates(engine, candidates, {...demand, service: request.service}, now);
+		return findPromptPlacement(engine, workRouting?.addPace(open, now) ?? open, demand);
 	}
 
 	/** Returns the time until an endpoint may get another request by its limit, by the time that it has asked for, and while it is cold. */
@@ -154,6 +180,28 @@
 		return organisation === undefined ? undefined : configuration.tryGet()?.organisations.get(organisation);
 	}
 
+	/** Returns whether a prompt waits for more urgent ones. */
+	function isHeldBack(request: GatewayRequest, {firstEventMs, interferenceCost, prefillMs, helpers}: Placement, now: Timestamp): boolean {
+		const ownWeight = getLatenessWeight(request.prompt?.promptTokens ?? 0);
+		// A prompt with little work takes no room that a waiting one needs.
+		const isBehind = prefillMs * (helpers.length + 1) > blockingPrefillMs && waitingPrompts.hasMoreUrgent(request);
+		return isWaitingForUrgent(request, getLevels(request.service), {
+			firstEventMs, interferenceCost: isBehind ? Number.POSITIVE_INFINITY : interferenceCost, ownWeight,
+		}, now);
+	}
+
+	/** Adds a request to the prompts that wait. */
+	function addWaiting(request: GatewayRequest, {firstEventMs, interferenceCost}: Pick<Placement, 'firstEventMs' | 'interferenceCost'>, now: Timestamp): PlacementDecision {
+		const reports: readonly GatewayAction[] = waitingPrompts.add(request)
+			? [{
+				kind: 'reportDecision', key: request.key, decision: {
+					kind: 'deferred', priority: request.priority, firstEventMs, interferenceCost,
+				},
+			}]
+			: [];
+		return {kind: 'deferred', untilAt: waitingPrompts.getRetryAt(now), reports};
+	}
+
 	function choosePlacement(request: GatewayRequest, excluded: ReadonlySet<EndpointId>, now: Timestamp): PlacementDecision {
 		const quarantineCheck = quarantine.check(request.service, getTraits(request), now);
 		if (quarantineCheck.kind === 'quarantined') {
@@ -161,6 +209,7 @@
 			return refuse(createNotRunFailure(isWholeRequest(segment) ? 'requestQuarantined' : 'promptQuarantined', `segment ${segment}`, retryAfterMs));
 		}
 
+		const levels = getLevels(request.service);
 		const organisation = findOrganisation(request);
 		const available = restrictions.getPermitted(request, organisation, registry.getAvailable(request.service, now)).filter(({id}) => registry.getRestMs(id, now) === 0);
 		const ready = available.some(({id}) => !excluded.has(id)) ? available : restrictions.getPermitted(request, organisation, registry.getListed(request.service));
@@ -170,18 +219,32 @@
 		}
 
 		const placement = findPlacement(request, endpoints, excluded, now);
+		if (placement === undefined && endpoints.length > 0 && canWaitForMemory(request, levels, now)) {
+			return addWaiting(request, {firstEventMs: 0, interferenceCost: 0}, now);
+		}
+
 		if (placement === undefined) {
 			const restriction = ready.length === 0 ? restrictions.findRefusal(request, organisation, registry.getListed(request.service)) : undefined;
-			return refuse(restriction ?? createNotRunFailure('overloaded', 'no endpoint is available', getEndpointRetryMs(ready, excluded, now)));
+			return refuse(restriction ?? createNotRunFailure('overloaded', 'no endpoint is available', getSpreadRetryMs(getEndpointRetryMs(ready, excluded, now), request.requestId, levels)));
+		}
+
+		const isWaiting = isDeferred(request, placement, now);
+		if (hasUrgency(levels) && (isWaiting || isHeldBack(request, placement, now))) {
+			return addWaiting(request, placement, now);
 		}
 
-		if (isDeferred(request, placement, now)) {
-			return {kind: 'deferred', untilAt: now + deferralIntervalMs};
+		if (isWaiting) {
+			return {kind: 'deferred', untilAt: now + deferralIntervalMs, reports: []};
 		}
 
 		const maximumFirstEventMs = Math.min(request.deadlineAt - now, getClientTimeoutEstimateMs(request.route) * maximumFirstEventShare);
 		if (placement.firstEventMs > maximumFirstEventMs) {
-			return refuse(createNotRunFailure('deadlineUnreachable', undefined, Math.ceil(Math.max(noEndpointRetryMs, placement.firstEventMs))));
+			return refuse(createNotRunFailure('deadlineUnreachable', undefined, getSpreadRetryMs(Math.ceil(Math.max(noEndpointRetryMs, placement.firstEventMs)), request.requestId, levels)));
+		}
+
+		if (hasUrgency(levels)) {
+			waitingPrompts.remove(request.key);
+			organisationWork.record(request.organisation ?? '', placement.prefillMs * (placement.helpers.length + 1), now);
 		}
 
 		const trialActions = quarantineCheck.kind === 'mayTry' ? quarantine.startTrial(quarantineCheck.segments, now) : [];
@@ -283,14 +346,15 @@
 		const actions = request.step(event, now);
 		if (request.isEnded()) {
 			requests.delete(key);
+			waitingPrompts.remove(key);
 		}
 
 		return actions;
 	}
 
 	function stepDueRequests(now: Timestamp): readonly GatewayAction[] {
-		const due = [...requests].filter(([, request]) => request.getWakeAt() <= now);
-		return due.flatMap(([key]) => stepRequest(key, {kind: 'timePassed'}, now));
+		const due = [...requests].filter(([, request]) => request.getWakeAt() <= now).map(([key]) => key);
+		return waitingPrompts.rank(due, now).flatMap(key => stepRequest(key, {kind: 'timePassed'}, now));
 	}
 
 	/** Returns the version in force, for peers. */
@@ -375,6 +439,10 @@
 		switch (event.kind) {
 			case 'requestArrived': {
 				const {key} = event.request;
+				if (hasUrgency(getLevels(event.request.service))) {
+					urgentRoom.recordArrival(event.request, now);
+				}
+
 				requests.set(key, createForwardedRequest(event.request, context));
 				return stepRequest(key, {kind: 'started'}, now);
 			}
@@ -490,6 +558,7 @@
 		},
 		tryGetConfiguration: configuration.tryGet,
 		getPriority: (route, organisation) => configuration.tryGet()?.organisations.get(organisation ?? '')?.priority ?? route.priority,
+		tryGetAdmissionPriority: ({service, priority}) => tryGetAdmissionPriority({priority, levels: getLevels(service)}),
 		getConfigurationAgeMs: configuration.getAgeMs,
 		isConfigurationOutdated: configuration.isOutdated,
 		isReady: now => configuration.tryGet() !== undefined && !configuration.isOutdated(now) && registry.hasList() && restrictions.isKnown(),
--- a/packages/core/src/gateway/load-view.ts
+++ b/packages/core/src/gateway/load-view.ts
@@ -44,7 +44,7 @@
 		| Readonly<{kind: 'ended'; id: WorkId}>;
 
 /** A sequence that an endpoint is decoding. */
-export type DecodingSequence = Readonly<{longestPauseMs: Milliseconds; promptTokens: TokenCount}>;
+export type DecodingSequence = Readonly<{longestPauseMs: Milliseconds; promptTokens: TokenCount; priority: number}>;
 
 /** The load of one endpoint. */
 export type EndpointLoad = Readonly<{
--- a/packages/core/src/gateway/placement-cost.ts
+++ b/packages/core/src/gateway/placement-cost.ts
@@ -9,6 +9,7 @@
 import type {EngineProfile, ListedEndpoint} from './gateway-types.js';
 import type {DecodingSequence, EndpointLoad} from './load-view.js';
 import {getFreeTokens} from './placement-memory.js';
+import {getRelativeWeight, type Urgency} from './urgency.js';
 
 /** An endpoint that may receive a request, and its load. */
 export type Candidate = Readonly<{
@@ -30,6 +31,7 @@
 	remainingMs: Milliseconds;
 	/** Data centre of the gateway that received the request. */
 	dataCentre: string;
+	urgency: Urgency;
 }>;
 
 /** Share of a target from which on a predicted time is penalised; the margin covers delays that the prediction doesn't see. */
@@ -104,14 +106,14 @@
 	return sequences.reduce((sum, sequence) => sum + sequence.promptTokens, 0);
 }
 
-/** Returns the penalty of a server's decoding sequences if its prefill backlog grows by `addedMs`. */
-export function getDecodingPenalty(engine: EngineProfile, load: EndpointLoad, addedMs: Milliseconds): number {
+/** Returns the penalty of a server's decoding sequences, weighed by their urgency, if its prefill backlog grows by `addedMs`. */
+export function getDecodingPenalty(engine: EngineProfile, load: EndpointLoad, addedMs: Milliseconds, urgency: Urgency): number {
 	const passMs = getDecodePassMs(engine, load.decodingSequences.length, getContextTokens(load.decodingSequences));
 	let penalty = 0;
 	for (const sequence of load.decodingSequences) {
 		const before = getTargetPenalty(passMs + load.prefillBacklogMs, sequence.longestPauseMs);
 		const after = getTargetPenalty(passMs + load.prefillBacklogMs + addedMs, sequence.longestPauseMs);
-		penalty += (after - before) * getLatenessWeight(sequence.promptTokens);
+		penalty += (after - before) * getLatenessWeight(sequence.promptTokens) * getRelativeWeight(urgency, sequence.priority);
 	}
 
 	return penalty;
@@ -157,7 +159,7 @@
 	const {load, pace = 1} = candidate;
 	const weight = getLatenessWeight(demand.promptTokens);
 	const passMs = getDecodePassMs(engine, load.decodingSequences.length + 1, getContextTokens(load.decodingSequences) + demand.promptTokens);
-	let cost = getDecodingPenalty(engine, load, prefillMs);
+	let cost = getDecodingPenalty(engine, load, prefillMs, demand.urgency);
 	cost += weight * getTargetPenalty((passMs + load.prefillBacklogMs) * pace, demand.longestPauseMs);
 	if (candidate.endpoint.dataCentre !== demand.dataCentre) {
 		cost += weight * remoteDataCentreCost;
--- a/packages/core/src/gateway/placement.test.ts
+++ b/packages/core/src/gateway/placement.test.ts
@@ -4,11 +4,12 @@
 import type {DecodingSequence, EndpointLoad} from './load-view.js';
 import {findPromptPlacement, findServicePlacement} from './placement.js';
 import type {Candidate, PromptDemand} from './placement-cost.js';
+import {singleLevel} from './urgency.js';
 
 const idle: EndpointLoad = {
 	requests: 0, prefillBacklogMs: 0, helpedRequests: 0, decodingSequences: [], memoryTokens: 0,
 };
-const shortSequence: DecodingSequence = {longestPauseMs: 250, promptTokens: 5000};
+const shortSequence: DecodingSequence = {longestPauseMs: 250, promptTokens: 5000, priority: 1};
 
 function createLoad(decodingSequences: readonly DecodingSequence[], prefillBacklogMs = 0): EndpointLoad {
 	return {
@@ -21,10 +22,10 @@
 }
 
 const shortPrompt: PromptDemand = {
-	promptTokens: 5000, objectiveMs: 300, longestPauseMs: 250, remainingMs: 10_000, dataCentre: 'east',
+	promptTokens: 5000, objectiveMs: 300, longestPauseMs: 250, remainingMs: 10_000, dataCentre: 'east', urgency: {priority: 1, levels: singleLevel},
 };
 const longPrompt: PromptDemand = {
-	promptTokens: 182_000, objectiveMs: 3000, longestPauseMs: 1000, remainingMs: 15_000, dataCentre: 'east',
+	promptTokens: 182_000, objectiveMs: 3000, longestPauseMs: 1000, remainingMs: 15_000, dataCentre: 'east', urgency: {priority: 1, levels: singleLevel},
 };
 
 describe('getPrefillMs', () => {
--- a/packages/core/src/gateway/placement.ts
+++ b/packages/core/src/gateway/placement.ts
@@ -88,7 +88,7 @@
 		? []
 		: candidates.filter(candidate => candidate !== receiver.candidate && candidate.isCold !== true && candidate.load.helpedRequests < engine.slots - spareHelperSlots).map((candidate): PromptPart => {
 			const readyMs = getPartPrefillMs(engine, candidate.load, prefillMs) * (candidate.pace ?? 1);
-			return {candidate, readyMs, cost: getDecodingPenalty(engine, candidate.load, prefillMs) + getDelayCost(weight, readyMs, demand)};
+			return {candidate, readyMs, cost: getDecodingPenalty(engine, candidate.load, prefillMs, demand.urgency) + getDelayCost(weight, readyMs, demand)};
 		});
 	const helpers = helperParts.toSorted(compareParts).slice(0, helperCount);
 	if (helpers.length < helperCount) {
@@ -104,7 +104,7 @@
 	const firstEventMs = Math.max(...parts.map(({readyMs}) => readyMs));
 	const partCosts = parts.reduce((sum, part) => sum + part.cost - getDelayCost(weight, part.readyMs, demand), 0);
 	const blockingCost = getBlockingCost(engine, candidates, new Set(parts.map(({candidate}) => candidate)), prefillMs);
-	const interferenceCost = blockingCost + parts.reduce((sum, {candidate}) => sum + getDecodingPenalty(engine, candidate.load, prefillMs), 0);
+	const interferenceCost = blockingCost + parts.reduce((sum, {candidate}) => sum + getDecodingPenalty(engine, candidate.load, prefillMs, demand.urgency), 0);
 	return {
 		placement: {
 			endpoint: receiver.candidate.endpoint,
--- /dev/null
+++ b/packages/core/src/gateway/urgent-room.ts
@@ -0,0 +1,91 @@
+/**
+Servers that long prompts leave to more urgent requests.
+
+Answers long prompts that arrive faster than the servers read them, beside urgent short ones: a long prompt can wait for
+seconds, so without a bound long prompts hold every server, and the short ones, which can't wait, are refused.
+
+All gateways keep the same servers free: the first ones in an order that all share. How many depends on the urgent
+requests in the view of load, so old and partial views differ in the last few servers only. No gateway has to hear from
+another one to leave these servers alone. Urgent requests may use any server, and nothing is kept free unless urgent
+requests have come recently.
+*/
+import type {Milliseconds, Timestamp} from '../types.js';
+import {createEndpointRanking} from './endpoint-ranking.js';
+import {getPrefillMs} from './engine-timing.js';
+import type {EngineProfile, GatewayRequest} from './gateway-types.js';
+import type {Candidate, PromptDemand} from './placement-cost.js';
+import {hasUrgency} from './urgency.js';
+
+/** What is asked of a prompt to tell which servers it may use. */
+export type RoomRequest = Pick<PromptDemand, 'promptTokens' | 'urgency'> & Readonly<{service: string}>;
+
+export type UrgentRoom = Readonly<{
+	/** Records that callers send requests of this urgency. */
+	recordArrival(request: GatewayRequest, now: Timestamp): void;
+	/** Returns the candidates that a prompt may use. */
+	getOpenCandidates(engine: EngineProfile, candidates: readonly Candidate[], request: RoomRequest, now: Timestamp): readonly Candidate[];
+}>;
+
+/** Prefill time of a whole prompt up to which it may use any server. */
+const unrestrictedPrefillMs: Milliseconds = 250;
+/** Time for which servers are kept free after the last urgent request. */
+const recentArrivalMs: Milliseconds = 10_000;
+/** Share of the servers that is kept free for urgent requests yet to arrive. */
+const spareServerShare = 0.2;
+/** Share of a server's slots that urgent requests fill before they need another server. */
+const filledSlotShare = 0.6;
+/** Share of a server's memory that a prompt is expected to find at most, beside others. */
+const usedMemoryShare = 0.5;
+/** Share of the servers that is open to all requests, however many urgent ones there are. */
+const minimumOpenShare = 0.25;
+
+/** Creates the record of a gateway that has seen no urgent requests. */
+export function createUrgentRoom(): UrgentRoom {
+	const getSharedRank = createEndpointRanking('');
+	/** Latest arrival by service and priority; as many as the configuration names. */
+	const arrivals = new Map<string, Map<number, Timestamp>>();
+
+	function hasRecentArrival(service: string, urgentBelow: number, now: Timestamp): boolean {
+		return [...arrivals.get(service) ?? []].some(([priority, at]) => priority < urgentBelow && now - at <= recentArrivalMs);
+	}
+
+	/** Returns the number of servers that are left to more urgent requests. */
+	function getKeptCount(engine: EngineProfile, candidates: readonly Candidate[], {service, urgency: {priority}}: RoomRequest, now: Timestamp): number {
+		let sequenceCount = 0;
+		for (const {load} of candidates) {
+			for (const sequence of load.decodingSequences) {
+				sequenceCount += sequence.priority < priority ? 1 : 0;
+			}
+		}
+
+		if (sequenceCount === 0 && !hasRecentArrival(service, priority, now)) {
+			return 0;
+		}
+
+		const needed = (sequenceCount / (engine.slots * filledSlotShare)) + (candidates.length * spareServerShare);
+		return Math.floor(Math.min(needed, candidates.length * (1 - minimumOpenShare)));
+	}
+
+	return {
+		recordArrival({service, priority}, now) {
+			const known = arrivals.get(service) ?? new Map<number, Timestamp>();
+			known.set(priority, now);
+			arrivals.set(service, known);
+		},
+		getOpenCandidates(engine, candidates, request, now) {
+			const {promptTokens, urgency} = request;
+			if (!hasUrgency(urgency.levels) || urgency.priority <= (urgency.levels[0] ?? 0) || getPrefillMs(engine, promptTokens) <= unrestrictedPrefillMs) {
+				return candidates;
+			}
+
+			// However many servers are kept free, the others must be able to hold the prompt.
+			const holderCount = Math.ceil(promptTokens / (engine.memoryTokens * usedMemoryShare));
+			const keptCount = Math.max(0, Math.min(getKeptCount(engine, candidates, request, now), candidates.length - holderCount));
+			return candidates
+				.map(candidate => ({candidate, rank: getSharedRank(candidate.endpoint.id)}))
+				.toSorted((left, right) => left.rank - right.rank)
+				.slice(keptCount)
+				.map(({candidate}) => candidate);
+		},
+	};
+}
--- a/packages/daemon/src/logger.ts
+++ b/packages/daemon/src/logger.ts
@@ -11,7 +11,7 @@
 export type LogEventName
 	= | 'started' | 'stopping' | 'stopped' | 'requestEnded' | 'attemptStarted' | 'attemptEnded' | 'streamBroken'
 		| 'hostListFailed' | 'configurationInForce' | 'configurationOutdated' | 'storeRestored' | 'gatewaysListed' | 'configurationRead' | 'probeFailed' | 'silenceChecked' | 'serverFailed' | 'orderSent' | 'internalError'
-		| 'requestPlaced' | 'sendEnded' | 'requestRefused' | 'endpointChanged' | 'evacuationsChanged' | 'dependencyLost' | 'dependencyRegained'
+		| 'requestPlaced' | 'requestDeferred' | 'sendEnded' | 'requestRefused' | 'endpointChanged' | 'evacuationsChanged' | 'dependencyLost' | 'dependencyRegained'
 		| 'settingsReloaded' | 'settingsRefused' | 'clockJumped' | 'callersBounded' | 'peerFound' | 'peerLost' | 'readinessChanged' | 'linesDropped'
 		| 'orderRefused' | 'orderFailed' | 'serverCrashed' | 'segmentQuarantined' | 'segmentReleased' | 'segmentTried'
 		| 'quarantineNotRecorded' | 'crashesNotRecorded' | 'quarantineNotRemoved' | 'limitChanged' | 'paceObserved' | 'endpointCold' | 'endpointWarm'
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -347,6 +347,7 @@
 				host.logger.info('requestPlaced', {
 					request, sendId, endpoint, helpers, reservations: formatReservations(reservations), firstEventMs, candidates, segments: formatSegments(sharedSegments),
 					fingerprint: openRequest?.fingerprint,
+					priority: openRequest?.priority,
 					unreadMs: openRequest === undefined ? undefined : Math.round(openRequest.unreadMs),
 					waitedMs: openRequest === undefined ? undefined : Math.round(performance.now() - openRequest.arrivedAt - openRequest.unreadMs),
 					configurationAgeMs: Math.round(gateway.getConfigurationAgeMs(performance.now())),
@@ -354,6 +355,15 @@
 				return;
 			}
 
+			case 'deferred': {
+				const {priority, firstEventMs, interferenceCost} = decision;
+				host.metrics.recordDeferral(priority);
+				host.logger.info('requestDeferred', {
+					request, priority, firstEventMs: Math.round(firstEventMs), interferenceCost: Number(interferenceCost.toFixed(1)),
+				});
+				return;
+			}
+
 			case 'silenceChecked': {
 				const {sendId, endpoint, silentMs, outcome} = decision;
 				host.logger.info('silenceChecked', {
@@ -494,6 +504,7 @@
 				organisation: openRequest.request.organisation,
 				helpers,
 				lastEventId,
+				admissionPriority: gateway.tryGetAdmissionPriority(openRequest.request),
 			}),
 		];
 		if (body.length > 0) {
--- a/packages/gateway/src/gateway-hosts.ts
+++ b/packages/gateway/src/gateway-hosts.ts
@@ -35,6 +35,8 @@
 	/** Endpoints that process parts of the prompt. */
 	helpers: readonly SendHelper[];
 	lastEventId: string | undefined;
+	/** Priority by which the endpoint admits the request to its batch; `undefined` if all requests of the service have the same. */
+	admissionPriority: number | undefined;
 }>;
 
 /** An HTTP request by which the gateway controls or probes an endpoint. */
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -13,6 +13,8 @@
 	recordRequest(outcome: string, durationMs: number): void;
 	recordFirstEvent(durationMs: number): void;
 	recordSend(result: string): void;
+	/** Counts a prompt that waits for more urgent ones. */
+	recordDeferral(priority: number): void;
 	/** Records by how much the event loop was late. */
 	recordLoopDelay(delayMs: number): void;
 	recordPlatformCall(call: string, outcome: string): void;
@@ -34,6 +36,8 @@
 }>;
 
 const millisecondsPerSecond = 1000;
+/** Priority that stands for all less urgent ones too, which bounds the number of labels. */
+const maximumLabelledPriority = 9;
 
 /** Histogram bounds in seconds; they cover the latency objectives and timeouts of short and long prompts. */
 const durationBucketsS = [0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3, 5, 10, 15];
@@ -58,6 +62,9 @@
 	const sends = new Counter({
 		name: 'currantcross_sends_total', help: 'Sends to endpoints by how they ended', labelNames: ['result'], registers,
 	});
+	const deferrals = new Counter({
+		name: 'currantcross_deferred_requests_total', help: 'Prompts that waited for room, by priority', labelNames: ['priority'], registers,
+	});
 	const loopDelays = new Histogram({
 		name: 'currantcross_gateway_loop_delay_seconds', help: 'Time by which the event loop was late, ten times a second', buckets: loopDelayBucketsS, registers,
 	});
@@ -144,6 +151,9 @@
 		recordSend(result) {
 			sends.inc({result});
 		},
+		recordDeferral(priority) {
+			deferrals.inc({priority: Math.max(0, Math.min(maximumLabelledPriority, Math.round(priority)))});
+		},
 		recordLoopDelay(delayMs) {
 			loopDelays.observe(delayMs / millisecondsPerSecond);
 		},
