Leave servers to urgent requests by their number, and count the less urgent in full

A fifth of the servers is too much to leave to few urgent requests; long prompts waited for streams of their own urgency too; and urgent long prompts delayed the less urgent at a quarter of the cost.

Change: one server, and half as many again as the urgent streams fill, are left; a prompt waits only for what it costs more urgent streams; it waits for memory only where the servers that it leaves have it; the less urgent counts in full in the cost of placements. The simulation uses the gateway's own end of a response.

--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -25,7 +25,7 @@
 	findPromptPlacement, findServicePlacement, getCandidates, type Placement,
 } from './placement.js';
 import {createOrganisationWork} from './organisation-work.js';
-import {getClientTimeoutEstimateMs, getLatenessWeight} from './placement-cost.js';
+import {getClientTimeoutEstimateMs, getLatenessWeight, type Candidate} from './placement-cost.js';
 import {createPlacementRestrictions, type EvacuationList} from './placement-restrictions.js';
 import type {
 	GatewayEvent, GatewayAction, RequestEvent, SendId,
@@ -37,9 +37,9 @@
 import {createWorkRouting, type WorkObservation} from './work-routing.js';
 import {createRetryQuota, type RetryQuotaSettings} from './retry-quota.js';
 import {
-	canWaitForMemory, getSpreadRetryMs, getUrgencyLevels, hasUrgency, isWaitingForUrgent, singleLevel, tryGetAdmissionPriority, type UrgencyLevels,
+	canWaitForMemory, getSpreadRetryMs, getUrgencyLevels, hasMoreUrgentLevel, hasUrgency, isWaitingForUrgent, singleLevel, tryGetAdmissionPriority, type UrgencyLevels,
 } from './urgency.js';
-import {createUrgentRoom} from './urgent-room.js';
+import {createUrgentRoom, getUrgentInterferenceCost} from './urgent-room.js';
 import {createWaitingPrompts} from './waiting-prompts.js';
 
 export type GatewaySettings = Readonly<{
@@ -146,23 +146,34 @@
 		return {kind: 'refused', failure};
 	}
 
-	function findPlacement(request: GatewayRequest, endpoints: readonly ListedEndpoint[], excluded: ReadonlySet<EndpointId>, now: Timestamp): Placement | undefined {
-		const candidates = getCandidates(endpoints, excluded, id => ({load: load.getLoad(id, now), rank: getRank(id), isCold: cold?.isCold(id, now)}));
+	function getRequestCandidates(endpoints: readonly ListedEndpoint[], excluded: ReadonlySet<EndpointId>, now: Timestamp): readonly Candidate[] {
+		return getCandidates(endpoints, excluded, id => ({load: load.getLoad(id, now), rank: getRank(id), isCold: cold?.isCold(id, now)}));
+	}
+
+	/** Returns the candidates that are not left to more urgent requests. */
+	function getOpenCandidates(request: GatewayRequest, candidates: readonly Candidate[], now: Timestamp): readonly Candidate[] {
+		const engine = configuration.tryGet()?.services.get(request.service)?.engine;
+		return engine === undefined || request.prompt === undefined
+			? candidates
+			: urgentRoom.getOpenCandidates(engine, candidates, {
+				service: request.service, promptTokens: request.prompt.promptTokens, urgency: {priority: request.priority, levels: getLevels(request.service)},
+			}, now);
+	}
+
+	function findPlacement(request: GatewayRequest, candidates: readonly Candidate[], now: Timestamp): Placement | undefined {
 		const engine = configuration.tryGet()?.services.get(request.service)?.engine;
 		if (engine === undefined || request.prompt === undefined) {
 			return workRouting === undefined ? findServicePlacement(candidates, settings.dataCentre) : workRouting.findServicePlacement(request, candidates, now);
 		}
 
-		const demand = {
+		return findPromptPlacement(engine, workRouting?.addPace(candidates, now) ?? candidates, {
 			promptTokens: request.prompt.promptTokens,
 			objectiveMs: request.route.objectiveMs,
 			longestPauseMs: request.route.longestPauseMs,
 			remainingMs: request.deadlineAt - now,
 			dataCentre: settings.dataCentre,
 			urgency: {priority: request.priority, levels: getLevels(request.service)},
-		};
-		const open = urgentRoom.getOpenCandidates(engine, candidates, {...demand, service: request.service}, now);
-		return findPromptPlacement(engine, workRouting?.addPace(open, now) ?? open, demand);
+		});
 	}
 
 	/** Returns the time until an endpoint may get another request by its limit, by the time that it has asked for, and while it is cold. */
@@ -181,12 +192,20 @@
 	}
 
 	/** Returns whether a prompt waits for more urgent ones. */
-	function isHeldBack(request: GatewayRequest, {firstEventMs, interferenceCost, prefillMs, helpers}: Placement, now: Timestamp): boolean {
-		const ownWeight = getLatenessWeight(request.prompt?.promptTokens ?? 0);
+	function isHeldBack(request: GatewayRequest, {endpoint, firstEventMs, prefillMs, helpers}: Placement, now: Timestamp): boolean {
+		const urgency = {priority: request.priority, levels: getLevels(request.service)};
+		const engine = configuration.tryGet()?.services.get(request.service)?.engine;
+		if (engine === undefined || !hasMoreUrgentLevel(urgency)) {
+			return false;
+		}
+
+		const loads = [endpoint, ...helpers.map(helper => helper.endpoint)].map(({id}) => load.getLoad(id, now));
 		// A prompt with little work takes no room that a waiting one needs.
-		const isBehind = prefillMs * (helpers.length + 1) > blockingPrefillMs && waitingPrompts.hasMoreUrgent(request);
-		return isWaitingForUrgent(request, getLevels(request.service), {
-			firstEventMs, interferenceCost: isBehind ? Number.POSITIVE_INFINITY : interferenceCost, ownWeight,
+		const isBehind = prefillMs * loads.length > blockingPrefillMs && waitingPrompts.hasMoreUrgent(request);
+		return isWaitingForUrgent(request, {
+			firstEventMs,
+			interferenceCost: isBehind ? Number.POSITIVE_INFINITY : getUrgentInterferenceCost(engine, loads, prefillMs, urgency),
+			ownWeight: getLatenessWeight(request.prompt?.promptTokens ?? 0),
 		}, now);
 	}
 
@@ -218,8 +237,10 @@
 			cold?.recordChoice(ready, now);
 		}
 
-		const placement = findPlacement(request, endpoints, excluded, now);
-		if (placement === undefined && endpoints.length > 0 && canWaitForMemory(request, levels, now)) {
+		const candidates = getRequestCandidates(endpoints, excluded, now);
+		const openCandidates = getOpenCandidates(request, candidates, now);
+		const placement = findPlacement(request, openCandidates, now);
+		if (placement === undefined && openCandidates.length < candidates.length && canWaitForMemory(request, now)) {
 			return addWaiting(request, {firstEventMs: 0, interferenceCost: 0}, now);
 		}
 
--- a/packages/core/src/gateway/urgency-simulation.ts
+++ b/packages/core/src/gateway/urgency-simulation.ts
@@ -7,12 +7,13 @@
 import {createRandom} from '../random.js';
 import type {Milliseconds, Timestamp} from '../types.js';
 import {getPrefillMs} from './engine-timing.js';
-import {createGateway, type Gateway} from './gateway.js';
+import {createGateway} from './gateway.js';
 import type {GatewayAction, GatewayEvent, RequestEvent} from './gateway-events.js';
 import {
 	createFixtureEndpoints, createFixtureGatewayRequest, createFixtureHead, fixtureConfiguration, fixtureEngine, fixtureGatewaySettings,
 } from './gateway-fixtures.js';
 import type {GatewayRequest, RequestKey, ServedRoute} from './gateway-types.js';
+import type {PeerChange} from './peer-changes.js';
 
 /** Requests of a route with a fixed prompt length at a mean rate, and what became of them. */
 export type Flow = {readonly route: ServedRoute; readonly perSecond: number; readonly promptTokens: number; total: number; answered: number; onTime: number};
@@ -29,8 +30,7 @@
 
 type Stream = {readonly longestPauseMs: Milliseconds; isLate: boolean};
 type Server = {busyUntil: Timestamp; readonly streams: Set<Stream>};
-type OpenRequest = Readonly<{request: GatewayRequest; flow: Flow}>;
-type SimulatedGateway = Readonly<{index: number; name: string; gateway: Gateway; open: Map<RequestKey, OpenRequest>; cancelled: Set<number>}>;
+type OpenRequest = {readonly request: GatewayRequest; readonly flow: Flow; stream: Stream | undefined};
 
 const arrivalsStartAt: Timestamp = 100;
 const arrivalsEndAt: Timestamp = 20_000;
@@ -50,12 +50,8 @@
 	const servers = new Map(endpoints.map(({address}): [string, Server] => [address, {busyUntil: 0, streams: new Set()}]));
 	const configuration = {...fixtureConfiguration, routes: flows.map(({route}) => route)};
 	const usedReservations = new Set<string>();
-	const gateways = Array.from({length: gatewayCount}, (_, index): SimulatedGateway => {
-		const name = `gateway-${index}`;
-		return {
-			index, name, gateway: createGateway({...fixtureGatewaySettings, name}), open: new Map(), cancelled: new Set(),
-		};
-	});
+	const gateways = Array.from({length: gatewayCount}, (_, index) => createGateway({...fixtureGatewaySettings, name: `gateway-${index}`}));
+	const openRequests = new Map<RequestKey, OpenRequest>();
 	let now: Timestamp = 0;
 	let taskCount = 0;
 
@@ -64,17 +60,15 @@
 		tasks.push({at: now + delayMs, order: taskCount, run});
 	}
 
-	function dispatch(simulated: SimulatedGateway, event: GatewayEvent): void {
-		for (const action of simulated.gateway.step(event, now)) {
-			perform(simulated, action);
+	function dispatch(index: number, event: GatewayEvent): void {
+		for (const action of gateways[index]?.step(event, now) ?? []) {
+			perform(index, action);
 		}
 	}
 
-	function scheduleEvent(simulated: SimulatedGateway, delayMs: Milliseconds, key: RequestKey, event: RequestEvent): void {
+	function scheduleEvent(index: number, delayMs: Milliseconds, key: RequestKey, event: RequestEvent): void {
 		schedule(delayMs, () => {
-			if (!('sendId' in event && simulated.cancelled.has(event.sendId))) {
-				dispatch(simulated, {kind: 'requestChanged', key, event});
-			}
+			dispatch(index, {kind: 'requestChanged', key, event});
 		});
 	}
 
@@ -88,8 +82,8 @@
 		return server.busyUntil;
 	}
 
-	function performSend(simulated: SimulatedGateway, {key, sendId, endpoint, helpers, lastEventId}: Extract<GatewayAction, {kind: 'send'}>): void {
-		const openRequest = simulated.open.get(key);
+	function performSend(index: number, {key, sendId, endpoint, helpers, lastEventId}: Extract<GatewayAction, {kind: 'send'}>): void {
+		const openRequest = openRequests.get(key);
 		if (openRequest === undefined) {
 			return;
 		}
@@ -99,96 +93,84 @@
 		const readyAt = Math.max(...[endpoint, ...helpers].flatMap(({address}) => servers.get(address) ?? []).map(server => addPrefill(server, prefillMs)));
 		const streams = servers.get(endpoint.address)?.streams;
 		const stream: Stream = {longestPauseMs: flow.route.longestPauseMs, isLate: readyAt > request.arrivedAt + flow.route.objectiveMs};
+		openRequest.stream = stream;
 		schedule(readyAt - now, () => {
 			streams?.add(stream);
 		});
-		scheduleEvent(simulated, readyAt - now, key, {kind: 'responseStarted', sendId, head: createFixtureHead({requestId: request.requestId})});
+		scheduleEvent(index, readyAt - now, key, {kind: 'responseStarted', sendId, head: createFixtureHead({requestId: request.requestId})});
 		for (let count = 1; count <= eventCount; count += 1) {
 			const bytes = Buffer.from(`id: ${Number(lastEventId ?? 0) + count}\ndata: x\n\n`);
-			scheduleEvent(simulated, readyAt - now + (decodeMs * (count - 1) / eventCount), key, {kind: 'responseBytes', sendId, bytes});
+			scheduleEvent(index, readyAt - now + (decodeMs * (count - 1) / eventCount), key, {kind: 'responseBytes', sendId, bytes});
 		}
 
 		schedule(readyAt - now + decodeMs, () => {
 			streams?.delete(stream);
-			if (!simulated.cancelled.has(sendId) && simulated.open.delete(key)) {
-				flow.answered += 1;
-				flow.onTime += stream.isLate ? 0 : 1;
-			}
 		});
-		scheduleEvent(simulated, readyAt - now + decodeMs, key, {kind: 'responseEnded', sendId});
+		scheduleEvent(index, readyAt - now + decodeMs, key, {kind: 'responseEnded', sendId});
 	}
 
-	function publishChange({index, name}: SimulatedGateway, {change}: Extract<GatewayAction, {kind: 'publishChange'}>): void {
-		for (const peer of gateways.filter(other => other.index !== index && !(isSplit && (other.index - index) % 2 !== 0))) {
+	function publishChange(index: number, change: PeerChange): void {
+		for (const peer of [...gateways.keys()].filter(other => other !== index && !(isSplit && (other - index) % 2 !== 0))) {
 			schedule(exchangeDelayMs, () => {
-				dispatch(peer, {kind: 'peerChanged', gateway: name, changes: [change]});
+				dispatch(peer, {kind: 'peerChanged', gateway: `gateway-${index}`, changes: [change]});
 			});
 		}
 	}
 
-	function perform(simulated: SimulatedGateway, action: GatewayAction): void {
+	function perform(index: number, action: GatewayAction): void {
 		if (action.kind === 'send') {
-			performSend(simulated, action);
+			performSend(index, action);
 		}
 
-		if (action.kind === 'cancelSend') {
-			simulated.cancelled.add(action.sendId);
+		if (action.kind === 'publishChange') {
+			publishChange(index, action.change);
 		}
 
 		if (action.kind === 'reserveMemory') {
 			usedReservations.add(action.reservation.id);
-			scheduleEvent(simulated, reservationMs, action.key, {kind: 'memoryAnswered', reservationId: action.reservation.id, isHeld: true});
+			scheduleEvent(index, reservationMs, action.key, {kind: 'memoryAnswered', reservationId: action.reservation.id, isHeld: true});
 		}
 
 		if (action.kind === 'probeEndpoint') {
-			scheduleEvent(simulated, 0, action.key, {kind: 'probeAnswered', endpoint: action.endpoint.id, report: {openRequests: 1, usedReservations, startedAt: 1}});
+			scheduleEvent(index, 0, action.key, {kind: 'probeAnswered', endpoint: action.endpoint.id, report: {openRequests: 1, usedReservations, startedAt: 1}});
 		}
 
-		if (action.kind === 'failRequest') {
-			simulated.open.delete(action.key);
-		}
-
-		if (action.kind === 'publishChange') {
-			publishChange(simulated, action);
+		const openRequest = action.kind === 'endResponse' ? openRequests.get(action.key) : undefined;
+		if (openRequest !== undefined) {
+			openRequest.flow.answered += 1;
+			openRequest.flow.onTime += openRequest.stream?.isLate === false ? 1 : 0;
 		}
 	}
 
 	function startRequest(flow: Flow, key: RequestKey): void {
-		const simulated = gateways[random.getInteger(gatewayCount)];
 		const request = createFixtureGatewayRequest(flow.route, {
 			key, requestId: `r-${key}`, arrivedAt: now, prompt: {promptTokens: flow.promptTokens, maximumTokens: 1000},
 		});
 		flow.total += 1;
-		simulated?.open.set(key, {request, flow});
-		if (simulated !== undefined) {
-			dispatch(simulated, {kind: 'requestArrived', request});
-		}
-	}
-
-	function scheduleArrivals(flow: Flow): void {
-		for (let at = arrivalsStartAt; at < arrivalsEndAt; at += -Math.log(1 - random.getFraction()) * millisecondsPerSecond / flow.perSecond) {
-			const key = taskCount;
-			schedule(at, () => {
-				startRequest(flow, key);
-			});
-		}
+		openRequests.set(key, {request, flow, stream: undefined});
+		dispatch(random.getInteger(gatewayCount), {kind: 'requestArrived', request});
 	}
 
 	function handleTimer(): void {
-		for (const simulated of gateways) {
+		for (const index of gateways.keys()) {
 			if (now % verificationMs === 0) {
-				dispatch(simulated, {kind: 'configurationVerified', configuration, verifiedAt: now});
-				dispatch(simulated, {kind: 'endpointsListed', endpoints});
+				dispatch(index, {kind: 'configurationVerified', configuration, verifiedAt: now});
+				dispatch(index, {kind: 'endpointsListed', endpoints});
 			}
 
-			dispatch(simulated, {kind: 'timePassed'});
+			dispatch(index, {kind: 'timePassed'});
 		}
 
 		schedule(timerMs, handleTimer);
 	}
 
 	for (const flow of flows) {
-		scheduleArrivals(flow);
+		for (let at = arrivalsStartAt; at < arrivalsEndAt; at += -Math.log(1 - random.getFraction()) * millisecondsPerSecond / flow.perSecond) {
+			const key = taskCount;
+			schedule(at, () => {
+				startRequest(flow, key);
+			});
+		}
 	}
 
 	schedule(0, handleTimer);
--- a/packages/core/src/gateway/urgency.ts
+++ b/packages/core/src/gateway/urgency.ts
@@ -63,6 +63,11 @@
 	return levels.length > 1;
 }
 
+/** Returns whether a service has requests that are more urgent. */
+export function hasMoreUrgentLevel({priority, levels}: Urgency): boolean {
+	return hasUrgency(levels) && priority > (levels[0] ?? priority);
+}
+
 /** Returns the number of levels that are more urgent than the priority. */
 function getLevel(levels: UrgencyLevels, priority: number): number {
 	let level = 0;
@@ -73,14 +78,17 @@
 	return level;
 }
 
-/** Returns the weight of a request with the other priority, relative to one of the given urgency. */
+/**
+Returns the weight of a request with the other priority, in what one of the given urgency costs it. The less urgent counts
+in full: an urgent prompt that could delay it at a discount would be split less, and delay many.
+*/
 export function getRelativeWeight({priority, levels}: Urgency, otherPriority: number): number {
-	if (!hasUrgency(levels) || priority === otherPriority) {
+	if (!hasUrgency(levels) || priority <= otherPriority) {
 		return 1;
 	}
 
 	const difference = getLevel(levels, priority) - getLevel(levels, otherPriority);
-	return weightPerLevel ** Math.max(-maximumWeighedLevels, Math.min(maximumWeighedLevels, difference));
+	return weightPerLevel ** Math.min(maximumWeighedLevels, difference);
 }
 
 /** Returns the priority by which an endpoint admits a request to its batch, or `undefined` if its service has one level. */
@@ -88,7 +96,7 @@
 	return hasUrgency(levels) ? Math.max(0, Math.min(maximumAdmissionPriority, Math.round(priority))) : undefined;
 }
 
-/** What a prompt would cost others if it were placed now, and what its own lateness costs. */
+/** What a prompt would cost more urgent ones if it were placed now, and what its own lateness costs. */
 export type WaitCase = Readonly<{firstEventMs: Milliseconds; interferenceCost: number; ownWeight: number}>;
 
 /**
@@ -96,23 +104,16 @@
 still meet its own target afterwards, so that no stream of urgent requests keeps it from being served.
 */
 export function isWaitingForUrgent(
-	{route, arrivedAt, priority}: Pick<GatewayRequest, 'route' | 'arrivedAt' | 'priority'>,
-	levels: UrgencyLevels,
+	{route, arrivedAt}: Pick<GatewayRequest, 'route' | 'arrivedAt'>,
 	{firstEventMs, interferenceCost, ownWeight}: WaitCase,
 	now: Timestamp,
 ): boolean {
-	return getLevel(levels, priority) > 0
-		&& interferenceCost > ownWeight
-		&& now + (firstEventMs * waitMarginFactor) < arrivedAt + route.objectiveMs;
+	return interferenceCost > ownWeight && now + (firstEventMs * waitMarginFactor) < arrivedAt + route.objectiveMs;
 }
 
-/** Returns whether a prompt waits until the servers that it may use have memory for it; the more urgent has no time to. */
-export function canWaitForMemory(
-	{route, arrivedAt, priority, prompt}: Pick<GatewayRequest, 'route' | 'arrivedAt' | 'priority' | 'prompt'>,
-	levels: UrgencyLevels,
-	now: Timestamp,
-): boolean {
-	return prompt !== undefined && getLevel(levels, priority) > 0 && now < arrivedAt + (route.objectiveMs * memoryWaitShare);
+/** Returns whether a prompt can wait until the servers that are not left to more urgent ones have memory for it. */
+export function canWaitForMemory({route, arrivedAt}: Pick<GatewayRequest, 'route' | 'arrivedAt'>, now: Timestamp): boolean {
+	return now < arrivedAt + (route.objectiveMs * memoryWaitShare);
 }
 
 /** Returns a time to come back between once and twice the given one, which differs between requests. */
--- a/packages/core/src/gateway/urgent-room.ts
+++ b/packages/core/src/gateway/urgent-room.ts
@@ -13,8 +13,9 @@
 import {createEndpointRanking} from './endpoint-ranking.js';
 import {getPrefillMs} from './engine-timing.js';
 import type {EngineProfile, GatewayRequest} from './gateway-types.js';
-import type {Candidate, PromptDemand} from './placement-cost.js';
-import {hasUrgency} from './urgency.js';
+import type {EndpointLoad} from './load-view.js';
+import {getDecodingPenalty, type Candidate, type PromptDemand} from './placement-cost.js';
+import {hasMoreUrgentLevel, type Urgency} from './urgency.js';
 
 /** What is asked of a prompt to tell which servers it may use. */
 export type RoomRequest = Pick<PromptDemand, 'promptTokens' | 'urgency'> & Readonly<{service: string}>;
@@ -30,8 +31,10 @@
 const unrestrictedPrefillMs: Milliseconds = 250;
 /** Time for which servers are kept free after the last urgent request. */
 const recentArrivalMs: Milliseconds = 10_000;
-/** Share of the servers that is kept free for urgent requests yet to arrive. */
-const spareServerShare = 0.2;
+/** Servers that are kept free for urgent requests yet to arrive, besides the ones in proportion to the running ones. */
+const spareServerCount = 1;
+/** Servers that are kept free for each one that the running urgent requests fill. */
+const keptPerFilledServer = 1.5;
 /** Share of a server's slots that urgent requests fill before they need another server. */
 const filledSlotShare = 0.6;
 /** Share of a server's memory that a prompt is expected to find at most, beside others. */
@@ -39,6 +42,12 @@
 /** Share of the servers that is open to all requests, however many urgent ones there are. */
 const minimumOpenShare = 0.25;
 
+/** Returns what a placement at endpoints with the given loads costs more urgent requests. */
+export function getUrgentInterferenceCost(engine: EngineProfile, loads: readonly EndpointLoad[], prefillMs: Milliseconds, urgency: Urgency): number {
+	const urgentLoads = loads.map(load => ({...load, decodingSequences: load.decodingSequences.filter(({priority}) => priority < urgency.priority)}));
+	return urgentLoads.reduce((sum, load) => sum + getDecodingPenalty(engine, load, prefillMs, urgency), 0);
+}
+
 /** Creates the record of a gateway that has seen no urgent requests. */
 export function createUrgentRoom(): UrgentRoom {
 	const getSharedRank = createEndpointRanking('');
@@ -62,7 +71,7 @@
 			return 0;
 		}
 
-		const needed = (sequenceCount / (engine.slots * filledSlotShare)) + (candidates.length * spareServerShare);
+		const needed = (sequenceCount / (engine.slots * filledSlotShare) * keptPerFilledServer) + spareServerCount;
 		return Math.floor(Math.min(needed, candidates.length * (1 - minimumOpenShare)));
 	}
 
@@ -74,7 +83,7 @@
 		},
 		getOpenCandidates(engine, candidates, request, now) {
 			const {promptTokens, urgency} = request;
-			if (!hasUrgency(urgency.levels) || urgency.priority <= (urgency.levels[0] ?? 0) || getPrefillMs(engine, promptTokens) <= unrestrictedPrefillMs) {
+			if (!hasMoreUrgentLevel(urgency) || getPrefillMs(engine, promptTokens) <= unrestrictedPrefillMs) {
 				return candidates;
 			}
 
