--- a/packages/core/src/gateway/gateway-fixtures.ts
+++ b/packages/core/src/gateway/gateway-fixtures.ts
@@ -99,6 +99,7 @@
 	evacuationMs: undefined,
 	coldEndpoints: undefined,
 	isWorkAware: false,
+	isUrgencyAware: false,
 };
 
 /** Returns a request of the route; without changes it arrives at time 0. */
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -60,6 +60,8 @@
 	coldEndpoints: ColdEndpointSettings | undefined;
 	/** Whether placements depend on the learned cost of requests and pace of endpoints. */
 	isWorkAware: boolean;
+	/** Whether the priorities of requests decide what waits and which endpoints long prompts leave alone. */
+	isUrgencyAware: boolean;
 }>;
 
 export type Gateway = Readonly<{
@@ -136,7 +138,7 @@
 	function getLevels(service: string): UrgencyLevels {
 		const current = configuration.tryGet();
 		if (urgencyLevels.configuration !== current) {
-			urgencyLevels = {configuration: current, byService: current === undefined ? new Map() : getUrgencyLevels(current)};
+			urgencyLevels = {configuration: current, byService: current === undefined || !settings.isUrgencyAware ? new Map() : getUrgencyLevels(current)};
 		}
 
 		return urgencyLevels.byService.get(service) ?? singleLevel;
--- a/packages/core/src/gateway/urgency-simulation.ts
+++ b/packages/core/src/gateway/urgency-simulation.ts
@@ -50,7 +50,7 @@
 	const servers = new Map(endpoints.map(({address}): [string, Server] => [address, {busyUntil: 0, streams: new Set()}]));
 	const configuration = {...fixtureConfiguration, routes: flows.map(({route}) => route)};
 	const usedReservations = new Set<string>();
-	const gateways = Array.from({length: gatewayCount}, (_, index) => createGateway({...fixtureGatewaySettings, name: `gateway-${index}`}));
+	const gateways = Array.from({length: gatewayCount}, (_, index) => createGateway({...fixtureGatewaySettings, name: `gateway-${index}`, isUrgencyAware: true}));
 	const openRequests = new Map<RequestKey, OpenRequest>();
 	let now: Timestamp = 0;
 	let taskCount = 0;
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -84,6 +84,7 @@
 		evacuationMs: settings.evacuationMs,
 		coldEndpoints: settings.coldEndpoints,
 		isWorkAware: settings.workRouting.isEnabled,
+		isUrgencyAware: settings.urgency.isEnabled,
 	});
 	const hasher = await createHasher();
 	const metrics = createGatewayMetrics(gateway.getOpenRequestCount, () => gateway.getColdCounts(performance.now()));
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -48,6 +48,8 @@
 		ratio: z.number().positive(),
 		fixedRequests: z.number().min(0),
 	}).optional(),
+	/** Whether the priorities of routes and organisations decide what waits while there is less room than work. */
+	urgency: z.strictObject({isEnabled: z.boolean()}).default({isEnabled: false}),
 	/** Whether placements depend on the learned cost of requests and pace of endpoints. */
 	workRouting: z.strictObject({isEnabled: z.boolean()}).default({isEnabled: false}),
 	/** Limit on sends beyond the first of each request: a ratio of the requests plus a fixed number for all gateways, per window. */
