--- a/packages/core/src/gateway/gateway-fixtures.ts
+++ b/packages/core/src/gateway/gateway-fixtures.ts
@@ -20,7 +20,7 @@
 };
 
 const commonRoute = {
-	host: 'a.example', isPublic: false, priority: 1, homeRegions: [], services: [{service: 'models', weight: 1}],
+	host: 'a.example', isPublic: false, priority: 1, permittedRegions: [], services: [{service: 'models', weight: 1}],
 } as const;
 
 export const fixtureStreamRoute: ServedRoute = {
@@ -67,7 +67,7 @@
 		['shop', {name: 'shop', engine: undefined, coldTolerance: undefined}],
 	]),
 	organisationsByKey: new Map([[fixtureApiKey, 'club']]),
-	organisations: new Map([['club', {name: 'club', priority: undefined, homeRegions: []}]]),
+	organisations: new Map([['club', {name: 'club', priority: undefined, permittedRegions: []}]]),
 	limits: {maximumBodyBytes: 1_000_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000},
 };
 
--- a/packages/core/src/gateway/gateway-types.ts
+++ b/packages/core/src/gateway/gateway-types.ts
@@ -39,7 +39,7 @@
 	/** Urgency of the requests; 0 is the most urgent. */
 	priority: number;
 	/** Regions whose endpoints may get the requests; any region if empty. */
-	homeRegions: readonly string[];
+	permittedRegions: readonly string[];
 	services: readonly WeightedService[];
 }>;
 
@@ -49,7 +49,7 @@
 	/** Urgency of its requests, which takes precedence over that of their route. */
 	priority: number | undefined;
 	/** Regions whose endpoints may get its requests; any region if empty. */
-	homeRegions: readonly string[];
+	permittedRegions: readonly string[];
 }>;
 
 /** What endpoints of a service take while they are cold: for some time after a start, and whenever they say so. */
--- a/packages/core/src/gateway/placement-restrictions.test.ts
+++ b/packages/core/src/gateway/placement-restrictions.test.ts
@@ -278,10 +278,10 @@
 	test('of the route and of the organisation bind together, and data centres without a region are no homes', () => {
 		fc.assert(fc.property(homes, homes, fc.subarray([...dataCentres]), fc.constantFrom(5000, 600_000), (routeHomes, ownHomes, evacuated, promptTokens) => {
 			const gateway = startGateway({regions}, {
-				...fixtureConfiguration, organisations: new Map([['club', {name: 'club', priority: undefined, homeRegions: ownHomes}]]),
+				...fixtureConfiguration, organisations: new Map([['club', {name: 'club', priority: undefined, permittedRegions: ownHomes}]]),
 			});
 			list(gateway, evacuated, 0);
-			const actions = submit(gateway, {...fixtureLongStreamRoute, homeRegions: routeHomes}, {prompt: {promptTokens, maximumTokens: 1000}});
+			const actions = submit(gateway, {...fixtureLongStreamRoute, permittedRegions: routeHomes}, {prompt: {promptTokens, maximumTokens: 1000}});
 			const permitted: readonly string[] = dataCentres.filter(dataCentre => !evacuated.includes(dataCentre)
 				&& [routeHomes, ownHomes].every(home => home.length === 0 || home.includes(regions.get(dataCentre) ?? 'none')));
 			expect([...getReached(actions)].every(dataCentre => permitted.includes(dataCentre))).toBe(true);
--- a/packages/core/src/gateway/placement-restrictions.ts
+++ b/packages/core/src/gateway/placement-restrictions.ts
@@ -70,7 +70,7 @@
 	}
 
 	function getHomes({route}: GatewayRequest, organisation: ServedOrganisation | undefined): Homes {
-		return [route.homeRegions, organisation?.homeRegions ?? []].filter(home => home.length > 0);
+		return [route.permittedRegions, organisation?.permittedRegions ?? []].filter(home => home.length > 0);
 	}
 
 	function isOpen({dataCentre}: ListedEndpoint): boolean {
--- a/packages/core/src/gateway/urgency.test.ts
+++ b/packages/core/src/gateway/urgency.test.ts
@@ -39,7 +39,7 @@
 	});
 
 	test('goes by the organisations where these have priorities', () => {
-		const organisations = new Map([['club', {name: 'club', priority: 1, homeRegions: []}], ['other', {name: 'other', priority: 4, homeRegions: []}]]);
+		const organisations = new Map([['club', {name: 'club', priority: 1, permittedRegions: []}], ['other', {name: 'other', priority: 4, permittedRegions: []}]]);
 		expect(getUrgencyLevels({...fixtureConfiguration, routes, organisations})).toEqual(new Map());
 		const organisationsByKey = new Map([...key ?? [], ['key-2', 'other']]);
 		expect(getUrgencyLevels({
