Parse no further heads of a connection that is closed for pipelining

What an operator saw: a gateway that ended by itself, out of heap (48 MB), 0.9 s after its start, before 30 callers with 500 pipelined requests each.

Cause: a closed socket is parsed on to the end of what was read with it, and reads of all ready sockets come before the first `close` event. So all heads of all callers became requests and responses that were kept together, 500 for each where 17 count.

Evidence: a server that destroys the socket at the 17th of 500 heads still gets 500 requests.

Change: the handler of heads is replaced when the connection is closed, so that parsing ends.

--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -40,6 +40,20 @@
 	readonly giveWay: GiveWay;
 };
 
+/** Result by which the handler of a head ends the parsing of what was read with it. */
+const stopResult = 2;
+
+/**
+Stops the parsing of a closed connection. Otherwise all heads that were read with the last one become requests, which are kept until the
+event loop has read from all other connections too. The parser isn't documented; without it, they do.
+*/
+function stopParsing(socket: Socket): void {
+	const {parser} = socket as Socket & {parser?: {onIncoming: () => number}};
+	if (parser !== undefined) {
+		parser.onIncoming = () => stopResult;
+	}
+}
+
 /** Creates a record without connections. */
 export function createCallerConnections(host: CallerConnectionsHost): CallerConnections {
 	const connections = new Map<Socket, Connection>();
@@ -104,6 +118,7 @@
 			connection.openRequests += 1;
 			if (connection.openRequests > maximumRequests) {
 				host.recordBound('pipelining');
+				stopParsing(socket);
 				socket.destroy();
 				return false;
 			}
