Accept and answer what callers have sent before a gateway stops listening

Cause: at the end the gateway closed its listening socket and all connections in one go. Connections that waited to be accepted were reset, and so were accepted ones whose request had arrived in the same turn. The event loop accepts one connection a turn, so that under load many wait. Where nothing was open at the end, nothing was waited for at all.

Change: connections are accepted until none has come for 5 ms, then the gateway stops listening, refuses what is left, and closes once callers have no connections left, after 150 ms at most.

--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -16,6 +16,7 @@
 	tryAddRequest(socket: Socket): boolean;
 	/** Records that the response to a request is complete. */
 	removeRequest(socket: Socket): void;
+	getCount(): number;
 	close(): void;
 }>;
 
@@ -137,6 +138,7 @@
 				idleSockets.add(socket);
 			}
 		},
+		getCount: () => connections.size,
 		close() {
 			clearInterval(headTimer);
 		},
--- a/packages/gateway/src/caller-server.test.ts
+++ b/packages/gateway/src/caller-server.test.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import net from 'node:net';
+import {text} from 'node:stream/consumers';
 import {afterEach, expect, test} from 'vitest';
 import {startCallerServer, type CallerServer} from './caller-server.js';
 import type {WireFormat} from './gateway-hosts.js';
@@ -150,3 +151,26 @@
 	socket.destroy();
 	await expect.poll(() => disconnected.toSorted((a, b) => String(a).localeCompare(String(b)))).toEqual(['/1', '/2']);
 });
+
+// Guards against connections that are opened shortly before the end of the process and reset, though a request is sent on each.
+test('answers the requests on connections that were opened before it stops listening', async () => {
+	const connectionCount = 20;
+	const server = await startServer(exchange => {
+		exchange.startResponse({status: 200, headers: ['Content-Length', '0'], isUndelimited: false});
+		exchange.end();
+		return () => undefined;
+	});
+	const sockets = Array.from({length: connectionCount}, () => net.connect(server.port, '127.0.0.1'));
+	await Promise.all(sockets.map(async socket => once(socket, 'connect')));
+	const received = sockets.map(async socket => {
+		socket.write('GET / HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n\r\n');
+		return text(socket);
+	});
+	await server.stopListening(Number.POSITIVE_INFINITY);
+	await expect(once(net.connect(server.port, '127.0.0.1'), 'connect')).rejects.toMatchObject({code: 'ECONNREFUSED'});
+	for (const response of await Promise.all(received)) {
+		expect(response).toMatch(/^HTTP\/1\.1 200 /v);
+	}
+
+	expect(server.getConnectionCount()).toBe(0);
+});
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -2,6 +2,7 @@
 HTTP server for callers. Reads each request completely, within the configured limits, and passes it to its host.
 */
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import {setImmediate as setImmediatePromise} from 'node:timers/promises';
 import {drainUnreadBody} from '@currantcross/caller/unread-body';
 import {createCallerMemory, getBoundFailure, getCallerMemoryLimit} from '@currantcross/core/gateway/caller-memory';
 import {createNotRunFailure, type Failure} from '@currantcross/core/errors';
@@ -44,6 +45,10 @@
 	getPendingCount(): number;
 	/** Refuses these requests. */
 	refusePending(failure: Failure): void;
+	/** Accepts the connections that callers have opened, for `maximumMs` at most. Then stops listening, and closes the idle connections. */
+	stopListening(maximumMs: Milliseconds): Promise<void>;
+	/** Returns the number of open connections. */
+	getConnectionCount(): number;
 	/** Stops listening and closes all connections. */
 	close(): void;
 }>;
@@ -61,6 +66,9 @@
 /** Added to the callers' idle timeout, so that no connection is closed while a caller sends a request on it. */
 const keepAliveMarginMs = 2000;
 
+/** Time without a new connection after which none is taken to wait. */
+const quietMs = 5;
+
 /** Memory that an open request takes besides its body. */
 const requestBytes = 8192;
 /** Memory that the framing of an unfinished body without a length, and its trailers, may take. */
@@ -82,6 +90,7 @@
 	/** Functions that give way for a response, by the functions that break it off. */
 	const responseHolders = new WeakMap<() => void, GiveWay>();
 	let refusedCount = 0;
+	let acceptedCount = 0;
 	let maximumBodyBytes = defaultMaximumBodyBytes;
 	let idleTimeoutMs = defaultIdleTimeoutMs;
 	memory.setLimit(getCallerMemoryLimit(bounds.memoryMb, maximumBodyBytes));
@@ -265,7 +274,10 @@
 		drainUnreadBody(message, response);
 		void receiveRequest(message, response);
 	});
-	server.on('connection', connections.add);
+	server.on('connection', socket => {
+		acceptedCount += 1;
+		connections.add(socket);
+	});
 	const port = await listen(server, {...address, backlog: connectionBacklog});
 	return {
 		port,
@@ -282,6 +294,22 @@
 				refuse(failure);
 			}
 		},
+		async stopListening(maximumMs) {
+			const startedAt = performance.now();
+			let lastAccepted = {count: acceptedCount, at: startedAt};
+			let now = startedAt;
+			// Closing a listening socket resets the connections that wait to be accepted, and each turn of the event loop accepts one.
+			while (now - lastAccepted.at < quietMs && now - startedAt < maximumMs) {
+				await setImmediatePromise(); // eslint-disable-line no-await-in-loop
+				now = performance.now();
+				if (acceptedCount > lastAccepted.count) {
+					lastAccepted = {count: acceptedCount, at: now};
+				}
+			}
+
+			server.close();
+		},
+		getConnectionCount: connections.getCount,
 		close() {
 			for (const exchange of openExchanges) {
 				exchange.breakConnection();
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -56,11 +56,12 @@
 const clockCheckIntervalMs = 250;
 /** How long new requests are still served after SIGTERM, until the load balancer has seen that the gateway is not ready. */
 const acceptAfterStopMs = 2800;
-/** How long before SIGKILL the requests that are still open are aborted; part of the grace period. */
+/** How long before SIGKILL no more requests are waited for, and the last connections are accepted; part of the grace period. */
 const stopMarginMs = 400;
 const stopPollIntervalMs = 50;
-/** How long the last answers may take to reach the network before connections are closed. */
-const lastAnswerMs = 100;
+/** How long the last requests may take to arrive on open connections, and their answers to reach the network, before connections are closed. */
+const lastAnswerMs = 150;
+const lastAnswerPollMs = 10;
 /** Delay of the event loop from which on it is logged. */
 const loggedLoopDelayMs = 250;
 
@@ -301,11 +302,10 @@
 			const getOpenCount = (): number => gateway.getOpenRequestCount() + callerServer.getPendingCount();
 			await waitForRequests(getOpenCount, stoppedAt, settings.graceMs);
 			logger.info('stopped', {open: gateway.getOpenRequestCount(), pending: callerServer.getPendingCount()});
-			if (getOpenCount() > 0) {
-				callerServer.refusePending(createNotRunFailure('draining', 'the process ends', 0));
-				driver.dispatch({kind: 'graceEnded'});
-				await setTimeoutPromise(lastAnswerMs);
-			}
+			await callerServer.stopListening(settings.graceMs - lastAnswerMs - (performance.now() - stoppedAt));
+			callerServer.refusePending(createNotRunFailure('draining', 'the process ends', 0));
+			driver.dispatch({kind: 'graceEnded'});
+			await waitForConnections(callerServer.getConnectionCount);
 
 			clearInterval(clockTimer);
 			loopMonitor.close();
@@ -351,3 +351,11 @@
 		}, stopPollIntervalMs);
 	});
 }
+
+/** Waits until callers have no connections left, for a limited time. */
+async function waitForConnections(getConnectionCount: () => number): Promise<void> {
+	const startedAt = performance.now();
+	while (getConnectionCount() > 0 && performance.now() - startedAt < lastAnswerMs) {
+		await setTimeoutPromise(lastAnswerPollMs); // eslint-disable-line no-await-in-loop
+	}
+}
