Decide when a response is not read on, and count no silence meanwhile

Cause: what a caller doesn't read is held until what all callers hold is too much, and then broken off; nothing slows the endpoint. And a gateway that stopped reading would take the endpoint for silent: it would be probed, its request sent again, its connection's end counted as a crash.

The request's state machine knows pauses: no check of silence or of unused memory, no pause between events, no part of a learned time. A connection that breaks after 1.5 s unread is `unread`: no evidence against endpoint or prompt; broken off while the caller still doesn't read, else sent again where the route allows it. An undelimited stream that was unread that long is not taken for complete. The deadline and a caller that leaves end a paused send as any other.

No driver sends these events yet.

--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -21,7 +21,8 @@
 	GatewayAction, RequestEvent, SendId, SendResult, SilenceOutcome,
 } from './gateway-events.js';
 import {
-	getSilenceTimeoutMs, isStreamResponse, maximumEventBytes, minimumProgressBytes, parseEventNumber, silenceTimeouts, type SavedResponse, type Send,
+	getSilenceTimeoutMs, isLeftUnread, isStreamResponse, maximumEventBytes, minimumProgressBytes, parseEventNumber, pauseSend, resumeSend, silenceTimeouts,
+	type SavedResponse, type Send,
 } from './request-send.js';
 import type {RetryQuota} from './retry-quota.js';
 import type {WorkObservation} from './work-routing.js';
@@ -174,6 +175,9 @@
 			unproductiveBytes: 0,
 			reportedOutcomes: new Set(),
 			hasEvents: false,
+			pausedAt: undefined,
+			pausedMs: 0,
+			wasLeftUnread: false,
 		};
 		current.checkAt = now + (current.memory === undefined ? getSilenceTimeoutMs(route, current) : reservationTimeoutMs);
 		excluded.add(placement.endpoint.id);
@@ -368,6 +372,21 @@
 		];
 	}
 
+	/**
+	Handles a send whose connection broke. One that the gateway had not read from for long says nothing of its endpoint, which may have cut off
+	what nobody reads. While the caller still doesn't read, the request isn't sent again.
+	*/
+	function handleBrokenSend(detail: string, now: Timestamp): readonly GatewayAction[] {
+		if (current === undefined || !isLeftUnread(current, now)) {
+			return handleLostSend('broken', detail, now);
+		}
+
+		const isPaused = current.pausedAt !== undefined;
+		const closeActions = closeSend('unread', detail, now);
+		const failure = createFailure('serverLost', 'the response was cut off since the caller did not read it');
+		return [...closeActions, ...(isPaused ? endWithFailure(failure) : retryOrEnd(failure, true, now))];
+	}
+
 	/** Handles a refusal: the endpoint hasn't run the request, or another endpoint responds at its address. */
 	function handleRefusal(head: EndpointResponseHead, now: Timestamp): readonly GatewayAction[] {
 		const refusedSend = current;
@@ -520,9 +539,9 @@
 			}, now);
 	}
 
-	function learnTime({placement, sentAt}: Send, now: Timestamp): readonly GatewayAction[] {
+	function learnTime({placement, sentAt, pausedMs}: Send, now: Timestamp): readonly GatewayAction[] {
 		return context.learnWork({
-			kind: 'responseTimed', request, placement, observedMs: now - sentAt,
+			kind: 'responseTimed', request, placement, observedMs: now - sentAt - pausedMs,
 		}, now);
 	}
 
@@ -581,7 +600,12 @@
 
 	function completeStream(finishedSend: Send, head: EndpointResponseHead, now: Timestamp): readonly GatewayAction[] {
 		if (finishedSend.splitter.getIncompleteByteCount() > 0) {
-			return handleLostSend('broken', 'the stream ended inside an event', now);
+			return handleBrokenSend('the stream ended inside an event', now);
+		}
+
+		// Only the end of the connection delimits it, and an endpoint that cuts off what isn't read closes it, too.
+		if (head.isUndelimited && isLeftUnread(finishedSend, now)) {
+			return handleBrokenSend('the end of an undelimited stream is uncertain', now);
 		}
 
 		hasEnded = true;
@@ -606,7 +630,7 @@
 			return send(now, deferredFailure);
 		}
 
-		if (current?.memory !== undefined) {
+		if (current?.memory !== undefined && current.pausedAt === undefined) {
 			const memoryActions = checkMemoryUse(current, current.memory, now);
 			if (memoryActions.length > 0) {
 				return memoryActions;
@@ -714,35 +738,59 @@
 		return {sentAt, promptTokens: placement.helpers.length === 0 ? request.prompt?.promptTokens ?? 0 : undefined};
 	}
 
+	/** Begins or ends a pause of the gateway's reading, which is no pause of the stream. */
+	function updateReading(isPaused: boolean, now: Timestamp): void {
+		if (current === undefined) {
+			return;
+		}
+
+		if (isPaused) {
+			pauseSend(current, now);
+		} else {
+			const pausedMs = resumeSend(route, current, now);
+			previousEventAt = previousEventAt === undefined ? undefined : previousEventAt + pausedMs;
+		}
+	}
+
 	function recordProgress(send: Send, now: Timestamp): void {
 		send.lastProgressAt = now;
 		send.unproductiveBytes = 0;
 		send.isProbed = false;
 		send.memory?.recordProgress(now);
-		send.checkAt = now + getSilenceTimeoutMs(route, send);
+		send.checkAt = send.pausedAt === undefined ? now + getSilenceTimeoutMs(route, send) : Number.POSITIVE_INFINITY;
 		context.registry.recordProgress(send.placement.endpoint.id, getSentRequest(send), now);
 	}
 
 	function apply(event: RequestEvent, now: Timestamp): readonly GatewayAction[] {
+		if ('sendId' in event && event.sendId !== current?.id) {
+			return [];
+		}
+
 		switch (event.kind) {
 			case 'started': {
 				return start(now);
 			}
 
 			case 'responseStarted': {
-				return event.sendId === current?.id ? startResponse(event.head, now) : [];
+				return startResponse(event.head, now);
 			}
 
 			case 'responseBytes': {
-				return event.sendId === current?.id ? addBytes(event.bytes, now) : [];
+				return addBytes(event.bytes, now);
 			}
 
 			case 'responseEnded': {
-				return event.sendId === current?.id ? completeResponse(now) : [];
+				return completeResponse(now);
+			}
+
+			case 'readingPaused':
+			case 'readingResumed': {
+				updateReading(event.kind === 'readingPaused', now);
+				return [];
 			}
 
 			case 'sendFailed': {
-				return event.sendId === current?.id ? handleSendFailure(event.wasSent, event.detail, now) : [];
+				return handleSendFailure(event.wasSent, event.detail, now);
 			}
 
 			case 'probeAnswered': {
@@ -783,7 +831,7 @@
 
 	function handleSendFailure(wasSent: boolean, detail: string, now: Timestamp): readonly GatewayAction[] {
 		if (wasSent) {
-			return handleLostSend('broken', detail, now);
+			return handleBrokenSend(detail, now);
 		}
 
 		unreachedCount += 1;
@@ -803,7 +851,7 @@
 			deferredUntil,
 			current?.checkAt ?? Number.POSITIVE_INFINITY,
 			current?.memory?.getRenewAt() ?? Number.POSITIVE_INFINITY,
-			current?.memory?.getUseCheckAt() ?? Number.POSITIVE_INFINITY,
+			current?.pausedAt === undefined ? current?.memory?.getUseCheckAt() ?? Number.POSITIVE_INFINITY : Number.POSITIVE_INFINITY,
 		),
 		isEnded: () => hasEnded,
 	};
--- a/packages/core/src/gateway/gateway-events.ts
+++ b/packages/core/src/gateway/gateway-events.ts
@@ -30,6 +30,9 @@
 		| Readonly<{kind: 'responseStarted'; sendId: SendId; head: EndpointResponseHead}>
 		| Readonly<{kind: 'responseBytes'; sendId: SendId; bytes: Uint8Array}>
 		| Readonly<{kind: 'responseEnded'; sendId: SendId}>
+	/** The gateway stops reading the response, since its caller has left too much of it unread, or reads on. */
+		| Readonly<{kind: 'readingPaused'; sendId: SendId}>
+		| Readonly<{kind: 'readingResumed'; sendId: SendId}>
 	/** The connection failed. `wasSent` is false only if the request can't have reached the endpoint. */
 		| Readonly<{kind: 'sendFailed'; sendId: SendId; wasSent: boolean; detail: string}>
 		| Readonly<{kind: 'memoryAnswered'; reservationId: ReservationId; isHeld: boolean}>
@@ -125,9 +128,12 @@
 
 /**
 How a send ended; `replaced` means that another endpoint now responds at the address, and `memoryUnused` that the receiver
-didn't begin a request for which other endpoints held memory, `forbidden` that its endpoints may no longer get the request, and `stopped` that this gateway's process ends.
+didn't begin a request for which other endpoints held memory, `forbidden` that its endpoints may no longer get the request, `unread` that its connection broke after the gateway had not read from it for
+long, and `stopped` that this gateway's process ends.
 */
-export type SendResult = 'answered' | 'notRun' | 'replaced' | 'noMemory' | 'forbidden' | 'memoryUnused' | 'failedStatus' | 'corrupt' | 'broken' | 'silent' | 'deadline' | 'clientGone' | 'stopped';
+export type SendResult
+	= | 'answered' | 'notRun' | 'replaced' | 'noMemory' | 'forbidden' | 'memoryUnused' | 'failedStatus'
+		| 'corrupt' | 'broken' | 'unread' | 'silent' | 'deadline' | 'clientGone' | 'stopped';
 
 /** Summary of a completed response. */
 export type ResponseSummary = Readonly<{
--- a/packages/core/src/gateway/request-send.ts
+++ b/packages/core/src/gateway/request-send.ts
@@ -30,6 +30,9 @@
 /** Number of bytes of a body that count as progress; fewer do if they complete it. */
 export const minimumProgressBytes = 1024;
 
+/** Time after which an endpoint may cut off a response that isn't read. */
+const unreadMs: Milliseconds = 1500;
+
 const okStatus = 200;
 
 /** One send of a request to an endpoint, and the response received so far. */
@@ -52,6 +55,12 @@
 	/** Outcomes of silence checks that were reported; each is reported once. */
 	readonly reportedOutcomes: Set<SilenceOutcome>;
 	hasEvents: boolean;
+	/** Since when the gateway doesn't read the response. */
+	pausedAt: Timestamp | undefined;
+	/** Total time for which it did not read it. */
+	pausedMs: Milliseconds;
+	/** Whether it did not read it for so long at once that the endpoint may have cut it off. */
+	wasLeftUnread: boolean;
 };
 
 /** A complete response that is not a stream. */
@@ -67,6 +76,30 @@
 	return id !== undefined && /^\d+$/v.test(id) ? Number(id) : undefined;
 }
 
+/** Stops the checks of a send's silence while the gateway doesn't read its response. */
+export function pauseSend(send: Send, now: Timestamp): void {
+	send.pausedAt ??= now;
+	send.isProbed = false;
+	send.checkAt = Number.POSITIVE_INFINITY;
+}
+
+/** Ends the pause of a send, whose silence counts from now. Returns how long it has lasted. */
+export function resumeSend(route: ServedRoute, send: Send, now: Timestamp): Milliseconds {
+	const pausedMs = now - (send.pausedAt ?? now);
+	send.wasLeftUnread = isLeftUnread(send, now);
+	send.pausedAt = undefined;
+	send.pausedMs += pausedMs;
+	send.lastProgressAt = now;
+	send.memory?.recordProgress(now);
+	send.checkAt = now + getSilenceTimeoutMs(route, send);
+	return pausedMs;
+}
+
+/** Returns whether a send's response was once not read for so long that its endpoint may have cut it off. */
+export function isLeftUnread({wasLeftUnread, pausedAt}: Send, now: Timestamp): boolean {
+	return wasLeftUnread || (pausedAt !== undefined && now - pausedAt >= unreadMs);
+}
+
 /** Returns how long a send may be silent before it is checked. */
 export function getSilenceTimeoutMs(route: ServedRoute, send: Send): Milliseconds {
 	const {minimumMs, maximumMs, objectiveFactor, pauseFactor} = silenceTimeouts;
