Read no further from an endpoint while a stream's caller doesn't read

Cause: what a slow caller leaves unread was taken from the endpoint all the same, up to 8 MiB a response, until the caller was broken off; the endpoint never noticed.

Change: where `memoryMb` is set, `response-throttle.ts` pauses and resumes the endpoint's connection as `response-flow.ts` decides, and tells the request. While a stream is paused, a caller that reads nothing for the idle timeout is broken off, as it was after a complete response; what is read ahead counts as held.

Two faults that pausing would have brought, each with a test that fails without its part: undici throws, and the process ends, where a connection that is to be closed after its response is reset while that is paused (resets get another code for it while anything is paused); the guard took the bytes of a pause for bytes without progress (it now counts parsed ones).

--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -3,6 +3,7 @@
 */
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {Socket} from 'node:net';
 import {getErrorDefinition, getErrorBody, type Failure} from '@currantcross/core/errors';
 import type {RawHeaders} from '@currantcross/core/gateway/gateway-types';
 import type {CallerHead, WireFormat} from './gateway-hosts.js';
@@ -20,7 +21,13 @@
 export type CallerExchange = ReceivedRequest & Readonly<{
 	/** Returns whether the caller's close has been read. The exchange is told of it some turns of the event loop later. */
 	hasCallerLeft(): boolean;
-	/** Sets how much of a response has been received from the endpoint that is held until it is complete. */
+	/** Returns how much of the response waits for the caller to read, or 0 if "drain" would not be reported. */
+	getUnreadBytes(): number;
+	/** Sets the function to call when the caller has read all that was written. */
+	setDrainHandler(onDrain: () => void): void;
+	/** Sets whether the endpoint's response is not read for now. Meanwhile a caller may read nothing for the idle timeout at most. */
+	setPaused(isPaused: boolean): void;
+	/** Sets how much of a response has been received from the endpoint that is not written yet. */
 	setReceivedBytes(bytes: number): void;
 	startResponse(head: ResponseHead): void;
 	write(bytes: Uint8Array): void;
@@ -68,6 +75,8 @@
 
 /** Memory that a part of a response takes while it waits, besides its bytes. */
 const queuedPartBytes = 512;
+/** Part of a response that has been read from its endpoint's connection, at most, when the gateway stops reading: a buffer and one read. */
+const readAheadBytes = 81_920;
 
 /** Creates the exchange for a received request. */
 export function createCallerExchange(
@@ -79,17 +88,34 @@
 	/** Parts that were written while others waited already. */
 	let queuedParts = 0;
 	let receivedBytes = 0;
+	let onDrain = (): void => undefined;
+	let breaksOnTimeout = false;
+
+	function getQueuedBytes(): number {
+		return response.writableLength + (queuedParts * queuedPartBytes);
+	}
 
 	function reportQueued(): void {
-		const heldBytes = response.destroyed ? 0 : receivedBytes + response.writableLength + (queuedParts * queuedPartBytes);
+		const heldBytes = response.destroyed || message.socket.destroyed ? 0 : receivedBytes + getQueuedBytes();
 		host.onQueued(breakConnection, heldBytes > response.writableHighWaterMark ? heldBytes : 0);
 	}
 
 	response.on('drain', () => {
 		queuedParts = 0;
 		reportQueued();
+		onDrain();
 	});
 
+	/** Breaks the connection if nothing of what waits is read for the idle timeout. */
+	function setIdleTimeout(socket: Socket): void {
+		if (!breaksOnTimeout) {
+			breaksOnTimeout = true;
+			response.once('timeout', breakConnection);
+		}
+
+		socket.setTimeout(host.getIdleTimeoutMs());
+	}
+
 	function writeHead(status: number, headers: RawHeaders): void {
 		if (host.isDraining()) {
 			response.setHeader('connection', 'close');
@@ -114,6 +140,23 @@
 	return {
 		...request,
 		hasCallerLeft: () => response.destroyed || message.socket.destroyed || message.socket.readableEnded,
+		getUnreadBytes: () => response.writableNeedDrain ? getQueuedBytes() : 0,
+		setDrainHandler(handler) {
+			onDrain = handler;
+		},
+		setPaused(isPaused) {
+			const {socket} = response;
+			receivedBytes = isPaused ? readAheadBytes : 0;
+			reportQueued();
+			// A response that waits behind another one of its connection has no socket yet.
+			if (socket instanceof Socket) {
+				if (isPaused) {
+					setIdleTimeout(socket);
+				} else {
+					socket.setTimeout(0);
+				}
+			}
+		},
 		setReceivedBytes(bytes) {
 			receivedBytes = bytes;
 			reportQueued();
@@ -137,8 +180,7 @@
 			response.end();
 			reportQueued();
 			if (!response.writableFinished) {
-				message.socket.setTimeout(host.getIdleTimeoutMs());
-				response.once('timeout', breakConnection);
+				setIdleTimeout(message.socket);
 				// Runs before the server sets its own timeout for idle connections.
 				response.prependOnceListener('finish', () => {
 					message.socket.setTimeout(0);
--- a/packages/gateway/src/endpoint-client.ts
+++ b/packages/gateway/src/endpoint-client.ts
@@ -3,6 +3,7 @@
 */
 import {Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders} from 'node:http';
+import type {Socket} from 'node:net';
 import {getErrorText} from '@currantcross/core/error-text';
 import type {RawHeaders} from '@currantcross/core/gateway/gateway-types';
 import type {SendId} from '@currantcross/core/gateway/gateway-events';
@@ -44,6 +45,10 @@
 	response that belongs to a caller's request.
 	*/
 	sendControlRequest(address: string, request: ControlRequest): Promise<ControlResponse>;
+	/** Stops reading the response to a send, which slows the endpoint. What was read already may still be passed on. */
+	pause(sendId: SendId): void;
+	/** Reads the response on, a turn of the event loop later. */
+	resume(sendId: SendId): void;
 	/** Ends a send, whose listener is not called again: aborts it at once, or, to discard its response, only if that doesn't end soon. */
 	cancel(sendId: SendId, how: 'abort' | 'discard'): void;
 	/** Closes the connections to all other addresses once they are idle. */
@@ -60,6 +65,10 @@
 /** How long before the endpoint's own `Keep-Alive` timeout a connection is no longer reused. */
 const keepAliveMarginMs = 1200;
 
+const resetCode = 'ECONNRESET';
+/** Code of a reset of a connection whose response may be paused. */
+const pausableResetCode = 'RESET';
+
 /** Lower statuses are informational (1xx) and are not forwarded. */
 const lowestFinalStatus = 200;
 
@@ -93,9 +102,10 @@
 	return Buffer.concat(chunks).toString();
 }
 
-/** A send whose response has not ended. `controller` is set when undici starts to write the request. */
+/** A send whose response has not ended. `controller` is set from when undici starts to write the request until the response ends. */
 type OpenSend = {
 	controller: Dispatcher.DispatchController | undefined;
+	isPaused: boolean;
 	isCancelled: boolean;
 	discardTimer: NodeJS.Timeout | undefined;
 };
@@ -119,9 +129,44 @@
 	const pools = new Map<string, Dispatcher>();
 	const responseGuard = createResponseGuard();
 	const openSends = new Map<SendId, OpenSend>();
+	/** Sends whose response the parser may have paused. */
+	const pausedSends = new Set<OpenSend>();
 	const resetDetector = createResetDetector({
 		timeout: connectTimeoutMs, keepAlive: true, keepAliveInitialDelay: 1000, autoSelectFamily: false,
-	}, responseGuard.watchConnection);
+	}, socket => {
+		updateResetCode(socket);
+		responseGuard.watchConnection(socket);
+	});
+
+	/** Reads a response on, in a turn in which undici is not parsing another one: it can't parse two at a time. */
+	function resumeSend(openSend: OpenSend): void {
+		openSend.isPaused = false;
+		setImmediate(() => {
+			if (!openSend.isPaused && pausedSends.delete(openSend)) {
+				openSend.controller?.resume();
+			}
+		});
+	}
+
+	/** Removes a send whose response has ended. */
+	function removeSend(sendId: SendId, openSend: OpenSend): void {
+		openSends.delete(sendId);
+		pausedSends.delete(openSend);
+		openSend.controller = undefined;
+		clearTimeout(openSend.discardTimer);
+	}
+
+	/**
+	Gives the resets of a connection another code before undici sees them. For `ECONNRESET` it lets the parser finish a response after which
+	the connection is closed, and throws if that is paused.
+	*/
+	function updateResetCode(socket: Socket): void {
+		socket.on('error', (error: NodeJS.ErrnoException) => {
+			if (pausedSends.size > 0 && error.code === resetCode) {
+				error.code = pausableResetCode;
+			}
+		});
+	}
 
 	function getPool(address: string): Dispatcher {
 		const pool = pools.get(address) ?? new Pool(`http://${address}`, {
@@ -144,7 +189,9 @@
 	}
 
 	function createHandler(sendId: SendId, listener: EndpointListener): Dispatcher.DispatchHandler {
-		const openSend: OpenSend = {controller: undefined, isCancelled: false, discardTimer: undefined};
+		const openSend: OpenSend = {
+			controller: undefined, isPaused: false, isCancelled: false, discardTimer: undefined,
+		};
 		openSends.set(sendId, openSend);
 		let hasStarted = false;
 		let informationalResponses = 0;
@@ -176,24 +223,22 @@
 				}
 			},
 			onResponseEnd() {
-				openSends.delete(sendId);
-				clearTimeout(openSend.discardTimer);
+				removeSend(sendId, openSend);
 				if (openSend.isCancelled) {
 					return;
 				}
 
 				if (resetDetector.isHandlingReset()) {
-					listener.onFailure(true, 'ECONNRESET');
+					listener.onFailure(true, resetCode);
 				} else {
 					listener.onEnd();
 				}
 			},
 			onResponseError(_controller, error) {
-				openSends.delete(sendId);
-				clearTimeout(openSend.discardTimer);
+				removeSend(sendId, openSend);
 				if (!openSend.isCancelled) {
 					const code = getErrorCode(error);
-					listener.onFailure(hasStarted || !connectErrorCodes.has(code), code);
+					listener.onFailure(hasStarted || !connectErrorCodes.has(code), code === pausableResetCode ? resetCode : code);
 				}
 			},
 		};
@@ -225,6 +270,20 @@
 
 			return {status: response.statusCode, headers: response.headers, body: await readControlBody(response.body)};
 		},
+		pause(sendId) {
+			const openSend = openSends.get(sendId);
+			if (openSend !== undefined) {
+				openSend.isPaused = true;
+				pausedSends.add(openSend);
+				openSend.controller?.pause();
+			}
+		},
+		resume(sendId) {
+			const openSend = openSends.get(sendId);
+			if (openSend !== undefined) {
+				resumeSend(openSend);
+			}
+		},
 		cancel(sendId, how) {
 			const openSend = openSends.get(sendId);
 			if (openSend === undefined) {
@@ -241,6 +300,7 @@
 
 				case 'discard': {
 					openSend.discardTimer = setTimeout(cancelOpenSend, discardTimeoutMs, openSend);
+					resumeSend(openSend);
 				}
 			}
 		},
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -4,7 +4,7 @@
 */
 import type {IncomingMessage} from 'node:http';
 import {setTimeout as setTimeoutPromise} from 'node:timers/promises';
-import {getMaximumConnections} from '@currantcross/core/gateway/caller-memory';
+import {getCallerMemoryLimit, getMaximumConnections} from '@currantcross/core/gateway/caller-memory';
 import {createGateway} from '@currantcross/core/gateway/gateway';
 import {defaultEndpointRegistrySettings} from '@currantcross/core/gateway/endpoint-registry';
 import {getMaximumStateAgeMs} from '@currantcross/core/gateway/feed-source';
@@ -127,6 +127,7 @@
 	});
 	const driver = createGatewayDriver(gateway, {
 		client, getUnreadMs: loopMonitor.getUnreadMs, wireFormat: host.wireFormat, logger, metrics, publishChange: workExchange.publish, name: settings.name, platform: host.platform,
+		callerMemoryLimit: getCallerMemoryLimit(settings.memoryMb, 0),
 		readConfiguration() {
 			feed.refresh();
 		},
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -25,6 +25,7 @@
 import type {ControlRequest, PlatformHost, WireFormat} from './gateway-hosts.js';
 import {waitForReads} from './loop-monitor.js';
 import type {GatewayMetrics} from './metrics.js';
+import {createResponseThrottle} from './response-throttle.js';
 
 export type GatewayDriverHost = Readonly<{
 	/** Name of this gateway. */
@@ -34,6 +35,8 @@
 	wireFormat: WireFormat;
 	logger: Logger;
 	metrics: GatewayMetrics;
+	/** How many bytes callers may hold in all, `Infinity` if that is not bounded. */
+	callerMemoryLimit: number;
 	/** Returns the longest time that data which is read now can have waited, or 0 while the loop reads without delay. */
 	getUnreadMs(): Milliseconds;
 	publishChange(change: PeerChange): void;
@@ -81,6 +84,7 @@
 	const openRequests = new Map<RequestKey, OpenRequest>();
 	/** Sends that wait until the loop has read what has arrived. */
 	const heldSends = new Set<SendId>();
+	const throttle = createResponseThrottle({...host, dispatch: dispatchRelayEvent});
 	let timer: NodeJS.Timeout | undefined;
 	let timerDueAt = Number.POSITIVE_INFINITY;
 
@@ -137,6 +141,7 @@
 
 			case 'cancelSend': {
 				heldSends.delete(action.sendId);
+				throttle.end(action.sendId);
 				host.client.cancel(action.sendId, action.how);
 				return;
 			}
@@ -528,6 +533,12 @@
 			onHead(status, responseHeaders) {
 				const head = host.wireFormat.parseResponseHead(status, responseHeaders);
 				isHeld = !isStreamResponse(openRequest.request, head);
+				if (!isHeld) {
+					throttle.start({
+						key, sendId, requestId: openRequest.request.requestId, exchange: openRequest.exchange,
+					});
+				}
+
 				dispatchRelayEvent(key, {kind: 'responseStarted', sendId, head});
 			},
 			onBytes(bytes) {
@@ -537,11 +548,14 @@
 				}
 
 				dispatchRelayEvent(key, {kind: 'responseBytes', sendId, bytes});
+				throttle.update(sendId);
 			},
 			onEnd() {
+				throttle.end(sendId);
 				dispatchRelayEvent(key, {kind: 'responseEnded', sendId});
 			},
 			onFailure(wasSent, detail) {
+				throttle.end(sendId);
 				dispatchRelayEvent(key, {
 					kind: 'sendFailed', sendId, wasSent, detail,
 				});
--- a/packages/gateway/src/response-guard.ts
+++ b/packages/gateway/src/response-guard.ts
@@ -31,13 +31,15 @@
 
 	return {
 		watchConnection(socket) {
-			let bytesRead = 0;
 			let unproductiveBytes = 0;
 			let unproductiveSince = 0;
 
-			function checkProgress(countBefore: number): void {
-				const newBytes = socket.bytesRead - bytesRead;
-				bytesRead = socket.bytesRead;
+			/** Returns the number of bytes that were parsed; those that wait while the response is paused are none of them. */
+			function getParsedBytes(): number {
+				return socket.bytesRead - socket.readableLength;
+			}
+
+			function checkProgress(countBefore: number, parsedBefore: number): void {
 				if (progressCount !== countBefore) {
 					unproductiveBytes = 0;
 					return;
@@ -45,7 +47,7 @@
 
 				const now = performance.now();
 				unproductiveSince = unproductiveBytes === 0 ? now : unproductiveSince;
-				unproductiveBytes += newBytes;
+				unproductiveBytes += getParsedBytes() - parsedBefore;
 				const isOverdue = unproductiveBytes > framingBytes && now - unproductiveSince > maximumUnproductiveMs;
 				if (isOverdue || unproductiveBytes > maximumUnproductiveBytes) {
 					socket.destroy(new VError({name: 'UnproductiveResponse'}, '%d bytes brought the response no further', unproductiveBytes));
@@ -54,7 +56,7 @@
 
 			// Runs before undici's own listener, and the check right after it.
 			socket.on('readable', () => {
-				process.nextTick(checkProgress, progressCount);
+				process.nextTick(checkProgress, progressCount, getParsedBytes());
 			});
 		},
 		intercept: dispatch => (options, handler) => dispatch(options, {
