Count requests that HTTP itself refuses among those of their connection

Cause: the HTTP server of Node answers requests without a host (400) and with an unknown expectation (417) itself, past the bound on the requests of a connection. All heads that are read at once become requests: with 64 KB a read about 3,600 for each connection. Change: the server leaves both to its handler, which counts them first and then answers with the same status.

--- a/packages/gateway/src/caller-server.test.ts
+++ b/packages/gateway/src/caller-server.test.ts
@@ -2,6 +2,7 @@
 import {once} from 'node:events';
 import net from 'node:net';
 import {afterEach, expect, test} from 'vitest';
+import type {CallerBound} from './caller-connections.js';
 import {startCallerServer, type CallerServer} from './caller-server.js';
 import type {WireFormat} from './gateway-hosts.js';
 
@@ -36,7 +37,8 @@
 	return () => undefined;
 };
 
-async function startServer(handleRequest: RequestHandler = answerAtOnce): Promise<CallerServer> {
+async function startServer(handleRequest: RequestHandler = answerAtOnce): Promise<CallerServer & Readonly<{bounds: readonly CallerBound[]}>> {
+	const bounds: CallerBound[] = [];
 	const wireFormat: Pick<WireFormat, 'parseCallerHead' | 'formatFailureHead'> = {
 		parseCallerHead: () => ({
 			requestId: 'r-1', credential: undefined, remainingMs: undefined, lastEventId: undefined, prompt: undefined, sharedSegments: [],
@@ -52,11 +54,13 @@
 		getUnreadMs: () => 0,
 		recordRefusal: () => undefined,
 		recordDeparture: () => undefined,
-		recordBound: () => undefined,
+		recordBound(bound) {
+			bounds.push(bound);
+		},
 	});
 	server.setLimits({maximumBodyBytes, headerTimeoutMs: 1000, idleTimeoutMs});
 	closers.push(server.close);
-	return server;
+	return {...server, bounds};
 }
 
 /** Sends a request, reads nothing of the response for `pauseMs`, and returns the number of bytes that are received after that. */
@@ -78,6 +82,18 @@
 	return receivedBytes;
 }
 
+/** Sends a text and returns what is received until the connection is closed. */
+async function exchangeText(port: number, text: string): Promise<string> {
+	const socket = net.connect(port, '127.0.0.1');
+	let received = '';
+	socket.setEncoding('utf8').on('error', () => undefined).on('data', (part: string) => {
+		received += part;
+	});
+	socket.write(text);
+	await once(socket, 'close');
+	return received;
+}
+
 // Guards against a caller that reads nothing and keeps its connection and a complete response in memory for good.
 test('closes the connection of a caller that reads nothing of a complete response for the idle timeout', async () => {
 	const {port} = await startServer();
@@ -150,3 +166,16 @@
 	socket.destroy();
 	await expect.poll(() => disconnected.toSorted((a, b) => String(a).localeCompare(String(b)))).toEqual(['/1', '/2']);
 });
+
+// Guards against requests that the HTTP server answers itself, as many as were read at once, beside the bounds on what callers make it hold.
+test.each([
+	['no host', '', 400],
+	['an expectation that is not met', 'Host: a.example\r\nExpect: x\r\n', 417],
+] as const)('answers a request with %s, and closes the connection of many such requests at once', async (_, fields, status) => {
+	const {port, bounds} = await startServer();
+	const single = await exchangeText(port, `GET / HTTP/1.1\r\n${fields}\r\n`);
+	expect(single).toMatch(new RegExp(`^HTTP/1.1 ${status} `, 'v'));
+	expect(bounds).toEqual([]);
+	await exchangeText(port, `GET / HTTP/1.1\r\n${fields}\r\n`.repeat(500));
+	expect(bounds).toEqual(['pipelining']);
+});
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -68,6 +68,9 @@
 /** Interval at which heads that take too long are looked for. */
 const headerCheckIntervalMs = 1000;
 
+const badRequestStatus = 400;
+const expectationFailedStatus = 417;
+
 /** What the callers of a server may make it hold. */
 export type CallerBounds = Readonly<{memoryMb: number | undefined; maximumConnections: number}>;
 
@@ -248,9 +251,8 @@
 		response.once('close', handleClose);
 	}
 
-	const server = http.createServer({
-		maxHeaderSize: maximumHeaderBytes, requestTimeout: 0, keepAlive: true, noDelay: true, connectionsCheckingInterval: headerCheckIntervalMs,
-	}, (message, response) => {
+	/** Handles the head of a request that has arrived. With a status that request is refused which HTTP itself does not allow. */
+	function handleHead(message: IncomingMessage, response: ServerResponse, status?: number): void {
 		const {socket} = message;
 		if (!connections.tryAddRequest(socket)) {
 			return;
@@ -263,7 +265,23 @@
 			// The caller disconnected; the `close` event follows and is handled there.
 		});
 		drainUnreadBody(message, response);
-		void receiveRequest(message, response);
+		if (status === undefined) {
+			void receiveRequest(message, response);
+			return;
+		}
+
+		response.writeHead(status, {connection: 'close'});
+		response.end();
+	}
+
+	// What the HTTP server would answer itself, requests without a host and with other expectations, counts among a connection's requests.
+	const server = http.createServer({
+		maxHeaderSize: maximumHeaderBytes, requestTimeout: 0, keepAlive: true, noDelay: true, connectionsCheckingInterval: headerCheckIntervalMs, requireHostHeader: false,
+	}, (message, response) => {
+		handleHead(message, response, message.headers.host === undefined && message.httpVersion === '1.1' ? badRequestStatus : undefined);
+	});
+	server.on('checkExpectation', (message: IncomingMessage, response: ServerResponse) => {
+		handleHead(message, response, expectationFailedStatus);
 	});
 	server.on('connection', connections.add);
 	const port = await listen(server, {...address, backlog: connectionBacklog});
