Count the heads of requests, and all requests that wait behind others

Cause: a request counted 8 KiB whatever its head; one of 1,000 short fields (13 KB, within the configured limit) takes about 0.2 MB. What is refused behind an open request of its connection wasn't counted at all. The bound on connections assumed one request each, but up to 16 pipelined ones may each have a connection to a server. Change: a request counts its head by characters and fields. One that would have to give way behind another response gives way with its connection; refusals that wait there count for the connection. A request that waits behind another counts as one more connection, and the connection that exceeds the bound by it is closed.

--- a/packages/core/src/gateway/caller-memory.ts
+++ b/packages/core/src/gateway/caller-memory.ts
@@ -42,6 +42,21 @@
 	return memoryMb === undefined ? Number.POSITIVE_INFINITY : Math.max(callerShare * ((memoryMb * bytesPerMegabyte) - processBytes), minimumBodies * maximumBodyBytes);
 }
 
+/** Memory that a request takes besides its head and its body. */
+const requestBytes = 8192;
+/** Memory that a name or a value in a head takes besides its characters, with its place in the table of the fields. */
+const headPartBytes = 96;
+
+/** Returns the memory that a request with this head takes, without its body. */
+export function getRequestBytes(rawHeaders: readonly string[]): number {
+	let bytes = requestBytes;
+	for (const part of rawHeaders) {
+		bytes += headPartBytes + part.length;
+	}
+
+	return bytes;
+}
+
 /** Descriptors, of those that a process may have, for files and for its own connections to peers and to the platform. */
 const ownDescriptors = 264;
 const minimumConnections = 16;
--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -14,6 +14,8 @@
 	add(socket: Socket): void;
 	/** Records a request whose head has arrived. Returns false, and closes the connection, if too many of its requests wait. */
 	tryAddRequest(socket: Socket): boolean;
+	/** Adds what refused requests hold whose refusals wait behind another response, until no request of the connection is left. */
+	addWaitingBytes(socket: Socket, bytes: number): void;
 	/** Records that the response to a request is complete. */
 	removeRequest(socket: Socket): void;
 	close(): void;
@@ -35,6 +37,7 @@
 
 type Connection = {
 	openRequests: number;
+	waitingBytes: number;
 	/** Bytes that were read when the last head had arrived or the last response was complete. */
 	bytesBeforeHead: number;
 	readonly giveWay: GiveWay;
@@ -60,17 +63,27 @@
 	/** Connections without a request, the one that has been so for longest first. */
 	const idleSockets = new Set<Socket>();
 
+	/** Requests that wait behind another one of their connection. Each may have a connection to a server, too. */
+	let waitingRequests = 0;
+
 	function closeFurthestBehind(newest: Socket): void {
 		const [oldestIdle] = idleSockets;
 		const furthest = oldestIdle === newest ? host.memory.tryTakeFurthestBehind(performance.now()) : connections.get(oldestIdle ?? newest)?.giveWay;
 		(furthest ?? connections.get(newest)?.giveWay)?.('connections');
 	}
 
+	function setHeldBytes({giveWay}: Connection, bytes: number, now: number): void {
+		for (const holder of host.memory.setHeld(giveWay, bytes, now)) {
+			holder('memory');
+		}
+	}
+
 	function removeConnection(socket: Socket): void {
 		const connection = connections.get(socket);
 		if (connection !== undefined) {
 			host.memory.remove(connection.giveWay);
 			connections.delete(socket);
+			waitingRequests -= Math.max(0, connection.openRequests - 1);
 			idleSockets.delete(socket);
 		}
 	}
@@ -81,9 +94,7 @@
 			const connection = connections.get(socket);
 			const headBytes = connection === undefined ? 0 : Math.min(host.maximumHeadBytes, socket.bytesRead - connection.bytesBeforeHead);
 			if (connection !== undefined && headBytes > 0) {
-				for (const giveWay of host.memory.setHeld(connection.giveWay, headBytes, now)) {
-					giveWay('memory');
-				}
+				setHeldBytes(connection, headBytes, now);
 			}
 		}
 	}, headCheckIntervalMs);
@@ -92,6 +103,7 @@
 		add(socket) {
 			connections.set(socket, {
 				openRequests: 0,
+				waitingBytes: 0,
 				bytesBeforeHead: 0,
 				giveWay(bound) {
 					host.recordBound(bound);
@@ -113,10 +125,14 @@
 				return false;
 			}
 
-			host.memory.remove(connection.giveWay);
+			if (connection.openRequests === 0) {
+				host.memory.remove(connection.giveWay);
+			}
+
 			idleSockets.delete(socket);
 			connection.openRequests += 1;
-			if (connection.openRequests > maximumRequests) {
+			waitingRequests += connection.openRequests > 1 ? 1 : 0;
+			if (connection.openRequests > maximumRequests || (connection.openRequests > 1 && connections.size + waitingRequests > host.maximumConnections)) {
 				host.recordBound('pipelining');
 				stopParsing(socket);
 				socket.destroy();
@@ -125,14 +141,24 @@
 
 			return true;
 		},
+		addWaitingBytes(socket, bytes) {
+			const connection = connections.get(socket);
+			if (connection !== undefined) {
+				connection.waitingBytes += bytes;
+				setHeldBytes(connection, connection.waitingBytes, performance.now());
+			}
+		},
 		removeRequest(socket) {
 			const connection = connections.get(socket);
 			if (connection === undefined) {
 				return;
 			}
 
+			waitingRequests -= connection.openRequests > 1 ? 1 : 0;
 			connection.openRequests -= 1;
 			if (connection.openRequests === 0) {
+				host.memory.remove(connection.giveWay);
+				connection.waitingBytes = 0;
 				connection.bytesBeforeHead = socket.bytesRead;
 				idleSockets.add(socket);
 			}
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -3,7 +3,9 @@
 */
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import {drainUnreadBody} from '@currantcross/caller/unread-body';
-import {createCallerMemory, getBoundFailure, getCallerMemoryLimit} from '@currantcross/core/gateway/caller-memory';
+import {
+	createCallerMemory, getBoundFailure, getCallerMemoryLimit, getRequestBytes,
+} from '@currantcross/core/gateway/caller-memory';
 import {createNotRunFailure, type Failure} from '@currantcross/core/errors';
 import {listen} from '@currantcross/core/listen';
 import type {ServingLimits} from '@currantcross/core/gateway/gateway-types';
@@ -61,8 +63,6 @@
 /** Added to the callers' idle timeout, so that no connection is closed while a caller sends a request on it. */
 const keepAliveMarginMs = 2000;
 
-/** Memory that an open request takes besides its body. */
-const requestBytes = 8192;
 /** Memory that the framing of an unfinished body without a length, and its trailers, may take. */
 const framingBytes = maximumHeaderBytes;
 /** Interval at which heads that take too long are looked for. */
@@ -74,6 +74,11 @@
 /** What the callers of a server may make it hold. */
 export type CallerBounds = Readonly<{memoryMb: number | undefined; maximumConnections: number}>;
 
+/** Returns whether the response waits behind another one of its connection, which has the socket until then. */
+function hasToWait(response: ServerResponse): boolean {
+	return (response.socket ?? undefined) === undefined;
+}
+
 /** Starts the server and returns once it listens. */
 export async function startCallerServer(address: SocketAddress, bounds: CallerBounds, host: CallerServerHost): Promise<CallerServer> {
 	const intake = createIntakeRunner();
@@ -130,6 +135,7 @@
 			return;
 		}
 
+		const requestBytes = getRequestBytes(message.rawHeaders);
 		const unfinishedBytes = requestBytes + (message.headers['transfer-encoding'] === undefined ? 0 : framingBytes);
 		const reading = bodyReader.read(message, maximumBodyBytes, bytes => {
 			setHeldBytes(giveWay, unfinishedBytes + bytes);
@@ -146,7 +152,8 @@
 			host.recordBound(bound);
 			refusePendingRequest(getBoundFailure(refusedCount));
 			refusedCount += 1;
-			if (bound === 'connections') {
+			// Behind another response a refusal would wait, and hold the head.
+			if (bound === 'connections' || hasToWait(response)) {
 				message.socket.destroy();
 			}
 		};
@@ -196,6 +203,10 @@
 
 	function refuseRequest(message: IncomingMessage, response: ServerResponse, head: CallerHead, failure: Failure): void {
 		host.recordRefusal(head, failure);
+		if (hasToWait(response)) {
+			connections.addWaitingBytes(message.socket, getRequestBytes(message.rawHeaders));
+		}
+
 		createCallerExchange({message, head, body: new Uint8Array(0)}, response, exchangeHost).fail(failure);
 	}
 
@@ -227,7 +238,7 @@
 	function startRequest(exchange: CallerExchange, response: ServerResponse, arrival: RequestArrival): void {
 		const {socket} = exchange.message;
 		openExchanges.add(exchange);
-		const keptBytes = requestBytes + exchange.body.length;
+		const keptBytes = getRequestBytes(exchange.message.rawHeaders) + exchange.body.length;
 		memory.addKept(keptBytes);
 		const notifyDisconnect = host.handleRequest(exchange, arrival);
 		let isClosed = false;
