Test both bounds on the requests of a connection that wait

The test of 16 waiting requests allowed 10 connections in all, which waiting requests now count among: it allows 100 for that bound, and the bound of 10 has a case of its own, one request over it.

--- a/packages/gateway/src/caller-connections.test.ts
+++ b/packages/gateway/src/caller-connections.test.ts
@@ -10,10 +10,13 @@
 import {createCallerConnections, type GiveWay} from './caller-connections.js';
 
 // Guards against a connection that is closed for its pipelined requests, and all of whose heads become requests nevertheless.
-test('a connection with too many requests that wait is closed, and none of its further heads becomes a request', async () => {
+test.each([
+	{maximumConnections: 100, handled: 17, limit: 'the limit of 16'},
+	{maximumConnections: 10, handled: 11, limit: 'that of 10 for connections and waiting requests together'},
+])('a connection whose waiting requests exceed $limit is closed, and none of its further heads becomes a request', async ({maximumConnections, handled}) => {
 	const bounds: string[] = [];
 	const connections = createCallerConnections({
-		maximumConnections: 10,
+		maximumConnections,
 		maximumHeadBytes: 65_536,
 		memory: createCallerMemory<GiveWay>(),
 		recordBound(bound) {
@@ -35,5 +38,5 @@
 	connections.close();
 	server.close();
 	expect(bounds).toEqual(['pipelining']);
-	expect(requests).toBe(17);
+	expect(requests).toBe(handled);
 });
