--- a/packages/gateway/src/caller-server.test.ts
+++ b/packages/gateway/src/caller-server.test.ts
@@ -1,8 +1,8 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import net from 'node:net';
+import type {CallerBound} from '@currantcross/caller/caller-connections';
 import {afterEach, expect, test} from 'vitest';
-import type {CallerBound} from './caller-connections.js';
 import {startCallerServer, type CallerServer} from './caller-server.js';
 import type {WireFormat} from './gateway-hosts.js';
 
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -2,6 +2,8 @@
 HTTP server for callers. Reads each request completely, within the configured limits, and passes it to its host.
 */
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import {createBodyReader} from '@currantcross/caller/body-reader';
+import {createCallerConnections, type CallerBound, type GiveWay} from '@currantcross/caller/caller-connections';
 import {drainUnreadBody} from '@currantcross/caller/unread-body';
 import {
 	createCallerMemory, getBoundFailure, getCallerMemoryLimit, getRequestBytes,
@@ -10,8 +12,6 @@
 import {listen} from '@currantcross/core/listen';
 import type {ServingLimits} from '@currantcross/core/gateway/gateway-types';
 import type {Milliseconds, Timestamp} from '@currantcross/core/types';
-import {createBodyReader} from './body-reader.js';
-import {createCallerConnections, type CallerBound, type GiveWay} from './caller-connections.js';
 import {createCallerExchange, type CallerExchange} from './caller-exchange.js';
 import type {CallerHead, WireFormat} from './gateway-hosts.js';
 import {createIntakeRunner} from './intake-runner.js';
