--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -3,14 +3,16 @@
 */
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import {setImmediate as setImmediatePromise} from 'node:timers/promises';
+import {createBodyReader} from '@currantcross/caller/body-reader';
+import {createCallerConnections, type CallerBound, type GiveWay} from '@currantcross/caller/caller-connections';
 import {drainUnreadBody} from '@currantcross/caller/unread-body';
-import {createCallerMemory, getBoundFailure, getCallerMemoryLimit} from '@currantcross/core/gateway/caller-memory';
+import {
+	createCallerMemory, getBoundFailure, getCallerMemoryLimit, getRequestBytes,
+} from '@currantcross/core/gateway/caller-memory';
 import {createNotRunFailure, type Failure} from '@currantcross/core/errors';
 import {listen} from '@currantcross/core/listen';
 import type {ServingLimits} from '@currantcross/core/gateway/gateway-types';
 import type {Milliseconds, Timestamp} from '@currantcross/core/types';
-import {createBodyReader} from './body-reader.js';
-import {createCallerConnections, type CallerBound, type GiveWay} from './caller-connections.js';
 import {createCallerExchange, type CallerExchange} from './caller-exchange.js';
 import type {CallerHead, WireFormat} from './gateway-hosts.js';
 import {createIntakeRunner} from './intake-runner.js';
@@ -69,16 +71,22 @@
 /** Time without a new connection after which none is taken to wait. */
 const quietMs = 5;
 
-/** Memory that an open request takes besides its body. */
-const requestBytes = 8192;
 /** Memory that the framing of an unfinished body without a length, and its trailers, may take. */
 const framingBytes = maximumHeaderBytes;
 /** Interval at which heads that take too long are looked for. */
 const headerCheckIntervalMs = 1000;
 
+const badRequestStatus = 400;
+const expectationFailedStatus = 417;
+
 /** What the callers of a server may make it hold. */
 export type CallerBounds = Readonly<{memoryMb: number | undefined; maximumConnections: number}>;
 
+/** Returns whether the response waits behind another one of its connection, which has the socket until then. */
+function hasToWait(response: ServerResponse): boolean {
+	return (response.socket ?? undefined) === undefined;
+}
+
 /** Starts the server and returns once it listens. */
 export async function startCallerServer(address: SocketAddress, bounds: CallerBounds, host: CallerServerHost): Promise<CallerServer> {
 	const intake = createIntakeRunner();
@@ -136,6 +144,7 @@
 			return;
 		}
 
+		const requestBytes = getRequestBytes(message.rawHeaders);
 		const unfinishedBytes = requestBytes + (message.headers['transfer-encoding'] === undefined ? 0 : framingBytes);
 		const reading = bodyReader.read(message, maximumBodyBytes, bytes => {
 			setHeldBytes(giveWay, unfinishedBytes + bytes);
@@ -152,7 +161,8 @@
 			host.recordBound(bound);
 			refusePendingRequest(getBoundFailure(refusedCount));
 			refusedCount += 1;
-			if (bound === 'connections') {
+			// Behind another response a refusal would wait, and hold the head.
+			if (bound === 'connections' || hasToWait(response)) {
 				message.socket.destroy();
 			}
 		};
@@ -202,6 +212,12 @@
 
 	function refuseRequest(message: IncomingMessage, response: ServerResponse, head: CallerHead, failure: Failure): void {
 		host.recordRefusal(head, failure);
+		if (hasToWait(response)) {
+			connections.addWaitingBytes(message.socket, getRequestBytes(message.rawHeaders));
+		}
+
+		// What is left of the body is discarded from now on; unread, each of its chunks would be an object until the response is sent.
+		message.resume();
 		createCallerExchange({message, head, body: new Uint8Array(0)}, response, exchangeHost).fail(failure);
 	}
 
@@ -233,7 +249,7 @@
 	function startRequest(exchange: CallerExchange, response: ServerResponse, arrival: RequestArrival): void {
 		const {socket} = exchange.message;
 		openExchanges.add(exchange);
-		const keptBytes = requestBytes + exchange.body.length;
+		const keptBytes = getRequestBytes(exchange.message.rawHeaders) + exchange.body.length;
 		memory.addKept(keptBytes);
 		const notifyDisconnect = host.handleRequest(exchange, arrival);
 		let isClosed = false;
@@ -257,9 +273,8 @@
 		response.once('close', handleClose);
 	}
 
-	const server = http.createServer({
-		maxHeaderSize: maximumHeaderBytes, requestTimeout: 0, keepAlive: true, noDelay: true, connectionsCheckingInterval: headerCheckIntervalMs,
-	}, (message, response) => {
+	/** Handles the head of a request that has arrived. With a status that request is refused which HTTP itself does not allow. */
+	function handleHead(message: IncomingMessage, response: ServerResponse, status?: number): void {
 		const {socket} = message;
 		if (!connections.tryAddRequest(socket)) {
 			return;
@@ -272,7 +287,24 @@
 			// The caller disconnected; the `close` event follows and is handled there.
 		});
 		drainUnreadBody(message, response);
-		void receiveRequest(message, response);
+		if (status === undefined) {
+			void receiveRequest(message, response);
+			return;
+		}
+
+		message.resume();
+		response.writeHead(status, {connection: 'close'});
+		response.end();
+	}
+
+	// What the HTTP server would answer itself, requests without a host and with other expectations, counts among a connection's requests.
+	const server = http.createServer({
+		maxHeaderSize: maximumHeaderBytes, requestTimeout: 0, keepAlive: true, noDelay: true, connectionsCheckingInterval: headerCheckIntervalMs, requireHostHeader: false,
+	}, (message, response) => {
+		handleHead(message, response, message.headers.host === undefined && message.httpVersion === '1.1' ? badRequestStatus : undefined);
+	});
+	server.on('checkExpectation', (message: IncomingMessage, response: ServerResponse) => {
+		handleHead(message, response, expectationFailedStatus);
 	});
 	server.on('connection', socket => {
 		acceptedCount += 1;
