Let no prompt wait beyond the last retry at which it can meet its target

Cause, found in review: a prompt that waits for more urgent ones was kept waiting as long as it could meet its target if it were placed now, but it is placed at the next retry, up to 200 ms later. With 8 urgent streams on each of four servers, a prompt of 45,000 tokens with a target of 1,500 ms was placed 1,000 ms after its arrival and predicted to be late.

Change: whether it can still meet its target is asked for the time of the next retry.

--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -208,7 +208,7 @@
 			firstEventMs,
 			interferenceCost: isBehind ? Number.POSITIVE_INFINITY : getUrgentInterferenceCost(engine, loads, prefillMs, urgency),
 			ownWeight: getLatenessWeight(request.prompt?.promptTokens ?? 0),
-		}, now);
+		}, waitingPrompts.getRetryAt(now));
 	}
 
 	/** Adds a request to the prompts that wait. */
--- a/packages/core/src/gateway/urgency.ts
+++ b/packages/core/src/gateway/urgency.ts
@@ -100,15 +100,15 @@
 export type WaitCase = Readonly<{firstEventMs: Milliseconds; interferenceCost: number; ownWeight: number}>;
 
 /**
-Returns whether a prompt waits since it would cost more urgent ones more than it is worth itself. It waits only while it can
-still meet its own target afterwards, so that no stream of urgent requests keeps it from being served.
+Returns whether a prompt waits since it would cost more urgent ones more than it is worth itself. It waits only if it can
+still meet its own target when it is retried, so that no stream of urgent requests keeps it from being served.
 */
 export function isWaitingForUrgent(
 	{route, arrivedAt}: Pick<GatewayRequest, 'route' | 'arrivedAt'>,
 	{firstEventMs, interferenceCost, ownWeight}: WaitCase,
-	now: Timestamp,
+	retryAt: Timestamp,
 ): boolean {
-	return interferenceCost > ownWeight && now + (firstEventMs * waitMarginFactor) < arrivedAt + route.objectiveMs;
+	return interferenceCost > ownWeight && retryAt + (firstEventMs * waitMarginFactor) < arrivedAt + route.objectiveMs;
 }
 
 /** Returns whether a prompt can wait until the servers that are not left to more urgent ones have memory for it. */
