Leave servers to urgent requests that came to other gateways

Change: the start of a request at another gateway counts as an arrival of its urgency, by the service of its endpoint.

--- a/packages/core/src/gateway/endpoint-registry.ts
+++ b/packages/core/src/gateway/endpoint-registry.ts
@@ -50,6 +50,8 @@
 	/** Returns all ready endpoints of a service, including those avoided after a failure. */
 	getListed(service: string): readonly ListedEndpoint[];
 	findByAddress(address: string): ListedEndpoint | undefined;
+	/** Returns the service of an endpoint, or `undefined` if it isn't listed. */
+	tryGetService(id: EndpointId): string | undefined;
 	recordFailure(id: EndpointId, now: Timestamp): void;
 	/** Records that the endpoint could not be reached. Returns whether this is news. */
 	recordUnreachable(id: EndpointId, now: Timestamp): boolean;
@@ -210,6 +212,7 @@
 		},
 		getListed: service => getReady(service).map(({listed}) => listed),
 		findByAddress: address => [...endpointsById.values()].find(({listed}) => listed.address === address)?.listed,
+		tryGetService: id => endpointsById.get(id)?.listed.service,
 		recordFailure(id, now) {
 			const endpoint = endpointsById.get(id);
 			if (endpoint !== undefined) {
--- a/packages/core/src/gateway/waiting-prompts.test.ts
+++ b/packages/core/src/gateway/gateway-urgency.test.ts
@@ -1,5 +1,5 @@
 /**
-Prompts that wait at a gateway for more urgent ones, and what becomes of them in the end.
+What a gateway does with less urgent prompts beside more urgent ones: where they go, and how long they wait.
 */
 import process from 'node:process';
 import fc from 'fast-check';
@@ -40,17 +40,19 @@
 	return gateway;
 }
 
-type Outcome = Readonly<{kind: GatewayAction['kind'] | undefined; at: Timestamp; firstEventMs: Milliseconds}>;
+type Outcome = Readonly<{kind: GatewayAction['kind'] | undefined; at: Timestamp; firstEventMs: Milliseconds; addresses: readonly string[]}>;
 
 /** Runs a gateway with one request until this is sent or refused. */
 function runRequest(gateway: Gateway, request: GatewayRequest): Outcome {
 	let at = request.arrivedAt;
 	let firstEventMs = 0;
+	let addresses: readonly string[] = [];
 	let kind: GatewayAction['kind'] | undefined;
 	let actions = gateway.step({kind: 'requestArrived', request}, at);
 	while (kind === undefined && at < request.deadlineAt) {
 		for (const action of actions) {
 			kind = action.kind === 'send' || action.kind === 'reserveMemory' || action.kind === 'failRequest' ? action.kind : kind;
+			addresses = action.kind === 'send' ? [action.endpoint, ...action.helpers].map(({address}) => address) : addresses;
 			firstEventMs = action.kind === 'reportDecision' && action.decision.kind === 'placed' ? action.decision.firstEventMs : firstEventMs;
 		}
 
@@ -60,7 +62,9 @@
 		}
 	}
 
-	return {kind, at, firstEventMs};
+	return {
+		kind, at, firstEventMs, addresses,
+	};
 }
 
 // Guards against a wait that lasts to a retry at which the target can't be met any more.
@@ -73,3 +77,16 @@
 		expect(at + firstEventMs).toBeLessThanOrEqual(arrivedAt + middleRoute.objectiveMs);
 	}), parameters);
 });
+
+// Guards against a gateway that lets a long prompt take every server since the urgent requests arrive at other gateways.
+test('a long prompt leaves a server to urgent requests, also if these came to another gateway and have ended', () => {
+	const gateway = createLoadedGateway([], 900);
+	const request = createFixtureGatewayRequest({...longRoute, objectiveMs: 1200}, {arrivedAt: 2000, prompt: {promptTokens: 180_000, maximumTokens: 1000}});
+	const work = {
+		id: 1, endpoint: 'models-0', helpers: [], promptTokens: 5000, readMs: 34, longestPauseMs: 250, priority: 0, serviceMs: 0,
+	};
+	gateway.step({kind: 'peerChanged', gateway: 'gateway-2', changes: [{kind: 'started', work}, {kind: 'ended', id: 1}]}, 1000);
+	const used = runRequest(gateway, request).addresses;
+	expect(used).toHaveLength(3);
+	expect(runRequest(createLoadedGateway([], 900), request).addresses).toHaveLength(4);
+});
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -300,6 +300,16 @@
 		}
 	}
 
+	/** Records the urgency of requests that have arrived at another gateway. */
+	function recordPeerArrivals(changes: readonly PeerChange[], now: Timestamp): void {
+		for (const change of changes) {
+			const service = change.kind === 'started' ? registry.tryGetService(change.work.endpoint) : undefined;
+			if (change.kind === 'started' && service !== undefined && hasUrgency(getLevels(service))) {
+				urgentRoom.recordArrival({service, priority: change.work.priority}, now);
+			}
+		}
+	}
+
 	/** Counts the requests of a send: to its receiver, and the parts that reach its helpers. */
 	function recordColdSends({endpoint, helpers}: OpenWork, now: Timestamp): void {
 		cold?.recordSend(endpoint, now);
@@ -510,6 +520,7 @@
 					recordStarts(event.changes, now);
 				}
 
+				recordPeerArrivals(event.changes, now);
 				return event.changes.flatMap(change => applyPeerChange(event.gateway, change, now));
 			}
 
--- a/packages/core/src/gateway/urgent-room.ts
+++ b/packages/core/src/gateway/urgent-room.ts
@@ -21,8 +21,8 @@
 export type RoomRequest = Pick<PromptDemand, 'promptTokens' | 'urgency'> & Readonly<{service: string}>;
 
 export type UrgentRoom = Readonly<{
-	/** Records that callers send requests of this urgency. */
-	recordArrival(request: GatewayRequest, now: Timestamp): void;
+	/** Records that callers send requests of this urgency, to this or another gateway. */
+	recordArrival(request: Pick<GatewayRequest, 'service' | 'priority'>, now: Timestamp): void;
 	/** Returns the candidates that a prompt may use. */
 	getOpenCandidates(engine: EngineProfile, candidates: readonly Candidate[], request: RoomRequest, now: Timestamp): readonly Candidate[];
 }>;
