Compare a first event with its prediction at usual pace, queue included

Cause: the prediction was divided by the server's pace as a whole, though its wait for a slot isn't scaled by the pace. Change: a placement carries the predicted first event with all endpoints at usual pace, the slowest part's. Off as before unless workRouting is on.

--- a/packages/core/src/gateway/placement.ts
+++ b/packages/core/src/gateway/placement.ts
@@ -35,6 +35,8 @@
 	serviceMs?: Milliseconds;
 	/** Pace of the endpoint that is part of the predictions; 1 if absent. */
 	pace?: number;
+	/** Predicted time to the first event if all endpoints had their usual pace; absent if paces aren't known. */
+	usualFirstEventMs?: Milliseconds;
 	/** Whether all slots of the endpoint were taken; absent if it doesn't matter. */
 	isQueued?: boolean;
 }>;
@@ -55,8 +57,8 @@
 /** Helper slots that are left for requests not known yet; a server can help with as many requests as it has slots. */
 const spareHelperSlots = 3;
 
-/** A part of a prompt, the server that would prefill it, and the cost and completion time there. */
-type PromptPart = Readonly<{candidate: Candidate; cost: number; readyMs: Milliseconds}>;
+/** A part of a prompt, the server that would prefill it, the cost and completion time there, and that at its usual pace. */
+type PromptPart = Readonly<{candidate: Candidate; cost: number; readyMs: Milliseconds; usualReadyMs: Milliseconds}>;
 
 type PlacementOption = Readonly<{placement: Placement; cost: number}>;
 
@@ -76,8 +78,12 @@
 	const prefillMs = getPrefillMs(engine, demand.promptTokens) / (helperCount + 1);
 	const fitting = helperCount > 0 ? candidates : candidates.filter(({load}) => getFreeTokens(engine, load) >= demand.promptTokens);
 	const receivers = fitting.map((candidate): PromptPart => {
-		const readyMs = (getPartPrefillMs(engine, candidate.load, prefillMs) * (candidate.pace ?? 1)) + getSlotWaitMs(engine, candidate.load);
-		return {candidate, readyMs, cost: getReceiverCost(engine, candidate, demand, {prefillMs, idleScarcity}) + getDelayCost(weight, readyMs, demand)};
+		const partMs = getPartPrefillMs(engine, candidate.load, prefillMs);
+		const slotWaitMs = getSlotWaitMs(engine, candidate.load);
+		const readyMs = (partMs * (candidate.pace ?? 1)) + slotWaitMs;
+		return {
+			candidate, readyMs, usualReadyMs: partMs + slotWaitMs, cost: getReceiverCost(engine, candidate, demand, {prefillMs, idleScarcity}) + getDelayCost(weight, readyMs, demand),
+		};
 	});
 	const receiver = findCheapest(receivers);
 	if (receiver === undefined) {
@@ -87,8 +93,11 @@
 	const helperParts = helperCount === 0
 		? []
 		: candidates.filter(candidate => candidate !== receiver.candidate && candidate.isCold !== true && candidate.load.helpedRequests < engine.slots - spareHelperSlots).map((candidate): PromptPart => {
-			const readyMs = getPartPrefillMs(engine, candidate.load, prefillMs) * (candidate.pace ?? 1);
-			return {candidate, readyMs, cost: getDecodingPenalty(engine, candidate.load, prefillMs, demand.urgency) + getDelayCost(weight, readyMs, demand)};
+			const usualReadyMs = getPartPrefillMs(engine, candidate.load, prefillMs);
+			const readyMs = usualReadyMs * (candidate.pace ?? 1);
+			return {
+				candidate, readyMs, usualReadyMs, cost: getDecodingPenalty(engine, candidate.load, prefillMs, demand.urgency) + getDelayCost(weight, readyMs, demand),
+			};
 		});
 	const helpers = helperParts.toSorted(compareParts).slice(0, helperCount);
 	if (helpers.length < helperCount) {
@@ -112,7 +121,7 @@
 			prefillMs,
 			firstEventMs,
 			interferenceCost,
-			...(receiver.candidate.pace === undefined ? {} : {pace: receiver.candidate.pace}),
+			...(receiver.candidate.pace === undefined ? {} : {pace: receiver.candidate.pace, usualFirstEventMs: Math.max(...parts.map(({usualReadyMs}) => usualReadyMs))}),
 		},
 		cost: partCosts + getDelayCost(weight, firstEventMs, demand) + (helperCount * additionalHelperCost) + blockingCost
 			+ (reserved.filter(tokens => tokens > 0).length * getReservationCost(weight)),
--- a/packages/core/src/gateway/work-routing.test.ts
+++ b/packages/core/src/gateway/work-routing.test.ts
@@ -9,6 +9,7 @@
 import {createLoadView} from './load-view.js';
 import {findPromptPlacement, type Placement} from './placement.js';
 import {createServiceTimes, type RequestClass} from './service-times.js';
+import {singleLevel} from './urgency.js';
 import {createWorkRouting} from './work-routing.js';
 
 const shop = createFixtureEndpoints('shop', 3);
@@ -175,6 +176,21 @@
 		expect(findPlacement(setup, 60)?.serviceMs).toBeUndefined();
 	});
 
+	const idleCandidates = createFixtureEndpoints('models', 3).map(endpoint => ({endpoint, load: createLoadView().getLoad(endpoint.id, 0), rank: 0}));
+
+	// Guards against a wait for a slot that is divided by the pace, so that a slow endpoint looks slower still.
+	test('compares a response with a prediction in which only the work of a slow endpoint takes longer, and its queue doesn\'t', () => {
+		const load = {
+			requests: 40, prefillBacklogMs: 0, helpedRequests: 0, decodingSequences: [], memoryTokens: 0,
+		};
+		const demand = {
+			promptTokens: 5000, objectiveMs: 300, longestPauseMs: 250, remainingMs: 10_000, dataCentre: 'east', urgency: {priority: 1, levels: singleLevel},
+		};
+		const [usual, slow] = [1, 4].map(pace => findPromptPlacement(fixtureEngine, idleCandidates.slice(0, 1).map(candidate => ({...candidate, load, pace})), demand));
+		expect(slow?.usualFirstEventMs).toBeCloseTo(usual?.firstEventMs ?? 0);
+		expect(slow?.firstEventMs).toBeGreaterThan(usual?.firstEventMs ?? 0);
+	});
+
 	test('learns nothing of a prompt that several servers process', () => {
 		const [endpoint, helper] = createFixtureEndpoints('models', 2);
 		if (endpoint === undefined || helper === undefined) {
--- a/packages/core/src/gateway/work-routing.ts
+++ b/packages/core/src/gateway/work-routing.ts
@@ -76,9 +76,9 @@
 	}
 
 	/** Returns the predicted time of a response at an endpoint of usual pace, or `undefined` if several endpoints or a queue had a part in it. */
-	function tryGetPredictedMs({prompt}: GatewayRequest, {helpers, firstEventMs, pace = 1, serviceMs, isQueued = false}: Placement): Milliseconds | undefined {
+	function tryGetPredictedMs({prompt}: GatewayRequest, {helpers, usualFirstEventMs, serviceMs, isQueued = false}: Placement): Milliseconds | undefined {
 		if (prompt !== undefined) {
-			return helpers.length === 0 && firstEventMs > 0 ? firstEventMs / pace : undefined;
+			return helpers.length === 0 ? usualFirstEventMs : undefined;
 		}
 
 		return isQueued ? undefined : serviceMs;
@@ -105,7 +105,7 @@
 		}, now);
 		const report: GatewayAction = {
 			kind: 'reportTiming', report: {
-				route: request.route.name, endpoint, predictedMs: predictedMs * (placement.pace ?? 1), observedMs, pace: paces.getPace(endpoint, now), isTold: change !== undefined,
+				route: request.route.name, endpoint, predictedMs: request.prompt === undefined ? predictedMs * (placement.pace ?? 1) : placement.firstEventMs, observedMs, pace: paces.getPace(endpoint, now), isTold: change !== undefined,
 			},
 		};
 		return change === undefined ? [report] : [report, {kind: 'publishChange', change}];
