Learn the pace of servers from split prompts, pauses and overdue responses

Cause: a split prompt taught nothing of its servers, a stream nothing after its first event, and a server whose callers leave before the first event was taken for usual, since only responses were learned from. Change: a split prompt in time shows that none of its servers is slow; the delay of a late one is shared out, mostly to those that are slow already. The median of eight pauses is compared with the predicted pass, unless the server has prompts to prefill. A send that is given up without an event teaches a lower bound. Times count from the sending, not from the reservation of memory before it. Each source has a common deviation of its own. paceObserved names the source; two counters count observations and messages by source. The test that a split prompt teaches nothing is replaced by what it teaches now; the tests of paces take the new form of observations.

--- a/packages/core/src/gateway/endpoint-pace.ts
+++ b/packages/core/src/gateway/endpoint-pace.ts
@@ -4,33 +4,44 @@
 The load that it answers: endpoints of one service that are uneven, and some that turn slow for seconds. Deviations that all
 endpoints of a service have in common, as under overload, belong to the prediction and not to an endpoint, and are taken out.
 A gateway sees an endpoint seldom when there are many gateways, so each tells the others what deviates; that is
-forgotten within seconds, so that a recovered endpoint is tried again.
+forgotten within seconds, so that a recovered endpoint is tried again. A prompt that several servers process is as late as
+the slowest of them: in time, it shows that none of them is slow; late, its delay is shared out, mostly to those that are slow already.
 */
 import {LRUCache} from 'lru-cache';
 import type {Milliseconds, Timestamp} from '../types.js';
 import type {EndpointId} from './gateway-types.js';
+import {getAverageRatio, getUpdatedAverage, type LogAverage} from './log-average.js';
 
 /** A response took `ratio` times as long as predicted for its service. */
 export type PaceChange = Readonly<{kind: 'paceObserved'; endpoint: EndpointId; ratio: number}>;
 
-export type PaceObservation = Readonly<{service: string; endpoint: EndpointId; predictedMs: Milliseconds; observedMs: Milliseconds}>;
+/** What was timed: the first event of a prompt at one server or at several, a whole response, or the pauses of a stream. */
+export type PaceSource = 'firstEvent' | 'splitFirstEvent' | 'response' | 'pauses';
+
+export type PaceObservation = Readonly<{
+	service: string;
+	source: PaceSource;
+	/** The endpoints that had a part in it. */
+	endpoints: readonly EndpointId[];
+	predictedMs: Milliseconds;
+	observedMs: Milliseconds;
+	/** Whether it was given up after the observed time, so that it would have taken longer. */
+	isMinimum: boolean;
+}>;
 
 export type EndpointPaces = Readonly<{
 	/** Returns the factor by which an endpoint is slower than predicted; 1 unless enough deviated. */
 	getPace(endpoint: EndpointId, now: Timestamp): number;
-	/** Learns from a response, and returns what the other gateways should know of it, if anything. */
-	learn(observation: PaceObservation, now: Timestamp): PaceChange | undefined;
+	/** Learns from a response, and returns what the other gateways should know of it. */
+	learn(observation: PaceObservation, now: Timestamp): readonly PaceChange[];
 	applyPeerChange(change: PaceChange, now: Timestamp): void;
 }>;
 
-/** Sum of the logarithms of ratios, and their number, each halved with age. */
-type LogAverage = Readonly<{sum: number; weight: number; updatedAt: Timestamp}>;
-
 const endpointHalfLifeMs: Milliseconds = 2000;
 const serviceHalfLifeMs: Milliseconds = 10_000;
-/** Number of observations of usual pace that an endpoint, or a service, starts with. */
-const endpointPriorWeight = 1;
-const servicePriorWeight = 4;
+/** Observations of usual pace that an endpoint, or a service, starts with. */
+const endpointPrior = {ratio: 1, weight: 1};
+const servicePrior = {ratio: 1, weight: 4};
 /** Part of each response that doesn't depend on the endpoint's pace: connections and delays of the network. */
 const allowanceMs: Milliseconds = 30;
 /** Ratios beyond these say no more than these. */
@@ -45,21 +56,6 @@
 const maximumTrackedEndpoints = 20_000;
 const maximumTrackedServices = 1000;
 
-function getUpdatedAverage(average: LogAverage | undefined, ratio: number, halfLifeMs: Milliseconds, now: Timestamp): LogAverage {
-	const {sum, weight, updatedAt} = average ?? {sum: 0, weight: 0, updatedAt: now};
-	const kept = 2 ** (-Math.max(0, now - updatedAt) / halfLifeMs);
-	return {sum: (sum * kept) + Math.log(ratio), weight: (weight * kept) + 1, updatedAt: now};
-}
-
-function getRatio(average: LogAverage | undefined, halfLifeMs: Milliseconds, priorWeight: number, now: Timestamp): number {
-	if (average === undefined) {
-		return 1;
-	}
-
-	const kept = 2 ** (-Math.max(0, now - average.updatedAt) / halfLifeMs);
-	return Math.exp(average.sum * kept / ((average.weight * kept) + priorWeight));
-}
-
 function isDeviation(ratio: number, deviation: number): boolean {
 	return ratio > deviation || ratio < 1 / deviation;
 }
@@ -68,37 +64,68 @@
 	return Math.min(maximumRatio, Math.max(minimumRatio, ratio));
 }
 
+/** Returns the ratio that an observation shows of each of the endpoints of the given paces. */
+function getSharedRatios(ratio: number, paces: readonly number[]): readonly number[] {
+	if (paces.length <= 1 || ratio <= usualDeviation) {
+		return paces.map(() => ratio);
+	}
+
+	const total = paces.reduce((sum, pace) => sum + (pace * pace), 0);
+	return paces.map(pace => ratio ** (pace * pace / total));
+}
+
 /** Creates a record in which all endpoints have their usual pace. */
 export function createEndpointPaces(): EndpointPaces {
-	const endpoints = new LRUCache<EndpointId, LogAverage>({max: maximumTrackedEndpoints});
+	const averages = new LRUCache<EndpointId, LogAverage>({max: maximumTrackedEndpoints});
+	/** Common deviation of each service, by what is timed. */
 	const services = new LRUCache<string, LogAverage>({max: maximumTrackedServices});
 	const toldAt = new LRUCache<EndpointId, Timestamp>({max: maximumTrackedEndpoints});
 
 	function getPace(endpoint: EndpointId, now: Timestamp): number {
-		const ratio = getRatio(endpoints.get(endpoint), endpointHalfLifeMs, endpointPriorWeight, now);
+		const ratio = getAverageRatio(averages.get(endpoint), endpointPrior, endpointHalfLifeMs, now);
 		return isDeviation(ratio, usualDeviation) ? ratio : 1;
 	}
 
+	function record(endpoint: EndpointId, ratio: number, now: Timestamp): void {
+		averages.set(endpoint, getUpdatedAverage(averages.get(endpoint), ratio, endpointHalfLifeMs, now));
+	}
+
+	/** Records what a response shows of one endpoint, and returns whether the other gateways should know. */
+	function learnRatio(endpoint: EndpointId, ratio: number, isOutlier: boolean, now: Timestamp): boolean {
+		// A usual response of an endpoint that was slow shows that it has recovered.
+		const isNews = isOutlier || getPace(endpoint, now) !== 1;
+		record(endpoint, ratio, now);
+		if (!isNews || now - (toldAt.get(endpoint) ?? Number.NEGATIVE_INFINITY) < toldIntervalMs) {
+			return false;
+		}
+
+		toldAt.set(endpoint, now);
+		return true;
+	}
+
 	return {
 		getPace,
-		learn({service, endpoint, predictedMs, observedMs}, now) {
+		learn({service, source, endpoints, predictedMs, observedMs, isMinimum}, now) {
 			const absoluteRatio = getBoundedRatio((observedMs + allowanceMs) / (predictedMs + allowanceMs));
-			const ratio = getBoundedRatio(absoluteRatio / getRatio(services.get(service), serviceHalfLifeMs, servicePriorWeight, now));
-			services.set(service, getUpdatedAverage(services.get(service), absoluteRatio, serviceHalfLifeMs, now));
-			const wasUsual = getPace(endpoint, now) === 1;
-			endpoints.set(endpoint, getUpdatedAverage(endpoints.get(endpoint), ratio, endpointHalfLifeMs, now));
-			// A usual response of an endpoint that was slow shows that it has recovered.
-			const isNews = isDeviation(ratio, toldDeviation) || !wasUsual;
-			if (!isNews || now - (toldAt.get(endpoint) ?? Number.NEGATIVE_INFINITY) < toldIntervalMs) {
-				return undefined;
+			const key = `${service}\n${source}`;
+			const relativeRatio = getBoundedRatio(absoluteRatio / getAverageRatio(services.get(key), servicePrior, serviceHalfLifeMs, now));
+			// Of several servers, an early response shows no more than one in time.
+			const ratio = endpoints.length > 1 ? Math.max(1, relativeRatio) : relativeRatio;
+			const paces = endpoints.map(endpoint => getPace(endpoint, now));
+			if (isMinimum && ratio <= Math.max(toldDeviation, ...paces)) {
+				return [];
 			}
 
-			toldAt.set(endpoint, now);
-			return {kind: 'paceObserved', endpoint, ratio};
+			services.set(key, getUpdatedAverage(services.get(key), absoluteRatio, serviceHalfLifeMs, now));
+			const shares = getSharedRatios(ratio, paces);
+			return endpoints.flatMap((endpoint, index): readonly PaceChange[] => {
+				const share = shares[index] ?? 1;
+				return learnRatio(endpoint, share, isDeviation(ratio, toldDeviation), now) ? [{kind: 'paceObserved', endpoint, ratio: share}] : [];
+			});
 		},
 		applyPeerChange({endpoint, ratio}, now) {
 			if (ratio > 0) {
-				endpoints.set(endpoint, getUpdatedAverage(endpoints.get(endpoint), getBoundedRatio(ratio), endpointHalfLifeMs, now));
+				record(endpoint, getBoundedRatio(ratio), now);
 			}
 		},
 	};
--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -21,7 +21,7 @@
 	GatewayAction, RequestEvent, SendId, SendResult, SilenceOutcome,
 } from './gateway-events.js';
 import {
-	getSilenceTimeoutMs, isStreamResponse, maximumEventBytes, minimumProgressBytes, parseEventNumber, silenceTimeouts, type SavedResponse, type Send,
+	getSilenceTimeoutMs, isStreamResponse, learnedPauses, maximumEventBytes, minimumProgressBytes, parseEventNumber, silenceTimeouts, type SavedResponse, type Send,
 } from './request-send.js';
 import type {RetryQuota} from './retry-quota.js';
 import type {WorkObservation} from './work-routing.js';
@@ -168,12 +168,14 @@
 			memory: createSendReservation(placement, sendId, now),
 			head: undefined,
 			sentAt: now,
+			dispatchedAt: undefined,
 			lastProgressAt: now,
 			checkAt: now,
 			isProbed: false,
 			unproductiveBytes: 0,
 			reportedOutcomes: new Set(),
 			hasEvents: false,
+			pausesMs: [],
 		};
 		current.checkAt = now + (current.memory === undefined ? getSilenceTimeoutMs(route, current) : reservationTimeoutMs);
 		excluded.add(placement.endpoint.id);
@@ -213,7 +215,9 @@
 	}
 
 	/** Sends the request to its endpoint; called once its memory is reserved. */
-	function dispatchSend({id, placement, memory}: Send, now: Timestamp): readonly GatewayAction[] {
+	function dispatchSend(dispatched: Send, now: Timestamp): readonly GatewayAction[] {
+		const {id, placement, memory} = dispatched;
+		dispatched.dispatchedAt = now;
 		const helpers = placement.helpers.map(({endpoint}) => ({
 			address: endpoint.address,
 			reservationId: memory?.reservations.find(reservation => reservation.endpoint === endpoint)?.id,
@@ -305,6 +309,7 @@
 			...recordWork({kind: 'ended', id: closedSend.id}, now),
 			...closedSend.memory?.reservations.map((reservation): GatewayAction => ({kind: 'releaseMemory', reservation})) ?? [],
 			createSendEndReport(request.key, closedSend, {result, mayHaveRun: !isKnownNotRun, detail}),
+			...learnOverdue(closedSend, result, now),
 		];
 	}
 
@@ -498,10 +503,13 @@
 		}
 
 		lastEventId = event.id ?? lastEventId;
-		longestPauseMs = Math.max(longestPauseMs, now - (previousEventAt ?? now));
+		const pauseMs = now - (previousEventAt ?? now);
+		longestPauseMs = Math.max(longestPauseMs, pauseMs);
 		previousEventAt = now;
 		const actions: GatewayAction[] = [];
-		if (!send.hasEvents) {
+		if (send.hasEvents) {
+			actions.push(...learnPause(send, pauseMs, now));
+		} else {
 			send.hasEvents = true;
 			firstEventAt ??= now;
 			context.registry.recordSuccess(send.placement.endpoint.id);
@@ -520,12 +528,35 @@
 			}, now);
 	}
 
-	function learnTime({placement, sentAt}: Send, now: Timestamp): readonly GatewayAction[] {
+	function learnTime({placement, sentAt, dispatchedAt}: Send, now: Timestamp): readonly GatewayAction[] {
 		return context.learnWork({
-			kind: 'responseTimed', request, placement, observedMs: now - sentAt,
+			kind: 'responseTimed', request, placement, observedMs: now - (dispatchedAt ?? sentAt),
 		}, now);
 	}
 
+	function learnPause(send: Send, pauseMs: Milliseconds, now: Timestamp): readonly GatewayAction[] {
+		send.pausesMs = [...send.pausesMs, pauseMs];
+		if (send.pausesMs.length < learnedPauses) {
+			return [];
+		}
+
+		const {pausesMs, placement} = send;
+		send.pausesMs = [];
+		return context.learnWork({
+			kind: 'pausesTimed', request, placement, pausesMs,
+		}, now);
+	}
+
+	/** Learns from a send that ends without a response since that takes too long. */
+	function learnOverdue({placement, dispatchedAt, hasEvents}: Send, result: SendResult, now: Timestamp): readonly GatewayAction[] {
+		const isOverdue = result === 'clientGone' || result === 'deadline' || result === 'silent';
+		return isOverdue && !hasEvents && dispatchedAt !== undefined
+			? context.learnWork({
+				kind: 'responseOverdue', request, placement, waitedMs: now - dispatchedAt,
+			}, now)
+			: [];
+	}
+
 	/**
 	Starts a stream, in chunks however the endpoint delimits its own: events are forwarded as they arrive, and what ends in between,
 	the gateway's process too, must not look like the end of the stream.
--- a/packages/core/src/gateway/gateway-events.ts
+++ b/packages/core/src/gateway/gateway-events.ts
@@ -5,6 +5,7 @@
 import type {Milliseconds, Timestamp} from '../types.js';
 import type {ColdReport} from './cold-endpoints.js';
 import type {ConfigurationAnswer} from './configuration-state.js';
+import type {PaceSource} from './endpoint-pace.js';
 import type {EndpointChange} from './endpoint-registry.js';
 import type {
 	EndpointId, EndpointReport, EndpointResponseHead, GatewayRequest, ListedEndpoint, RawHeaders, RequestKey, SegmentId,
@@ -94,9 +95,20 @@
 /** A change of an endpoint's limit, `undefined` if it has none, for the log. */
 export type LimitReport = Readonly<{endpoint: EndpointId; requestsPerSecond: number | undefined; source: 'response' | 'peer'}>;
 
-/** The predicted and the observed time of a response, for metrics; `isTold` if the other gateways are told of the endpoint's pace. */
+/** The predicted and the observed time of a response or of its pauses, for metrics and the log. */
 export type TimingReport = Readonly<{
-	route: string; endpoint: EndpointId; predictedMs: Milliseconds; observedMs: Milliseconds; pace: number; isTold: boolean;
+	route: string;
+	source: PaceSource;
+	/** Whether the response was given up after the observed time. */
+	isMinimum: boolean;
+	/** The endpoint that the request was sent to, and the number of servers that had a part in it. */
+	endpoint: EndpointId;
+	servers: number;
+	predictedMs: Milliseconds;
+	observedMs: Milliseconds;
+	pace: number;
+	/** Number of endpoints of whose pace the other gateways are told. */
+	told: number;
 }>;
 
 /** A decision about a send, for the log. */
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -126,7 +126,12 @@
 		? undefined
 		: createColdEndpoints({settings: settings.coldEndpoints, shares, getTolerance: service => configuration.tryGet()?.services.get(service)?.coldTolerance});
 	const workRouting = settings.isWorkAware
-		? createWorkRouting({load, dataCentre: settings.dataCentre, random: createRandom(getHash(`${settings.name}/${settings.incarnation}`))})
+		? createWorkRouting({
+			load,
+			dataCentre: settings.dataCentre,
+			random: createRandom(getHash(`${settings.name}/${settings.incarnation}`)),
+			tryGetEngine: service => configuration.tryGet()?.services.get(service)?.engine,
+		})
 		: undefined;
 	const organisationWork = createOrganisationWork();
 	const waitingPrompts = createWaitingPrompts(organisationWork);
--- a/packages/core/src/gateway/request-send.ts
+++ b/packages/core/src/gateway/request-send.ts
@@ -27,6 +27,9 @@
 /** Maximum number of bytes of a stream without an event that has content; more are taken for an endless response. */
 export const maximumEventBytes = 262_144;
 
+/** Number of pauses between events that are learned from at once. */
+export const learnedPauses = 8;
+
 /** Number of bytes of a body that count as progress; fewer do if they complete it. */
 export const minimumProgressBytes = 1024;
 
@@ -42,6 +45,8 @@
 	readonly memory: MemoryReservation | undefined;
 	head: EndpointResponseHead | undefined;
 	readonly sentAt: Timestamp;
+	/** When the request went to its endpoint, after memory was reserved; `undefined` until then. */
+	dispatchedAt: Timestamp | undefined;
 	/** When the request was sent, or its response last progressed: by its head, events with content, or enough bytes of another body. */
 	lastProgressAt: Timestamp;
 	/** When to check next whether the send is lost. */
@@ -52,6 +57,8 @@
 	/** Outcomes of silence checks that were reported; each is reported once. */
 	readonly reportedOutcomes: Set<SilenceOutcome>;
 	hasEvents: boolean;
+	/** Latest pauses between events, which aren't learned from yet. */
+	pausesMs: readonly Milliseconds[];
 };
 
 /** A complete response that is not a stream. */
--- a/packages/core/src/gateway/work-routing.test.ts
+++ b/packages/core/src/gateway/work-routing.test.ts
@@ -56,17 +56,18 @@
 });
 
 describe('endpoint paces', () => {
-	const usual = {service: 'models', predictedMs: 80, observedMs: 90};
+	const usual = {
+		service: 'models', source: 'firstEvent' as const, predictedMs: 80, observedMs: 90, isMinimum: false,
+	};
 
 	test('of an endpoint that turns slow rise at this gateway and at those it tells, and are forgotten', () => {
 		const [paces, peer] = [createEndpointPaces(), createEndpointPaces()];
 		for (let now = 0; now < 9000; now += 100) {
-			paces.learn({...usual, endpoint: `models-${now / 100 % 10}`}, now);
+			paces.learn({...usual, endpoints: [`models-${now / 100 % 10}`]}, now);
 		}
 
 		for (const now of [9000, 9500, 10_000]) {
-			const change = paces.learn({...usual, endpoint: 'models-3', observedMs: 400}, now);
-			if (change !== undefined) {
+			for (const change of paces.learn({...usual, endpoints: ['models-3'], observedMs: 400}, now)) {
 				peer.applyPeerChange(change, now + 20);
 			}
 		}
@@ -79,8 +80,8 @@
 
 	test('of a recovered endpoint are told too', () => {
 		const paces = createEndpointPaces();
-		paces.learn({...usual, endpoint: 'models-3', observedMs: 600}, 0);
-		expect(paces.learn({...usual, endpoint: 'models-3'}, 1000)).toBeDefined();
+		paces.learn({...usual, endpoints: ['models-3'], observedMs: 600}, 0);
+		expect(paces.learn({...usual, endpoints: ['models-3']}, 1000)).toHaveLength(1);
 	});
 
 	// Guards against messages of every gateway about every endpoint under overload.
@@ -88,13 +89,46 @@
 		const paces = createEndpointPaces();
 		let toldCount = 0;
 		for (let now = 0; now < 20_000; now += 50) {
-			const change = paces.learn({...usual, endpoint: `models-${now / 50 % 10}`, observedMs: 500}, now);
-			toldCount += change === undefined || now < 8000 ? 0 : 1;
+			const changes = paces.learn({...usual, endpoints: [`models-${now / 50 % 10}`], observedMs: 500}, now);
+			toldCount += now < 8000 ? 0 : changes.length;
 		}
 
 		expect(paces.getPace('models-3', 20_000)).toBe(1);
 		expect(toldCount).toBe(0);
 	});
+
+	test('are shared out by a late split prompt, mostly to a server that is slow already, and a prompt in time clears all of them', () => {
+		const paces = createEndpointPaces();
+		const split = {...usual, source: 'splitFirstEvent' as const};
+		for (let now = -9000; now < 0; now += 300) {
+			paces.learn({...split, endpoints: ['models-0', 'models-8']}, now);
+		}
+
+		for (const [now, others] of [[0, ['models-1', 'models-2']], [200, ['models-4', 'models-5']], [400, ['models-6', 'models-7']]] as const) {
+			paces.learn({...split, endpoints: ['models-3', ...others], observedMs: 600}, now);
+		}
+
+		expect(paces.getPace('models-3', 400)).toBeGreaterThan(1.6);
+		expect(paces.getPace('models-3', 400)).toBeGreaterThan(paces.getPace('models-7', 400) * 1.2);
+		for (const now of [500, 600, 700]) {
+			paces.learn({...split, endpoints: ['models-1', 'models-6', 'models-7'], observedMs: 80}, now);
+		}
+
+		expect(['models-1', 'models-6', 'models-7'].map(endpoint => paces.getPace(endpoint, 700))).toEqual([1, 1, 1]);
+	});
+
+	// Guards against a slow endpoint of which nothing is learned since its callers leave before its first event.
+	test('rise by a prompt that is given up late, and stay usual by one that is given up early', () => {
+		const paces = createEndpointPaces();
+		expect(paces.learn({
+			...usual, endpoints: ['models-1'], observedMs: 100, isMinimum: true,
+		}, 0)).toEqual([]);
+		paces.learn({
+			...usual, endpoints: ['models-3'], observedMs: 800, isMinimum: true,
+		}, 0);
+		expect(paces.getPace('models-1', 0)).toBe(1);
+		expect(paces.getPace('models-3', 0)).toBeGreaterThan(2);
+	});
 });
 
 test('a prompt is placed on another server than one that is slow', () => {
@@ -113,7 +147,11 @@
 describe('work-aware routing', () => {
 	function createRouting(): Readonly<{routing: ReturnType<typeof createWorkRouting>; load: ReturnType<typeof createLoadView>}> {
 		const load = createLoadView();
-		return {load, routing: createWorkRouting({load, dataCentre: 'east', random: createRandom(1)})};
+		return {
+			load, routing: createWorkRouting({
+				load, dataCentre: 'east', random: createRandom(1), tryGetEngine: () => fixtureEngine,
+			}),
+		};
 	}
 
 	function findPlacement({routing, load}: ReturnType<typeof createRouting>, now: number): Placement | undefined {
@@ -177,6 +215,23 @@
 	});
 
 	const idleCandidates = createFixtureEndpoints('models', 3).map(endpoint => ({endpoint, load: createLoadView().getLoad(endpoint.id, 0), rank: 0}));
+	const prompt = createFixtureGatewayRequest(fixtureStreamRoute);
+
+	test('learns from a late prompt that several servers process that each of them may be slow', () => {
+		const {routing} = createRouting();
+		const [endpoint, helper] = createFixtureEndpoints('models', 2);
+		const placement: Placement = {
+			endpoint: endpoint!, helpers: [{endpoint: helper!, reservedTokens: 0}], prefillMs: 500, firstEventMs: 500, usualFirstEventMs: 500, interferenceCost: 0,
+		};
+		const actions = routing.learn({
+			kind: 'responseTimed', request: prompt, placement, observedMs: 4000,
+		}, 4000);
+		expect(actions.flatMap(action => action.kind === 'publishChange' && action.change.kind === 'paceObserved' ? [action.change.endpoint] : [])).toEqual(['models-0', 'models-1']);
+		const paces = routing.addPace(idleCandidates, 4000).map(({pace}) => pace ?? 1);
+		expect(paces[0]).toBeGreaterThan(1.25);
+		expect(paces[1]).toBe(paces[0]);
+		expect(paces[2]).toBe(1);
+	});
 
 	// Guards against a wait for a slot that is divided by the pace, so that a slow endpoint looks slower still.
 	test('compares a response with a prediction in which only the work of a slow endpoint takes longer, and its queue doesn\'t', () => {
@@ -191,19 +246,29 @@
 		expect(slow?.firstEventMs).toBeGreaterThan(usual?.firstEventMs ?? 0);
 	});
 
-	test('learns nothing of a prompt that several servers process', () => {
-		const [endpoint, helper] = createFixtureEndpoints('models', 2);
-		if (endpoint === undefined || helper === undefined) {
-			throw new Error('no endpoints');
+	test.each([
+		['slow', 'pauses are long', 250, 0, true],
+		['usual', 'a few pauses are long', 45, 0, false],
+		['usual', 'pauses are long while it has a prompt to prefill', 250, 400, false],
+	])('takes an endpoint for %s if %s', (_, __, pauseMs, prefillMs, isSlow) => {
+		const {routing, load} = createRouting();
+		const {endpoint} = idleCandidates[0]!;
+		const work = {
+			endpoint: endpoint.id, helpers: [], promptTokens: 5000, readMs: prefillMs, longestPauseMs: 250, priority: 1, serviceMs: 0,
+		};
+		load.applyChange('gateway-1', {kind: 'started', work: {...work, id: 1, readMs: 0}}, 0);
+		load.applyChange('gateway-1', {kind: 'writing', id: 1}, 0);
+		if (prefillMs > 0) {
+			load.applyChange('gateway-1', {kind: 'started', work: {...work, id: 2}}, 0);
 		}
 
 		const placement: Placement = {
-			endpoint, helpers: [{endpoint: helper, reservedTokens: 0}], prefillMs: 500, firstEventMs: 500, interferenceCost: 0,
+			endpoint, helpers: [], prefillMs: 40, firstEventMs: 40, interferenceCost: 0,
 		};
-		const {routing} = createRouting();
-		expect(routing.learn({
-			kind: 'responseTimed', request: createFixtureGatewayRequest(fixtureStreamRoute), placement, observedMs: 4000,
-		}, 4000)).toEqual([]);
+		routing.learn({
+			kind: 'pausesTimed', request: prompt, placement, pausesMs: [pauseMs, 300, pauseMs, pauseMs, 300, pauseMs, pauseMs, pauseMs],
+		}, 100);
+		expect(routing.addPace(idleCandidates, 100)[0]?.pace !== 1).toBe(isSlow);
 	});
 });
 
--- a/packages/core/src/gateway/work-routing.ts
+++ b/packages/core/src/gateway/work-routing.ts
@@ -7,9 +7,12 @@
 import {LRUCache} from 'lru-cache';
 import type {Random} from '../random.js';
 import type {Milliseconds, Timestamp} from '../types.js';
-import {createEndpointPaces, type PaceChange} from './endpoint-pace.js';
+import {createEndpointPaces, type PaceChange, type PaceObservation} from './endpoint-pace.js';
 import type {GatewayAction} from './gateway-events.js';
-import type {EndpointId, GatewayRequest, ReportedLoad} from './gateway-types.js';
+import {getDecodePassMs} from './engine-timing.js';
+import type {
+	EndpointId, EngineProfile, GatewayRequest, ReportedLoad,
+} from './gateway-types.js';
 import type {LoadView} from './load-view.js';
 import {findServicePlacement, type Placement} from './placement.js';
 import type {Candidate} from './placement-cost.js';
@@ -22,7 +25,11 @@
 	/** The endpoint says in a response what it has to do. */
 	= | Readonly<{kind: 'loadReported'; service: string; endpoint: EndpointId; load: ReportedLoad}>
 	/** The first event of a stream arrived, or a response without a prompt is complete. */
-		| Readonly<{kind: 'responseTimed'; request: GatewayRequest; placement: Placement; observedMs: Milliseconds}>;
+		| Readonly<{kind: 'responseTimed'; request: GatewayRequest; placement: Placement; observedMs: Milliseconds}>
+	/** Neither happened until the send was given up. */
+		| Readonly<{kind: 'responseOverdue'; request: GatewayRequest; placement: Placement; waitedMs: Milliseconds}>
+	/** Successive pauses between the events of a stream. */
+		| Readonly<{kind: 'pausesTimed'; request: GatewayRequest; placement: Placement; pausesMs: readonly Milliseconds[]}>;
 
 export type WorkRouting = Readonly<{
 	/** Adds the pace of each model server; none is faster than its engine profile says, whatever its backlog was taken for. */
@@ -44,8 +51,23 @@
 	return {route: route.name, organisation};
 }
 
+/** Returns the median of an odd or even number of values; a pause that another prompt's prefill lengthens doesn't move it. */
+function getMedian(values: readonly number[]): number {
+	return values.toSorted((left, right) => left - right)[Math.floor(values.length / 2)] ?? 0;
+}
+
+export type WorkRoutingHost = Readonly<{
+	load: LoadView;
+	dataCentre: string;
+	random: Random;
+	/** Returns the engine profile of a service of model servers. */
+	tryGetEngine(service: string): EngineProfile | undefined;
+}>;
+
 /** Creates the work-aware routing of one gateway. */
-export function createWorkRouting({load, dataCentre, random}: Readonly<{load: LoadView; dataCentre: string; random: Random}>): WorkRouting {
+export function createWorkRouting({
+	load, dataCentre, random, tryGetEngine,
+}: WorkRoutingHost): WorkRouting {
 	const serviceTimes = createServiceTimes();
 	const paces = createEndpointPaces();
 	const viewTrust = createViewTrust();
@@ -75,15 +97,66 @@
 		}
 	}
 
-	/** Returns the predicted time of a response at an endpoint of usual pace, or `undefined` if several endpoints or a queue had a part in it. */
-	function tryGetPredictedMs({prompt}: GatewayRequest, {helpers, usualFirstEventMs, serviceMs, isQueued = false}: Placement): Milliseconds | undefined {
+	/** Returns the predicted time of a response at endpoints of usual pace, or `undefined` if there is none or a queue had a part in it. */
+	function tryGetPredictedMs({prompt}: GatewayRequest, {usualFirstEventMs, serviceMs, isQueued = false}: Placement): Milliseconds | undefined {
 		if (prompt !== undefined) {
-			return helpers.length === 0 ? usualFirstEventMs : undefined;
+			return usualFirstEventMs;
 		}
 
 		return isQueued ? undefined : serviceMs;
 	}
 
+	/** Learns the pace of endpoints; `expectedMs` is the time that was predicted with the paces known. */
+	function learnPace(request: GatewayRequest, observation: PaceObservation, expectedMs: Milliseconds, now: Timestamp): readonly GatewayAction[] {
+		const endpoint = observation.endpoints[0] ?? '';
+		const changes = paces.learn(observation, now);
+		const report: GatewayAction = {
+			kind: 'reportTiming', report: {
+				route: request.route.name,
+				source: observation.source,
+				isMinimum: observation.isMinimum,
+				endpoint,
+				servers: observation.endpoints.length,
+				predictedMs: expectedMs,
+				observedMs: observation.observedMs,
+				pace: paces.getPace(endpoint, now),
+				told: changes.length,
+			},
+		};
+		return [report, ...changes.map((change): GatewayAction => ({kind: 'publishChange', change}))];
+	}
+
+	function learnFromPlacement(request: GatewayRequest, placement: Placement, observed: Readonly<{observedMs: Milliseconds; isMinimum: boolean}>, now: Timestamp): readonly GatewayAction[] {
+		const predictedMs = tryGetPredictedMs(request, placement);
+		if (predictedMs === undefined) {
+			return [];
+		}
+
+		const {endpoint, helpers, firstEventMs, pace = 1} = placement;
+		const promptSource = helpers.length === 0 ? 'firstEvent' : 'splitFirstEvent';
+		return learnPace(request, {
+			service: request.service,
+			source: request.prompt === undefined ? 'response' : promptSource,
+			endpoints: [endpoint.id, ...helpers.map(helper => helper.endpoint.id)],
+			predictedMs,
+			...observed,
+		}, request.prompt === undefined ? predictedMs * pace : firstEventMs, now);
+	}
+
+	/** Learns from the pauses of a stream that depends on one server alone, unless that has prompts to prefill. */
+	function learnPauses(request: GatewayRequest, {endpoint, helpers}: Placement, pausesMs: readonly Milliseconds[], now: Timestamp): readonly GatewayAction[] {
+		const engine = tryGetEngine(request.service);
+		const {prefillBacklogMs, decodingSequences} = load.getLoad(endpoint.id, now);
+		if (engine === undefined || prefillBacklogMs > 0 || decodingSequences.length === 0 || helpers.some(({reservedTokens}) => reservedTokens > 0)) {
+			return [];
+		}
+
+		const predictedMs = getDecodePassMs(engine, decodingSequences.length, decodingSequences.reduce((sum, {promptTokens}) => sum + promptTokens, 0));
+		return learnPace(request, {
+			service: request.service, source: 'pauses', endpoints: [endpoint.id], predictedMs, observedMs: getMedian(pausesMs), isMinimum: false,
+		}, predictedMs * Math.max(1, paces.getPace(endpoint.id, now)), now);
+	}
+
 	function learnTime(request: GatewayRequest, placement: Placement, observedMs: Milliseconds, now: Timestamp): readonly GatewayAction[] {
 		const endpoint = placement.endpoint.id;
 		// The first event of a stream doesn't tell its service time.
@@ -95,20 +168,7 @@
 			serviceTimes.learn(getRequestClass(request), observedMs / paces.getPace(endpoint, now), now);
 		}
 
-		const predictedMs = tryGetPredictedMs(request, placement);
-		if (predictedMs === undefined) {
-			return [];
-		}
-
-		const change = paces.learn({
-			service: request.service, endpoint, predictedMs, observedMs,
-		}, now);
-		const report: GatewayAction = {
-			kind: 'reportTiming', report: {
-				route: request.route.name, endpoint, predictedMs: request.prompt === undefined ? predictedMs * (placement.pace ?? 1) : placement.firstEventMs, observedMs, pace: paces.getPace(endpoint, now), isTold: change !== undefined,
-			},
-		};
-		return change === undefined ? [report] : [report, {kind: 'publishChange', change}];
+		return learnFromPlacement(request, placement, {observedMs, isMinimum: false}, now);
 	}
 
 	return {
@@ -146,6 +206,14 @@
 				case 'responseTimed': {
 					return learnTime(observation.request, observation.placement, observation.observedMs, now);
 				}
+
+				case 'responseOverdue': {
+					return learnFromPlacement(observation.request, observation.placement, {observedMs: observation.waitedMs, isMinimum: true}, now);
+				}
+
+				case 'pausesTimed': {
+					return learnPauses(observation.request, observation.placement, observation.pausesMs, now);
+				}
 			}
 		},
 		applyPeerChange: paces.applyPeerChange,
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -261,11 +261,17 @@
 		}
 	}
 
-	function reportTiming({route, endpoint, predictedMs, observedMs, pace, isTold}: TimingReport): void {
-		host.metrics.recordTiming(route, predictedMs, observedMs);
-		if (isTold) {
+	function reportTiming({
+		route, source, isMinimum, endpoint, servers, predictedMs, observedMs, pace, told,
+	}: TimingReport): void {
+		host.metrics.recordPaceObservation(source, told);
+		if (source !== 'pauses' && !isMinimum) {
+			host.metrics.recordTiming(route, predictedMs, observedMs);
+		}
+
+		if (told > 0) {
 			host.logger.info('paceObserved', {
-				endpoint, route, predictedMs: Math.round(predictedMs), observedMs: Math.round(observedMs), pace: Number(pace.toFixed(2)),
+				endpoint, route, source, servers, isMinimum, predictedMs: Math.round(predictedMs), observedMs: Math.round(observedMs), pace: Number(pace.toFixed(2)),
 			});
 		}
 	}
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -32,6 +32,8 @@
 	recordEvacuations(begun: number, ended: number): void;
 	/** Records the predicted and the observed time of a response. */
 	recordTiming(route: string, predictedMs: number, observedMs: number): void;
+	/** Records an observation of the pace of endpoints, and the number of endpoints of which the other gateways are told. */
+	recordPaceObservation(source: string, told: number): void;
 	getText(): Promise<string>;
 }>;
 
@@ -106,6 +108,12 @@
 			name: 'currantcross_predicted_responses_total', help: 'Responses whose time was predicted', labelNames: ['route'], registers,
 		}),
 	};
+	const paceObservations = new Counter({
+		name: 'currantcross_pace_observations_total', help: 'Observations of the pace of endpoints', labelNames: ['source'], registers,
+	});
+	const paceMessages = new Counter({
+		name: 'currantcross_pace_messages_total', help: 'Messages to the other gateways on the pace of an endpoint', labelNames: ['source'], registers,
+	});
 	const labelledRoutes = new Set<string>();
 
 	function getRouteLabel(route: string): string {
@@ -187,6 +195,10 @@
 			timings.error.inc({route}, Math.abs(observedMs - predictedMs) / millisecondsPerSecond);
 			timings.count.inc({route});
 		},
+		recordPaceObservation(source, told) {
+			paceObservations.inc({source});
+			paceMessages.inc({source}, told);
+		},
 		getText: async () => registry.metrics(),
 	};
 }
