Expect of an endpoint that has just started what earlier starts of its service showed

Cause: servers are slow for some seconds after a start, and each gateway had to send prompts to a new one to learn so. Change: the ratios of endpoints that were seen to start are averaged by age (bounds at 1, 2, 4, 8 and 16 s from the first list that has the process; clocks of other hosts aren't compared) and stand for the next one that starts, until its own responses are known. All gateways are told of responses of starting endpoints. What was learned of an id is forgotten with its process.

--- a/packages/core/src/gateway/endpoint-pace.ts
+++ b/packages/core/src/gateway/endpoint-pace.ts
@@ -9,7 +9,8 @@
 */
 import {LRUCache} from 'lru-cache';
 import type {Milliseconds, Timestamp} from '../types.js';
-import type {EndpointId} from './gateway-types.js';
+import {createEndpointStarts} from './endpoint-starts.js';
+import type {EndpointId, ListedEndpoint} from './gateway-types.js';
 import {getAverageRatio, getUpdatedAverage, type LogAverage} from './log-average.js';
 
 /** A response took `ratio` times as long as predicted for its service. */
@@ -30,6 +31,8 @@
 }>;
 
 export type EndpointPaces = Readonly<{
+	/** Applies a complete list of endpoints; nothing is known of a new process. */
+	applyList(endpoints: readonly ListedEndpoint[], now: Timestamp): void;
 	/** Returns the factor by which an endpoint is slower than predicted; 1 unless enough deviated. */
 	getPace(endpoint: EndpointId, now: Timestamp): number;
 	/** Learns from a response, and returns what the other gateways should know of it. */
@@ -39,8 +42,8 @@
 
 const endpointHalfLifeMs: Milliseconds = 2000;
 const serviceHalfLifeMs: Milliseconds = 10_000;
-/** Observations of usual pace that an endpoint, or a service, starts with. */
-const endpointPrior = {ratio: 1, weight: 1};
+/** Number of observations that an endpoint starts with: of usual pace, or of the pace of those that started as lately. */
+const endpointPriorWeight = 1;
 const servicePrior = {ratio: 1, weight: 4};
 /** Part of each response that doesn't depend on the endpoint's pace: connections and delays of the network. */
 const allowanceMs: Milliseconds = 30;
@@ -76,24 +79,27 @@
 
 /** Creates a record in which all endpoints have their usual pace. */
 export function createEndpointPaces(): EndpointPaces {
+	const starts = createEndpointStarts();
 	const averages = new LRUCache<EndpointId, LogAverage>({max: maximumTrackedEndpoints});
 	/** Common deviation of each service, by what is timed. */
 	const services = new LRUCache<string, LogAverage>({max: maximumTrackedServices});
 	const toldAt = new LRUCache<EndpointId, Timestamp>({max: maximumTrackedEndpoints});
 
 	function getPace(endpoint: EndpointId, now: Timestamp): number {
-		const ratio = getAverageRatio(averages.get(endpoint), endpointPrior, endpointHalfLifeMs, now);
+		const prior = {ratio: starts.getPace(endpoint, now), weight: endpointPriorWeight};
+		const ratio = getAverageRatio(averages.get(endpoint), prior, endpointHalfLifeMs, now);
 		return isDeviation(ratio, usualDeviation) ? ratio : 1;
 	}
 
 	function record(endpoint: EndpointId, ratio: number, now: Timestamp): void {
 		averages.set(endpoint, getUpdatedAverage(averages.get(endpoint), ratio, endpointHalfLifeMs, now));
+		starts.learn(endpoint, ratio, now);
 	}
 
 	/** Records what a response shows of one endpoint, and returns whether the other gateways should know. */
 	function learnRatio(endpoint: EndpointId, ratio: number, isOutlier: boolean, now: Timestamp): boolean {
-		// A usual response of an endpoint that was slow shows that it has recovered.
-		const isNews = isOutlier || getPace(endpoint, now) !== 1;
+		// A usual response of an endpoint that was slow shows that it has recovered, and one of a new endpoint how starts are.
+		const isNews = isOutlier || getPace(endpoint, now) !== 1 || starts.isStarting(endpoint, now);
 		record(endpoint, ratio, now);
 		if (!isNews || now - (toldAt.get(endpoint) ?? Number.NEGATIVE_INFINITY) < toldIntervalMs) {
 			return false;
@@ -104,6 +110,11 @@
 	}
 
 	return {
+		applyList(endpoints, now) {
+			for (const id of starts.applyList(endpoints, now)) {
+				averages.delete(id);
+			}
+		},
 		getPace,
 		learn({service, source, endpoints, predictedMs, observedMs, isMinimum}, now) {
 			const absoluteRatio = getBoundedRatio((observedMs + allowanceMs) / (predictedMs + allowanceMs));
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -480,6 +480,7 @@
 			}
 
 			case 'endpointsListed': {
+				workRouting?.applyList(event.endpoints, now);
 				return [
 					...registry.applyList(event.endpoints, now).map((change): GatewayAction => ({kind: 'reportEndpoint', change})),
 					...cold?.applyList(event.endpoints, now) ?? [],
--- a/packages/core/src/gateway/work-routing.test.ts
+++ b/packages/core/src/gateway/work-routing.test.ts
@@ -129,6 +129,38 @@
 		expect(paces.getPace('models-1', 0)).toBe(1);
 		expect(paces.getPace('models-3', 0)).toBeGreaterThan(2);
 	});
+
+	test('of an endpoint that has just started are those of earlier starts at its age, until its own are known', () => {
+		const paces = createEndpointPaces();
+		const endpoints = createFixtureEndpoints('models', 6);
+		paces.applyList(endpoints.slice(0, 2), 0);
+		for (const [index, joinedAt] of [[2, 10_000], [3, 20_000], [4, 30_000]] as const) {
+			paces.applyList(endpoints.slice(0, index + 1), joinedAt);
+			for (const now of [joinedAt + 200, joinedAt + 500]) {
+				paces.learn({...usual, endpoints: [`models-${index}`], observedMs: 500}, now);
+			}
+		}
+
+		expect(paces.getPace('models-1', 40_000)).toBe(1);
+		paces.applyList(endpoints, 40_000);
+		expect(paces.getPace('models-5', 40_100)).toBeGreaterThan(2);
+		for (const now of [40_200, 40_300, 40_400, 40_500]) {
+			paces.learn({...usual, endpoints: ['models-5'], observedMs: 80}, now);
+		}
+
+		expect(paces.getPace('models-5', 40_500)).toBe(1);
+		expect(paces.getPace('models-5', 60_000)).toBe(1);
+	});
+
+	test('of an endpoint are forgotten when another process is listed under its id', () => {
+		const paces = createEndpointPaces();
+		const endpoints = createFixtureEndpoints('models', 2);
+		paces.applyList(endpoints, 0);
+		paces.learn({...usual, endpoints: ['models-1'], observedMs: 800}, 100);
+		expect(paces.getPace('models-1', 200)).toBeGreaterThan(2);
+		paces.applyList(endpoints.map(endpoint => ({...endpoint, startedAt: 2})), 200);
+		expect(paces.getPace('models-1', 200)).toBe(1);
+	});
 });
 
 test('a prompt is placed on another server than one that is slow', () => {
--- a/packages/core/src/gateway/work-routing.ts
+++ b/packages/core/src/gateway/work-routing.ts
@@ -11,7 +11,7 @@
 import type {GatewayAction} from './gateway-events.js';
 import {getDecodePassMs} from './engine-timing.js';
 import type {
-	EndpointId, EngineProfile, GatewayRequest, ReportedLoad,
+	EndpointId, EngineProfile, GatewayRequest, ListedEndpoint, ReportedLoad,
 } from './gateway-types.js';
 import type {LoadView} from './load-view.js';
 import {findServicePlacement, type Placement} from './placement.js';
@@ -32,6 +32,8 @@
 		| Readonly<{kind: 'pausesTimed'; request: GatewayRequest; placement: Placement; pausesMs: readonly Milliseconds[]}>;
 
 export type WorkRouting = Readonly<{
+	/** Applies a complete list of endpoints. */
+	applyList(endpoints: readonly ListedEndpoint[], now: Timestamp): void;
 	/** Adds the pace of each model server; none is faster than its engine profile says, whatever its backlog was taken for. */
 	addPace(candidates: readonly Candidate[], now: Timestamp): readonly Candidate[];
 	/** Returns the placement of a request without a prompt, or `undefined` if there is no candidate. */
@@ -172,6 +174,7 @@
 	}
 
 	return {
+		applyList: paces.applyList,
 		addPace: (candidates, now) => candidates.map(candidate => ({...candidate, pace: Math.max(1, paces.getPace(candidate.endpoint.id, now))})),
 		findServicePlacement(request, candidates, now) {
 			meanRequests.set(request.service, getMeanRequests(candidates));
