--- a/packages/core/src/gateway/gateway-events.ts
+++ b/packages/core/src/gateway/gateway-events.ts
@@ -117,7 +117,7 @@
 		kind: 'placed';
 		sendId: SendId;
 		endpoint: string;
-		helpers: number;
+		helpers: readonly EndpointId[];
 		reservations: readonly Reservation[];
 		firstEventMs: Milliseconds;
 		candidates: number;
--- a/packages/core/src/gateway/send-reports.ts
+++ b/packages/core/src/gateway/send-reports.ts
@@ -15,7 +15,7 @@
 			kind: 'placed',
 			sendId: id,
 			endpoint: placement.endpoint.id,
-			helpers: placement.helpers.length,
+			helpers: placement.helpers.map(({endpoint}) => endpoint.id),
 			reservations: memory?.reservations ?? [],
 			firstEventMs: Math.round(placement.firstEventMs),
 			candidates,
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -351,7 +351,7 @@
 					sendId, endpoint, helpers, reservations, firstEventMs, candidates, sharedSegments,
 				} = decision;
 				host.logger.info('requestPlaced', {
-					request, sendId, endpoint, helpers, reservations: formatReservations(reservations), firstEventMs, candidates, segments: formatSegments(sharedSegments),
+					request, sendId, endpoint, helpers: helpers.length, helperIds: helpers.length === 0 ? undefined : helpers.join(','), reservations: formatReservations(reservations), firstEventMs, candidates, segments: formatSegments(sharedSegments),
 					fingerprint: openRequest?.fingerprint,
 					priority: openRequest?.priority,
 					unreadMs: openRequest === undefined ? undefined : Math.round(openRequest.unreadMs),
