--- a/packages/core/src/gateway/request-send.ts
+++ b/packages/core/src/gateway/request-send.ts
@@ -27,6 +27,9 @@
 /** Maximum number of bytes of a stream without an event that has content; more are taken for an endless response. */
 export const maximumEventBytes = 262_144;
 
+/** Number of pauses between events that are learned from at once. */
+export const learnedPauses = 8;
+
 /** Number of bytes of a body that count as progress; fewer do if they complete it. */
 export const minimumProgressBytes = 1024;
 
@@ -45,6 +48,8 @@
 	readonly memory: MemoryReservation | undefined;
 	head: EndpointResponseHead | undefined;
 	readonly sentAt: Timestamp;
+	/** When the request went to its endpoint, after memory was reserved; `undefined` until then. */
+	dispatchedAt: Timestamp | undefined;
 	/** When the request was sent, or its response last progressed: by its head, events with content, or enough bytes of another body. */
 	lastProgressAt: Timestamp;
 	/** When to check next whether the send is lost. */
@@ -61,6 +66,8 @@
 	pausedMs: Milliseconds;
 	/** Whether it did not read it for so long at once that the endpoint may have cut it off. */
 	wasLeftUnread: boolean;
+	/** Latest pauses between events, which aren't learned from yet. */
+	pausesMs: readonly Milliseconds[];
 };
 
 /** A complete response that is not a stream. */
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -266,11 +266,17 @@
 		}
 	}
 
-	function reportTiming({route, endpoint, predictedMs, observedMs, pace, isTold}: TimingReport): void {
-		host.metrics.recordTiming(route, predictedMs, observedMs);
-		if (isTold) {
+	function reportTiming({
+		route, source, isMinimum, endpoint, servers, predictedMs, observedMs, pace, told,
+	}: TimingReport): void {
+		host.metrics.recordPaceObservation(source, told);
+		if (source !== 'pauses' && !isMinimum) {
+			host.metrics.recordTiming(route, predictedMs, observedMs);
+		}
+
+		if (told > 0) {
 			host.logger.info('paceObserved', {
-				endpoint, route, predictedMs: Math.round(predictedMs), observedMs: Math.round(observedMs), pace: Number(pace.toFixed(2)),
+				endpoint, route, source, servers, isMinimum, predictedMs: Math.round(predictedMs), observedMs: Math.round(observedMs), pace: Number(pace.toFixed(2)),
 			});
 		}
 	}
@@ -350,7 +356,7 @@
 					sendId, endpoint, helpers, reservations, firstEventMs, candidates, sharedSegments,
 				} = decision;
 				host.logger.info('requestPlaced', {
-					request, sendId, endpoint, helpers, reservations: formatReservations(reservations), firstEventMs, candidates, segments: formatSegments(sharedSegments),
+					request, sendId, endpoint, helpers: helpers.length, helperIds: helpers.length === 0 ? undefined : helpers.join(','), reservations: formatReservations(reservations), firstEventMs, candidates, segments: formatSegments(sharedSegments),
 					fingerprint: openRequest?.fingerprint,
 					priority: openRequest?.priority,
 					unreadMs: openRequest === undefined ? undefined : Math.round(openRequest.unreadMs),
