Hold requests that arrive before the first configuration

Cause: a gateway listens once its process runs, and refuses all that arrives until it has read the configuration.

Bounded in number, counted in the callers' memory, refused at once while calls of the store fail; a caller that leaves ends the hold. Held requests are begun through the intake, so that they don't all begin in one turn. The decision is a module without a network.

--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -79,6 +79,8 @@
 	getConfigurationAgeMs(now: Timestamp): Milliseconds;
 	/** Returns whether a peer has a newer configuration that neither this gateway nor the store has. */
 	isConfigurationOutdated(now: Timestamp): boolean;
+	/** Returns whether a configuration and the lists that placements need have been read, so that requests can be checked. */
+	canCheck(): boolean;
 	/** Returns whether the current configuration and the list of endpoints are known, so that requests can be served. */
 	isReady(now: Timestamp): boolean;
 	getOpenRequestCount(): number;
@@ -564,6 +566,10 @@
 		}
 	}
 
+	function canCheck(): boolean {
+		return configuration.tryGet() !== undefined && registry.hasList() && restrictions.isKnown();
+	}
+
 	return {
 		step,
 		tryGetWakeAt() {
@@ -584,7 +590,8 @@
 		tryGetAdmissionPriority: ({service, priority}) => tryGetAdmissionPriority({priority, levels: getLevels(service)}),
 		getConfigurationAgeMs: configuration.getAgeMs,
 		isConfigurationOutdated: configuration.isOutdated,
-		isReady: now => configuration.tryGet() !== undefined && !configuration.isOutdated(now) && registry.hasList() && restrictions.isKnown(),
+		canCheck,
+		isReady: now => canCheck() && !configuration.isOutdated(now),
 		getOpenRequestCount: () => requests.size,
 		getColdCounts: now => cold?.getCounts(now) ?? {coldEndpoints: 0, heldRequests: 0},
 		getSnapshot: (gateway, now) => [...load.getOpenWorkChanges(gateway), ...(gateway === settings.name ? getLearntChanges(now) : [])],
--- a/packages/gateway/src/caller-server.test.ts
+++ b/packages/gateway/src/caller-server.test.ts
@@ -46,6 +46,8 @@
 	const server = await startCallerServer({host: '127.0.0.1', port: 0}, {memoryMb: undefined, maximumConnections: Number.POSITIVE_INFINITY}, {
 		wireFormat: wireFormat as WireFormat, // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the other members are not used
 		isDraining: () => false,
+		isHolding: () => false,
+		recordEarly: () => undefined,
 		checkHead: () => undefined,
 		handleRequest,
 		waitForNews: async () => undefined,
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -11,6 +11,7 @@
 import {createBodyReader} from './body-reader.js';
 import {createCallerConnections, type CallerBound, type GiveWay} from './caller-connections.js';
 import {createCallerExchange, type CallerExchange} from './caller-exchange.js';
+import {createEarlyRequestRunner, type EarlyEntry} from './early-request-runner.js';
 import type {CallerHead, WireFormat} from './gateway-hosts.js';
 import {createIntakeRunner} from './intake-runner.js';
 import type {SocketAddress} from './settings.js';
@@ -18,9 +19,15 @@
 /** When a request's head was read, and the longest time that it can have waited before. */
 export type RequestArrival = Readonly<{readAt: Timestamp; unreadMs: Milliseconds}>;
 
+/** How a request fared that arrived before it could be checked. */
+export type EarlyOutcome = 'checked' | 'refused' | 'departed';
+
 export type CallerServerHost = Readonly<{
 	wireFormat: WireFormat;
 	isDraining(): boolean;
+	/** Returns whether requests that arrive now are held until they can be checked. */
+	isHolding(): boolean;
+	recordEarly(outcome: EarlyOutcome, head: CallerHead, heldMs: Milliseconds): void;
 	/** Checks a request by its head, before the body is read. Returns the failure if the request is refused. */
 	checkHead(message: IncomingMessage, head: CallerHead): Failure | undefined;
 	/** Waits, for a moment at most, until what is to be known before a request is handled is known. */
@@ -40,6 +47,10 @@
 	/** Port that the server listens on. */
 	port: number;
 	setLimits(limits: ServingLimits): void;
+	/** Checks the requests that are held, which is possible now. */
+	resumeHeld(): void;
+	/** Records the outcome of a call of the platform's store, on which it depends whether requests are held. */
+	recordStoreCall(isAnswered: boolean): void;
 	/** Returns the number of requests whose head was accepted and that are not begun: their bodies still arrive, or they wait. */
 	getPendingCount(): number;
 	/** Refuses these requests. */
@@ -71,9 +82,12 @@
 /** What the callers of a server may make it hold. */
 export type CallerBounds = Readonly<{memoryMb: number | undefined; maximumConnections: number}>;
 
+type EarlyRequest = Readonly<{message: IncomingMessage; head: CallerHead}>;
+
 /** Starts the server and returns once it listens. */
 export async function startCallerServer(address: SocketAddress, bounds: CallerBounds, host: CallerServerHost): Promise<CallerServer> {
 	const intake = createIntakeRunner();
+	const early = createEarlyRequestRunner();
 	const memory = createCallerMemory<GiveWay>();
 	const bodyReader = createBodyReader();
 	const connections = createCallerConnections({
@@ -121,7 +135,8 @@
 	async function receiveRequest(message: IncomingMessage, response: ServerResponse): Promise<void> {
 		const arrival: RequestArrival = {readAt: performance.now(), unreadMs: host.getUnreadMs()};
 		const head = host.wireFormat.parseCallerHead(message.headers);
-		const refusal = host.checkHead(message, head);
+		const isEarly = host.isHolding();
+		const refusal = isEarly ? undefined : host.checkHead(message, head);
 		if (refusal !== undefined) {
 			refuseRequest(message, response, head, refusal);
 			return;
@@ -163,6 +178,7 @@
 			return;
 		}
 
+		const checked = isEarly ? checkLater({message, head}, response, {arrival, refusePendingRequest}) : undefined;
 		const bodyTimer = setTimeout(() => {
 			refusePendingRequest(createNotRunFailure('deadlineExceeded', 'the body did not arrive'));
 		}, Math.max(0, (head.remainingMs ?? defaultBodyTimeoutMs) - arrival.unreadMs));
@@ -180,28 +196,73 @@
 
 			case 'tooLarge': {
 				endPending();
-				refuseRequest(message, response, head, createNotRunFailure('payloadTooLarge'));
+				// The limit of an early request was not the configuration's.
+				refuseRequest(message, response, head, createNotRunFailure(isEarly ? 'notReady' : 'payloadTooLarge'));
 				return;
 			}
 
 			case 'complete': {
 				setHeldBytes(giveWay, requestBytes + result.body.length);
-				await receiveExchange(createCallerExchange({message, head, body: result.body}, response, exchangeHost), response, {arrival, endPending});
+				await checked;
+				if (!pendingRequests.has(refusePendingRequest)) {
+					return;
+				}
+
+				if (result.body.length > maximumBodyBytes) {
+					refusePendingRequest(createNotRunFailure('payloadTooLarge'));
+					return;
+				}
+
+				await receiveExchange(createCallerExchange({message, head, body: result.body}, response, exchangeHost), response, {arrival, isEarly, endPending});
 			}
 		}
 	}
 
+	/** Holds a request until it can be checked, and checks it then. Refuses it, or does nothing if its caller leaves, before that. */
+	async function checkLater({message, head}: EarlyRequest, response: ServerResponse, {arrival, refusePendingRequest}: Readonly<{arrival: RequestArrival; refusePendingRequest: (failure: Failure) => void}>): Promise<void> {
+		const getHeldMs = (): Milliseconds => performance.now() - arrival.readAt;
+		const isKept = await new Promise<boolean>(resolve => {
+			const entry: EarlyEntry = {
+				resume() {
+					resolve(true);
+				},
+				refuse(failure) {
+					host.recordEarly('refused', head, getHeldMs());
+					refusePendingRequest(failure);
+					resolve(false);
+				},
+			};
+			response.once('close', () => {
+				if (early.remove(entry)) {
+					host.recordEarly(response.headersSent ? 'refused' : 'departed', head, getHeldMs());
+				}
+
+				resolve(false);
+			});
+			early.admit(entry, head.remainingMs === undefined ? undefined : head.remainingMs - arrival.unreadMs);
+		});
+		if (!isKept) {
+			return;
+		}
+
+		host.recordEarly('checked', head, getHeldMs());
+		const refusal = host.checkHead(message, head);
+		if (refusal !== undefined) {
+			refusePendingRequest(refusal);
+		}
+	}
+
 	function refuseRequest(message: IncomingMessage, response: ServerResponse, head: CallerHead, failure: Failure): void {
 		host.recordRefusal(head, failure);
 		createCallerExchange({message, head, body: new Uint8Array(0)}, response, exchangeHost).fail(failure);
 	}
 
 	/** Begins a request whose body has arrived, once the news that its placement needs are known. */
-	async function receiveExchange(exchange: CallerExchange, response: ServerResponse, {arrival, endPending}: Readonly<{arrival: RequestArrival; endPending: () => boolean}>): Promise<void> {
+	async function receiveExchange(exchange: CallerExchange, response: ServerResponse, {arrival, isEarly, endPending}: Readonly<{arrival: RequestArrival; isEarly: boolean; endPending: () => boolean}>): Promise<void> {
 		const {head, hasCallerLeft} = exchange;
 		await host.waitForNews();
 		intake.receive({
-			unreadMs: arrival.unreadMs,
+			hasWaited: arrival.unreadMs > 0 || isEarly,
 			hasCallerLeft,
 			begin() {
 				if (endPending()) {
@@ -276,6 +337,8 @@
 			server.headersTimeout = limits.headerTimeoutMs;
 			server.keepAliveTimeout = limits.idleTimeoutMs + keepAliveMarginMs;
 		},
+		resumeHeld: early.resumeAll,
+		recordStoreCall: early.recordCall,
 		getPendingCount: () => pendingRequests.size,
 		refusePending(failure) {
 			for (const refuse of pendingRequests) {
@@ -287,6 +350,7 @@
 				exchange.breakConnection();
 			}
 
+			early.close();
 			connections.close();
 			server.close();
 			server.closeAllConnections();
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -141,6 +141,8 @@
 			if (event.kind === 'endpointsListed') {
 				client.closePoolsExcept(new Set(event.endpoints.map(({address}) => address)));
 			}
+
+			resumeHeld();
 		},
 		onConfiguration({configuration, writtenAtRevision, revision}, verifiedAt) {
 			const previousVersion = gateway.tryGetConfiguration()?.version;
@@ -161,6 +163,11 @@
 					version: current.version, before: previousVersion, epoch: revision.epoch, revision: revision.sequence, routes: current.routes.length,
 				});
 			}
+
+			resumeHeld();
+		},
+		recordCall(isAnswered) {
+			callerServer.recordStoreCall(isAnswered);
 		},
 		onGateways(registrations) {
 			workExchange.setGateways(registrations);
@@ -190,6 +197,12 @@
 		}
 	}
 
+	function resumeHeld(): void {
+		if (gateway.canCheck()) {
+			callerServer.resumeHeld();
+		}
+	}
+
 	/** Returns the grant for the request's route and credential, or the failure if the request is refused. */
 	function checkRoute(message: IncomingMessage, head: CallerHead): RouteGrant | Failure {
 		if (stoppedAt !== undefined && performance.now() - stoppedAt > acceptAfterStopMs) {
@@ -269,6 +282,11 @@
 	}, {
 		wireFormat: host.wireFormat,
 		isDraining: () => stoppedAt !== undefined,
+		isHolding: () => settings.earlyRequests.areHeld && stoppedAt === undefined && !gateway.canCheck(),
+		recordEarly(outcome, {requestId}, heldMs) {
+			metrics.recordEarlyRequest(outcome);
+			logger.info('requestHeld', {request: requestId, outcome, heldMs: Math.round(heldMs)});
+		},
 		checkHead(message, head) {
 			checkClock();
 			const grantOrFailure = checkRoute(message, head);
--- a/packages/gateway/src/intake-runner.ts
+++ b/packages/gateway/src/intake-runner.ts
@@ -9,8 +9,8 @@
 
 /** A received request that waits to be begun. */
 export type IntakeEntry = Readonly<{
-	/** Longest time that the request can have waited before it was read. */
-	unreadMs: Milliseconds;
+	/** Whether the request may have waited before, so that its caller may have left. */
+	hasWaited: boolean;
 	hasCallerLeft(): boolean;
 	begin(): void;
 	refuse(failure: Failure): void;
@@ -81,7 +81,7 @@
 
 	return {
 		receive(entry) {
-			if (entry.unreadMs === 0 && intake.isEmpty()) {
+			if (!entry.hasWaited && intake.isEmpty()) {
 				startEntry(entry);
 				return;
 			}
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -24,6 +24,8 @@
 	recordUnusableEntries(list: string, count: number): void;
 	/** Records that a request was refused, or a connection closed, because of a bound on what callers make the gateway hold. */
 	recordCallerBound(bound: string): void;
+	/** Records a request that arrived before it could be checked, by how it fared. */
+	recordEarlyRequest(outcome: string): void;
 	/** Records a query to the relay: whether it was answered in time, and the time that requests waited for it. */
 	recordQuery(outcome: string, durationMs: number): void;
 	/** Records a batch of the exchange that was received. */
@@ -80,6 +82,9 @@
 	const callerBounds = new Counter({
 		name: 'currantcross_caller_bounds_total', help: 'Requests refused and connections closed because of what callers made the gateway hold', labelNames: ['bound'], registers,
 	});
+	const earlyRequests = new Counter({
+		name: 'currantcross_early_requests_total', help: 'Requests that were to be held until they could be checked, by how they fared', labelNames: ['outcome'], registers,
+	});
 	const queries = new Histogram({
 		name: 'currantcross_relay_query_seconds', help: 'Time for which requests wait for the latest news of other gateways', labelNames: ['outcome'], buckets: queryBucketsS, registers,
 	});
@@ -169,6 +174,9 @@
 		recordCallerBound(bound) {
 			callerBounds.inc({bound});
 		},
+		recordEarlyRequest(outcome) {
+			earlyRequests.inc({outcome});
+		},
 		recordQuery(outcome, durationMs) {
 			queries.observe({outcome}, durationMs / millisecondsPerSecond);
 		},
--- a/packages/gateway/src/platform-feed.test.ts
+++ b/packages/gateway/src/platform-feed.test.ts
@@ -52,6 +52,7 @@
 		dispatch: () => undefined,
 		onConfiguration: () => undefined,
 		onGateways: () => undefined,
+		recordCall: () => undefined,
 		...host,
 	});
 	feeds.push(feed);
--- a/packages/gateway/src/platform-feed.ts
+++ b/packages/gateway/src/platform-feed.ts
@@ -32,6 +32,8 @@
 	/** Called after each read or watch. The update was the newest state at `verifiedAt`. */
 	onConfiguration(update: ConfigurationUpdate, verifiedAt: Timestamp): void;
 	onGateways(registrations: readonly GatewayRegistration[]): void;
+	/** Called after each call of the platform. */
+	recordCall(isAnswered: boolean): void;
 }>;
 
 export type PlatformFeed = Readonly<{
@@ -220,6 +222,7 @@
 		try {
 			const result = await operation();
 			metrics.recordPlatformCall(dependency.name, 'answered');
+			host.recordCall(true);
 			if (dependency.isLost) {
 				dependency.isLost = false;
 				logger.info('dependencyRegained', {dependency: dependency.name, failures: dependency.failures});
@@ -229,6 +232,7 @@
 			return result;
 		} catch (error) {
 			metrics.recordPlatformCall(dependency.name, 'failed');
+			host.recordCall(false);
 			dependency.failures += 1;
 			if (!dependency.isLost) {
 				dependency.isLost = true;
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -52,6 +52,8 @@
 	urgency: z.strictObject({isEnabled: z.boolean()}).default({isEnabled: false}),
 	/** Whether placements depend on the learned cost of requests and pace of endpoints. */
 	workRouting: z.strictObject({isEnabled: z.boolean()}).default({isEnabled: false}),
+	/** Whether requests that arrive before the first configuration has been read are held for a short time, in place of refused. */
+	earlyRequests: z.strictObject({areHeld: z.boolean()}).default({areHeld: false}),
 	/** Limit on sends beyond the first of each request: a ratio of the requests plus a fixed number for all gateways, per window. */
 	retries: z.strictObject({
 		ratio: z.number().min(0),
