Read a large configuration once at a start

News of a newer version during the first read start no second one; the watch follows at once instead, and tells of changes since the read. A configuration is decoded once.

A test of outages counted on two reads by `refresh` beside the first one; it now uses those after a suspension, which are still made.

--- a/packages/gateway/src/platform-feed.test.ts
+++ b/packages/gateway/src/platform-feed.test.ts
@@ -88,8 +88,8 @@
 			debug: recordEvent, info: recordEvent, warn: recordEvent, error: recordEvent,
 		},
 	});
-	feed.refresh();
-	feed.refresh();
+	feed.refreshAfterSuspension();
+	feed.refreshAfterSuspension();
 	await waitUntil(() => failures >= 4);
 	isDown = false;
 	await waitUntil(() => loggedEvents.length > 1);
@@ -100,6 +100,64 @@
 	expect(loggedEvents).toEqual(['dependencyLost', 'dependencyRegained']);
 });
 
+// Guards against a small host that reads a large configuration twice at its start, since a peer has told it the version meanwhile.
+test('reads the configuration once while a peer tells of a newer one during the first read, and watches at once after it', async () => {
+	let readCount = 0;
+	let endRead: () => void = () => undefined;
+	const watchedAfter: number[] = [];
+	const feed = startFeed({
+		async readConfiguration() {
+			readCount += 1;
+			await new Promise<void>(resolve => {
+				endRead = resolve;
+			});
+			return {
+				revision: {epoch: 1, sequence: 5}, configuration: fixtureConfiguration, writtenAtRevision: 5, source: undefined,
+			};
+		},
+		async watchConfiguration(after) {
+			watchedAfter.push(after.sequence);
+			return new Promise(() => undefined);
+		},
+	});
+	await waitUntil(() => readCount > 0);
+	feed.refresh();
+	const startedAt = performance.now();
+	endRead();
+	await waitUntil(() => watchedAfter.length > 0);
+	expect(performance.now() - startedAt).toBeLessThan(300);
+	expect([readCount, watchedAfter]).toEqual([1, [5]]);
+});
+
+// Guards against decoding a large configuration again for each reader that is followed.
+test('decodes the configuration of a reader once, and not if the store has shown the same', async () => {
+	const decodedSources: string[] = [];
+	const versions: Array<number | undefined> = [];
+	const feed = startFeed({
+		parseConfiguration(source) {
+			decodedSources.push(source);
+			return {...fixtureConfiguration, version: source.length};
+		},
+		readConfiguration: async () => ({
+			revision: {epoch: 1, sequence: 5}, configuration: fixtureConfiguration, writtenAtRevision: 5, source: 'shown',
+		}),
+		watchConfiguration: async () => new Promise(() => undefined),
+	}, {
+		onConfiguration({configuration}) {
+			versions.push(configuration?.version);
+		},
+	});
+	await waitUntil(() => versions.length > 0);
+	for (const source of ['shown', 'newer-one', 'newer-one']) {
+		feed.applyState({
+			revision: {epoch: 1, sequence: 6}, configuration: {source, writtenAtRevision: 6}, endpoints: undefined, hasEndpointFailure: false, quarantines: undefined, evacuations: undefined, gateways: undefined,
+		}, performance.now());
+	}
+
+	expect(decodedSources).toEqual(['newer-one']);
+	expect(versions).toEqual([fixtureConfiguration.version, fixtureConfiguration.version, 9, 9]);
+});
+
 test('coalesces a series of configuration changes into a few watches', async () => {
 	let revision = 1;
 	let watchCount = 0;
--- a/packages/gateway/src/platform-feed.ts
+++ b/packages/gateway/src/platform-feed.ts
@@ -38,7 +38,7 @@
 
 export type PlatformFeed = Readonly<{
 	start(self: GatewayRegistration): void;
-	/** Reads the configuration immediately, since a peer has a newer one. */
+	/** Reads the configuration immediately, since a peer has a newer one; while it is read already, the changes since then follow that at once. */
 	refresh(): void;
 	/** Reads the configuration immediately after a suspension of the process. What was asked before says nothing about how recent it is. */
 	refreshAfterSuspension(): void;
@@ -84,6 +84,8 @@
 const baseRetryMs: Milliseconds = 60;
 const maximumRetryMs: Milliseconds = 400;
 
+type DecodedConfiguration = Readonly<{source: string; configuration: ServingConfiguration}>;
+
 /** Availability of one kind of platform data. */
 type Dependency = {readonly name: string; isLost: boolean; failures: number};
 
@@ -128,6 +130,12 @@
 	};
 	const observers = new Set<() => void>();
 	let isReading = true;
+	/** Whether the watch has begun with a read of the whole configuration that has not ended. */
+	let isFirstRead = false;
+	/** Whether a peer has a newer configuration than that read may show. */
+	let isNewerKnown = false;
+	/** The configuration that was decoded last, so that a reader's copy of the same is not decoded again. */
+	let decoded: DecodedConfiguration | undefined;
 	let wakeReaders: Array<() => void> = [];
 	/** Number of suspensions of the process. */
 	let suspensionCount = 0;
@@ -303,6 +311,7 @@
 		revision = {epoch: updateEpoch, sequence: Math.max(revision?.sequence ?? 0, sequence)};
 		const isDated = suspension === suspensionCount;
 		revisionVerifiedAt = isDated ? performance.now() : revisionVerifiedAt;
+		decoded = update.configuration === undefined || update.source === undefined ? decoded : {source: update.source, configuration: update.configuration};
 		host.onConfiguration(update, isDated ? verifiedAt : Number.NEGATIVE_INFINITY);
 		setKnown({
 			verifiedAt: isDated ? Math.max(known.verifiedAt, verifiedAt) : known.verifiedAt,
@@ -317,9 +326,12 @@
 			const suspension = suspensionCount;
 			const {signal} = restoreController;
 			const after = revision;
+			isFirstRead = after === undefined;
+			isNewerKnown = false;
 			// Each watch starts from the revision that the previous one returned.
 			// eslint-disable-next-line no-await-in-loop
 			const update = await callPlatform(configurationDependency, async () => after === undefined ? readConfiguration() : watchConfiguration(after));
+			isFirstRead = false;
 			if (signal.aborted && after !== undefined) {
 				// eslint-disable-next-line no-await-in-loop
 				await wait(Math.random() * Math.min(maximumReadDelayMs, getReadSpreadMs()));
@@ -330,8 +342,12 @@
 				await wait(getRetryDelayMs(configurationDependency));
 			} else {
 				applyUpdate(update, startedAt, suspension);
+				if (isNewerKnown && !isReading) {
+					readNow();
+				}
+
 				// eslint-disable-next-line no-await-in-loop
-				await wait(update.configuration === undefined ? 0 : changeCoalescingMs);
+				await wait(update.configuration === undefined || isNewerKnown ? 0 : changeCoalescingMs);
 			}
 		}
 	}
@@ -506,7 +522,13 @@
 
 	/** Parses the configuration of a state. Returns `undefined` if the state has none, and throws if it can't be used. */
 	function parseConfiguration({configuration}: FollowedState): ServingConfiguration | undefined {
-		return configuration === undefined ? undefined : platform.parseConfiguration(configuration.source);
+		if (configuration === undefined) {
+			return undefined;
+		}
+
+		const {source} = configuration;
+		decoded = decoded?.source === source ? decoded : {source, configuration: platform.parseConfiguration(source)};
+		return decoded.configuration;
 	}
 
 	function applyState(state: FollowedState, verifiedAt: Timestamp): boolean {
@@ -564,7 +586,13 @@
 			void readCrashes();
 			void runGatewayPolling(self);
 		},
-		refresh: readNow,
+		refresh() {
+			if (isFirstRead) {
+				isNewerKnown = true;
+			} else {
+				readNow();
+			}
+		},
 		refreshAfterSuspension() {
 			suspensionCount += 1;
 			known = {...known, verifiedAt: Number.NEGATIVE_INFINITY};
