Log the departure of a caller whose request has arrived completely

Cause: a request that is no longer pending when its body is complete was dropped without a line also where it had not been held; before, the intake logs it. Found by reading.

Change: only held requests end there. The caller server's long parameter types have names, and the tests of the feed pass the linter, which two of them did not.

Result: caller-server.test and platform-feed.test pass, the linter has no error in the files.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -82,7 +82,11 @@
 /** What the callers of a server may make it hold. */
 export type CallerBounds = Readonly<{memoryMb: number | undefined; maximumConnections: number}>;
 
-type EarlyRequest = Readonly<{message: IncomingMessage; head: CallerHead}>;
+/** A request that arrived before it could be checked, and the function that refuses it while it is pending. */
+type EarlyRequest = Readonly<{message: IncomingMessage; head: CallerHead; arrival: RequestArrival; refuse: (failure: Failure) => void}>;
+
+/** How a received request arrived, and the function that ends its being pending, which returns whether it was. */
+type PendingRequest = Readonly<{arrival: RequestArrival; isEarly: boolean; endPending: () => boolean}>;
 
 /** Starts the server and returns once it listens. */
 export async function startCallerServer(address: SocketAddress, bounds: CallerBounds, host: CallerServerHost): Promise<CallerServer> {
@@ -178,7 +182,11 @@
 			return;
 		}
 
-		const checked = isEarly ? checkLater({message, head}, response, {arrival, refusePendingRequest}) : undefined;
+		const checked = isEarly
+			? checkLater({
+				message, head, arrival, refuse: refusePendingRequest,
+			}, response)
+			: undefined;
 		const bodyTimer = setTimeout(() => {
 			refusePendingRequest(createNotRunFailure('deadlineExceeded', 'the body did not arrive'));
 		}, Math.max(0, (head.remainingMs ?? defaultBodyTimeoutMs) - arrival.unreadMs));
@@ -204,11 +212,11 @@
 			case 'complete': {
 				setHeldBytes(giveWay, requestBytes + result.body.length);
 				await checked;
-				if (!pendingRequests.has(refusePendingRequest)) {
+				if (isEarly && !pendingRequests.has(refusePendingRequest)) {
 					return;
 				}
 
-				if (result.body.length > maximumBodyBytes) {
+				if (isEarly && result.body.length > maximumBodyBytes) {
 					refusePendingRequest(createNotRunFailure('payloadTooLarge'));
 					return;
 				}
@@ -218,8 +226,8 @@
 		}
 	}
 
-	/** Holds a request until it can be checked, and checks it then. Refuses it, or does nothing if its caller leaves, before that. */
-	async function checkLater({message, head}: EarlyRequest, response: ServerResponse, {arrival, refusePendingRequest}: Readonly<{arrival: RequestArrival; refusePendingRequest: (failure: Failure) => void}>): Promise<void> {
+	/** Holds a request until it can be checked, and checks it then, unless its hold ends before. */
+	async function checkLater({message, head, arrival, refuse}: EarlyRequest, response: ServerResponse): Promise<void> {
 		const getHeldMs = (): Milliseconds => performance.now() - arrival.readAt;
 		const isKept = await new Promise<boolean>(resolve => {
 			const entry: EarlyEntry = {
@@ -228,7 +236,7 @@
 				},
 				refuse(failure) {
 					host.recordEarly('refused', head, getHeldMs());
-					refusePendingRequest(failure);
+					refuse(failure);
 					resolve(false);
 				},
 			};
@@ -248,7 +256,7 @@
 		host.recordEarly('checked', head, getHeldMs());
 		const refusal = host.checkHead(message, head);
 		if (refusal !== undefined) {
-			refusePendingRequest(refusal);
+			refuse(refusal);
 		}
 	}
 
@@ -258,7 +266,7 @@
 	}
 
 	/** Begins a request whose body has arrived, once the news that its placement needs are known. */
-	async function receiveExchange(exchange: CallerExchange, response: ServerResponse, {arrival, isEarly, endPending}: Readonly<{arrival: RequestArrival; isEarly: boolean; endPending: () => boolean}>): Promise<void> {
+	async function receiveExchange(exchange: CallerExchange, response: ServerResponse, {arrival, isEarly, endPending}: PendingRequest): Promise<void> {
 		const {head, hasCallerLeft} = exchange;
 		await host.waitForNews();
 		intake.receive({
--- a/packages/gateway/src/platform-feed.test.ts
+++ b/packages/gateway/src/platform-feed.test.ts
@@ -62,6 +62,12 @@
 	return feed;
 }
 
+async function waitForever(): Promise<never> {
+	return new Promise(() => {
+		// A watch that gets no answer.
+	});
+}
+
 test('logs a configuration outage and its end once each when concurrent reads fail', async () => {
 	const loggedEvents: string[] = [];
 	const recordEvent = (event: string, fields: Readonly<Record<string, unknown>> = {}): void => {
@@ -117,7 +123,7 @@
 		},
 		async watchConfiguration(after) {
 			watchedAfter.push(after.sequence);
-			return new Promise(() => undefined);
+			return waitForever();
 		},
 	});
 	await waitUntil(() => readCount > 0);
@@ -141,7 +147,7 @@
 		readConfiguration: async () => ({
 			revision: {epoch: 1, sequence: 5}, configuration: fixtureConfiguration, writtenAtRevision: 5, source: 'shown',
 		}),
-		watchConfiguration: async () => new Promise(() => undefined),
+		watchConfiguration: waitForever,
 	}, {
 		onConfiguration({configuration}) {
 			versions.push(configuration?.version);
@@ -150,7 +156,13 @@
 	await waitUntil(() => versions.length > 0);
 	for (const source of ['shown', 'newer-one', 'newer-one']) {
 		feed.applyState({
-			revision: {epoch: 1, sequence: 6}, configuration: {source, writtenAtRevision: 6}, endpoints: undefined, hasEndpointFailure: false, quarantines: undefined, evacuations: undefined, gateways: undefined,
+			revision: {epoch: 1, sequence: 6},
+			configuration: {source, writtenAtRevision: 6},
+			endpoints: undefined,
+			hasEndpointFailure: false,
+			quarantines: undefined,
+			evacuations: undefined,
+			gateways: undefined,
 		}, performance.now());
 	}
 
