--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -14,6 +14,7 @@
 import type {ServingLimits} from '@currantcross/core/gateway/gateway-types';
 import type {Milliseconds, Timestamp} from '@currantcross/core/types';
 import {createCallerExchange, type CallerExchange} from './caller-exchange.js';
+import {createEarlyRequestRunner, type EarlyEntry} from './early-request-runner.js';
 import type {CallerHead, WireFormat} from './gateway-hosts.js';
 import {createIntakeRunner} from './intake-runner.js';
 import type {SocketAddress} from './settings.js';
@@ -21,9 +22,15 @@
 /** When a request's head was read, and the longest time that it can have waited before. */
 export type RequestArrival = Readonly<{readAt: Timestamp; unreadMs: Milliseconds}>;
 
+/** How a request fared that arrived before it could be checked. */
+export type EarlyOutcome = 'checked' | 'refused' | 'departed';
+
 export type CallerServerHost = Readonly<{
 	wireFormat: WireFormat;
 	isDraining(): boolean;
+	/** Returns whether requests that arrive now are held until they can be checked. */
+	isHolding(): boolean;
+	recordEarly(outcome: EarlyOutcome, head: CallerHead, heldMs: Milliseconds): void;
 	/** Checks a request by its head, before the body is read. Returns the failure if the request is refused. */
 	checkHead(message: IncomingMessage, head: CallerHead): Failure | undefined;
 	/** Waits, for a moment at most, until what is to be known before a request is handled is known. */
@@ -43,6 +50,10 @@
 	/** Port that the server listens on. */
 	port: number;
 	setLimits(limits: ServingLimits): void;
+	/** Checks the requests that are held, which is possible now. */
+	resumeHeld(): void;
+	/** Records the outcome of a call of the platform's store, on which it depends whether requests are held. */
+	recordStoreCall(isAnswered: boolean): void;
 	/** Returns the number of requests whose head was accepted and that are not begun: their bodies still arrive, or they wait. */
 	getPendingCount(): number;
 	/** Refuses these requests. */
@@ -82,6 +93,12 @@
 /** What the callers of a server may make it hold. */
 export type CallerBounds = Readonly<{memoryMb: number | undefined; maximumConnections: number}>;
 
+/** A request that arrived before it could be checked, and the function that refuses it while it is pending. */
+type EarlyRequest = Readonly<{message: IncomingMessage; head: CallerHead; arrival: RequestArrival; refuse: (failure: Failure) => void}>;
+
+/** How a received request arrived, and the function that ends its being pending, which returns whether it was. */
+type PendingRequest = Readonly<{arrival: RequestArrival; isEarly: boolean; endPending: () => boolean}>;
+
 /** Returns whether the response waits behind another one of its connection, which has the socket until then. */
 function hasToWait(response: ServerResponse): boolean {
 	return (response.socket ?? undefined) === undefined;
@@ -90,6 +107,7 @@
 /** Starts the server and returns once it listens. */
 export async function startCallerServer(address: SocketAddress, bounds: CallerBounds, host: CallerServerHost): Promise<CallerServer> {
 	const intake = createIntakeRunner();
+	const early = createEarlyRequestRunner();
 	const memory = createCallerMemory<GiveWay>();
 	const bodyReader = createBodyReader();
 	const connections = createCallerConnections({
@@ -138,7 +156,8 @@
 	async function receiveRequest(message: IncomingMessage, response: ServerResponse): Promise<void> {
 		const arrival: RequestArrival = {readAt: performance.now(), unreadMs: host.getUnreadMs()};
 		const head = host.wireFormat.parseCallerHead(message.headers);
-		const refusal = host.checkHead(message, head);
+		const isEarly = host.isHolding();
+		const refusal = isEarly ? undefined : host.checkHead(message, head);
 		if (refusal !== undefined) {
 			refuseRequest(message, response, head, refusal);
 			return;
@@ -182,6 +201,11 @@
 			return;
 		}
 
+		const checked = isEarly
+			? checkLater({
+				message, head, arrival, refuse: refusePendingRequest,
+			}, response)
+			: undefined;
 		const bodyTimer = setTimeout(() => {
 			refusePendingRequest(createNotRunFailure('deadlineExceeded', 'the body did not arrive'));
 		}, Math.max(0, (head.remainingMs ?? defaultBodyTimeoutMs) - arrival.unreadMs));
@@ -199,17 +223,62 @@
 
 			case 'tooLarge': {
 				endPending();
-				refuseRequest(message, response, head, createNotRunFailure('payloadTooLarge'));
+				// The limit of an early request was not the configuration's.
+				refuseRequest(message, response, head, createNotRunFailure(isEarly ? 'notReady' : 'payloadTooLarge'));
 				return;
 			}
 
 			case 'complete': {
 				setHeldBytes(giveWay, requestBytes + result.body.length);
-				await receiveExchange(createCallerExchange({message, head, body: result.body}, response, exchangeHost), response, {arrival, endPending});
+				await checked;
+				if (isEarly && !pendingRequests.has(refusePendingRequest)) {
+					return;
+				}
+
+				if (isEarly && result.body.length > maximumBodyBytes) {
+					refusePendingRequest(createNotRunFailure('payloadTooLarge'));
+					return;
+				}
+
+				await receiveExchange(createCallerExchange({message, head, body: result.body}, response, exchangeHost), response, {arrival, isEarly, endPending});
 			}
 		}
 	}
 
+	/** Holds a request until it can be checked, and checks it then, unless its hold ends before. */
+	async function checkLater({message, head, arrival, refuse}: EarlyRequest, response: ServerResponse): Promise<void> {
+		const getHeldMs = (): Milliseconds => performance.now() - arrival.readAt;
+		const isKept = await new Promise<boolean>(resolve => {
+			const entry: EarlyEntry = {
+				resume() {
+					resolve(true);
+				},
+				refuse(failure) {
+					host.recordEarly('refused', head, getHeldMs());
+					refuse(failure);
+					resolve(false);
+				},
+			};
+			response.once('close', () => {
+				if (early.remove(entry)) {
+					host.recordEarly(response.headersSent ? 'refused' : 'departed', head, getHeldMs());
+				}
+
+				resolve(false);
+			});
+			early.admit(entry, head.remainingMs === undefined ? undefined : head.remainingMs - arrival.unreadMs);
+		});
+		if (!isKept) {
+			return;
+		}
+
+		host.recordEarly('checked', head, getHeldMs());
+		const refusal = host.checkHead(message, head);
+		if (refusal !== undefined) {
+			refuse(refusal);
+		}
+	}
+
 	function refuseRequest(message: IncomingMessage, response: ServerResponse, head: CallerHead, failure: Failure): void {
 		host.recordRefusal(head, failure);
 		if (hasToWait(response)) {
@@ -222,11 +291,11 @@
 	}
 
 	/** Begins a request whose body has arrived, once the news that its placement needs are known. */
-	async function receiveExchange(exchange: CallerExchange, response: ServerResponse, {arrival, endPending}: Readonly<{arrival: RequestArrival; endPending: () => boolean}>): Promise<void> {
+	async function receiveExchange(exchange: CallerExchange, response: ServerResponse, {arrival, isEarly, endPending}: PendingRequest): Promise<void> {
 		const {head, hasCallerLeft} = exchange;
 		await host.waitForNews();
 		intake.receive({
-			unreadMs: arrival.unreadMs,
+			hasWaited: arrival.unreadMs > 0 || isEarly,
 			hasCallerLeft,
 			begin() {
 				if (endPending()) {
@@ -320,6 +389,8 @@
 			server.headersTimeout = limits.headerTimeoutMs;
 			server.keepAliveTimeout = limits.idleTimeoutMs + keepAliveMarginMs;
 		},
+		resumeHeld: early.resumeAll,
+		recordStoreCall: early.recordCall,
 		getPendingCount: () => pendingRequests.size,
 		refusePending(failure) {
 			for (const refuse of pendingRequests) {
@@ -347,6 +418,7 @@
 				exchange.breakConnection();
 			}
 
+			early.close();
 			connections.close();
 			server.close();
 			server.closeAllConnections();
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -26,6 +26,8 @@
 	recordCallerBound(bound: string): void;
 	/** Records for how long a response was not read from its endpoint, since its caller did not read it. */
 	recordResponsePause(durationMs: number): void;
+	/** Records a request that arrived before it could be checked, by how it fared. */
+	recordEarlyRequest(outcome: string): void;
 	/** Records a query to the relay: whether it was answered in time, and the time that requests waited for it. */
 	recordQuery(outcome: string, durationMs: number): void;
 	/** Records a batch of the exchange that was received. */
@@ -87,6 +89,9 @@
 	const responsePauses = new Histogram({
 		name: 'currantcross_response_pause_seconds', help: 'Times for which responses were not read from their endpoints since their callers did not read them', buckets: durationBucketsS, registers,
 	});
+	const earlyRequests = new Counter({
+		name: 'currantcross_early_requests_total', help: 'Requests that were to be held until they could be checked, by how they fared', labelNames: ['outcome'], registers,
+	});
 	const queries = new Histogram({
 		name: 'currantcross_relay_query_seconds', help: 'Time for which requests wait for the latest news of other gateways', labelNames: ['outcome'], buckets: queryBucketsS, registers,
 	});
@@ -185,6 +190,9 @@
 		recordResponsePause(durationMs) {
 			responsePauses.observe(durationMs / millisecondsPerSecond);
 		},
+		recordEarlyRequest(outcome) {
+			earlyRequests.inc({outcome});
+		},
 		recordQuery(outcome, durationMs) {
 			queries.observe({outcome}, durationMs / millisecondsPerSecond);
 		},
--- a/packages/gateway/src/response-throttle.test.ts
+++ b/packages/gateway/src/response-throttle.test.ts
@@ -117,6 +117,8 @@
 	const server = await startCallerServer({host: '127.0.0.1', port: 0}, {memoryMb: 200, maximumConnections: 100}, {
 		wireFormat: wireFormat as WireFormat, // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the other members are not used
 		isDraining: () => false,
+		isHolding: () => false,
+		recordEarly: () => undefined,
 		checkHead: () => undefined,
 		handleRequest,
 		waitForNews: async () => undefined,
