Weigh what shows a server's pace by how far it usually scatters

Change: the variance of each source is learned, and the logarithm of a ratio counts by the share of it that is likely the server's pace. Beside it tests of what a gateway learns from pauses, from callers that leave, and of a split prompt that waited for memory.

--- a/packages/core/src/gateway/endpoint-pace.ts
+++ b/packages/core/src/gateway/endpoint-pace.ts
@@ -6,6 +6,8 @@
 A gateway sees an endpoint seldom when there are many gateways, so each tells the others what deviates; that is
 forgotten within seconds, so that a recovered endpoint is tried again. A prompt that several servers process is as late as
 the slowest of them: in time, it shows that none of them is slow; late, its delay is shared out, mostly to those that are slow already.
+First events also depend on requests that this gateway doesn't know of yet, and pauses hardly do: each kind of observation counts by
+how far it usually scatters, so that chance delays of a server that isn't slow turn no requests away from it.
 */
 import {LRUCache} from 'lru-cache';
 import type {Milliseconds, Timestamp} from '../types.js';
@@ -45,6 +47,12 @@
 /** Number of observations that an endpoint starts with: of usual pace, or of the pace of those that started as lately. */
 const endpointPriorWeight = 1;
 const servicePrior = {ratio: 1, weight: 4};
+/** Variance of the logarithm of the paces of endpoints, some of which are slow. */
+const paceVariance = 0.5;
+/** The same of ratios of endpoints of usual pace before any were seen, as a power of e, and the number of observations that it counts as. */
+const initialScatter = {ratio: Math.exp(0.05), weight: 8};
+/** Deviation beyond which a ratio adds no more to the scatter, so that slow endpoints hardly do. */
+const scatterDeviation = 2;
 /** Part of each response that doesn't depend on the endpoint's pace: connections and delays of the network. */
 const allowanceMs: Milliseconds = 30;
 /** Ratios beyond these say no more than these. */
@@ -67,6 +75,11 @@
 	return Math.min(maximumRatio, Math.max(minimumRatio, ratio));
 }
 
+/** Returns the part of a deviation that is likely the endpoint's pace and not chance. */
+function getLikelyRatio(ratio: number, scatter: number): number {
+	return ratio ** (paceVariance / (paceVariance + scatter));
+}
+
 /** Returns the ratio that an observation shows of each of the endpoints of the given paces. */
 function getSharedRatios(ratio: number, paces: readonly number[]): readonly number[] {
 	if (paces.length <= 1 || ratio <= usualDeviation) {
@@ -83,6 +96,8 @@
 	const averages = new LRUCache<EndpointId, LogAverage>({max: maximumTrackedEndpoints});
 	/** Common deviation of each service, by what is timed. */
 	const services = new LRUCache<string, LogAverage>({max: maximumTrackedServices});
+	/** Powers of e of the squared logarithms of ratios, by what is timed: the logarithm of the average is their variance. */
+	const scatters = new LRUCache<string, LogAverage>({max: maximumTrackedServices});
 	const toldAt = new LRUCache<EndpointId, Timestamp>({max: maximumTrackedEndpoints});
 
 	function getPace(endpoint: EndpointId, now: Timestamp): number {
@@ -119,7 +134,8 @@
 		learn({service, source, endpoints, predictedMs, observedMs, isMinimum}, now) {
 			const absoluteRatio = getBoundedRatio((observedMs + allowanceMs) / (predictedMs + allowanceMs));
 			const key = `${service}\n${source}`;
-			const relativeRatio = getBoundedRatio(absoluteRatio / getAverageRatio(services.get(key), servicePrior, serviceHalfLifeMs, now));
+			const observedRatio = getBoundedRatio(absoluteRatio / getAverageRatio(services.get(key), servicePrior, serviceHalfLifeMs, now));
+			const relativeRatio = getLikelyRatio(observedRatio, Math.log(getAverageRatio(scatters.get(key), initialScatter, serviceHalfLifeMs, now)));
 			// Of several servers, an early response shows no more than one in time.
 			const ratio = endpoints.length > 1 ? Math.max(1, relativeRatio) : relativeRatio;
 			const paces = endpoints.map(endpoint => getPace(endpoint, now));
@@ -128,6 +144,8 @@
 			}
 
 			services.set(key, getUpdatedAverage(services.get(key), absoluteRatio, serviceHalfLifeMs, now));
+			const scatteredRatio = Math.min(scatterDeviation, Math.max(1 / scatterDeviation, observedRatio));
+			scatters.set(key, getUpdatedAverage(scatters.get(key), scatteredRatio ** Math.log(scatteredRatio), serviceHalfLifeMs, now));
 			const shares = getSharedRatios(ratio, paces);
 			return endpoints.flatMap((endpoint, index): readonly PaceChange[] => {
 				const share = shares[index] ?? 1;
--- a/packages/core/src/gateway/work-routing.test.ts
+++ b/packages/core/src/gateway/work-routing.test.ts
@@ -3,7 +3,7 @@
 import {createGateway} from './gateway.js';
 import type {GatewayAction} from './gateway-events.js';
 import {
-	createFixtureEndpoints, createFixtureGatewayRequest, fixtureConfiguration, fixtureEngine, fixtureGatewaySettings, fixtureIdempotentRoute, fixtureStreamRoute,
+	createFixtureEndpoints, createFixtureGatewayRequest, createFixtureHead, fixtureConfiguration, fixtureEngine, fixtureGatewaySettings, fixtureIdempotentRoute, fixtureLongStreamRoute, fixtureStreamRoute,
 } from './gateway-fixtures.js';
 import {createEndpointPaces} from './endpoint-pace.js';
 import {createLoadView} from './load-view.js';
@@ -97,6 +97,30 @@
 		expect(toldCount).toBe(0);
 	});
 
+	// Guards against servers that are avoided, and others flooded, because of requests that a gateway didn't know of.
+	test('stay mostly usual while first events scatter by chance, and rise by the pauses of a server that is slow meanwhile', () => {
+		const paces = createEndpointPaces();
+		const random = createRandom(1);
+		let slowCount = 0;
+		for (let now = 0; now < 30_000; now += 50) {
+			const chance = Math.exp(((random.getFraction() + random.getFraction() + random.getFraction()) * 1.8) - 2.7);
+			paces.learn({...usual, endpoints: [`models-${random.getInteger(40)}`], observedMs: 90 * chance}, now);
+			paces.learn({
+				...usual, source: 'pauses', endpoints: [`models-${random.getInteger(40)}`], observedMs: 80 + random.getInteger(8),
+			}, now);
+			slowCount += paces.getPace(`models-${random.getInteger(40)}`, now) > 1 ? 1 : 0;
+		}
+
+		expect(slowCount).toBeLessThan(30);
+		for (const now of [30_000, 30_200, 30_400, 30_600, 30_800]) {
+			paces.learn({
+				...usual, source: 'pauses', endpoints: ['models-3'], observedMs: 400,
+			}, now);
+		}
+
+		expect(paces.getPace('models-3', 30_800)).toBeGreaterThan(1.6);
+	});
+
 	test('are shared out by a late split prompt, mostly to a server that is slow already, and a prompt in time clears all of them', () => {
 		const paces = createEndpointPaces();
 		const split = {...usual, source: 'splitFirstEvent' as const};
@@ -331,3 +355,53 @@
 	gateway.step({kind: 'peerChanged', gateway: 'gateway-2', changes: [{kind: 'paceObserved', endpoint, ratio: 8}, {kind: 'paceObserved', endpoint, ratio: 8}]}, 0);
 	expect(findEndpoint(2) === endpoint).toBe(usesSlowEndpoint);
 });
+
+describe('a gateway with work-aware routing', () => {
+	const text = new TextEncoder();
+
+	function createSent(promptTokens: number, route = fixtureStreamRoute): Readonly<{gateway: ReturnType<typeof createGateway>; actions: readonly GatewayAction[]}> {
+		const gateway = createGateway({...fixtureGatewaySettings, isWorkAware: true});
+		gateway.step({kind: 'configurationVerified', configuration: fixtureConfiguration, verifiedAt: 0}, 0);
+		gateway.step({kind: 'endpointsListed', endpoints: createFixtureEndpoints('models', 4)}, 0);
+		const actions = gateway.step({
+			kind: 'requestArrived', request: createFixtureGatewayRequest(route, {prompt: {promptTokens, maximumTokens: 1000}}),
+		}, 0);
+		return {gateway, actions};
+	}
+
+	function getTold(actions: readonly GatewayAction[]): readonly number[] {
+		return actions.flatMap(action => action.kind === 'publishChange' && action.change.kind === 'paceObserved' ? [action.change.ratio] : []);
+	}
+
+	test.each([[250, true], [45, false]])('tells of a server whose stream pauses for %i ms: %s', (pauseMs, isTold) => {
+		const {gateway} = createSent(5000);
+		gateway.step({kind: 'requestChanged', key: 1, event: {kind: 'responseStarted', sendId: 1, head: createFixtureHead()}}, 60);
+		const told = Array.from({length: 9}, (_, index) => getTold(gateway.step({
+			kind: 'requestChanged', key: 1, event: {kind: 'responseBytes', sendId: 1, bytes: text.encode(`id: ${index}\ndata: x\n\n`)},
+		}, 80 + (index * pauseMs)))).flat();
+		expect(told.some(ratio => ratio > 2)).toBe(isTold);
+	});
+
+	test.each([[2000, true], [40, false]])('tells of a server whose caller leaves without an event after %i ms: %s', (waitedMs, isTold) => {
+		const {gateway} = createSent(5000);
+		expect(getTold(gateway.step({kind: 'requestChanged', key: 1, event: {kind: 'clientGone'}}, waitedMs)).length > 0).toBe(isTold);
+	});
+
+	// Guards against servers that are taken for slow because memory had to be waited for.
+	test('tells of no server of a split prompt that waited long for memory, and then got its first event in time', () => {
+		const {gateway, actions} = createSent(500_000, fixtureLongStreamRoute);
+		const reservations = actions.flatMap(action => action.kind === 'reserveMemory' ? [action.reservation.id] : []);
+		const placed = actions.flatMap(action => action.kind === 'reportDecision' && action.decision.kind === 'placed' ? [action.decision.firstEventMs] : []);
+		expect(reservations.length).toBeGreaterThan(0);
+		for (const reservationId of reservations) {
+			gateway.step({kind: 'requestChanged', key: 1, event: {kind: 'memoryAnswered', reservationId, isHeld: true}}, 900);
+		}
+
+		gateway.step({kind: 'requestChanged', key: 1, event: {kind: 'responseStarted', sendId: 1, head: createFixtureHead()}}, 1000);
+		const delivered = gateway.step({
+			kind: 'requestChanged', key: 1, event: {kind: 'responseBytes', sendId: 1, bytes: text.encode('id: 0\ndata: x\n\n')},
+		}, 900 + (placed[0] ?? 0));
+		expect(delivered.some(({kind}) => kind === 'reportTiming')).toBe(true);
+		expect(getTold(delivered)).toEqual([]);
+	});
+});
