Bound what callers make an entry hold, as at a gateway

Cause: the product's own HTTP server kept an object for each chunk of a body, and had no bound on bodies, heads, connections or unread responses. Change: it uses the account of the gateway for bodies, open requests (their text twice, as it may take two bytes a character), heads and responses that are not read, and its bound on connections; the caller and the operator interface share one account. A request that gives way before it is submitted is refused as not run. Requests without a host and with an unknown expectation count among those of their connection. The settings get memoryMb (1000) and maximumDescriptors (8000).

--- a/packages/caller/src/caller-api.ts
+++ b/packages/caller/src/caller-api.ts
@@ -10,7 +10,7 @@
 import {getHandlerFailure, requestIdHeader, sendFailure} from './failure-response.js';
 import {getSha256} from './hasher.js';
 import {
-	sendJson, startHttpServer, tryGetHeader, type HttpRequest, type HttpServer,
+	sendJson, startHttpServer, tryGetHeader, type HttpRequest, type HttpServer, type HttpServerBounds,
 } from './http-server.js';
 import type {CallerHost, RequestListener} from './request-listener.js';
 
@@ -19,6 +19,7 @@
 	/** 0 selects any free port. */
 	port: number;
 	maximumBodyBytes: number;
+	bounds: HttpServerBounds;
 }>;
 
 /** Request header with the caller's deadline, in milliseconds from arrival. */
--- a/packages/caller/src/failure-response.ts
+++ b/packages/caller/src/failure-response.ts
@@ -7,6 +7,7 @@
 	createNotRunFailure, getErrorDefinition, getErrorBody, tryGetRetryAfterMs, type Failure,
 } from '@currantcross/core/errors';
 import type {RequestId} from '@currantcross/core/types';
+import {getBoundFailure} from '@currantcross/core/gateway/caller-memory';
 import VError from 'verror';
 import {sendJson} from './http-server.js';
 
@@ -30,6 +31,10 @@
 		return createNotRunFailure('payloadTooLarge');
 	}
 
+	if (VError.hasCauseWithName(toError(error), 'CallersBounded')) {
+		return getBoundFailure(Math.floor(performance.now()));
+	}
+
 	if (VError.hasCauseWithName(toError(error), 'MalformedRequest')) {
 		return createNotRunFailure('malformedRequest', getErrorText(error));
 	}
--- a/packages/caller/src/http-server.ts
+++ b/packages/caller/src/http-server.ts
@@ -1,11 +1,17 @@
 /**
 Minimal HTTP server with a router, size-limited request bodies, and JSON responses.
+
+With bounds it answers the load of callers that nobody controls: bodies, heads and unread responses give way, those that have held most for
+longest first, before they exceed the memory and the descriptors of the process.
 */
 import {Buffer} from 'node:buffer';
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import {createCallerMemory, getRequestBytes, type CallerMemory} from '@currantcross/core/gateway/caller-memory';
 import {listen} from '@currantcross/core/listen';
 import createRouter from 'find-my-way';
 import VError from 'verror';
+import {createBodyReader, type BodyReader} from './body-reader.js';
+import {createCallerConnections, type CallerBound, type GiveWay} from './caller-connections.js';
 import {discardTimeoutMs, drainUnreadBody} from './unread-body.js';
 
 export type HttpRequest = Readonly<{
@@ -14,7 +20,11 @@
 	url: URL;
 	/** Path parameters of the matched route. */
 	parameters: Readonly<Record<string, string | undefined>>;
-	/** Reads the whole body; throws a `VError` named `PayloadTooLarge` if it exceeds the server's limit. */
+	/**
+	Reads the whole body.
+
+	@throws VError named `PayloadTooLarge` if it exceeds the server's limit, `CallersBounded` if it had to give way to other callers.
+	*/
 	readText(): Promise<string>;
 }>;
 
@@ -25,11 +35,22 @@
 
 export type HttpRoute = Readonly<{method: HttpMethod; path: string; handler: HttpHandler}>;
 
+/** What callers may make a server hold. */
+export type HttpServerBounds = Readonly<{
+	/** Servers of one process share it. */
+	memory: CallerMemory<GiveWay>;
+	maximumConnections: number;
+	/** Records that a request was refused, or a connection closed, because of a bound. */
+	recordBound(bound: CallerBound): void;
+}>;
+
 export type HttpServerSettings = Readonly<{
 	host: string;
 	/** 0 selects any free port. */
 	port: number;
 	maximumBodyBytes: number;
+	/** Without bounds only the requests of one connection that wait are limited. */
+	bounds?: HttpServerBounds;
 	routes: readonly HttpRoute[];
 	/** Handles a request that matches no route. */
 	handleUnknownRoute: HttpHandler;
@@ -49,29 +70,79 @@
 
 const allMethods = ['GET', 'POST', 'PUT', 'PATCH', 'DELETE', 'HEAD', 'OPTIONS'] as const;
 
-/**
-Reads a request body. An oversized body is read to its end and discarded, because unread data would break the next request
-on the connection. Reading stops at `discardLimitFactor` times the limit.
+/** Length of the longest head; a longer one is refused. */
+const maximumHeadBytes = 16_384;
+/** Interval at which responses that are not read are counted; in it no more arrives than servers send. */
+const responseCheckIntervalMs = 250;
+/** Memory that a byte of a body takes as text, which may need two bytes a character. */
+const textFactor = 2;
+const badRequestStatus = 400;
+const expectationFailedStatus = 417;
 
-@throws VError named `PayloadTooLarge` if the body exceeds the limit.
-*/
-async function readBody(message: IncomingMessage, maximumBytes: number): Promise<string> {
-	const chunks: Uint8Array[] = [];
-	let size = 0;
-	for await (const chunk of message.iterator({destroyOnReturn: false}) as AsyncIterable<Uint8Array>) {
-		size += chunk.length;
-		if (size <= maximumBytes) {
-			chunks.push(chunk);
-		} else if (size > maximumBytes * discardLimitFactor) {
-			break;
+/** Reads an oversized body on and discards it, since unread data would break the next request, to its end or the limit for that. */
+async function drainOversizedBody(message: IncomingMessage, maximumBytes: number): Promise<void> {
+	let size = maximumBytes;
+	await new Promise<void>(resolve => {
+		message.on('data', (chunk: Uint8Array) => {
+			size += chunk.length;
+			if (size > maximumBytes * discardLimitFactor) {
+				resolve();
+			}
+		});
+		message.once('end', resolve);
+		message.once('close', resolve);
+	});
+}
+
+type ReadingContext = Readonly<{
+	maximumBodyBytes: number;
+	bodyReader: BodyReader;
+	memory: CallerMemory<GiveWay>;
+	recordBound(bound: CallerBound): void;
+	setHeldBytes(holder: GiveWay, bytes: number): void;
+}>;
+
+/** Reads a request's body while what it holds can be given up, and counts it as kept from its end until the response is closed. */
+async function readBody(message: IncomingMessage, response: ServerResponse, context: ReadingContext): Promise<string> {
+	const {maximumBodyBytes, memory} = context;
+	const requestBytes = getRequestBytes(message.rawHeaders);
+	const unfinishedBytes = requestBytes + (message.headers['transfer-encoding'] === undefined ? 0 : maximumHeadBytes);
+	let hasGivenWay = false;
+	const reading = context.bodyReader.read(message, maximumBodyBytes, bytes => {
+		context.setHeldBytes(giveWay, unfinishedBytes + (textFactor * bytes));
+	});
+	const giveWay: GiveWay = bound => {
+		context.recordBound(bound);
+		hasGivenWay = true;
+		reading.discard();
+		// Behind another response a refusal would wait, and hold the head.
+		if (bound === 'connections' || (response.socket ?? undefined) === undefined) {
+			message.socket.destroy();
 		}
-	}
+	};
 
-	if (size > maximumBytes) {
-		throw new VError({name: 'PayloadTooLarge'}, 'the body is larger than %d bytes', maximumBytes);
-	}
+	context.setHeldBytes(giveWay, unfinishedBytes);
+	const result = await reading.result;
+	memory.remove(giveWay);
+	switch (result.kind) {
+		case 'aborted': {
+			throw new VError({name: hasGivenWay ? 'CallersBounded' : 'CallerGone'}, 'the body is not complete');
+		}
+
+		case 'tooLarge': {
+			await drainOversizedBody(message, maximumBodyBytes);
+			throw new VError({name: 'PayloadTooLarge'}, 'the body is larger than %d bytes', maximumBodyBytes);
+		}
 
-	return Buffer.concat(chunks).toString('utf8');
+		case 'complete': {
+			const keptBytes = requestBytes + (textFactor * result.body.length);
+			memory.addKept(keptBytes);
+			response.once('close', () => {
+				memory.addKept(-keptBytes);
+			});
+			return Buffer.from(result.body.buffer, result.body.byteOffset, result.body.length).toString('utf8');
+		}
+	}
 }
 
 /** Sends a complete JSON response. */
@@ -89,6 +160,15 @@
 /** Starts a server and waits until it listens. */
 export async function startHttpServer(settings: HttpServerSettings): Promise<HttpServer> {
 	const openRequests = new Set<IncomingMessage>();
+	const {memory, maximumConnections, recordBound} = settings.bounds ?? {
+		memory: createCallerMemory<GiveWay>(), maximumConnections: Number.POSITIVE_INFINITY, recordBound: () => undefined,
+	};
+	const bodyReader = createBodyReader();
+	const connections = createCallerConnections({
+		maximumConnections, maximumHeadBytes, memory, recordBound,
+	});
+	/** Functions that break off responses which are not read. */
+	const responseHolders = new Map<ServerResponse, GiveWay>();
 	let isClosing = false;
 	let closeTimer: NodeJS.Timeout | undefined;
 	const router = createRouter({
@@ -103,11 +183,30 @@
 			message,
 			url: new URL(message.url ?? '/', 'http://localhost'),
 			parameters,
-			readText: async () => readBody(message, settings.maximumBodyBytes),
+			readText: async () => readBody(message, response, {
+				maximumBodyBytes: settings.maximumBodyBytes, bodyReader, memory, recordBound, setHeldBytes,
+			}),
 		};
 		void runHandler(handler, request, response);
 	}
 
+	/** Sets what a holder holds, and lets those give way that have to. */
+	function setHeldBytes(holder: GiveWay, bytes: number): void {
+		for (const giveWay of memory.setHeld(holder, bytes, performance.now())) {
+			giveWay('memory');
+		}
+	}
+
+	const responseTimer = setInterval(() => {
+		for (const [response, giveWay] of responseHolders) {
+			if (response.writableLength > response.writableHighWaterMark) {
+				setHeldBytes(giveWay, textFactor * response.writableLength);
+			} else {
+				memory.remove(giveWay);
+			}
+		}
+	}, responseCheckIntervalMs);
+
 	/** Runs a handler. If it fails after the headers were sent, destroys the response instead of ending it. */
 	async function runHandler(handler: HttpHandler, request: HttpRequest, response: ServerResponse): Promise<void> {
 		try {
@@ -133,7 +232,17 @@
 	function addRequest(message: IncomingMessage, response: ServerResponse): void {
 		openRequests.add(message);
 		clearTimeout(closeTimer);
+		const {socket} = message;
+		const breakConnection: GiveWay = bound => {
+			recordBound(bound);
+			socket.destroy();
+		};
+
+		responseHolders.set(response, breakConnection);
 		response.once('close', () => {
+			responseHolders.delete(response);
+			memory.remove(breakConnection);
+			connections.removeRequest(socket);
 			openRequests.delete(message);
 			closeUnusedConnections();
 		});
@@ -157,11 +266,32 @@
 		}
 	}
 
-	const server = http.createServer((message, response) => {
+	/** Handles the head of a request. With a status that request is refused which HTTP itself does not allow. */
+	function handleHead(message: IncomingMessage, response: ServerResponse, status?: number): void {
+		if (!connections.tryAddRequest(message.socket)) {
+			return;
+		}
+
 		addRequest(message, response);
 		drainUnreadBody(message, response);
-		router.lookup(message, response);
+		if (status === undefined) {
+			router.lookup(message, response);
+			return;
+		}
+
+		message.resume();
+		response.writeHead(status, {connection: 'close'});
+		response.end();
+	}
+
+	// What the HTTP server would answer itself, requests without a host and with other expectations, counts among a connection's requests.
+	const server = http.createServer({maxHeaderSize: maximumHeadBytes, requireHostHeader: false}, (message, response) => {
+		handleHead(message, response, message.headers.host === undefined && message.httpVersion === '1.1' ? badRequestStatus : undefined);
+	});
+	server.on('checkExpectation', (message: IncomingMessage, response: ServerResponse) => {
+		handleHead(message, response, expectationFailedStatus);
 	});
+	server.on('connection', connections.add);
 	server.keepAliveTimeout = 5000;
 	const port = await listen(server, {host: settings.host, port: settings.port});
 	return {
@@ -178,6 +308,8 @@
 			});
 			clearTimeout(bodyTimer);
 			clearTimeout(closeTimer);
+			clearInterval(responseTimer);
+			connections.close();
 		},
 	};
 }
--- a/packages/daemon/src/entry-daemon.ts
+++ b/packages/daemon/src/entry-daemon.ts
@@ -5,6 +5,8 @@
 import {startCallerApi} from '@currantcross/caller/caller-api';
 import {createHasher} from '@currantcross/caller/hasher';
 import type {CallerHost} from '@currantcross/caller/request-listener';
+import type {CallerBound, GiveWay} from '@currantcross/caller/caller-connections';
+import {createCallerMemory, getCallerMemoryLimit, getMaximumConnections} from '@currantcross/core/gateway/caller-memory';
 import {getBurnLines, type BurnCount} from '@currantcross/core/burn';
 import {createEntry, defaultEntrySettings, type Entry} from '@currantcross/core/entry';
 import type {Member} from '@currantcross/core/membership';
@@ -26,6 +28,7 @@
 import {createEntryDriver} from './entry-driver.js';
 import {createHostListReader} from './host-list-reader.js';
 import {createIncarnation} from './incarnation.js';
+import {createLogLimiter} from './log-limiter.js';
 import {createLogger} from './logger.js';
 import {createMetrics} from './metrics.js';
 import {startOrderReconciler} from './order-reconciler.js';
@@ -39,6 +42,10 @@
 /** Number of entries that compete for the order leases. */
 const orderCandidateCount = 2;
 
+const maximumOperatorConnections = 64;
+/** Lines a second that say that callers were bounded, for each bound. */
+const boundLinesPerSecond = 10;
+
 const gaugeIntervalMs = 10_000;
 const seedRange = 2 ** 31;
 
@@ -214,8 +221,20 @@
 			appendClaim: async (record, budgetMs) => claimStore.submitLocally(record, budgetMs),
 		});
 	});
-	const callerServer = await startCallerApi(settings.caller, callerHost);
-	const operatorServer = await startOperatorApi({...settings.operator, operatorKey}, operatorHost);
+	const memory = createCallerMemory<GiveWay>();
+	memory.setLimit(getCallerMemoryLimit(settings.memoryMb, settings.caller.maximumBodyBytes));
+	const boundLines = createLogLimiter(boundLinesPerSecond);
+	function recordBound(bound: CallerBound): void {
+		metrics.recordCallerBound(bound);
+		if (boundLines.tryTake(bound, performance.now())) {
+			logger.warn('callersBounded', {bound});
+		}
+	}
+
+	const callerServer = await startCallerApi({
+		...settings.caller, bounds: {memory, recordBound, maximumConnections: getMaximumConnections(settings.maximumDescriptors)},
+	}, callerHost);
+	const operatorServer = await startOperatorApi({...settings.operator, operatorKey, bounds: {memory, recordBound, maximumConnections: maximumOperatorConnections}}, operatorHost);
 	const gaugeTimer = setInterval(() => {
 		metrics.recordOpenRequests(entry.getOpenRequestCount());
 	}, gaugeIntervalMs);
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -10,6 +10,7 @@
 	recordOpenRequests(count: number): void;
 	recordConfigurationSequence(sequence: number): void;
 	recordLiveAttempts(count: number): void;
+	recordCallerBound(bound: string): void;
 	close(): void;
 }>;
 
@@ -45,6 +46,9 @@
 		recordLiveAttempts(count) {
 			client.gauge('attempt.live', count);
 		},
+		recordCallerBound(bound) {
+			client.increment('caller.bounds', 1, {bound});
+		},
 		close() {
 			client.close(() => undefined);
 		},
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -48,6 +48,9 @@
 		port: portSchema,
 		maximumBodyBytes: z.number().int().positive().default(8_000_000),
 	}),
+	/** Memory that the process may use, in megabytes, and descriptors that it may have open: what callers make it hold is bounded by both. */
+	memoryMb: z.number().positive().default(1000),
+	maximumDescriptors: z.int().positive().default(8000),
 	operator: z.strictObject({host: z.string().min(1), port: portSchema, keyFile: z.string().min(1)}),
 	platform: z.strictObject({objectApiUrl: urlSchema, hostListUrl: urlSchema}),
 	/** Other entries, used until the host list is read for the first time. */
--- a/packages/operator/src/operator-api.ts
+++ b/packages/operator/src/operator-api.ts
@@ -7,7 +7,7 @@
 import {sendFailure, getHandlerFailure} from '@currantcross/caller/failure-response';
 import {getSha256} from '@currantcross/caller/hasher';
 import {
-	sendJson, startHttpServer, tryGetHeader, type HttpHandler, type HttpRequest, type HttpServer,
+	sendJson, startHttpServer, tryGetHeader, type HttpHandler, type HttpRequest, type HttpServer, type HttpServerBounds,
 } from '@currantcross/caller/http-server';
 import {createNotRunFailure, type ErrorKind} from '@currantcross/core/errors';
 import {parseTicket} from '@currantcross/core/ticket';
@@ -18,6 +18,7 @@
 	/** 0 selects any free port. */
 	port: number;
 	operatorKey: string;
+	bounds: HttpServerBounds;
 }>;
 
 const maximumBodyBytes = 1_000_000;
@@ -95,6 +96,7 @@
 		host: settings.host,
 		port: settings.port,
 		maximumBodyBytes,
+		bounds: settings.bounds,
 		routes: [
 			{method: 'POST', path: '/operator/v1/tickets', handler: createAuthorisedHandler(handleApplyTicket)},
 			{method: 'GET', path: '/operator/v1/tickets/:number', handler: createAuthorisedHandler(handleShowTicket)},
