Let the soak's gateways meet callers whose bodies stop short of their end

Four callers send chunked bodies in large chunks or in chunks of one byte, stay for up to a second and come back to another gateway, until the last fault. New checks: no gateway has ended by itself, and such a request never runs; ordinary callers are judged as before. The gateways get the memory and descriptors of a host of 202 MB and 2,870.

--- a/packages/soak/src/soak-gateways.ts
+++ b/packages/soak/src/soak-gateways.ts
@@ -39,6 +39,9 @@
 /** Time limit for a gateway to become ready, with room for a busy machine. */
 const maximumStartMs = 15_000;
 const pollMs = 50;
+/** Memory and descriptors of a gateway's host. */
+const memoryMb = 202;
+const maximumDescriptors = 2870;
 const okStatus = 200;
 /** A process that has not exited this long after its grace period gets SIGKILL. */
 const killAfterGraceMs = 500;
@@ -165,6 +168,8 @@
 			peerAddress: `127.0.0.1:${peerPort}`,
 			metricsAddress: `127.0.0.1:${metricsPort}`,
 			platformAddress: `127.0.0.1:${storeRelay.port}`,
+			memoryMb,
+			maximumDescriptors,
 			graceMs: soakBounds.graceMs,
 			revocationMs: soakBounds.revocationMs,
 			retries: {ratio: soakBounds.retryRatio, fixedSends: soakBounds.retrySlack, windowMs: soakBounds.retryWindowMs},
@@ -236,6 +241,11 @@
 	return gateway.disruptions.some(disruption => kinds.includes(disruption.kind) && disruption.from <= to && disruption.to >= from);
 }
 
+/** Returns the gateways whose processes have ended, which no fault leaves so. */
+export function findEndedGateways(gateways: readonly SoakGateway[]): readonly SoakGateway[] {
+	return gateways.filter(({child}) => hasExited(child));
+}
+
 /** Kills all gateways and closes their relays. */
 export async function stopSoakGateways(gateways: readonly SoakGateway[]): Promise<void> {
 	await Promise.all(gateways.map(async ({child, storeRelay}) => {
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -10,7 +10,10 @@
 import {startSoakCallers, type CallOutcome} from './soak-callers.js';
 import {findOutcomeViolation, findRunViolations} from './soak-checks.js';
 import {createSoakFaults} from './soak-faults.js';
-import {startSoakGateways, stopSoakGateways, waitUntilReady} from './soak-gateways.js';
+import {
+	findEndedGateways, startSoakGateways, stopSoakGateways, waitUntilReady,
+} from './soak-gateways.js';
+import {startSoakOutsideCallers} from './soak-outside-callers.js';
 import {findServerViolations} from './soak-server-checks.js';
 import {startSoakServers} from './soak-servers.js';
 
@@ -102,6 +105,7 @@
 			outcomes.push(outcome);
 		},
 	}, settings.callerCount);
+	const outsideCallers = startSoakOutsideCallers(createRandom(settings.seed + 6), gateways);
 
 	const endsAt = performance.now() + settings.faultsMs;
 	while (performance.now() < endsAt) {
@@ -115,6 +119,7 @@
 
 	await faults.waitForEnd();
 	servers.removeFaults();
+	outsideCallers.stop();
 	await wait(settleMs);
 	const recoveryStart = performance.now();
 	await wait(recoveryMs);
@@ -123,6 +128,7 @@
 	await wait(reservationExpiryMs);
 	const reservationCount = servers.getReservationCount();
 	const runs = servers.getRuns();
+	const endedGateways = findEndedGateways(gateways);
 	await stopSoakGateways(gateways);
 	await servers.close();
 	store.close();
@@ -135,6 +141,7 @@
 		broken: [
 			...outcomes.flatMap(outcome => formatOutcomeViolation(outcome) ?? []),
 			...recoveryViolation === undefined ? [] : [recoveryViolation],
+			...endedGateways.map(({name, logFile}) => `${name} ended by itself; see ${logFile}`),
 			...reservationCount === 0 ? [] : [`${reservationCount} memory reservations were not released`],
 			...findServerViolations(outcomes, servers.getServers(), runs),
 			...findRunViolations({
