Close the connection of a waiting request that gives way before it is refused

Cause: the refusal was counted as one that waits, though its connection was closed next, and could make another caller give way. Change: the connection is closed first, and counts no more.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -178,10 +178,14 @@
 
 		const giveWay: GiveWay = bound => {
 			host.recordBound(bound);
+			// Behind another response a refusal would wait, and hold the head.
+			if (hasToWait(response)) {
+				message.socket.destroy();
+			}
+
 			refusePendingRequest(getBoundFailure(refusedCount));
 			refusedCount += 1;
-			// Behind another response a refusal would wait, and hold the head.
-			if (bound === 'connections' || hasToWait(response)) {
+			if (bound === 'connections') {
 				message.socket.destroy();
 			}
 		};
@@ -281,7 +285,7 @@
 
 	function refuseRequest(message: IncomingMessage, response: ServerResponse, head: CallerHead, failure: Failure): void {
 		host.recordRefusal(head, failure);
-		if (hasToWait(response)) {
+		if (hasToWait(response) && !message.socket.destroyed) {
 			connections.addWaitingBytes(message.socket, getRequestBytes(message.rawHeaders));
 		}
 
