Test a response that is paused at its head, and one whose client is closed

Two more cases over real connections: nothing is passed on until a response paused at its head is read on, and a paused response that was to end with its connection fails without an exception when the client is closed.

--- a/packages/gateway/src/paused-responses.test.ts
+++ b/packages/gateway/src/paused-responses.test.ts
@@ -29,7 +29,7 @@
 }>;
 
 /** Sends a request to an endpoint that answers with a head and some bytes, after which the response is paused. */
-async function startPaused(head: string, firstBytes: string): Promise<PausedSend> {
+async function startPaused(head: string, firstBytes: string, pausedAt: 'head' | 'bytes' = 'bytes'): Promise<PausedSend> {
 	const server = net.createServer();
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
@@ -45,12 +45,18 @@
 	let text = '';
 	const bound = server.address();
 	let outcome: 'ended' | 'failed' | undefined;
+	let hasHead = false;
 	client.send({
 		sendId: 1, address: `127.0.0.1:${typeof bound === 'object' ? bound?.port ?? 0 : 0}`, method: 'GET', target: '/', headers: ['Host', 'a.example'], body: new Uint8Array(0),
 	}, {
-		onHead: () => undefined,
+		onHead() {
+			hasHead = true;
+			if (pausedAt === 'head') {
+				client.pause(1);
+			}
+		},
 		onBytes(bytes) {
-			if (text === '') {
+			if (text === '' && pausedAt === 'bytes') {
 				client.pause(1);
 			}
 
@@ -63,7 +69,7 @@
 			outcome = 'failed';
 		},
 	});
-	await expect.poll(() => text).toBe('hal');
+	await expect.poll(() => pausedAt === 'head' ? hasHead : text === 'hal').toBe(true);
 	if (endpointSocket === undefined) {
 		throw new Error('no connection was opened');
 	}
@@ -109,6 +115,22 @@
 	}
 });
 
+test('a response that is paused at its head passes nothing on until it is read on', async () => {
+	const {client, endpointSocket, getText, getOutcome} = await startPaused('Connection: close', 'hal', 'head');
+	endpointSocket.end('ves');
+	await wait(50);
+	expect(getText()).toBe('');
+	client.resume(1);
+	await expect.poll(getOutcome, {timeout: outcomeTimeoutMs}).toBe('ended');
+	expect(getText()).toBe('halves');
+});
+
+test('a paused response fails when the client is closed, also if the connection was to be closed after it', async () => {
+	const {client, getOutcome} = await startPaused('Connection: close', 'hal');
+	client.close();
+	await expect.poll(getOutcome, {timeout: outcomeTimeoutMs}).toBe('failed');
+});
+
 test('the connection of a paused response is closed at once when its send is aborted', async () => {
 	const {client, endpointSocket} = await startPaused('Transfer-Encoding: chunked', '3\r\nhal\r\n');
 	const closed = once(endpointSocket, 'close');
