Play callers that stop reading in the generated cases of the gateway's requests

Without the new field the simulation does what it did; the cases of gateway-properties are the same.

--- a/packages/core/src/gateway/gateway-fault-simulation.ts
+++ b/packages/core/src/gateway/gateway-fault-simulation.ts
@@ -7,7 +7,9 @@
 import type {Failure} from '../errors.js';
 import type {Milliseconds, Timestamp} from '../types.js';
 import {createGateway} from './gateway.js';
-import {getBehaviourSteps, isRequestRun, type EndpointBehaviour} from './endpoint-behaviour.js';
+import {
+	getBehaviourSteps, isRequestRun, type BehaviourStep, type EndpointBehaviour,
+} from './endpoint-behaviour.js';
 import {
 	createFixtureEndpoints, createFixtureGatewayRequest, fixtureNonIdempotentRoute, fixtureConfiguration, fixtureGatewaySettings,
 	fixtureIdempotentRoute, fixtureLongStreamRoute, fixtureStreamRoute,
@@ -27,6 +29,16 @@
 	callerTimeoutMs: Milliseconds;
 	/** Time from arrival until the caller disconnects, or `undefined` if it doesn't. */
 	disconnectsAfterMs: Milliseconds | undefined;
+	/** How its caller fails to read the response to each send; absent if it reads all at once. */
+	pause?: ReaderPause;
+}>;
+
+/** A caller reads nothing for a time once it has received some events, and the gateway doesn't read on meanwhile. */
+export type ReaderPause = Readonly<{
+	afterEvents: number;
+	pausedMs: Milliseconds;
+	/** Whether the endpoint cuts off what isn't read for `cutOffMs`. */
+	isCutOff: boolean;
 }>;
 
 export type ScriptedChange
@@ -83,6 +95,8 @@
 
 /** Fixed part of the retry limit; small, so that the limit takes effect. */
 export const simulatedFixedSends = 1;
+/** Time after which endpoints that do so cut off a response that isn't read. */
+export const cutOffMs: Milliseconds = 2000;
 const verificationIntervalMs: Milliseconds = 1000;
 /** End of the simulation, long after the deadline of the last request. */
 const simulationEndMs: Milliseconds = 40_000;
@@ -130,6 +144,28 @@
 
 type SendAction = Extract<GatewayAction, {kind: 'send'}>;
 
+/** Returns the steps of a send whose response isn't read for some time once some events were received. */
+function createPausedSteps(sendId: SendId, steps: readonly BehaviourStep[], {afterEvents, pausedMs, isCutOff}: ReaderPause): readonly BehaviourStep[] {
+	const pausedIndex = steps.findIndex((step, index) => step.event.kind === 'responseBytes' && index >= afterEvents);
+	const pausedAfterMs = steps[pausedIndex]?.afterMs;
+	if (pausedAfterMs === undefined) {
+		return steps;
+	}
+
+	const resumedAfterMs = pausedAfterMs + pausedMs;
+	const cutOff: RequestEvent = {
+		kind: 'sendFailed', sendId, wasSent: true, detail: 'ECONNRESET',
+	};
+	return [
+		...steps.slice(0, pausedIndex + 1),
+		{afterMs: pausedAfterMs, event: {kind: 'readingPaused', sendId}},
+		{afterMs: resumedAfterMs, event: {kind: 'readingResumed', sendId}},
+		...(isCutOff && pausedMs >= cutOffMs
+			? [{afterMs: resumedAfterMs, event: cutOff}]
+			: steps.slice(pausedIndex + 1).map(({afterMs, event}) => ({afterMs: afterMs + pausedMs, event}))),
+	];
+}
+
 /** Runs a scenario to its end. */
 export function runGatewayScenario(scenario: GatewayScenario): GatewayScenarioResult {
 	const gateway = createGateway({...fixtureGatewaySettings, retryQuota: {...fixtureGatewaySettings.retryQuota, fixedSends: simulatedFixedSends}});
@@ -339,7 +375,9 @@
 		}
 
 		const {key, sendId, lastEventId} = action;
-		for (const {afterMs, event} of getBehaviourSteps({sendId, lastEventId, kind: record.request.route.kind}, behaviour)) {
+		const steps = getBehaviourSteps({sendId, lastEventId, kind: record.request.route.kind}, behaviour);
+		const {pause} = scenario.requests[key - 1] ?? {};
+		for (const {afterMs, event} of pause === undefined || record.request.route.kind !== 'streaming' ? steps : createPausedSteps(sendId, steps, pause)) {
 			schedule(now + afterMs, () => {
 				if (!record.openSends.has(sendId)) {
 					return;
