Learn no times from a stream that the gateway has paused

Cause: paces are now learned from pauses between events and from overdue responses too. What comes while a gateway doesn't read arrives at once, so an endpoint looks faster than it is; a send that follows a broken one and is paused at its head looks overdue.

Change: none of the three observations is made of a send that was ever paused. Before, the time to the first event was only shortened by the pause.

--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -21,7 +21,7 @@
 	GatewayAction, RequestEvent, SendId, SendResult, SilenceOutcome,
 } from './gateway-events.js';
 import {
-	getSilenceTimeoutMs, isLeftUnread, isStreamResponse, learnedPauses, maximumEventBytes, minimumProgressBytes, parseEventNumber, pauseSend, resumeSend,
+	getSilenceTimeoutMs, hasPaused, isLeftUnread, isStreamResponse, learnedPauses, maximumEventBytes, minimumProgressBytes, parseEventNumber, pauseSend, resumeSend,
 	silenceTimeouts, type SavedResponse, type Send,
 } from './request-send.js';
 import type {RetryQuota} from './retry-quota.js';
@@ -547,13 +547,21 @@
 			}, now);
 	}
 
-	function learnTime({placement, sentAt, dispatchedAt, pausedMs}: Send, now: Timestamp): readonly GatewayAction[] {
-		return context.learnWork({
-			kind: 'responseTimed', request, placement, observedMs: now - (dispatchedAt ?? sentAt) - pausedMs,
-		}, now);
+	function learnTime(send: Send, now: Timestamp): readonly GatewayAction[] {
+		const {placement, sentAt, dispatchedAt} = send;
+		return hasPaused(send)
+			? []
+			: context.learnWork({
+				kind: 'responseTimed', request, placement, observedMs: now - (dispatchedAt ?? sentAt),
+			}, now);
 	}
 
 	function learnPause(send: Send, pauseMs: Milliseconds, now: Timestamp): readonly GatewayAction[] {
+		// What has come while the gateway didn't read arrives at once.
+		if (hasPaused(send)) {
+			return [];
+		}
+
 		send.pausesMs = [...send.pausesMs, pauseMs];
 		if (send.pausesMs.length < learnedPauses) {
 			return [];
@@ -567,9 +575,10 @@
 	}
 
 	/** Learns from a send that ends without a response since that takes too long. */
-	function learnOverdue({placement, dispatchedAt, hasEvents}: Send, result: SendResult, now: Timestamp): readonly GatewayAction[] {
+	function learnOverdue(closedSend: Send, result: SendResult, now: Timestamp): readonly GatewayAction[] {
+		const {placement, dispatchedAt, hasEvents} = closedSend;
 		const isOverdue = result === 'clientGone' || result === 'deadline' || result === 'silent';
-		return isOverdue && !hasEvents && dispatchedAt !== undefined
+		return isOverdue && !hasEvents && dispatchedAt !== undefined && !hasPaused(closedSend)
 			? context.learnWork({
 				kind: 'responseOverdue', request, placement, waitedMs: now - dispatchedAt,
 			}, now)
--- a/packages/core/src/gateway/request-send.ts
+++ b/packages/core/src/gateway/request-send.ts
@@ -102,6 +102,11 @@
 	return pausedMs;
 }
 
+/** Returns whether the gateway has ever not read a send's response, so that its times say nothing of its endpoint. */
+export function hasPaused({pausedAt, pausedMs}: Send): boolean {
+	return pausedAt !== undefined || pausedMs > 0;
+}
+
 /** Returns whether a send's response was once not read for so long that its endpoint may have cut it off. */
 export function isLeftUnread({wasLeftUnread, pausedAt}: Send, now: Timestamp): boolean {
 	return wasLeftUnread || (pausedAt !== undefined && now - pausedAt >= unreadMs);
--- a/packages/core/src/gateway/unread-responses.test.ts
+++ b/packages/core/src/gateway/unread-responses.test.ts
@@ -1,10 +1,13 @@
 import {Buffer} from 'node:buffer';
 import {expect, test} from 'vitest';
+import {createEndpointRegistry} from './endpoint-registry.js';
+import {createForwardedRequest} from './forwarded-request.js';
 import {createGateway} from './gateway.js';
 import {
 	createFixtureEndpoints, createFixtureGatewayRequest, createFixtureHead, fixtureConfiguration, fixtureGatewaySettings, fixtureStreamRoute,
 } from './gateway-fixtures.js';
 import type {GatewayAction, RequestEvent} from './gateway-events.js';
+import {createRetryQuota} from './retry-quota.js';
 
 const route = {...fixtureStreamRoute, timeoutMs: 9000};
 /** Longer than any timeout of a silent send. */
@@ -124,3 +127,54 @@
 		expect(kindsOf(step({kind: 'responseEnded', sendId}, 40 + pausedMs))).toContain(last);
 	}
 });
+
+// Guards against an endpoint that is taken for slow, or for fast, since the gateway doesn't read from it and then gets all at once.
+test('nothing is learned of the times of a stream that was paused', () => {
+	for (const isPaused of [true, false]) {
+		const learned: string[] = [];
+		const [endpoint] = createFixtureEndpoints('models', 1);
+		const request = createForwardedRequest(createFixtureGatewayRequest(route), {
+			registry: createEndpointRegistry(fixtureGatewaySettings.endpoints),
+			retryQuota: createRetryQuota(fixtureGatewaySettings.retryQuota),
+			memoryIdleMs: 9000,
+			createSendId: () => 1,
+			createReservationId: () => 'm',
+			choosePlacement: () => endpoint === undefined
+				? {kind: 'deferred', untilAt: 1, reports: []}
+				: {
+					kind: 'placed',
+					placement: {
+						endpoint, helpers: [], prefillMs: 10, firstEventMs: 10, interferenceCost: 0,
+					},
+					candidates: 1,
+					trialActions: [],
+				},
+			isPermitted: () => true,
+			checkCredential: () => undefined,
+			recordBrokenSend: () => [],
+			recordUnreachable: () => [],
+			recordLeaving: () => [],
+			recordLimit: () => [],
+			recordCold: () => [],
+			recordCompletion: () => [],
+			recordUncertainCompletion: () => [],
+			learnWork({kind}) {
+				learned.push(kind);
+				return [];
+			},
+			recordWork: () => undefined,
+		});
+		request.step({kind: 'started'}, 0);
+		request.step({kind: 'responseStarted', sendId: 1, head: createFixtureHead({load: undefined})}, 10);
+		if (isPaused) {
+			request.step({kind: 'readingPaused', sendId: 1}, 20);
+			request.step({kind: 'readingResumed', sendId: 1}, 1020);
+		}
+
+		for (let id = 1; id <= 20; id += 1) {
+			request.step({kind: 'responseBytes', sendId: 1, bytes: Buffer.from(`id: ${id}\ndata: x\n\n`)}, 1020 + id);
+		}
+
+		expect(new Set(learned)).toEqual(new Set(isPaused ? [] : ['responseTimed', 'pausesTimed']));
+	}
+});
