Begin held requests also when the loop stands still after the configuration

Change: held requests are resumed newest first, one a turn of the event loop and after it has read, and begin at once.

--- a/packages/core/src/gateway/early-requests.ts
+++ b/packages/core/src/gateway/early-requests.ts
@@ -21,7 +21,7 @@
 	recordCall(isAnswered: boolean): ReadonlyArray<RefusedEntry<Entry>>;
 	/** Takes the requests that have been held for as long as they may be. */
 	takeOverdue(now: Timestamp): ReadonlyArray<RefusedEntry<Entry>>;
-	/** Takes all requests, the oldest first, since they can be checked now. */
+	/** Takes all requests, the newest first, whose callers are the most likely to wait still, since they can be checked now. */
 	takeAll(): readonly Entry[];
 	/** Returns when the next request will have been held for as long as it may be, or infinity. */
 	getWakeAt(): Timestamp;
@@ -84,7 +84,7 @@
 		},
 		takeOverdue: now => takeRefused([...held].filter(([, endsAt]) => endsAt <= now).map(([entry]) => entry)),
 		takeAll() {
-			const entries = [...held.keys()];
+			const entries = [...held.keys()].toReversed();
 			held.clear();
 			return entries;
 		},
--- a/packages/gateway/src/early-request-runner.ts
+++ b/packages/gateway/src/early-request-runner.ts
@@ -1,9 +1,11 @@
 /**
-Holds requests that arrive before the gateway can check them, until it can or their time is over.
+Holds requests that arrive before the gateway can check them, until it can or their time is over. They are resumed one a turn of the event
+loop, so that the loop goes on reading, and only once it has read the closes of callers that have left.
 */
 import {createEarlyRequests, type RefusedEntry} from '@currantcross/core/gateway/early-requests';
 import type {Failure} from '@currantcross/core/errors';
 import type {Milliseconds} from '@currantcross/core/types';
+import {waitForReads} from './loop-monitor.js';
 
 /** A request that may be held. Either of the functions ends its hold. */
 export type EarlyEntry = Readonly<{
@@ -16,7 +18,7 @@
 	admit(entry: EarlyEntry, remainingMs: Milliseconds | undefined): void;
 	/** Ends the hold of a request that is no longer pending. Returns whether it was held. */
 	remove(entry: EarlyEntry): boolean;
-	/** Resumes all requests, since they can be checked now. */
+	/** Resumes all requests one after the other, since they can be checked now. */
 	resumeAll(): void;
 	/** Records the outcome of a call of the platform's store. */
 	recordCall(isAnswered: boolean): void;
@@ -46,6 +48,15 @@
 		setTimer();
 	}
 
+	function resumeNext([next, ...others]: readonly EarlyEntry[]): void {
+		if (next !== undefined) {
+			waitForReads(() => {
+				next.resume();
+				resumeNext(others);
+			});
+		}
+	}
+
 	return {
 		admit(entry, remainingMs) {
 			const failure = early.admit(entry, remainingMs, performance.now());
@@ -57,9 +68,7 @@
 		},
 		remove: early.remove,
 		resumeAll() {
-			for (const entry of early.takeAll()) {
-				entry.resume();
-			}
+			resumeNext(early.takeAll());
 		},
 		recordCall(isAnswered) {
 			refuseEntries(early.recordCall(isAnswered));
