--- a/packages/core/src/gateway/early-requests.test.ts
+++ b/packages/core/src/gateway/early-requests.test.ts
@@ -7,7 +7,7 @@
 import {expect, test} from 'vitest';
 import type {Failure} from '../errors.js';
 import {
-	createEarlyRequests, maximumHeldRequests, maximumHoldMs, maximumHoldShare,
+	createEarlyRequests, maximumHeldRequests, maximumEarlyWaitMs, maximumEarlyWaitShare,
 } from './early-requests.js';
 
 const parameters = {
@@ -18,6 +18,7 @@
 	kind: fc.constantFrom('arrive', 'arrive', 'arrive', 'leave', 'answered', 'failed'),
 	afterMs: fc.nat({max: 60}),
 	remainingMs: fc.option(fc.integer({min: -100, max: 15_000}), {nil: undefined}),
+	unreadMs: fc.constantFrom(0, 0, 100, 500, 1500),
 	index: fc.nat({max: 1000}),
 });
 
@@ -32,7 +33,7 @@
 			expect(failure).toMatchObject({kind: 'notReady', ran: 'no'});
 		};
 
-		for (const [entry, {kind, afterMs, remainingMs, index}] of steps.entries()) {
+		for (const [entry, {kind, afterMs, remainingMs, unreadMs, index}] of steps.entries()) {
 			now = Math.min(now + afterMs, early.getWakeAt());
 			for (const {entry: overdue, failure} of early.takeOverdue(now)) {
 				end(overdue, failure);
@@ -40,12 +41,12 @@
 
 			switch (kind) {
 				case 'arrive': {
-					const failure = early.admit(entry, remainingMs, now);
+					const failure = early.admit(entry, {remainingMs, unreadMs}, now);
 					if (failure === undefined) {
 						expect(failedCalls).toBeLessThan(2);
-						held.set(entry, {arrivedAt: now, remainingMs});
+						held.set(entry, {arrivedAt: now - unreadMs, remainingMs});
 					} else {
-						const isPossible = failedCalls < 2 && held.size < maximumHeldRequests && (remainingMs ?? Number.POSITIVE_INFINITY) >= 200;
+						const isPossible = failedCalls < 2 && held.size < maximumHeldRequests && unreadMs <= 500 && (remainingMs ?? Number.POSITIVE_INFINITY) >= 3 * (unreadMs + 100);
 						expect(isPossible).toBe(false);
 					}
 
@@ -72,7 +73,7 @@
 
 			expect(held.size).toBeLessThanOrEqual(maximumHeldRequests);
 			for (const {arrivedAt, remainingMs: leftMs = Number.POSITIVE_INFINITY} of held.values()) {
-				expect(now - arrivedAt).toBeLessThanOrEqual(Math.min(maximumHoldMs, leftMs * maximumHoldShare) + 1e-6);
+				expect(now - arrivedAt).toBeLessThanOrEqual(Math.min(maximumEarlyWaitMs, leftMs * maximumEarlyWaitShare) + 1e-6);
 			}
 		}
 
@@ -84,19 +85,19 @@
 // Guards against requests that wait for a configuration that a failing store can't give.
 test('refuses what is held and what arrives once two calls of the store have failed, and holds again once one has succeeded', () => {
 	const early = createEarlyRequests<string>();
-	expect(early.admit('a', 10_000, 0)).toBeUndefined();
+	expect(early.admit('a', {remainingMs: 10_000, unreadMs: 0}, 0)).toBeUndefined();
 	expect(early.recordCall(false)).toEqual([]);
 	expect(early.recordCall(false).map(({entry}) => entry)).toEqual(['a']);
-	expect(early.admit('b', 10_000, 1)).toMatchObject({kind: 'notReady', ran: 'no'});
+	expect(early.admit('b', {remainingMs: 10_000, unreadMs: 0}, 1)).toMatchObject({kind: 'notReady', ran: 'no'});
 	early.recordCall(true);
-	expect(early.admit('c', 10_000, 2)).toBeUndefined();
+	expect(early.admit('c', {remainingMs: 10_000, unreadMs: 0}, 2)).toBeUndefined();
 	expect(early.takeAll()).toEqual(['c']);
 });
 
 // Guards against callers of one start that all come back at the same moment.
 test('spreads the times at which refused callers may come back', () => {
 	const early = createEarlyRequests<number>();
-	const times = Array.from({length: 64}, (_, index) => early.admit(index, 0, 0)?.retryAfterMs ?? 0);
+	const times = Array.from({length: 64}, (_, index) => early.admit(index, {remainingMs: 0, unreadMs: 0}, 0)?.retryAfterMs ?? 0);
 	expect(new Set(times).size).toBe(16);
 	expect(Math.min(...times)).toBeGreaterThanOrEqual(500);
 	expect(Math.max(...times)).toBeLessThan(1000);
--- a/packages/core/src/gateway/early-requests.ts
+++ b/packages/core/src/gateway/early-requests.ts
@@ -12,9 +12,12 @@
 /** A request whose hold has ended without success. */
 export type RefusedEntry<Entry> = Readonly<{entry: Entry; failure: Failure}>;
 
+/** The time that a request has left, as far as its caller has stated it, and the longest time that it can have waited before it was read. */
+export type EarlyTimes = Readonly<{remainingMs: Milliseconds | undefined; unreadMs: Milliseconds}>;
+
 export type EarlyRequests<Entry> = Readonly<{
-	/** Holds a request that may take `remainingMs` more, or returns the failure if it is refused. */
-	admit(entry: Entry, remainingMs: Milliseconds | undefined, now: Timestamp): Failure | undefined;
+	/** Holds a request, or returns the failure if it is refused. */
+	admit(entry: Entry, times: EarlyTimes, now: Timestamp): Failure | undefined;
 	/** Ends the hold of a request whose caller has left, or that was refused for another reason. Returns whether it was held. */
 	remove(entry: Entry): boolean;
 	/** Records the outcome of a call of the platform's store. Returns the requests that are refused because of it. */
@@ -27,10 +30,10 @@
 	getWakeAt(): Timestamp;
 }>;
 
-/** Longest time for which a request is held. Callers leave a stream that has shown nothing for two seconds, in which it has to be placed and answered, too. */
-export const maximumHoldMs: Milliseconds = 1200;
-/** Share of a request's remaining time for which it may be held; most of it is left to serve it, or to come back after a refusal. */
-export const maximumHoldShare = 1 / 3;
+/** Longest time for which a request waits, unread and held. Callers leave a stream that has shown nothing for two seconds, in which it has to be placed and answered, too. */
+export const maximumEarlyWaitMs: Milliseconds = 1200;
+/** Share of a request's remaining time for which it may wait; most of it is left to serve it, or to come back after a refusal. */
+export const maximumEarlyWaitShare = 1 / 3;
 /** A request that can't be held for longer is refused at once. */
 const minimumHoldMs: Milliseconds = 50;
 /** Number of requests that are held at a time; a small host begins as many within the time for which a backlog may wait. */
@@ -68,8 +71,8 @@
 	}
 
 	return {
-		admit(entry, remainingMs, now) {
-			const holdMs = Math.min(maximumHoldMs, maximumHoldShare * (remainingMs ?? Number.POSITIVE_INFINITY));
+		admit(entry, {remainingMs = Number.POSITIVE_INFINITY, unreadMs}, now) {
+			const holdMs = Math.min(maximumEarlyWaitMs, maximumEarlyWaitShare * remainingMs) - unreadMs;
 			if (failedCalls >= maximumFailedCalls || holdMs < minimumHoldMs || held.size >= maximumHeldRequests) {
 				return refuse();
 			}
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -270,7 +270,7 @@
 
 				resolve(false);
 			});
-			early.admit(entry, head.remainingMs === undefined ? undefined : head.remainingMs - arrival.unreadMs);
+			early.admit(entry, {remainingMs: head.remainingMs, unreadMs: arrival.unreadMs});
 		});
 		if (!isKept) {
 			return;
--- a/packages/gateway/src/early-request-runner.ts
+++ b/packages/gateway/src/early-request-runner.ts
@@ -2,9 +2,8 @@
 Holds requests that arrive before the gateway can check them, until it can or their time is over. They are resumed one a turn of the event
 loop, so that the loop goes on reading, and only once it has read the closes of callers that have left.
 */
-import {createEarlyRequests, type RefusedEntry} from '@currantcross/core/gateway/early-requests';
+import {createEarlyRequests, type EarlyTimes, type RefusedEntry} from '@currantcross/core/gateway/early-requests';
 import type {Failure} from '@currantcross/core/errors';
-import type {Milliseconds} from '@currantcross/core/types';
 import {waitForReads} from './loop-monitor.js';
 
 /** A request that may be held. Either of the functions ends its hold. */
@@ -14,8 +13,8 @@
 }>;
 
 export type EarlyRequestRunner = Readonly<{
-	/** Holds a request that may take `remainingMs` more, or refuses it at once. */
-	admit(entry: EarlyEntry, remainingMs: Milliseconds | undefined): void;
+	/** Holds a request, or refuses it at once. */
+	admit(entry: EarlyEntry, times: EarlyTimes): void;
 	/** Ends the hold of a request that is no longer pending. Returns whether it was held. */
 	remove(entry: EarlyEntry): boolean;
 	/** Resumes all requests one after the other, since they can be checked now. */
@@ -58,8 +57,8 @@
 	}
 
 	return {
-		admit(entry, remainingMs) {
-			const failure = early.admit(entry, remainingMs, performance.now());
+		admit(entry, times) {
+			const failure = early.admit(entry, times, performance.now());
 			if (failure === undefined) {
 				setTimer();
 			} else {
