--- a/packages/gateway/src/early-request-runner.ts
+++ b/packages/gateway/src/early-request-runner.ts
@@ -28,6 +28,7 @@
 export function createEarlyRequestRunner(): EarlyRequestRunner {
 	const early = createEarlyRequests<EarlyEntry>();
 	let timer: NodeJS.Timeout | undefined;
+	let isResuming = false;
 
 	function refuseEntries(refused: ReadonlyArray<RefusedEntry<EarlyEntry>>): void {
 		for (const {entry, failure} of refused) {
@@ -47,12 +48,12 @@
 		setTimer();
 	}
 
-	function resumeNext([next, ...others]: readonly EarlyEntry[]): void {
-		if (next !== undefined) {
-			waitForReads(() => {
-				next.resume();
-				resumeNext(others);
-			});
+	function resumeNext(): void {
+		const entry = early.tryTakeNewest();
+		isResuming = entry !== undefined;
+		if (entry !== undefined) {
+			entry.resume();
+			waitForReads(resumeNext);
 		}
 	}
 
@@ -67,7 +68,10 @@
 		},
 		remove: early.remove,
 		resumeAll() {
-			resumeNext(early.takeAll());
+			if (!isResuming) {
+				isResuming = true;
+				waitForReads(resumeNext);
+			}
 		},
 		recordCall(isAnswered) {
 			refuseEntries(early.recordCall(isAnswered));
