--- a/packages/core/src/gateway/early-requests.test.ts
+++ b/packages/core/src/gateway/early-requests.test.ts
@@ -77,9 +77,7 @@
 			}
 		}
 
-		const taken = Array.from({length: held.size}, () => early.tryTakeNewest());
-		expect(taken).toEqual([...held.keys()].toReversed());
-		expect(early.tryTakeNewest()).toBeUndefined();
+		expect(early.takeAll()).toEqual([...held.keys()].toReversed());
 		expect(early.getWakeAt()).toBe(Number.POSITIVE_INFINITY);
 	}), parameters);
 });
@@ -93,7 +91,7 @@
 	expect(early.admit('b', {remainingMs: 10_000, unreadMs: 0}, 1)).toMatchObject({kind: 'notReady', ran: 'no'});
 	early.recordCall(true);
 	expect(early.admit('c', {remainingMs: 10_000, unreadMs: 0}, 2)).toBeUndefined();
-	expect(early.tryTakeNewest()).toBe('c');
+	expect(early.takeAll()).toEqual(['c']);
 });
 
 // Guards against callers of one start that all come back at the same moment.
--- a/packages/core/src/gateway/early-requests.ts
+++ b/packages/core/src/gateway/early-requests.ts
@@ -24,14 +24,14 @@
 	recordCall(isAnswered: boolean): ReadonlyArray<RefusedEntry<Entry>>;
 	/** Takes the requests that have been held for as long as they may be. */
 	takeOverdue(now: Timestamp): ReadonlyArray<RefusedEntry<Entry>>;
-	/** Takes the newest request, whose caller is the most likely to wait still, since it can be checked now. */
-	tryTakeNewest(): Entry | undefined;
+	/** Takes all requests, the newest first, whose callers are the most likely to wait still, since they can be checked now. */
+	takeAll(): readonly Entry[];
 	/** Returns when the next request will have been held for as long as it may be, or infinity. */
 	getWakeAt(): Timestamp;
 }>;
 
-/** Longest time for which a request waits, unread and held. Callers leave a stream that has shown nothing for two seconds; a small host that has just started needs over half of it to place and answer. */
-export const maximumEarlyWaitMs: Milliseconds = 800;
+/** Longest time for which a request waits, unread and held. Callers leave a stream that has shown nothing for two seconds, in which it has to be placed and answered, too. */
+export const maximumEarlyWaitMs: Milliseconds = 1200;
 /** Share of a request's remaining time for which it may wait; most of it is left to serve it, or to come back after a refusal. */
 export const maximumEarlyWaitShare = 1 / 3;
 /** A request that can't be held for longer is refused at once. */
@@ -86,13 +86,10 @@
 			return failedCalls < maximumFailedCalls ? [] : takeRefused([...held.keys()]);
 		},
 		takeOverdue: now => takeRefused([...held].filter(([, endsAt]) => endsAt <= now).map(([entry]) => entry)),
-		tryTakeNewest() {
-			const newest = [...held.keys()].at(-1);
-			if (newest !== undefined) {
-				held.delete(newest);
-			}
-
-			return newest;
+		takeAll() {
+			const entries = [...held.keys()].toReversed();
+			held.clear();
+			return entries;
 		},
 		getWakeAt: () => Math.min(Number.POSITIVE_INFINITY, ...held.values()),
 	};
--- a/packages/gateway/src/early-request-runner.ts
+++ b/packages/gateway/src/early-request-runner.ts
@@ -28,7 +28,6 @@
 export function createEarlyRequestRunner(): EarlyRequestRunner {
 	const early = createEarlyRequests<EarlyEntry>();
 	let timer: NodeJS.Timeout | undefined;
-	let isResuming = false;
 
 	function refuseEntries(refused: ReadonlyArray<RefusedEntry<EarlyEntry>>): void {
 		for (const {entry, failure} of refused) {
@@ -48,12 +47,12 @@
 		setTimer();
 	}
 
-	function resumeNext(): void {
-		const entry = early.tryTakeNewest();
-		isResuming = entry !== undefined;
-		if (entry !== undefined) {
-			entry.resume();
-			waitForReads(resumeNext);
+	function resumeNext([next, ...others]: readonly EarlyEntry[]): void {
+		if (next !== undefined) {
+			waitForReads(() => {
+				next.resume();
+				resumeNext(others);
+			});
 		}
 	}
 
@@ -68,10 +67,7 @@
 		},
 		remove: early.remove,
 		resumeAll() {
-			if (!isResuming) {
-				isResuming = true;
-				waitForReads(resumeNext);
-			}
+			resumeNext(early.takeAll());
 		},
 		recordCall(isAnswered) {
 			refuseEntries(early.recordCall(isAnswered));
