--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -270,7 +270,7 @@
 
 				resolve(false);
 			});
-			early.admit(entry, head.remainingMs === undefined ? undefined : head.remainingMs - arrival.unreadMs);
+			early.admit(entry, {remainingMs: head.remainingMs, unreadMs: arrival.unreadMs});
 		});
 		if (!isKept) {
 			return;
@@ -299,7 +299,7 @@
 		const {head, hasCallerLeft} = exchange;
 		await host.waitForNews();
 		intake.receive({
-			hasWaited: arrival.unreadMs > 0 || isEarly,
+			hasWaited: arrival.unreadMs > 0 && !isEarly,
 			hasCallerLeft,
 			begin() {
 				if (endPending()) {
