Place urgent short prompts first on the servers that long prompts leave to them

The halves leave the same servers to urgent requests, but placed these anywhere, also where the other half's long prompts run, which they don't see.

Change: a server that long prompts use too costs an urgent short prompt more than a response from another data centre; how many servers are left to it follows from the same rule.

--- a/packages/core/src/gateway/placement-cost.ts
+++ b/packages/core/src/gateway/placement-cost.ts
@@ -21,6 +21,8 @@
 	isCold?: boolean;
 	/** Factor by which the endpoint is slower than predicted; 1 if absent. */
 	pace?: number;
+	/** Whether less urgent long prompts may use the endpoint too, also ones that this gateway doesn't know of. */
+	isShared?: boolean;
 }>;
 
 /** Requirements of a prompt on its placement. */
@@ -54,6 +56,8 @@
 
 /** Cost of the first short prompt on a server while idle servers are scarce; it makes the server less suitable for the prefill of long ones. */
 const firstShortSequenceCost = 0.3;
+/** Cost of a server that long prompts use too for a short one, as long as others are left to it; more than that of a response from another data centre. */
+const sharedServerCost = 0.5;
 /** Share of idle servers from which on they aren't scarce; long prompts seldom occupy more than half of the servers. */
 const ampleIdleShare = 0.5;
 /** Cost of a response from another data centre, as a share of the request's weight; a lost packet there delays an event. */
@@ -174,7 +178,7 @@
 	}
 
 	if (demand.longestPauseMs <= shortPromptPauseMs) {
-		cost += getRankCost(candidate) + (hasShortSequence(load) ? 0 : firstShortSequenceCost * idleScarcity);
+		cost += (candidate.isShared === true ? sharedServerCost : 0) + getRankCost(candidate) + (hasShortSequence(load) ? 0 : firstShortSequenceCost * idleScarcity);
 	}
 
 	return cost;
--- a/packages/core/src/gateway/urgency.test.ts
+++ b/packages/core/src/gateway/urgency.test.ts
@@ -153,5 +153,11 @@
 		expect(urgent.answered / urgent.total).toBeGreaterThanOrEqual(long.answered / long.total);
 		expect(urgent.onTime / urgent.total).toBeGreaterThanOrEqual((long.onTime / long.total) - onTimeMargin);
 		expect(long.answered / long.total).toBeGreaterThan(0.25 * (urgent.answered + long.answered) / (urgent.total + long.total));
-	}), parameters);
+	}), {
+		...parameters,
+		// Urgent requests that halves of a cut place on servers that the other half fills with long prompts.
+		examples: [[{
+			seed: 35_371_214, gatewayCount: 4, serverCount: 14, exchangeDelayMs: 5, isSplit: true,
+		}, 5, 23]],
+	});
 });
--- a/packages/core/src/gateway/urgency.ts
+++ b/packages/core/src/gateway/urgency.ts
@@ -68,6 +68,11 @@
 	return hasUrgency(levels) && priority > (levels[0] ?? priority);
 }
 
+/** Returns the priority of the next less urgent requests of a service, or `undefined` if there are none. */
+export function tryGetNextPriority({priority, levels}: Urgency): number | undefined {
+	return levels.find(level => level > priority);
+}
+
 /** Returns the number of levels that are more urgent than the priority. */
 function getLevel(levels: UrgencyLevels, priority: number): number {
 	let level = 0;
--- a/packages/core/src/gateway/urgent-room.ts
+++ b/packages/core/src/gateway/urgent-room.ts
@@ -4,7 +4,8 @@
 Answers long prompts that arrive faster than the servers read them, beside urgent short ones: a long prompt can wait for
 seconds, so without a bound long prompts hold every server, and the short ones, which can't wait, are refused.
 
-All gateways keep the same servers free: the first ones in an order that all share. How many depends on the urgent
+Urgent short prompts go to these servers first: the others may be busy with long prompts of gateways whose news are late or
+don't arrive. All gateways keep the same servers free: the first ones in an order that all share. How many depends on the urgent
 requests in the view of load, so old and partial views differ in the last few servers only. No gateway has to hear from
 another one to leave these servers alone. Urgent requests may use any server, and nothing is kept free unless urgent
 requests have come recently.
@@ -15,7 +16,7 @@
 import type {EngineProfile, GatewayRequest} from './gateway-types.js';
 import type {EndpointLoad} from './load-view.js';
 import {getDecodingPenalty, type Candidate, type PromptDemand} from './placement-cost.js';
-import {hasMoreUrgentLevel, type Urgency} from './urgency.js';
+import {hasMoreUrgentLevel, tryGetNextPriority, type Urgency} from './urgency.js';
 
 /** What is asked of a prompt to tell which servers it may use. */
 export type RoomRequest = Pick<PromptDemand, 'promptTokens' | 'urgency'> & Readonly<{service: string}>;
@@ -23,7 +24,7 @@
 export type UrgentRoom = Readonly<{
 	/** Records that callers send requests of this urgency, to this or another gateway. */
 	recordArrival(request: Pick<GatewayRequest, 'service' | 'priority'>, now: Timestamp): void;
-	/** Returns the candidates that a prompt may use. */
+	/** Returns the candidates that a prompt may use; for urgent ones, marks those that long prompts use too. */
 	getOpenCandidates(engine: EngineProfile, candidates: readonly Candidate[], request: RoomRequest, now: Timestamp): readonly Candidate[];
 }>;
 
@@ -75,6 +76,26 @@
 		return Math.floor(Math.min(needed, candidates.length * (1 - minimumOpenShare)));
 	}
 
+	/** Returns the candidates in the order in which they are left to urgent requests. */
+	function rankCandidates(candidates: readonly Candidate[]): readonly Candidate[] {
+		return candidates
+			.map(candidate => ({candidate, rank: getSharedRank(candidate.endpoint.id)}))
+			.toSorted((left, right) => left.rank - right.rank)
+			.map(({candidate}) => candidate);
+	}
+
+	/** Marks the candidates that are not left to the requests of one urgency. */
+	function getMarkedCandidates(engine: EngineProfile, candidates: readonly Candidate[], request: RoomRequest, now: Timestamp): readonly Candidate[] {
+		const lessUrgent = tryGetNextPriority(request.urgency);
+		if (lessUrgent === undefined) {
+			return candidates;
+		}
+
+		const keptCount = getKeptCount(engine, candidates, {...request, urgency: {...request.urgency, priority: lessUrgent}}, now);
+		const kept = new Set(rankCandidates(candidates).slice(0, keptCount));
+		return candidates.map(candidate => kept.has(candidate) ? candidate : {...candidate, isShared: true});
+	}
+
 	return {
 		recordArrival({service, priority}, now) {
 			const known = arrivals.get(service) ?? new Map<number, Timestamp>();
@@ -84,17 +105,13 @@
 		getOpenCandidates(engine, candidates, request, now) {
 			const {promptTokens, urgency} = request;
 			if (!hasMoreUrgentLevel(urgency) || getPrefillMs(engine, promptTokens) <= unrestrictedPrefillMs) {
-				return candidates;
+				return getMarkedCandidates(engine, candidates, request, now);
 			}
 
 			// However many servers are kept free, the others must be able to hold the prompt.
 			const holderCount = Math.ceil(promptTokens / (engine.memoryTokens * usedMemoryShare));
 			const keptCount = Math.max(0, Math.min(getKeptCount(engine, candidates, request, now), candidates.length - holderCount));
-			return candidates
-				.map(candidate => ({candidate, rank: getSharedRank(candidate.endpoint.id)}))
-				.toSorted((left, right) => left.rank - right.rank)
-				.slice(keptCount)
-				.map(({candidate}) => candidate);
+			return rankCandidates(candidates).slice(keptCount);
 		},
 	};
 }
