--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -73,10 +73,10 @@
 }
 
 /**
-Reads and validates a settings file.
+Reads and validates a settings file, whose content `decode` may bring into the form of the schema.
 
 @throws UsageError that names the file, the path of the key and the expected value.
 */
-export function readGatewaySettings(file: string): GatewayDaemonSettings {
-	return readSettingsFile(file, settingsSchema);
+export function readGatewaySettings(file: string, decode: (settings: unknown) => unknown = settings => settings): GatewayDaemonSettings {
+	return readSettingsFile(file, z.preprocess(decode, settingsSchema));
 }
