Let the number of servers left to urgent requests fall with hysteresis

Cause, found in review: the number of servers that long prompts leave followed each start and end of an urgent stream. A load that hovered around a limit made the last server change sides at each step, each time open to a long prompt that delays the next streams there.

Change: the number rises as before and falls only when the need is half a server below it.

Ruled out, by the generated test of overload: one server a second at most, and a band of a whole server (fewer long prompts answered, or urgent ones late more often).

--- a/packages/core/src/gateway/urgency.test.ts
+++ b/packages/core/src/gateway/urgency.test.ts
@@ -134,6 +134,25 @@
 	}), parameters);
 });
 
+// Guards against servers that are left and given up in turns, each time to a long prompt that delays the next urgent streams.
+test('while the number of urgent streams hovers by half of what a server is left for, no server is left and given up in turns', () => {
+	const endpoints = createFixtureEndpoints('models', 20);
+	const request = {service: 'models', promptTokens: 180_000, urgency: {priority: 2, levels}};
+	const load = {
+		requests: 0, prefillBacklogMs: 0, helpedRequests: 0, memoryTokens: 0,
+	};
+	fc.assert(fc.property(fc.integer({min: 1, max: 50}), fc.array(fc.nat(2), {minLength: 10, maxLength: 40}), (fewest, additions) => {
+		const room = createUrgentRoom();
+		const counts = additions.map((addition, step) => {
+			const decodingSequences = Array.from({length: fewest + addition}, () => ({longestPauseMs: 250, promptTokens: 5000, priority: 0}));
+			const candidates = endpoints.map((endpoint, index) => ({endpoint, rank: 0, load: {...load, decodingSequences: index === 0 ? decodingSequences : []}}));
+			return room.getOpenCandidates(fixtureEngine, candidates, request, step * 50).length;
+		});
+		const changes = counts.filter((count, step) => step > 0 && count !== counts[step - 1]);
+		expect(changes.length).toBeLessThanOrEqual(1);
+	}), parameters);
+});
+
 test('under overload, urgent requests are served and on time no less often than long ones, which aren\'t starved, also with old and partial views', () => {
 	const scenario = fc.record({
 		seed: fc.nat(),
--- a/packages/core/src/gateway/urgent-room.ts
+++ b/packages/core/src/gateway/urgent-room.ts
@@ -9,6 +9,9 @@
 requests in the view of load, so old and partial views differ in the last few servers only. No gateway has to hear from
 another one to leave these servers alone. Urgent requests may use any server, and nothing is kept free unless urgent
 requests have come recently.
+
+Answers urgent streams whose number hovers around a multiple of what a server holds, too: the number of servers falls with
+hysteresis, so that no server is left and given up in turns, each time to a long prompt that delays the next streams.
 */
 import type {Milliseconds, Timestamp} from '../types.js';
 import {createEndpointRanking} from './endpoint-ranking.js';
@@ -32,6 +35,8 @@
 const unrestrictedPrefillMs: Milliseconds = 250;
 /** Time for which servers are kept free after the last urgent request. */
 const recentArrivalMs: Milliseconds = 10_000;
+/** Servers by which the need must have fallen below the number of servers before one is given up. */
+const keptHysteresis = 0.5;
 /** Servers that are kept free for urgent requests yet to arrive, besides the ones in proportion to the running ones. */
 const spareServerCount = 1;
 /** Servers that are kept free for each one that the running urgent requests fill. */
@@ -55,12 +60,15 @@
 	/** Latest arrival by service and priority; as many as the configuration names. */
 	const arrivals = new Map<string, Map<number, Timestamp>>();
 
+	/** Number of servers kept free, by service and priority. */
+	const keptCounts = new Map<string, Map<number, number>>();
+
 	function hasRecentArrival(service: string, urgentBelow: number, now: Timestamp): boolean {
 		return [...arrivals.get(service) ?? []].some(([priority, at]) => priority < urgentBelow && now - at <= recentArrivalMs);
 	}
 
-	/** Returns the number of servers that are left to more urgent requests. */
-	function getKeptCount(engine: EngineProfile, candidates: readonly Candidate[], {service, urgency: {priority}}: RoomRequest, now: Timestamp): number {
+	/** Returns how many servers more urgent requests need, in fractions of one. */
+	function getNeed(engine: EngineProfile, candidates: readonly Candidate[], {service, urgency: {priority}}: RoomRequest, now: Timestamp): number {
 		let sequenceCount = 0;
 		for (const {load} of candidates) {
 			for (const sequence of load.decodingSequences) {
@@ -72,8 +80,18 @@
 			return 0;
 		}
 
-		const needed = (sequenceCount / (engine.slots * filledSlotShare) * keptPerFilledServer) + spareServerCount;
-		return Math.floor(Math.min(needed, candidates.length * (1 - minimumOpenShare)));
+		return (sequenceCount / (engine.slots * filledSlotShare) * keptPerFilledServer) + spareServerCount;
+	}
+
+	/** Updates the number of servers that are left to more urgent requests by what these need, and returns it. */
+	function updateKeptCount(engine: EngineProfile, candidates: readonly Candidate[], request: RoomRequest, now: Timestamp): number {
+		const {service, urgency: {priority}} = request;
+		const counts = keptCounts.get(service) ?? new Map<number, number>();
+		const need = getNeed(engine, candidates, request, now);
+		const count = need === 0 ? 0 : Math.max(Math.floor(need), Math.min(Math.floor(need + keptHysteresis), counts.get(priority) ?? 0));
+		counts.set(priority, count);
+		keptCounts.set(service, counts);
+		return Math.min(count, Math.floor(candidates.length * (1 - minimumOpenShare)));
 	}
 
 	/** Returns the candidates in the order in which they are left to urgent requests. */
@@ -91,7 +109,7 @@
 			return candidates;
 		}
 
-		const keptCount = getKeptCount(engine, candidates, {...request, urgency: {...request.urgency, priority: lessUrgent}}, now);
+		const keptCount = updateKeptCount(engine, candidates, {...request, urgency: {...request.urgency, priority: lessUrgent}}, now);
 		const kept = new Set(rankCandidates(candidates).slice(0, keptCount));
 		return candidates.map(candidate => kept.has(candidate) ? candidate : {...candidate, isShared: true});
 	}
@@ -110,7 +128,7 @@
 
 			// However many servers are kept free, the others must be able to hold the prompt.
 			const holderCount = Math.ceil(promptTokens / (engine.memoryTokens * usedMemoryShare));
-			const keptCount = Math.max(0, Math.min(getKeptCount(engine, candidates, request, now), candidates.length - holderCount));
+			const keptCount = Math.max(0, Math.min(updateKeptCount(engine, candidates, request, now), candidates.length - holderCount));
 			return rankCandidates(candidates).slice(keptCount);
 		},
 	};
