--- a/packages/core/src/gateway/urgency.test.ts
+++ b/packages/core/src/gateway/urgency.test.ts
@@ -158,7 +158,7 @@
 		seed: fc.nat(),
 		gatewayCount: fc.constantFrom(2, 4),
 		serverCount: fc.integer({min: 10, max: 16}),
-		exchangeDelayMs: fc.constantFrom(5, 50, 300),
+		exchangeDelayMs: fc.constantFrom(5, 50, 300, 500),
 		isSplit: fc.boolean(),
 	});
 	fc.assert(fc.property(scenario, fc.integer({min: 5, max: 40}), fc.integer({min: 10, max: 30}), (generated, urgentPerSecond, longPerTenSeconds) => {
