Test that nobody starves under overload, by urgency, organisation and prompt size

Change: the simulation sends requests of several organisations; a generated test holds each kind to a quarter of the share of all that is answered, with views that are 5 and 500 ms old and with halves that don't hear each other.

--- a/packages/core/src/gateway/urgency-simulation.ts
+++ b/packages/core/src/gateway/urgency-simulation.ts
@@ -16,7 +16,7 @@
 import type {PeerChange} from './peer-changes.js';
 
 /** Requests of a route with a fixed prompt length at a mean rate, and what became of them. */
-export type Flow = {readonly route: ServedRoute; readonly perSecond: number; readonly promptTokens: number; total: number; answered: number; onTime: number};
+export type Flow = {readonly route: ServedRoute; readonly organisation?: string; readonly perSecond: number; readonly promptTokens: number; total: number; answered: number; onTime: number};
 
 export type UrgencyScenario = Readonly<{
 	seed: number;
@@ -144,7 +144,7 @@
 
 	function startRequest(flow: Flow, key: RequestKey): void {
 		const request = createFixtureGatewayRequest(flow.route, {
-			key, requestId: `r-${key}`, arrivedAt: now, prompt: {promptTokens: flow.promptTokens, maximumTokens: 1000},
+			key, requestId: `r-${key}`, arrivedAt: now, organisation: flow.organisation ?? 'club', prompt: {promptTokens: flow.promptTokens, maximumTokens: 1000},
 		});
 		flow.total += 1;
 		openRequests.set(key, {request, flow, stream: undefined});
--- a/packages/core/src/gateway/urgency.test.ts
+++ b/packages/core/src/gateway/urgency.test.ts
@@ -180,3 +180,36 @@
 		}, 5, 23]],
 	});
 });
+
+// Guards against less urgent prompts of one size or organisation that give way to all others for as long as the overload lasts.
+test('under overload, no organisation, prompt size or urgency is answered less than a quarter as often as all, also with old and partial views', () => {
+	const scenario = fc.record({
+		seed: fc.nat(), gatewayCount: fc.constantFrom(2, 4), serverCount: fc.integer({min: 10, max: 16}), exchangeDelayMs: fc.constantFrom(5, 500), isSplit: fc.boolean(),
+	});
+	const middleRoute = {
+		...longRoute, priority: 1, objectiveMs: 1500, timeoutMs: 10_000,
+	};
+	fc.assert(fc.property(scenario, fc.integer({min: 5, max: 40}), (generated, urgentPerSecond) => {
+		const flows = [
+			{route: urgentRoute, perSecond: urgentPerSecond, promptTokens: 5000},
+			{route: middleRoute, perSecond: 4, promptTokens: 45_000},
+			{
+				route: longRoute, perSecond: 1.5, promptTokens: 180_000, organisation: 'large',
+			},
+			{
+				route: longRoute, perSecond: 0.5, promptTokens: 180_000, organisation: 'small',
+			},
+			{
+				route: longRoute, perSecond: 0.5, promptTokens: 300_000, organisation: 'small',
+			},
+		].map((flow): Flow => ({
+			...flow, total: 0, answered: 0, onTime: 0,
+		}));
+		runUrgencyScenario(generated, flows);
+		const total = flows.reduce((sum, flow) => sum + flow.total, 0);
+		const answered = flows.reduce((sum, flow) => sum + flow.answered, 0);
+		for (const flow of flows) {
+			expect(flow.answered / flow.total, `${flow.promptTokens} tokens, ${flow.answered} of ${flow.total}`).toBeGreaterThan(0.25 * answered / total);
+		}
+	}), {...parameters, numRuns: Math.ceil(parameters.numRuns / 2)});
+});
