--- a/packages/core/src/gateway/urgency.test.ts
+++ b/packages/core/src/gateway/urgency.test.ts
@@ -134,12 +134,31 @@
 	}), parameters);
 });
 
+// Guards against servers that are left and given up in turns, each time to a long prompt that delays the next urgent streams.
+test('while the number of urgent streams hovers by half of what a server is left for, no server is left and given up in turns', () => {
+	const endpoints = createFixtureEndpoints('models', 20);
+	const request = {service: 'models', promptTokens: 180_000, urgency: {priority: 2, levels}};
+	const load = {
+		requests: 0, prefillBacklogMs: 0, helpedRequests: 0, memoryTokens: 0,
+	};
+	fc.assert(fc.property(fc.integer({min: 1, max: 50}), fc.array(fc.nat(2), {minLength: 10, maxLength: 40}), (fewest, additions) => {
+		const room = createUrgentRoom();
+		const counts = additions.map((addition, step) => {
+			const decodingSequences = Array.from({length: fewest + addition}, () => ({longestPauseMs: 250, promptTokens: 5000, priority: 0}));
+			const candidates = endpoints.map((endpoint, index) => ({endpoint, rank: 0, load: {...load, decodingSequences: index === 0 ? decodingSequences : []}}));
+			return room.getOpenCandidates(fixtureEngine, candidates, request, step * 50).length;
+		});
+		const changes = counts.filter((count, step) => step > 0 && count !== counts[step - 1]);
+		expect(changes.length).toBeLessThanOrEqual(1);
+	}), parameters);
+});
+
 test('under overload, urgent requests are served and on time no less often than long ones, which aren\'t starved, also with old and partial views', () => {
 	const scenario = fc.record({
 		seed: fc.nat(),
 		gatewayCount: fc.constantFrom(2, 4),
 		serverCount: fc.integer({min: 10, max: 16}),
-		exchangeDelayMs: fc.constantFrom(5, 50, 300),
+		exchangeDelayMs: fc.constantFrom(5, 50, 300, 500),
 		isSplit: fc.boolean(),
 	});
 	fc.assert(fc.property(scenario, fc.integer({min: 5, max: 40}), fc.integer({min: 10, max: 30}), (generated, urgentPerSecond, longPerTenSeconds) => {
@@ -153,5 +172,44 @@
 		expect(urgent.answered / urgent.total).toBeGreaterThanOrEqual(long.answered / long.total);
 		expect(urgent.onTime / urgent.total).toBeGreaterThanOrEqual((long.onTime / long.total) - onTimeMargin);
 		expect(long.answered / long.total).toBeGreaterThan(0.25 * (urgent.answered + long.answered) / (urgent.total + long.total));
-	}), parameters);
+	}), {
+		...parameters,
+		// Urgent requests that halves of a cut place on servers that the other half fills with long prompts.
+		examples: [[{
+			seed: 35_371_214, gatewayCount: 4, serverCount: 14, exchangeDelayMs: 5, isSplit: true,
+		}, 5, 23]],
+	});
+});
+
+// Guards against less urgent prompts of one size or organisation that give way to all others for as long as the overload lasts.
+test('under overload, no organisation, prompt size or urgency is answered less than a quarter as often as all, also with old and partial views', () => {
+	const scenario = fc.record({
+		seed: fc.nat(), gatewayCount: fc.constantFrom(2, 4), serverCount: fc.integer({min: 10, max: 16}), exchangeDelayMs: fc.constantFrom(5, 500), isSplit: fc.boolean(),
+	});
+	const middleRoute = {
+		...longRoute, priority: 1, objectiveMs: 1500, timeoutMs: 10_000,
+	};
+	fc.assert(fc.property(scenario, fc.integer({min: 5, max: 40}), (generated, urgentPerSecond) => {
+		const flows = [
+			{route: urgentRoute, perSecond: urgentPerSecond, promptTokens: 5000},
+			{route: middleRoute, perSecond: 4, promptTokens: 45_000},
+			{
+				route: longRoute, perSecond: 1.5, promptTokens: 180_000, organisation: 'large',
+			},
+			{
+				route: longRoute, perSecond: 0.5, promptTokens: 180_000, organisation: 'small',
+			},
+			{
+				route: longRoute, perSecond: 0.5, promptTokens: 300_000, organisation: 'small',
+			},
+		].map((flow): Flow => ({
+			...flow, total: 0, answered: 0, onTime: 0,
+		}));
+		runUrgencyScenario(generated, flows);
+		const total = flows.reduce((sum, flow) => sum + flow.total, 0);
+		const answered = flows.reduce((sum, flow) => sum + flow.answered, 0);
+		for (const flow of flows) {
+			expect(flow.answered / flow.total, `${flow.promptTokens} tokens, ${flow.answered} of ${flow.total}`).toBeGreaterThan(0.25 * answered / total);
+		}
+	}), {...parameters, numRuns: Math.ceil(parameters.numRuns / 2)});
 });
