Count heads that are not complete by their fields, also behind an open request

What a caller outside the limits could do: 600 connections, each with a request that no server answers and behind it a head of 1,000 short fields that stops short of its end (9 KB), ended a process with a heap of 48 MB (SIGABRT, out of heap); 600 such requests alone didn't.

Cause: an incomplete head was counted by its bytes, and not at all behind an open request, but its fields are strings that take many times as much. It was looked at each 250 ms only, in which a crowd on a fast link sends all.

Change: the fields that the parser holds count by their number, for each connection, and are looked at after 64 new connections or requests, too.

--- a/packages/caller/src/caller-connections.ts
+++ b/packages/caller/src/caller-connections.ts
@@ -2,7 +2,7 @@
 The connections of callers. Bounds their number, the requests that wait on each, and the heads that have not arrived completely.
 */
 import type {Socket} from 'node:net';
-import type {CallerMemory} from '@currantcross/core/gateway/caller-memory';
+import {headPartBytes, type CallerMemory} from '@currantcross/core/gateway/caller-memory';
 
 /** The bound because of which a connection is closed or a request is refused. */
 export type CallerBound = 'memory' | 'connections' | 'pipelining';
@@ -35,6 +35,8 @@
 const maximumRequests = 16;
 /** Interval at which the incomplete heads are counted; in it no more arrives than a host's link lets through. */
 const headCheckIntervalMs = 250;
+/** New connections and requests after which they are counted without waiting for the interval. */
+const changesPerCheck = 64;
 
 type Connection = {
 	openRequests: number;
@@ -44,15 +46,28 @@
 	readonly giveWay: GiveWay;
 };
 
+/** The part of the HTTP parser of a connection that is used. It isn't documented; without it, the bounds are checked less closely. */
+type HeadParser = {
+	/** Handles a complete head. */
+	onIncoming: () => number;
+	/** Names and values of a head that hasn't arrived completely, a batch of fields later. */
+	_headers?: readonly string[];
+};
+
 /** Result by which the handler of a head ends the parsing of what was read with it. */
 const stopResult = 2;
 
+function tryGetParser(socket: Socket): HeadParser | undefined {
+	const {parser} = socket as Socket & {parser?: HeadParser};
+	return parser;
+}
+
 /**
 Stops the parsing of a closed connection. Otherwise all heads that were read with the last one become requests, which are kept until the
-event loop has read from all other connections too. The parser isn't documented; without it, they do.
+event loop has read from all other connections too.
 */
 function stopParsing(socket: Socket): void {
-	const {parser} = socket as Socket & {parser?: {onIncoming: () => number}};
+	const parser = tryGetParser(socket);
 	if (parser !== undefined) {
 		parser.onIncoming = () => stopResult;
 	}
@@ -66,6 +81,7 @@
 
 	/** Requests that wait behind another one of their connection. Each may have a connection to a server, too. */
 	let waitingRequests = 0;
+	let changesSinceCheck = 0;
 
 	function closeFurthestBehind(newest: Socket): void {
 		const [oldestIdle] = idleSockets;
@@ -89,16 +105,34 @@
 		}
 	}
 
-	const headTimer = setInterval(() => {
+	/** Returns the memory of a head that hasn't arrived completely, as far as it can be told from the rest of what was read. */
+	function getUnfinishedHeadBytes(socket: Socket, {openRequests, bytesBeforeHead}: Connection): number {
+		const fieldBytes = (tryGetParser(socket)?._headers?.length ?? 0) * headPartBytes;
+		return fieldBytes + (openRequests === 0 ? Math.min(host.maximumHeadBytes, socket.bytesRead - bytesBeforeHead) : 0);
+	}
+
+	function checkHeads(): void {
 		const now = performance.now();
-		for (const socket of idleSockets) {
-			const connection = connections.get(socket);
-			const headBytes = connection === undefined ? 0 : Math.min(host.maximumHeadBytes, socket.bytesRead - connection.bytesBeforeHead);
-			if (connection !== undefined && headBytes > 0) {
-				setHeldBytes(connection, headBytes, now);
+		changesSinceCheck = 0;
+		for (const [socket, connection] of connections) {
+			const bytes = connection.waitingBytes + getUnfinishedHeadBytes(socket, connection);
+			if (bytes > 0) {
+				setHeldBytes(connection, bytes, now);
+			} else {
+				host.memory.remove(connection.giveWay);
 			}
 		}
-	}, headCheckIntervalMs);
+	}
+
+	const headTimer = setInterval(checkHeads, headCheckIntervalMs);
+
+	/** Counts what may have brought a part of a head, so that a crowd is looked at before the next interval. */
+	function recordChange(): void {
+		changesSinceCheck += 1;
+		if (changesSinceCheck >= changesPerCheck) {
+			checkHeads();
+		}
+	}
 
 	return {
 		add(socket) {
@@ -113,6 +147,7 @@
 				},
 			});
 			idleSockets.add(socket);
+			recordChange();
 			socket.once('close', () => {
 				removeConnection(socket);
 			});
@@ -130,6 +165,7 @@
 				host.memory.remove(connection.giveWay);
 			}
 
+			recordChange();
 			idleSockets.delete(socket);
 			connection.openRequests += 1;
 			waitingRequests += connection.openRequests > 1 ? 1 : 0;
--- a/packages/core/src/gateway/caller-memory.ts
+++ b/packages/core/src/gateway/caller-memory.ts
@@ -45,7 +45,7 @@
 /** Memory that a request takes besides its head and its body. */
 const requestBytes = 8192;
 /** Memory that a name or a value in a head takes besides its characters, with its place in the table of the fields. */
-const headPartBytes = 96;
+export const headPartBytes = 96;
 
 /** Returns the memory that a request with this head takes, without its body. */
 export function getRequestBytes(rawHeaders: readonly string[]): number {
