--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -179,7 +179,7 @@
 				...common, name: 'quick-ask', pathPrefix: '/lohu930/', kind: 'streaming', attempts: 2, resumable: true, timeoutMs: 10_000, goalMs: 300, gapAimMs: 250, sticky: true, service: 'bosun',
 			},
 			{
-				...common, name: 'league-archive', pathPrefix: '/xeda118/', kind: 'streaming', attempts: 2, resumable: true, timeoutMs: 15_000, goalMs: 3000, gapAimMs: 1000, sticky: true, service: 'bosun',
+				...common, name: 'league-archive', pathPrefix: '/xeda118/', kind: 'streaming', attempts: 2, resumable: true, timeoutMs: 15_000, goalMs: 3000, gapAimMs: 1000, service: 'bosun',
 			},
 			{
 				...common, name: 'slot-book', pathPrefix: '/puxa403/', kind: 'non_idempotent', attempts: 1, timeoutMs: 10_000, goalMs: 200, service: 'quai',
