Keep the bytes of a response, not the pieces in which it comes

Each such answer ended the gateway that read it within three seconds ("JavaScript heap out of memory"), and with it all requests on its channels.

Cause: undici passes on each chunk by itself, and a response that is not a stream was held as a list of these pieces until its end. A byte took an object of some hundred bytes; the limit of 8 MB counts bytes.

Change: an interceptor joins the pieces that are read at once before anything looks at them, and a held body stores small pieces in blocks of 16 KiB. The same interceptor serves the control requests, the store's client, and the clients of agents. A response that is paused passes on nothing until it is read on, as before.

The new test of the client failed before (30,000 calls for 30,000 bytes, fewer than 300 allowed).

--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -5,6 +5,7 @@
 Any other request is sent again only if it is certain that it hasn't run. A request that may have run is never reported
 to its caller as not run.
 */
+import {createByteStore} from '../byte-buffer.js';
 import {createNotRunFailure, type ErrorKind, type Failure} from '../errors.js';
 import type {Milliseconds, Timestamp} from '../types.js';
 import type {EndpointRegistry, SentRequest} from './endpoint-registry.js';
@@ -165,7 +166,7 @@
 			id: sendId,
 			placement,
 			splitter: createEventSplitter(),
-			chunks: [],
+			body: createByteStore(),
 			memory: createSendReservation(placement, sendId, now),
 			head: undefined,
 			sentAt: now,
@@ -331,14 +332,14 @@
 		return [{kind: 'failRequest', key: request.key, failure}];
 	}
 
-	function createResponseActions({head, chunks}: SavedResponse): readonly GatewayAction[] {
-		const length = chunks.reduce((sum, chunk) => sum + chunk.length, 0);
+	function createResponseActions({head, parts}: SavedResponse): readonly GatewayAction[] {
+		const length = parts.reduce((sum, part) => sum + part.length, 0);
 		const framing = head.isUndelimited ? [] : ['Content-Length', String(length)];
 		return [
 			{
 				kind: 'startResponse', key: request.key, status: head.status, headers: [...head.headers, ...framing], isUndelimited: head.isUndelimited,
 			},
-			...chunks.map((bytes): GatewayAction => ({kind: 'writeResponse', key: request.key, bytes})),
+			...parts.map((bytes): GatewayAction => ({kind: 'writeResponse', key: request.key, bytes})),
 			createEndAction(head.status),
 		];
 	}
@@ -472,7 +473,7 @@
 
 		current.unproductiveBytes += bytes.length;
 		if (!isStreamResponse(request, current.head)) {
-			current.chunks.push(bytes);
+			current.body.add(bytes);
 			if (current.unproductiveBytes >= minimumProgressBytes) {
 				recordProgress(current, now);
 			}
@@ -612,7 +613,7 @@
 		}
 
 		if (head.status >= firstServerErrorStatus && mayRepeat) {
-			return handleFailedStatus({head, chunks: finishedSend.chunks}, now);
+			return handleFailedStatus({head, parts: finishedSend.body.getParts()}, now);
 		}
 
 		context.registry.recordSuccess(finishedSend.placement.endpoint.id);
@@ -620,7 +621,7 @@
 			...closeSend('answered', `status ${head.status}`, now),
 			// An error says nothing of the work that the request would have been.
 			...(head.status < firstErrorStatus ? [...recordCompletion(finishedSend, head, now), ...learnTime(finishedSend, now)] : []),
-			...endWithResponse({head, chunks: finishedSend.chunks}),
+			...endWithResponse({head, parts: finishedSend.body.getParts()}),
 		];
 	}
 
--- a/packages/core/src/gateway/request-send.ts
+++ b/packages/core/src/gateway/request-send.ts
@@ -1,6 +1,7 @@
 /**
 The state of one send of a request, and the timeouts after which a silent send is checked.
 */
+import type {ByteStore} from '../byte-buffer.js';
 import type {Milliseconds, Timestamp} from '../types.js';
 import type {EventSplitter} from './event-splitter.js';
 import type {EndpointResponseHead, GatewayRequest, ServedRoute} from './gateway-types.js';
@@ -43,7 +44,8 @@
 	readonly id: SendId;
 	readonly placement: Placement;
 	readonly splitter: EventSplitter;
-	readonly chunks: Uint8Array[];
+	/** Body of a response that is not a stream. */
+	readonly body: ByteStore;
 	/** Memory reservations at the helpers; the request is sent once all are held. */
 	readonly memory: MemoryReservation | undefined;
 	head: EndpointResponseHead | undefined;
@@ -71,7 +73,7 @@
 };
 
 /** A complete response that is not a stream. */
-export type SavedResponse = Readonly<{head: EndpointResponseHead; chunks: readonly Uint8Array[]}>;
+export type SavedResponse = Readonly<{head: EndpointResponseHead; parts: readonly Uint8Array[]}>;
 
 /** Returns whether a response is forwarded event by event. */
 export function isStreamResponse(request: GatewayRequest, head: EndpointResponseHead): boolean {
--- a/packages/endpoint/src/business-service.ts
+++ b/packages/endpoint/src/business-service.ts
@@ -6,6 +6,7 @@
 	Milliseconds, Ran, ServiceAnswer, ServiceWork,
 } from '@currantcross/core/types';
 import {Agent, request, type Dispatcher} from 'undici';
+import {createPieceInterceptor} from './body-pieces.js';
 import {createResetDetector, createResetInterceptor} from './reset-detector.js';
 
 /** Outcome of a call; on failure, `ran` says whether the service may have run it. */
@@ -42,7 +43,7 @@
 export function createBusinessServiceClient(url: string): BusinessServiceClient {
 	// Connections are not reused: a call that fails on a stale connection can't be told from a call that ran.
 	const resetDetector = createResetDetector({});
-	const dispatcher = new Agent({pipelining: 0, keepAliveTimeout: 1, connect: resetDetector.connect}).compose(createResetInterceptor(resetDetector));
+	const dispatcher = new Agent({pipelining: 0, keepAliveTimeout: 1, connect: resetDetector.connect}).compose(createResetInterceptor(resetDetector), createPieceInterceptor());
 
 	return {
 		async call(work, timeoutMs) {
--- a/packages/endpoint/src/model-server.ts
+++ b/packages/endpoint/src/model-server.ts
@@ -12,6 +12,7 @@
 import {Agent, request} from 'undici';
 import VError from 'verror';
 import {z} from 'zod';
+import {createPieceInterceptor} from './body-pieces.js';
 
 /** Output that an engine streams while it runs a prompt. */
 export type EngineOutput
@@ -95,7 +96,7 @@
 
 /** Creates the client of the model server at a URL. `timeoutMs` applies to all calls except prompts. */
 export function createModelServerClient(url: string, timeoutMs: Milliseconds): ModelServerClient {
-	const dispatcher = new Agent({connections: 256, headersTimeout: engineIdleTimeoutMs, bodyTimeout: engineIdleTimeoutMs});
+	const dispatcher = new Agent({connections: 256, headersTimeout: engineIdleTimeoutMs, bodyTimeout: engineIdleTimeoutMs}).compose(createPieceInterceptor());
 
 	async function sendPost(path: string, body: unknown): Promise<number> {
 		const response = await request(new URL(path, url), {
--- a/packages/gateway/src/endpoint-client.test.ts
+++ b/packages/gateway/src/endpoint-client.test.ts
@@ -257,3 +257,40 @@
 	})).rejects.toThrow('another request');
 	await expect.poll(() => closedCount).toBe(1);
 });
+
+type ReceivedBytes = Readonly<{text: string; calls: number; failure: string | undefined}>;
+
+/** Sends a request and returns what its listener got. */
+async function receiveBytes(address: string): Promise<ReceivedBytes> {
+	return new Promise(resolve => {
+		let text = '';
+		let calls = 0;
+		createClient().send({
+			sendId: 1, address, method: 'GET', target: '/', headers: ['Host', 'a.example'], body: new Uint8Array(0),
+		}, {
+			onHead: () => undefined,
+			onBytes(bytes) {
+				text += Buffer.from(bytes).toString();
+				calls += 1;
+			},
+			onEnd() {
+				resolve({text, calls, failure: undefined});
+			},
+			onFailure(_wasSent, failure) {
+				resolve({text, calls, failure});
+			},
+		});
+	});
+}
+
+// Guards against a response whose listener is called, and whose bytes are kept, for each piece that its server cuts it into.
+test('passes on a response in chunks of one byte by what is read at once, byte for byte', async () => {
+	const text = Array.from({length: 30_000}, (_, index) => String.fromCodePoint(97 + (index % 26))).join('');
+	const address = await startEndpoint(socket => {
+		socket.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n');
+		socket.write(`${text.replaceAll(/./gv, '1\r\n$&\r\n')}0\r\n\r\n`);
+	});
+	const received = await receiveBytes(address);
+	expect(received).toMatchObject({text, failure: undefined});
+	expect(received.calls).toBeLessThan(text.length / 100);
+});
--- a/packages/gateway/src/endpoint-client.ts
+++ b/packages/gateway/src/endpoint-client.ts
@@ -7,6 +7,7 @@
 import {getErrorText} from '@currantcross/core/error-text';
 import type {RawHeaders} from '@currantcross/core/gateway/gateway-types';
 import type {SendId} from '@currantcross/core/gateway/gateway-events';
+import {createPieceInterceptor} from '@currantcross/endpoint/body-pieces';
 import {createResetDetector} from '@currantcross/endpoint/reset-detector';
 import {type Dispatcher, errors, Pool} from 'undici';
 import VError from 'verror';
@@ -30,6 +31,7 @@
 	/** Called when a connection is open and the request is about to be written to it. */
 	onStart?(): void;
 	onHead(status: number, headers: IncomingHttpHeaders): void;
+	/** Called for what was read at once. */
 	onBytes(bytes: Uint8Array): void;
 	onEnd(): void;
 	/** `wasSent` is false only if no part of the request can have reached the endpoint. */
@@ -128,6 +130,7 @@
 export function createEndpointClient(host: EndpointClientHost): EndpointClient {
 	const pools = new Map<string, Dispatcher>();
 	const responseGuard = createResponseGuard();
+	const joinPieces = createPieceInterceptor();
 	const openSends = new Map<SendId, OpenSend>();
 	/** Sends whose response the parser may have paused. */
 	const pausedSends = new Set<OpenSend>();
@@ -177,7 +180,7 @@
 			bodyTimeout: 0,
 			pipelining: 1,
 			maxResponseSize: maximumResponseBytes,
-		}).compose(responseGuard.intercept);
+		}).compose(responseGuard.intercept, joinPieces);
 		pools.set(address, pool);
 		return pool;
 	}
