Look at each byte of a stream once, and bound what a response takes of the loop

Bookings to sound servers got no answer 0.5 s after their route's timeout, and readiness checks none within a second.

Cause, two parts. The splitter copied the whole unfinished event, and searched it from its beginning, with each piece: work that grows with the square of the pieces. And nothing bounds what one connection takes of the event loop: parsing a chunk of one byte takes 0.42 us (undici alone, measured by itself), so that a connection which sends as fast as it is read takes all of it, in any form.

Change: the splitter keeps its place in the unfinished event, in a buffer that grows with it. `response-pacer.ts` stops reading a response that brings more pieces or bytes than its allowance, for as long as `read-budget.ts` says: what exceeds the allowances of all connections shares a bounded rate, scaled by the host's share of a processor. A server that sends a token an event, a thousand a second, stays within its allowance. Bytes of a body that is read slowly for its pieces are no progress, so that a request which may be repeated goes to another server after the usual time of silence. Such a response is logged once (`responseFragmented`).

--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -9,7 +9,7 @@
 import {createNotRunFailure, type ErrorKind, type Failure} from '../errors.js';
 import type {Milliseconds, Timestamp} from '../types.js';
 import type {EndpointRegistry, SentRequest} from './endpoint-registry.js';
-import {createEventSplitter, mergeBytes, type StreamEvent} from './event-splitter.js';
+import {createEventSplitter, type StreamEvent} from './event-splitter.js';
 import type {
 	EndpointId, EndpointReport, EndpointResponseHead, GatewayRequest, ListedEndpoint, ReportedLoad,
 } from './gateway-types.js';
@@ -97,6 +97,8 @@
 const misdirectedStatus = 421;
 const unavailableStatus = 503;
 
+type EventArrival = Readonly<{now: Timestamp; isPauseLearned: boolean}>;
+
 /** Creates the state machine of one request. */
 export function createForwardedRequest(request: GatewayRequest, context: RequestContext): ForwardedRequest {
 	const {route} = request;
@@ -466,7 +468,7 @@
 		return head.load === undefined ? [] : learnLoad(head.load, now);
 	}
 
-	function addBytes(bytes: Uint8Array, now: Timestamp): readonly GatewayAction[] {
+	function addBytes(bytes: Uint8Array, isFragmented: boolean, now: Timestamp): readonly GatewayAction[] {
 		if (current?.head === undefined) {
 			return [];
 		}
@@ -474,7 +476,7 @@
 		current.unproductiveBytes += bytes.length;
 		if (!isStreamResponse(request, current.head)) {
 			current.body.add(bytes);
-			if (current.unproductiveBytes >= minimumProgressBytes) {
+			if (current.unproductiveBytes >= minimumProgressBytes && !isFragmented) {
 				recordProgress(current, now);
 			}
 
@@ -487,24 +489,27 @@
 	/** Delivers the events that the bytes complete, in one write. */
 	function addStreamBytes(send: Send, head: EndpointResponseHead, bytes: Uint8Array, now: Timestamp): readonly GatewayAction[] {
 		const actions: GatewayAction[] = [];
-		const delivered: Uint8Array[] = [];
 		let detail: string | undefined;
-		for (const event of send.splitter.addBytes(bytes)) {
-			const eventActions = deliverEvent(send, head, event, now);
+		let hasContent = false;
+		let eventCount = 0;
+		const delivered = send.splitter.addBytes(bytes, event => {
+			eventCount += 1;
+			const eventActions = deliverEvent(send, head, event, {now, isPauseLearned: eventCount <= learnedPauses});
 			if (eventActions === undefined) {
 				detail = `event ${event.id ?? ''} is out of order`;
-				break;
+				return false;
 			}
 
 			actions.push(...eventActions);
-			delivered.push(event.bytes);
-			if (event.hasContent) {
-				recordProgress(send, now);
-			}
+			hasContent ||= event.hasContent;
+			return true;
+		});
+		if (hasContent) {
+			recordProgress(send, now);
 		}
 
 		if (delivered.length > 0) {
-			actions.push({kind: 'writeResponse', key: request.key, bytes: mergeBytes(delivered)});
+			actions.push({kind: 'writeResponse', key: request.key, bytes: delivered});
 		}
 
 		if (Math.max(send.unproductiveBytes, send.splitter.getIncompleteByteCount()) > maximumEventBytes) {
@@ -514,8 +519,11 @@
 		return detail === undefined ? actions : [...actions, ...cancelCurrentSend(), ...handleLostSend('corrupt', detail, now)];
 	}
 
-	/** Returns what the delivery of an event requires before it is written, or `undefined` if its number doesn't follow the last one. */
-	function deliverEvent(send: Send, head: EndpointResponseHead, event: StreamEvent, now: Timestamp): readonly GatewayAction[] | undefined {
+	/**
+	Returns what the delivery of an event requires before it is written, or `undefined` if its number doesn't follow the last one. What many
+	events that are read together show of their endpoint's times is learned from the first ones.
+	*/
+	function deliverEvent(send: Send, head: EndpointResponseHead, event: StreamEvent, {now, isPauseLearned}: EventArrival): readonly GatewayAction[] | undefined {
 		const number = parseEventNumber(event.id);
 		const lastNumber = parseEventNumber(lastEventId);
 		if (number !== undefined && lastNumber !== undefined && number !== lastNumber + 1) {
@@ -528,7 +536,7 @@
 		previousEventAt = now;
 		const actions: GatewayAction[] = [];
 		if (send.hasEvents) {
-			actions.push(...learnPause(send, pauseMs, now));
+			actions.push(...(isPauseLearned ? learnPause(send, pauseMs, now) : []));
 		} else {
 			send.hasEvents = true;
 			firstEventAt ??= now;
@@ -817,7 +825,7 @@
 			}
 
 			case 'responseBytes': {
-				return addBytes(event.bytes, now);
+				return addBytes(event.bytes, event.isFragmented ?? false, now);
 			}
 
 			case 'responseEnded': {
--- a/packages/core/src/gateway/gateway-events.ts
+++ b/packages/core/src/gateway/gateway-events.ts
@@ -29,7 +29,8 @@
 export type RequestEvent
 	= | Readonly<{kind: 'started'}>
 		| Readonly<{kind: 'responseStarted'; sendId: SendId; head: EndpointResponseHead}>
-		| Readonly<{kind: 'responseBytes'; sendId: SendId; bytes: Uint8Array}>
+	/** `isFragmented` if they came in so many small pieces that the response is read slowly: then bytes alone show no progress. */
+		| Readonly<{kind: 'responseBytes'; sendId: SendId; bytes: Uint8Array; isFragmented?: boolean}>
 		| Readonly<{kind: 'responseEnded'; sendId: SendId}>
 	/** The gateway stops reading the response, since its caller has left too much of it unread, or reads on. */
 		| Readonly<{kind: 'readingPaused'; sendId: SendId}>
--- a/packages/core/src/gateway/gateway-parts.test.ts
+++ b/packages/core/src/gateway/gateway-parts.test.ts
@@ -193,10 +193,10 @@
 			let joined = '';
 			let start = 0;
 			for (const length of [...chunkLengths, text.length]) {
-				for (const event of splitter.addBytes(Buffer.from(text.slice(start, start + length)))) {
+				joined += Buffer.from(splitter.addBytes(Buffer.from(text.slice(start, start + length)), event => {
 					ids.push(event.id);
-					joined += Buffer.from(event.bytes).toString();
-				}
+					return true;
+				})).toString();
 
 				start += length;
 			}
@@ -212,9 +212,16 @@
 	// Guards against blank lines without end, each pair of which became an event and filled the memory.
 	test.each(['\n', '\r\n'])('returns no events for them, and keeps none of their bytes (%j)', lineEnd => {
 		const splitter = createEventSplitter();
-		expect(splitter.addBytes(Buffer.from(lineEnd.repeat(30_000)))).toEqual([]);
+		const ids: Array<string | undefined> = [];
+		const addText = (text: string): string => Buffer.from(splitter.addBytes(Buffer.from(text), ({id}) => {
+			ids.push(id);
+			return true;
+		})).toString();
+		expect(addText(lineEnd.repeat(30_000))).toBe('');
+		expect(ids).toEqual([]);
 		expect(splitter.getIncompleteByteCount()).toBe(0);
-		expect(splitter.addBytes(Buffer.from(`id: 1${lineEnd}${lineEnd}${lineEnd}`)).map(({id, bytes}) => [id, bytes.length])).toEqual([['1', 5 + (2 * lineEnd.length)]]);
+		expect(addText(`id: 1${lineEnd}${lineEnd}${lineEnd}`)).toBe(`id: 1${lineEnd}${lineEnd}`);
+		expect(ids).toEqual(['1']);
 		expect(splitter.getIncompleteByteCount()).toBe(0);
 	});
 });
--- a/packages/daemon/src/logger.ts
+++ b/packages/daemon/src/logger.ts
@@ -16,7 +16,7 @@
 		| 'orderRefused' | 'orderFailed' | 'serverCrashed' | 'segmentQuarantined' | 'segmentReleased' | 'segmentTried'
 		| 'quarantineNotRecorded' | 'crashesNotRecorded' | 'quarantineNotRemoved' | 'limitChanged' | 'paceObserved' | 'endpointCold' | 'endpointWarm'
 		| 'feedSourceChanged' | 'readerLost' | 'followerLost' | 'readerStateRefused' | 'entryUnusable' | 'loopStalled' | 'requestDropped' | 'requestHeld' | 'sendDelayed'
-		| 'responsePaused';
+		| 'responsePaused' | 'responseFragmented';
 
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
--- a/packages/gateway/src/endpoint-client.test.ts
+++ b/packages/gateway/src/endpoint-client.test.ts
@@ -258,26 +258,32 @@
 	await expect.poll(() => closedCount).toBe(1);
 });
 
-type ReceivedBytes = Readonly<{text: string; calls: number; failure: string | undefined}>;
+type ReceivedBytes = Readonly<{text: string; calls: number; fragmentedCalls: number; failure: string | undefined}>;
 
 /** Sends a request and returns what its listener got. */
 async function receiveBytes(address: string): Promise<ReceivedBytes> {
 	return new Promise(resolve => {
 		let text = '';
 		let calls = 0;
+		let fragmentedCalls = 0;
 		createClient().send({
 			sendId: 1, address, method: 'GET', target: '/', headers: ['Host', 'a.example'], body: new Uint8Array(0),
 		}, {
 			onHead: () => undefined,
-			onBytes(bytes) {
+			onBytes(bytes, isFragmented) {
 				text += Buffer.from(bytes).toString();
 				calls += 1;
+				fragmentedCalls += isFragmented ? 1 : 0;
 			},
 			onEnd() {
-				resolve({text, calls, failure: undefined});
+				resolve({
+					text, calls, fragmentedCalls, failure: undefined,
+				});
 			},
 			onFailure(_wasSent, failure) {
-				resolve({text, calls, failure});
+				resolve({
+					text, calls, fragmentedCalls, failure,
+				});
 			},
 		});
 	});
@@ -293,4 +299,43 @@
 	const received = await receiveBytes(address);
 	expect(received).toMatchObject({text, failure: undefined});
 	expect(received.calls).toBeLessThan(text.length / 100);
+	expect(received.fragmentedCalls).toBeGreaterThan(0);
+});
+
+test('a response in large chunks, and a stream of a thousand events a second, do not count as fragmented', async () => {
+	const large = await startEndpoint(socket => {
+		socket.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n');
+		socket.write(`${'4000\r\n'}${'x'.repeat(16_384)}\r\n`.repeat(250));
+		socket.write('0\r\n\r\n');
+	});
+	expect(await receiveBytes(large)).toMatchObject({fragmentedCalls: 0, failure: undefined});
+	const stream = await startEndpoint(socket => {
+		socket.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n');
+		const startedAt = performance.now();
+		let sent = 0;
+		const timer = setInterval(() => {
+			for (; sent < Math.min(3000, performance.now() - startedAt); sent += 1) {
+				socket.write('8\r\ndata:x\n\n\r\n');
+			}
+
+			if (sent >= 3000) {
+				clearInterval(timer);
+				socket.write('0\r\n\r\n');
+			}
+		}, 1);
+	});
+	expect(await receiveBytes(stream)).toMatchObject({text: 'data:x\n\n'.repeat(3000), fragmentedCalls: 0, failure: undefined});
+});
+
+// Guards against an error of undici, which can't end a response that is paused, that ends the process.
+test.each(['Connection: close\r\n\r\n', 'Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n'])('fails a response that is read slowly when its connection is reset (%j)', async rest => {
+	const address = await startEndpoint(socket => {
+		socket.write(`HTTP/1.1 200 OK\r\n${rest}`);
+		socket.write('1\r\nx\r\n'.repeat(60_000), () => {
+			setTimeout(() => {
+				socket.resetAndDestroy();
+			}, 30);
+		});
+	});
+	expect(await sendRequest(createClient(), address)).toEqual({kind: 'failed', wasSent: true});
 });
--- a/packages/gateway/src/endpoint-client.ts
+++ b/packages/gateway/src/endpoint-client.ts
@@ -13,6 +13,7 @@
 import VError from 'verror';
 import type {ControlRequest} from './gateway-hosts.js';
 import {createResponseGuard} from './response-guard.js';
+import {createResponsePacer} from './response-pacer.js';
 
 /** A send: one transmission of a caller's request to an endpoint. A request that is retried has several sends. */
 export type EndpointRequest = Readonly<{
@@ -31,8 +32,8 @@
 	/** Called when a connection is open and the request is about to be written to it. */
 	onStart?(): void;
 	onHead(status: number, headers: IncomingHttpHeaders): void;
-	/** Called for what was read at once. */
-	onBytes(bytes: Uint8Array): void;
+	/** Called for what was read at once. `isFragmented` if it came in so many small pieces that the response is read slowly. */
+	onBytes(bytes: Uint8Array, isFragmented: boolean): void;
 	onEnd(): void;
 	/** `wasSent` is false only if no part of the request can have reached the endpoint. */
 	onFailure(wasSent: boolean, detail: string): void;
@@ -126,10 +127,11 @@
 	isCallerResponse(status: number, headers: IncomingHttpHeaders): boolean;
 }>;
 
-/** Creates a client. Connections are opened on demand. */
-export function createEndpointClient(host: EndpointClientHost): EndpointClient {
+/** Creates a client in a process that has the given share of a processor. Connections are opened on demand. */
+export function createEndpointClient(host: EndpointClientHost, processorShare = 1): EndpointClient {
 	const pools = new Map<string, Dispatcher>();
 	const responseGuard = createResponseGuard();
+	const responsePacer = createResponsePacer(processorShare);
 	const joinPieces = createPieceInterceptor();
 	const openSends = new Map<SendId, OpenSend>();
 	/** Sends whose response the parser may have paused. */
@@ -165,7 +167,7 @@
 	*/
 	function updateResetCode(socket: Socket): void {
 		socket.on('error', (error: NodeJS.ErrnoException) => {
-			if (pausedSends.size > 0 && error.code === resetCode) {
+			if ((pausedSends.size > 0 || responsePacer.hasPaused()) && error.code === resetCode) {
 				error.code = pausableResetCode;
 			}
 		});
@@ -180,7 +182,7 @@
 			bodyTimeout: 0,
 			pipelining: 1,
 			maxResponseSize: maximumResponseBytes,
-		}).compose(responseGuard.intercept, joinPieces);
+		}).compose(responseGuard.intercept, responsePacer.intercept, joinPieces);
 		pools.set(address, pool);
 		return pool;
 	}
@@ -220,9 +222,9 @@
 					controller.abort(new VError({name: 'TooManyInformationalResponses'}, 'the endpoint sent more than %d informational responses', maximumInformationalResponses));
 				}
 			},
-			onResponseData(_controller, bytes) {
+			onResponseData(controller, bytes) {
 				if (!openSend.isCancelled) {
-					listener.onBytes(bytes);
+					listener.onBytes(bytes, responsePacer.isFragmented(controller));
 				}
 			},
 			onResponseEnd() {
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -94,7 +94,7 @@
 			const {requestId} = host.wireFormat.parseResponseHead(status, headers);
 			return requestId !== undefined && requestId !== '';
 		},
-	});
+	}, settings.processorShare);
 	const connections = createConnections({...defaultConnectionSettings, sharedKey, tls: undefined});
 	// Streams of one set of connections replace each other's connection to a peer.
 	const readerConnections = createConnections({...defaultConnectionSettings, sharedKey, tls: undefined});
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -525,6 +525,7 @@
 		const handedOverAt = performance.now();
 		let isHeld = false;
 		let receivedBytes = 0;
+		let wasFragmented = false;
 		host.client.send({
 			sendId, address: endpoint.address, method: message.method ?? 'GET', target: message.url ?? '/', headers, body: Buffer.from(body.buffer, body.byteOffset, body.byteLength),
 		}, {
@@ -547,13 +548,20 @@
 
 				dispatchRelayEvent(key, {kind: 'responseStarted', sendId, head});
 			},
-			onBytes(bytes) {
+			onBytes(bytes, isFragmented) {
 				receivedBytes += bytes.length;
 				if (isHeld) {
 					openRequest.exchange.setReceivedBytes(receivedBytes);
 				}
 
-				dispatchRelayEvent(key, {kind: 'responseBytes', sendId, bytes});
+				if (isFragmented && !wasFragmented) {
+					wasFragmented = true;
+					host.logger.info('responseFragmented', {request: openRequest.request.requestId, sendId, endpoint: endpoint.id});
+				}
+
+				dispatchRelayEvent(key, {
+					kind: 'responseBytes', sendId, bytes, isFragmented,
+				});
 				throttle.update(sendId);
 			},
 			onEnd() {
--- /dev/null
+++ b/packages/gateway/src/response-pacer.ts
@@ -0,0 +1,151 @@
+/**
+Reads responses no faster than their budget allows, so that a server which sends very small pieces, or events, without end leaves the event
+loop to the others. One that exceeds it is not read for a while, in which its window closes. What was read at once is always parsed at once:
+the rest of it would be copied with each part.
+*/
+import {createReadBudget, getReadUnits} from '@currantcross/core/read-budget';
+import {createWrappedController, findInnerController} from '@currantcross/endpoint/wrapped-controller';
+import type {Dispatcher} from 'undici';
+
+export type ResponsePacer = Readonly<{
+	/** Interceptor of all requests of a client. */
+	intercept: Dispatcher.DispatcherComposeInterceptor;
+	/** Returns whether a response comes in so many small pieces that it is more than its budget allows. */
+	isFragmented(controller: Dispatcher.DispatchController): boolean;
+	/** Returns whether the parser of any response is paused. */
+	hasPaused(): boolean;
+}>;
+
+type PacedController = Readonly<{
+	controller: Dispatcher.DispatchController;
+	recordPiece(piece: Uint8Array): void;
+	/** Ends the pacing of a response that is complete or has failed. */
+	end(): void;
+}>;
+
+/** Mean length of the pieces below which a response counts as fragmented. */
+const smallPieceBytes = 64;
+
+/** For a server that sends some thousands of pieces a second on a connection. */
+const budgetSettings = {burstUnits: 2048, ownUnitsPerSecond: 4000} as const;
+/** Units a second beyond the allowance of each response, for a whole processor. */
+const sharedUnitsPerSecond = 150_000;
+
+/** Creates the pacer of a client in a process that has the given share of a processor. */
+export function createResponsePacer(processorShare: number): ResponsePacer {
+	const budget = createReadBudget({...budgetSettings, sharedUnitsPerSecond: sharedUnitsPerSecond * Math.min(1, processorShare)});
+	const pausedControllers = new Set<Dispatcher.DispatchController>();
+	const fragmentedControllers = new WeakSet<Dispatcher.DispatchController>();
+
+	/** Returns the controller for the handler of a response, whose own pauses add to those of the pacer. */
+	function createPacedController(controller: Dispatcher.DispatchController): PacedController {
+		const allowance = budget.createAllowance();
+		let isPausedByHandler = false;
+		let turnTimer: NodeJS.Timeout | undefined;
+		let hasEnded = false;
+		let pieces = 0;
+		let bytes = 0;
+
+		function pause(): void {
+			if (!hasEnded) {
+				pausedControllers.add(controller);
+				controller.pause();
+			}
+		}
+
+		function resumeIfFree(): void {
+			if (!isPausedByHandler && turnTimer === undefined && !hasEnded) {
+				pausedControllers.delete(controller);
+				controller.resume();
+			}
+		}
+
+		/** Ends a turn, after which the response is not read for a while if it is more than its budget allows. */
+		function endTurn(): void {
+			const waitMs = allowance.record(getReadUnits(pieces, bytes), performance.now());
+			if (bytes >= pieces * smallPieceBytes) {
+				fragmentedControllers.delete(paced);
+			} else if (waitMs > 0) {
+				fragmentedControllers.add(paced);
+			}
+
+			pieces = 0;
+			bytes = 0;
+			if (!hasEnded && waitMs > 0) {
+				pause();
+				turnTimer = setTimeout(() => {
+					turnTimer = undefined;
+					resumeIfFree();
+				}, waitMs);
+			}
+		}
+
+		const paced = createWrappedController(controller, {
+			isPaused: () => isPausedByHandler,
+			pause() {
+				isPausedByHandler = true;
+				pause();
+			},
+			resume() {
+				isPausedByHandler = false;
+				resumeIfFree();
+			},
+		});
+		return {
+			controller: paced,
+			recordPiece(piece) {
+				pieces += 1;
+				bytes += piece.length;
+				if (pieces === 1) {
+					// Runs once undici has parsed all that was read.
+					queueMicrotask(endTurn);
+				}
+			},
+			end() {
+				hasEnded = true;
+				clearTimeout(turnTimer);
+				pausedControllers.delete(controller);
+			},
+		};
+	}
+
+	return {
+		intercept: dispatch => (options, handler) => {
+			let paced: PacedController | undefined;
+			const getPaced = (controller: Dispatcher.DispatchController): PacedController => {
+				paced ??= createPacedController(controller);
+				return paced;
+			};
+
+			return dispatch(options, {
+				onRequestStart(controller, context) {
+					handler.onRequestStart?.(getPaced(controller).controller, context);
+				},
+				onResponseStart(controller, statusCode, headers, statusMessage) {
+					handler.onResponseStart?.(getPaced(controller).controller, statusCode, headers, statusMessage);
+				},
+				onResponseData(controller, piece) {
+					getPaced(controller).recordPiece(piece);
+					handler.onResponseData?.(getPaced(controller).controller, piece);
+				},
+				onResponseEnd(controller, trailers) {
+					getPaced(controller).end();
+					handler.onResponseEnd?.(getPaced(controller).controller, trailers);
+				},
+				onResponseError(controller, error) {
+					getPaced(controller).end();
+					handler.onResponseError?.(getPaced(controller).controller, error);
+				},
+			});
+		},
+		isFragmented(controller) {
+			let inner: Dispatcher.DispatchController | undefined = controller;
+			while (inner !== undefined && !fragmentedControllers.has(inner)) {
+				inner = findInnerController(inner);
+			}
+
+			return inner !== undefined;
+		},
+		hasPaused: () => pausedControllers.size > 0,
+	};
+}
--- a/packages/standins/src/platform-endless-server-standin.ts
+++ b/packages/standins/src/platform-endless-server-standin.ts
@@ -7,7 +7,10 @@
 import {listen} from '@currantcross/core/listen';
 
 /** The part of the response that has no end; `garbage` is not HTTP, and `refusal` has an endless body. */
-export type EndlessResponse = 'garbage' | 'reason' | 'header' | 'headers' | 'informational' | 'trailers' | 'chunkSize' | 'chunkExtension' | 'body' | 'event' | 'comments' | 'blankLines' | 'refusal';
+export type EndlessResponse = 'garbage' | 'reason' | 'header' | 'headers' | 'informational' | 'trailers' | 'chunkSize' | 'chunkExtension' | 'body' | 'event' | 'comments' | 'blankLines' | 'refusal' | FragmentedResponse;
+
+/** An endless response in chunks of a few bytes: a body, one event, complete events without an id, or lines of comments. */
+export type FragmentedResponse = 'bodyInBytes' | 'eventInBytes' | 'eventsInChunks' | 'commentsInChunks';
 
 export type EndlessServerStandin = Readonly<{
 	address: string;
@@ -21,11 +24,18 @@
 const blockBytes = 65_536;
 const requestIdPattern = /^request-id: *(?<id>\S+)/imv;
 
+/** Returns as many chunks with a text as fit into a block. */
+function getChunks(text: string): string {
+	const chunk = `${text.length.toString(16)}\r\n${text}\r\n`;
+	return chunk.repeat(Math.floor(blockBytes / chunk.length));
+}
+
 /** Returns the start of the response, and the block that is repeated after it. */
 function getResponse(kind: EndlessResponse, requestId: string): Readonly<{start: string; block: string}> {
 	const head = `HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nResponse-Stamp: stamp-endless\r\n`;
 	const filler = 'x'.repeat(blockBytes);
 	const chunked = `${head}Transfer-Encoding: chunked\r\n\r\n`;
+	const eventChunks = `${head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n`;
 	switch (kind) {
 		case 'garbage': {
 			return {start: '', block: filler};
@@ -75,6 +85,22 @@
 			return {start: `${head}Content-Type: text/event-stream\r\n\r\n`, block: '\n'.repeat(blockBytes)};
 		}
 
+		case 'bodyInBytes': {
+			return {start: chunked, block: getChunks('x')};
+		}
+
+		case 'eventInBytes': {
+			return {start: eventChunks, block: getChunks('x')};
+		}
+
+		case 'eventsInChunks': {
+			return {start: eventChunks, block: getChunks('data:x\n\n')};
+		}
+
+		case 'commentsInChunks': {
+			return {start: eventChunks, block: getChunks(':\n')};
+		}
+
 		case 'refusal': {
 			return {start: `HTTP/1.1 503 Service Unavailable\r\nRequest-Id: ${requestId}\r\nNot-Run: 1\r\n\r\n`, block: filler};
 		}
