Pace what callers send, so that bodies in tiny chunks leave the loop to others

Cause: the HTTP parser handles all of a read at once, and a chunk of one byte takes 2.7 us there (measured by itself): 30 ms for 64 KB. The loop accepts one connection a turn, so a crowd's first reads alone keep new callers waiting; the rest, also of bodies that were refused, was parsed as fast as it came.

Change: `input-pacer.ts` stands between a connection and its parser. It hands over parts of limited cost, one a turn, and no more than the budget of `read-budget.ts`; meanwhile the connection isn't read. What waits counts as held.

Ruled out: pausing the requests (tried): the parser goes on with what was read, whose chunks become objects; the process ran out of heap.

--- a/packages/caller/src/caller-connections.test.ts
+++ b/packages/caller/src/caller-connections.test.ts
@@ -17,6 +17,7 @@
 	const bounds: string[] = [];
 	const connections = createCallerConnections({
 		maximumConnections,
+		processorShare: 1,
 		maximumHeadBytes: 65_536,
 		memory: createCallerMemory<GiveWay>(),
 		recordBound(bound) {
--- a/packages/caller/src/caller-connections.ts
+++ b/packages/caller/src/caller-connections.ts
@@ -3,6 +3,7 @@
 */
 import type {Socket} from 'node:net';
 import {headPartBytes, type CallerMemory} from '@currantcross/core/gateway/caller-memory';
+import {createInputPacer, type PacedInput} from './input-pacer.js';
 
 /** The bound because of which a connection is closed or a request is refused. */
 export type CallerBound = 'memory' | 'connections' | 'pipelining';
@@ -24,6 +25,8 @@
 
 export type CallerConnectionsHost = Readonly<{
 	maximumConnections: number;
+	/** Share of a processor that the process has. */
+	processorShare: number;
 	/** Size beyond which a head is refused; a body that is discarded after its response counts as much. */
 	maximumHeadBytes: number;
 	/** Memory in which the incomplete heads are counted, by the function that closes their connection. */
@@ -44,6 +47,7 @@
 	/** Bytes that were read when the last head had arrived or the last response was complete. */
 	bytesBeforeHead: number;
 	readonly giveWay: GiveWay;
+	readonly input: PacedInput;
 };
 
 /** The part of the HTTP parser of a connection that is used. It isn't documented; without it, the bounds are checked less closely. */
@@ -76,6 +80,7 @@
 /** Creates a record without connections. */
 export function createCallerConnections(host: CallerConnectionsHost): CallerConnections {
 	const connections = new Map<Socket, Connection>();
+	const inputPacer = createInputPacer(host.processorShare);
 	/** Connections without a request, the one that has been so for longest first. */
 	const idleSockets = new Set<Socket>();
 
@@ -115,7 +120,7 @@
 		const now = performance.now();
 		changesSinceCheck = 0;
 		for (const [socket, connection] of connections) {
-			const bytes = connection.waitingBytes + getUnfinishedHeadBytes(socket, connection);
+			const bytes = connection.waitingBytes + connection.input.getWaitingBytes() + getUnfinishedHeadBytes(socket, connection);
 			if (bytes > 0) {
 				setHeldBytes(connection, bytes, now);
 			} else {
@@ -145,6 +150,7 @@
 					socket.destroy();
 					removeConnection(socket);
 				},
+				input: inputPacer.add(socket),
 			});
 			idleSockets.add(socket);
 			recordChange();
--- a/packages/caller/src/http-server.ts
+++ b/packages/caller/src/http-server.ts
@@ -165,7 +165,7 @@
 	};
 	const bodyReader = createBodyReader();
 	const connections = createCallerConnections({
-		maximumConnections, maximumHeadBytes, memory, recordBound,
+		maximumConnections, processorShare: 1, maximumHeadBytes, memory, recordBound,
 	});
 	/** Functions that break off responses which are not read. */
 	const responseHolders = new Map<ServerResponse, GiveWay>();
--- /dev/null
+++ b/packages/caller/src/input-pacer.ts
@@ -0,0 +1,152 @@
+/**
+Passes what callers send to the HTTP parser in parts of limited cost, and no faster than a budget allows, so that the others get their turn.
+
+Answers callers that send bodies in chunks of a few bytes, or whatever else costs the parser far more than its bytes. The cost is counted in
+lines, of which each chunk and each field of a head has some. What waits, waits as it was read, and meanwhile the connection isn't read.
+*/
+import type {Socket} from 'node:net';
+import {createReadBudget, type ReadAllowance} from '@currantcross/core/read-budget';
+
+export type PacedInput = Readonly<{
+	/** Returns the bytes that were read and wait to be parsed. */
+	getWaitingBytes(): number;
+}>;
+
+export type InputPacer = Readonly<{
+	/** Paces a connection of an HTTP server, before anything was read from it. */
+	add(socket: Socket): PacedInput;
+}>;
+
+/** Lines that are parsed in one turn of the event loop. */
+const linesPerTurn = 1024;
+/** For a caller that sends some requests a second, in chunks not much smaller than its packets. */
+const budgetSettings = {burstUnits: 4096, ownUnitsPerSecond: 500} as const;
+/** Lines a second beyond the allowance of each connection, for a whole processor. */
+const sharedLinesPerSecond = 250_000;
+/** Shorter times aren't waited for until they have added up. */
+const minimumWaitMs = 2;
+const lineFeed = 10;
+
+/** Returns the end of the part that is parsed next, and the number of its lines. */
+function getNextPart(bytes: Uint8Array): Readonly<{end: number; lines: number}> {
+	let end = 0;
+	for (let lines = 0; lines < linesPerTurn; lines += 1) {
+		end = bytes.indexOf(lineFeed, end) + 1;
+		if (end === 0) {
+			return {end: bytes.length, lines};
+		}
+	}
+
+	return {end, lines: linesPerTurn};
+}
+
+type HoldableReading = Readonly<{hold(): void; release(): void}>;
+
+/** Lets a connection be held, in which time it isn't read, whatever its server asks for. */
+function createHoldableReading(socket: Socket): HoldableReading {
+	const pause = socket.pause.bind(socket);
+	const resume = socket.resume.bind(socket);
+	let isHeld = false;
+	let isWanted = true;
+	socket.pause = () => {
+		isWanted = false;
+		return pause();
+	};
+
+	socket.resume = () => {
+		isWanted = true;
+		return isHeld ? socket : resume();
+	};
+
+	return {
+		hold() {
+			isHeld = true;
+			pause();
+		},
+		release() {
+			isHeld = false;
+			if (isWanted) {
+				resume();
+			}
+		},
+	};
+}
+
+/** Paces a connection whose bytes `parse` takes. */
+function paceSocket(socket: Socket, parse: (bytes: Uint8Array) => void, allowance: ReadAllowance): PacedInput {
+	const reading = createHoldableReading(socket);
+	/** What was read and isn't parsed. */
+	let waiting: Uint8Array[] = [];
+	let cancelTurn = (): void => undefined;
+
+	function runTurn(): void {
+		const [bytes, ...others] = waiting;
+		if (bytes === undefined) {
+			reading.release();
+			return;
+		}
+
+		const {end, lines} = getNextPart(bytes);
+		waiting = end === bytes.length ? others : [bytes.subarray(end), ...others];
+		parse(end === bytes.length ? bytes : bytes.subarray(0, end));
+		if (socket.destroyed) {
+			waiting = [];
+			return;
+		}
+
+		const waitMs = allowance.record(lines, performance.now());
+		if (waitMs >= minimumWaitMs) {
+			reading.hold();
+			const timer = setTimeout(runTurn, waitMs);
+			cancelTurn = () => {
+				clearTimeout(timer);
+			};
+		} else if (waiting.length > 0) {
+			reading.hold();
+			const immediate = setImmediate(runTurn);
+			cancelTurn = () => {
+				clearImmediate(immediate);
+			};
+		} else {
+			reading.release();
+		}
+	}
+
+	socket.on('data', (bytes: Uint8Array) => {
+		waiting.push(bytes);
+		if (waiting.length === 1) {
+			runTurn();
+		}
+	});
+	socket.once('close', () => {
+		cancelTurn();
+		waiting = [];
+	});
+	return {
+		getWaitingBytes() {
+			return waiting.reduce((sum, bytes) => sum + bytes.length, 0);
+		},
+	};
+}
+
+/** Creates a pacer in a process that has the given share of a processor. */
+export function createInputPacer(processorShare: number): InputPacer {
+	const budget = createReadBudget({...budgetSettings, sharedUnitsPerSecond: sharedLinesPerSecond * Math.min(1, processorShare)});
+
+	return {
+		add(socket) {
+			// The server's own listener, which it adds with each connection.
+			const [listener] = socket.listeners('data');
+			if (listener === undefined) {
+				return {getWaitingBytes: () => 0};
+			}
+
+			const parse = listener as (bytes: Uint8Array) => void; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+			const input = paceSocket(socket, bytes => {
+				parse.call(socket, bytes);
+			}, budget.createAllowance());
+			socket.off('data', parse);
+			return input;
+		},
+	};
+}
--- a/packages/gateway/src/caller-server.test.ts
+++ b/packages/gateway/src/caller-server.test.ts
@@ -46,7 +46,7 @@
 		}),
 		formatFailureHead: () => [],
 	};
-	const server = await startCallerServer({host: '127.0.0.1', port: 0}, {memoryMb: undefined, maximumConnections: Number.POSITIVE_INFINITY}, {
+	const server = await startCallerServer({host: '127.0.0.1', port: 0}, {memoryMb: undefined, maximumConnections: Number.POSITIVE_INFINITY, processorShare: 1}, {
 		wireFormat: wireFormat as WireFormat, // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the other members are not used
 		isDraining: () => false,
 		isHolding: () => false,
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -91,7 +91,12 @@
 const expectationFailedStatus = 417;
 
 /** What the callers of a server may make it hold. */
-export type CallerBounds = Readonly<{memoryMb: number | undefined; maximumConnections: number}>;
+export type CallerBounds = Readonly<{
+	memoryMb: number | undefined;
+	maximumConnections: number;
+	/** Share of a processor that the process has. */
+	processorShare: number;
+}>;
 
 /** A request that arrived before it could be checked, and the function that refuses it while it is pending. */
 type EarlyRequest = Readonly<{message: IncomingMessage; head: CallerHead; arrival: RequestArrival; refuse: (failure: Failure) => void}>;
@@ -111,7 +116,7 @@
 	const memory = createCallerMemory<GiveWay>();
 	const bodyReader = createBodyReader();
 	const connections = createCallerConnections({
-		maximumConnections: bounds.maximumConnections, maximumHeadBytes: maximumHeaderBytes, memory, recordBound: host.recordBound,
+		maximumConnections: bounds.maximumConnections, processorShare: bounds.processorShare, maximumHeadBytes: maximumHeaderBytes, memory, recordBound: host.recordBound,
 	});
 	/** Functions that give way for a response, by the functions that break it off. */
 	const responseHolders = new WeakMap<() => void, GiveWay>();
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -280,7 +280,7 @@
 		registerGatewayService(router, {streamWork: workExchange.streamWork, streamState});
 	});
 	const callerServer = await startCallerServer(parseAddress(settings.callerAddress), {
-		memoryMb: settings.memoryMb, maximumConnections: getMaximumConnections(settings.maximumDescriptors),
+		memoryMb: settings.memoryMb, maximumConnections: getMaximumConnections(settings.maximumDescriptors), processorShare,
 	}, {
 		wireFormat: host.wireFormat,
 		isDraining: () => stoppedAt !== undefined,
--- a/packages/gateway/src/response-throttle.test.ts
+++ b/packages/gateway/src/response-throttle.test.ts
@@ -114,7 +114,7 @@
 		}),
 		formatFailureHead: () => [],
 	};
-	const server = await startCallerServer({host: '127.0.0.1', port: 0}, {memoryMb: 200, maximumConnections: 100}, {
+	const server = await startCallerServer({host: '127.0.0.1', port: 0}, {memoryMb: 200, maximumConnections: 100, processorShare: 1}, {
 		wireFormat: wireFormat as WireFormat, // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the other members are not used
 		isDraining: () => false,
 		isHolding: () => false,
