Let a planned stop wait until callers have taken what is answered

Cause: the stop waited for the requests that the state machine has open; one whose answer was handed to the caller's connection is not open. And `server.close()` of Node.js closes connections as idle whose response has been ended, though it isn't written yet.

Change: the stop also waits for what is begun and not delivered, within the grace; listening stops without that `close`, and connections without a request are closed by our own list.

Not changed: entries, which close their servers in the same way.

--- a/packages/caller/src/caller-connections.ts
+++ b/packages/caller/src/caller-connections.ts
@@ -20,6 +20,8 @@
 	/** Records that the response to a request is complete. */
 	removeRequest(socket: Socket): void;
 	getCount(): number;
+	/** Closes the connections without a request. */
+	closeIdle(): void;
 	close(): void;
 }>;
 
@@ -207,6 +209,11 @@
 			}
 		},
 		getCount: () => connections.size,
+		closeIdle() {
+			for (const socket of idleSockets) {
+				socket.destroy();
+			}
+		},
 		close() {
 			clearInterval(headTimer);
 		},
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -2,6 +2,7 @@
 HTTP server for callers. Reads each request completely, within the configured limits, and passes it to its host.
 */
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import net from 'node:net';
 import {setImmediate as setImmediatePromise} from 'node:timers/promises';
 import {createBodyReader} from '@currantcross/caller/body-reader';
 import {createCallerConnections, type CallerBound, type GiveWay} from '@currantcross/caller/caller-connections';
@@ -56,6 +57,8 @@
 	recordStoreCall(isAnswered: boolean): void;
 	/** Returns the number of requests whose head was accepted and that are not begun: their bodies still arrive, or they wait. */
 	getPendingCount(): number;
+	/** Returns the number of requests that are begun and whose responses are not delivered. */
+	getUndeliveredCount(): number;
 	/** Refuses these requests. */
 	refusePending(failure: Failure): void;
 	/** Accepts the connections that callers have opened, for `maximumMs` at most. Then stops listening, and closes the idle connections. */
@@ -401,6 +404,7 @@
 		resumeHeld: early.resumeAll,
 		recordStoreCall: early.recordCall,
 		getPendingCount: () => pendingRequests.size,
+		getUndeliveredCount: () => openExchanges.size,
 		refusePending(failure) {
 			for (const refuse of pendingRequests) {
 				refuse(failure);
@@ -419,7 +423,9 @@
 				}
 			}
 
-			server.close();
+			// The HTTP server's own `close` also closes connections whose response waits to be read, as if it ended there.
+			net.Server.prototype.close.call(server);
+			connections.closeIdle();
 		},
 		getConnectionCount: connections.getCount,
 		close() {
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -38,8 +38,8 @@
 
 export type GatewayDaemon = Readonly<{
 	/**
-	Shuts down: reports the gateway as not ready, serves new requests for a short time, waits for the open ones to complete, and
-	resolves when the process can exit.
+	Shuts down: reports the gateway as not ready, serves new requests for a short time, waits until the open ones are complete and their
+	callers have taken the responses, and resolves when the process can exit.
 	*/
 	stop(): Promise<void>;
 	/** Reads the settings again and logs which keys differ. Changes take effect at the next start. */
@@ -318,9 +318,9 @@
 			stoppedAt ??= performance.now();
 			logger.info('stopping', {open: gateway.getOpenRequestCount()});
 			checkReadiness(); // Logs that the gateway is no longer ready.
-			const getOpenCount = (): number => gateway.getOpenRequestCount() + callerServer.getPendingCount();
+			const getOpenCount = (): number => gateway.getOpenRequestCount() + callerServer.getPendingCount() + callerServer.getUndeliveredCount();
 			await waitForRequests(getOpenCount, stoppedAt, settings.graceMs);
-			logger.info('stopped', {open: gateway.getOpenRequestCount(), pending: callerServer.getPendingCount()});
+			logger.info('stopped', {open: gateway.getOpenRequestCount(), pending: callerServer.getPendingCount(), undelivered: callerServer.getUndeliveredCount()});
 			await callerServer.stopListening(settings.graceMs - lastAnswerMs - (performance.now() - stoppedAt));
 			callerServer.refusePending(createNotRunFailure('draining', 'the process ends', 0));
 			driver.dispatch({kind: 'graceEnded'});
@@ -357,7 +357,7 @@
 	return Object.entries(after).filter(([key, value]) => JSON.stringify(oldValues.get(key)) !== JSON.stringify(value)).map(([key]) => key);
 }
 
-/** Waits until new requests are no longer accepted and none is open, or until the grace period is almost over. */
+/** Waits until new requests are no longer accepted and none is open or undelivered, or until the grace period is almost over. */
 async function waitForRequests(getOpenCount: () => number, stoppedAt: number, graceMs: number): Promise<void> {
 	await new Promise<void>(resolve => {
 		const timer = setInterval(() => {
