Answer a request with its own response, whatever its caller sends behind it

Cause: without a `clientError` handler Node.js' HTTP server writes the status for a late (408), malformed (400) or too long (431) head as the response that is open on the connection.

Change: such an error closes the connection once the requests that have arrived completely are answered, with `Connection: close`. Only without such a request the status is sent. Gateways and entries share the handler.

--- a/packages/caller/src/caller-connections.test.ts
+++ b/packages/caller/src/caller-connections.test.ts
@@ -25,9 +25,9 @@
 		},
 	});
 	let requests = 0;
-	const server = http.createServer(({socket}) => {
+	const server = http.createServer(message => {
 		requests += 1;
-		connections.tryAddRequest(socket);
+		connections.tryAddRequest(message);
 	});
 	server.on('connection', connections.add);
 	const port = await listen(server, {host: '127.0.0.1', port: 0});
--- a/packages/caller/src/caller-connections.ts
+++ b/packages/caller/src/caller-connections.ts
@@ -1,6 +1,7 @@
 /**
 The connections of callers. Bounds their number, the requests that wait on each, and the heads that have not arrived completely.
 */
+import type {IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
 import {headPartBytes, type CallerMemory} from '@currantcross/core/gateway/caller-memory';
 import {createInputPacer, type PacedInput} from './input-pacer.js';
@@ -14,11 +15,18 @@
 export type CallerConnections = Readonly<{
 	add(socket: Socket): void;
 	/** Records a request whose head has arrived. Returns false, and closes the connection, if too many of its requests wait. */
-	tryAddRequest(socket: Socket): boolean;
+	tryAddRequest(message: IncomingMessage): boolean;
 	/** Adds what refused requests hold whose refusals wait behind another response, until no request of the connection is left. */
 	addWaitingBytes(socket: Socket, bytes: number): void;
 	/** Records that the response to a request is complete. */
 	removeRequest(socket: Socket): void;
+	/**
+	Handles what the HTTP server can't parse, and a head that is late. It says nothing of the requests before it: the connection is closed once
+	they are answered. Without such requests it gets a status of its own.
+	*/
+	handleClientError(error: Readonly<Error & {code?: string}>, socket: Socket): void;
+	/** Returns whether no further request of the connection is served. */
+	isClosing(socket: Socket): boolean;
 	getCount(): number;
 	/** Closes the connections without a request. */
 	closeIdle(): void;
@@ -45,6 +53,10 @@
 
 type Connection = {
 	openRequests: number;
+	/** Latest request. Only of this one the body may still arrive. */
+	lastMessage: IncomingMessage | undefined;
+	/** Whether it is closed once the requests that have arrived are answered. */
+	isClosing: boolean;
 	waitingBytes: number;
 	/** Bytes that were read when the last head had arrived or the last response was complete. */
 	bytesBeforeHead: number;
@@ -79,6 +91,25 @@
 	}
 }
 
+const errorCodePrefix = 'HPE_';
+/** Status lines by the codes of errors; any other code of the parser is a malformed request. */
+const statusLines: ReadonlyMap<string, string> = new Map([
+	['ERR_HTTP_REQUEST_TIMEOUT', '408 Request Timeout'],
+	['HPE_HEADER_OVERFLOW', '431 Request Header Fields Too Large'],
+	['HPE_CHUNK_EXTENSIONS_OVERFLOW', '413 Payload Too Large'],
+]);
+const malformedStatusLine = '400 Bad Request';
+
+/** Returns the status line for an error of a request, or `undefined` for one of the connection. */
+function findStatusLine(code = ''): string | undefined {
+	return statusLines.get(code) ?? (code.startsWith(errorCodePrefix) ? malformedStatusLine : undefined);
+}
+
+/** Returns the number of requests of a connection that have arrived completely and are not answered. */
+function getArrivedRequests({openRequests, lastMessage}: Connection): number {
+	return openRequests - (lastMessage?.complete === false ? 1 : 0);
+}
+
 /** Creates a record without connections. */
 export function createCallerConnections(host: CallerConnectionsHost): CallerConnections {
 	const connections = new Map<Socket, Connection>();
@@ -145,6 +176,8 @@
 		add(socket) {
 			connections.set(socket, {
 				openRequests: 0,
+				lastMessage: undefined,
+				isClosing: false,
 				waitingBytes: 0,
 				bytesBeforeHead: 0,
 				giveWay(bound) {
@@ -163,7 +196,8 @@
 				closeFurthestBehind(socket);
 			}
 		},
-		tryAddRequest(socket) {
+		tryAddRequest(message) {
+			const {socket} = message;
 			const connection = connections.get(socket);
 			if (connection === undefined || socket.destroyed) {
 				return false;
@@ -176,6 +210,7 @@
 			recordChange();
 			idleSockets.delete(socket);
 			connection.openRequests += 1;
+			connection.lastMessage = message;
 			waitingRequests += connection.openRequests > 1 ? 1 : 0;
 			if (connection.openRequests > maximumRequests || (connection.openRequests > 1 && connections.size + waitingRequests > host.maximumConnections)) {
 				host.recordBound('pipelining');
@@ -201,6 +236,11 @@
 
 			waitingRequests -= connection.openRequests > 1 ? 1 : 0;
 			connection.openRequests -= 1;
+			if (connection.isClosing && getArrivedRequests(connection) <= 0) {
+				socket.destroySoon();
+				return;
+			}
+
 			if (connection.openRequests === 0) {
 				host.memory.remove(connection.giveWay);
 				connection.waitingBytes = 0;
@@ -208,6 +248,27 @@
 				idleSockets.add(socket);
 			}
 		},
+		handleClientError(error, socket) {
+			const statusLine = findStatusLine(error.code);
+			const connection = connections.get(socket);
+			if (connection === undefined || statusLine === undefined || !socket.writable) {
+				socket.destroy();
+				return;
+			}
+
+			if (getArrivedRequests(connection) > 0) {
+				connection.isClosing = true;
+				return;
+			}
+
+			if (!connection.isClosing) {
+				connection.isClosing = true;
+				socket.write(`HTTP/1.1 ${statusLine}\r\nConnection: close\r\n\r\n`);
+			}
+
+			socket.destroySoon();
+		},
+		isClosing: socket => connections.get(socket)?.isClosing === true,
 		getCount: () => connections.size,
 		closeIdle() {
 			for (const socket of idleSockets) {
--- a/packages/caller/src/http-server.ts
+++ b/packages/caller/src/http-server.ts
@@ -268,7 +268,7 @@
 
 	/** Handles the head of a request. With a status that request is refused which HTTP itself does not allow. */
 	function handleHead(message: IncomingMessage, response: ServerResponse, status?: number): void {
-		if (!connections.tryAddRequest(message.socket)) {
+		if (!connections.tryAddRequest(message)) {
 			return;
 		}
 
@@ -291,6 +291,7 @@
 	server.on('checkExpectation', (message: IncomingMessage, response: ServerResponse) => {
 		handleHead(message, response, expectationFailedStatus);
 	});
+	server.on('clientError', connections.handleClientError);
 	server.on('connection', connections.add);
 	server.keepAliveTimeout = 5000;
 	const port = await listen(server, {host: settings.host, port: settings.port});
--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -65,8 +65,10 @@
 
 export type CallerExchangeHost = Readonly<{
 	wireFormat: WireFormat;
-	/** While it returns true, responses carry `Connection: close`. */
+	/** While it returns true, all responses carry `Connection: close`. */
 	isDraining(): boolean;
+	/** Returns whether a caller's connection is closed once its requests are answered. */
+	isClosing(socket: Socket): boolean;
 	/** Returns the time for which a caller may read nothing of a complete response before its connection is closed. */
 	getIdleTimeoutMs(): number;
 	/** Called after each part with the bytes of the response that are held, 0 for as few as every caller may leave unread, and the function that breaks it off. */
@@ -117,7 +119,7 @@
 	}
 
 	function writeHead(status: number, headers: RawHeaders): void {
-		if (host.isDraining()) {
+		if (host.isDraining() || host.isClosing(message.socket)) {
 			response.setHeader('connection', 'close');
 		}
 
--- a/packages/gateway/src/caller-server.test.ts
+++ b/packages/gateway/src/caller-server.test.ts
@@ -234,3 +234,48 @@
 	const responses = await Promise.all(calls);
 	expect(responses.map(({status}) => status)).toEqual([200, 200, 200]);
 });
+
+const answerMs = 2600;
+const shortHeaderTimeoutMs = 300;
+
+/** Answers a request with 200 and its path, some time after its head timeout. */
+const answerLate: RequestHandler = exchange => {
+	setTimeout(() => {
+		exchange.startResponse({status: 200, headers: ['Content-Length', '2'], isUndelimited: false});
+		exchange.write(Buffer.from(exchange.message.url ?? ''));
+		exchange.end();
+	}, answerMs);
+	return () => undefined;
+};
+
+/** What a caller may send behind a request, on the same connection, that is no request. */
+const brokenHeads = [
+	['stops short of its end', 'POST /b HTTP/1.1\r\nHost: a.exam', '408'],
+	['is malformed', 'no request\r\n\r\n', '400'],
+	['is too long', `GET /b HTTP/1.1\r\nHost: a.example\r\nX-Long: ${'x'.repeat(70_000)}`, '431'],
+] as const;
+
+// Guards against a request that runs and is answered by the status for what its caller sent behind it, such as 408: not run.
+test.each(brokenHeads)('a request gets its own response, and then its connection is closed, if what follows it %s', async (_, next) => {
+	const server = await startServer(answerLate);
+	server.setLimits({
+		maximumHeaderBytes: 65_536, maximumBodyBytes: 1000, headerTimeoutMs: shortHeaderTimeoutMs, idleTimeoutMs: 20_000,
+	});
+	const received = await exchangeText(server.port, `POST /a HTTP/1.1\r\nHost: a.example\r\nContent-Length: 1\r\n\r\nx${next}`);
+	expect(received).toMatch(/^HTTP\/1\.1 200 /v);
+	expect(received).toMatch(/\r\nconnection: close\r\n/iv);
+	expect(received).toMatch(/\r\n\r\n\/a$/v);
+});
+
+test.each(brokenHeads)('a connection without a request is answered with a status and closed if what arrives %s', async (_, next, status) => {
+	const server = await startServer(answerLate);
+	server.setLimits({
+		maximumHeaderBytes: 65_536, maximumBodyBytes: 1000, headerTimeoutMs: shortHeaderTimeoutMs, idleTimeoutMs: 20_000,
+	});
+	expect(await exchangeText(server.port, next)).toMatch(new RegExp(String.raw`^HTTP/1\.1 ${status} `, 'v'));
+});
+
+test('a request whose own body is malformed is answered with 400', async () => {
+	const {port} = await startServer(answerLate);
+	expect(await exchangeText(port, 'POST /a HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\nno length\r\n')).toMatch(/^HTTP\/1\.1 400 /v);
+});
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -133,7 +133,7 @@
 	/** Functions that refuse the requests that are not begun. */
 	const pendingRequests = new Set<(failure: Failure) => void>();
 	const exchangeHost = {
-		wireFormat: host.wireFormat, isDraining: () => host.isDraining(), getIdleTimeoutMs: () => idleTimeoutMs, onQueued: setQueuedBytes,
+		wireFormat: host.wireFormat, isDraining: () => host.isDraining(), isClosing: connections.isClosing, getIdleTimeoutMs: () => idleTimeoutMs, onQueued: setQueuedBytes,
 	};
 
 	/** Sets what a holder holds, and lets those give way that have to. */
@@ -357,7 +357,7 @@
 	/** Handles the head of a request that has arrived. With a status that request is refused which HTTP itself does not allow. */
 	function handleHead(message: IncomingMessage, response: ServerResponse, status?: number): void {
 		const {socket} = message;
-		if (!connections.tryAddRequest(socket)) {
+		if (!connections.tryAddRequest(message)) {
 			return;
 		}
 
@@ -387,6 +387,7 @@
 	server.on('checkExpectation', (message: IncomingMessage, response: ServerResponse) => {
 		handleHead(message, response, expectationFailedStatus);
 	});
+	server.on('clientError', connections.handleClientError);
 	server.on('connection', socket => {
 		acceptedCount += 1;
 		connections.add(socket);
