Give each answer that is no stream its length towards the caller

Cause: an answer with neither a length nor chunks was passed on with neither, though the gateway holds it whole by then. Whatever ends the process ended it like its server.

Change: the length is always set, but for 204 and 304. The form without one, and what depended on it, goes. The test that such an answer is forwarded without a length demanded the fault; the one in its place demands the length. The test of resets plays a caller of HTTP/1.0, to whom that form remains.

--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -94,6 +94,8 @@
 
 const firstErrorStatus = 300;
 const firstServerErrorStatus = 500;
+/** Statuses whose responses have neither a body nor a length. */
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 const misdirectedStatus = 421;
 const unavailableStatus = 503;
 
@@ -334,12 +336,16 @@
 		return [{kind: 'failRequest', key: request.key, failure}];
 	}
 
+	/**
+	Returns a complete response with its length, however the endpoint delimited it: what ends it early on the way to the caller, the end of the
+	gateway's process too, must not look like its end.
+	*/
 	function createResponseActions({head, parts}: SavedResponse): readonly GatewayAction[] {
 		const length = parts.reduce((sum, part) => sum + part.length, 0);
-		const framing = head.isUndelimited ? [] : ['Content-Length', String(length)];
+		const framing = bodilessStatuses.has(head.status) ? [] : ['Content-Length', String(length)];
 		return [
 			{
-				kind: 'startResponse', key: request.key, status: head.status, headers: [...head.headers, ...framing], isUndelimited: head.isUndelimited,
+				kind: 'startResponse', key: request.key, status: head.status, headers: [...head.headers, ...framing],
 			},
 			...parts.map((bytes): GatewayAction => ({kind: 'writeResponse', key: request.key, bytes})),
 			createEndAction(head.status),
@@ -605,7 +611,7 @@
 
 		hasStartedResponse = true;
 		return [{
-			kind: 'startResponse', key: request.key, status: head.status, headers: head.headers, isUndelimited: false,
+			kind: 'startResponse', key: request.key, status: head.status, headers: head.headers,
 		}];
 	}
 
--- a/packages/core/src/gateway/gateway-events.ts
+++ b/packages/core/src/gateway/gateway-events.ts
@@ -67,9 +67,8 @@
 		kind: 'startResponse';
 		key: RequestKey;
 		status: number;
+		/** Without a length the body is sent in chunks. */
 		headers: RawHeaders;
-		/** Whether the body is delimited by connection close alone; that of a stream never is. */
-		isUndelimited: boolean;
 	}>
 	| Readonly<{kind: 'writeResponse'; key: RequestKey; bytes: Uint8Array}>
 	| Readonly<{kind: 'endResponse'; key: RequestKey; summary: ResponseSummary}>
--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -11,11 +11,8 @@
 /** A request whose body has been read completely. */
 export type ReceivedRequest = Readonly<{message: IncomingMessage; head: CallerHead; body: Uint8Array}>;
 
-/**
-The head of a response. An undelimited body, which has neither a length nor chunks, is forwarded as it is and ends with the
-connection, since only its sender knows where it ends. A body that is neither undelimited nor has a length is sent in chunks.
-*/
-export type ResponseHead = Readonly<{status: number; headers: RawHeaders; isUndelimited: boolean}>;
+/** The head of a response. A body without a length is sent in chunks; to an HTTP/1.0 caller it ends with the connection. */
+export type ResponseHead = Readonly<{status: number; headers: RawHeaders}>;
 
 /** A received request and the operations that answer it. */
 export type CallerExchange = ReceivedRequest & Readonly<{
@@ -134,7 +131,7 @@
 		if (response.chunkedEncoding || response.hasHeader('content-length')) {
 			message.socket.destroy();
 		} else {
-			// The response is undelimited, as a stream to an HTTP/1.0 caller is, too.
+			// A stream to an HTTP/1.0 caller ends with its connection.
 			message.socket.resetAndDestroy();
 		}
 	}
@@ -163,13 +160,8 @@
 			receivedBytes = bytes;
 			reportQueued();
 		},
-		startResponse({status, headers, isUndelimited}) {
+		startResponse({status, headers}) {
 			receivedBytes = 0;
-			if (isUndelimited) {
-				response.setHeader('connection', 'close');
-				response.removeHeader('transfer-encoding');
-			}
-
 			writeHead(status, headers);
 			response.flushHeaders();
 		},
