Describe responses in tiny pieces, and don't shorten their pauses

Found on reading: a piece that undici passes on before it notices a pause could replace the timer of that pause by an earlier one.

--- a/packages/caller/src/input-pacer.ts
+++ b/packages/caller/src/input-pacer.ts
@@ -73,7 +73,7 @@
 }
 
 /** Paces a connection whose bytes `parse` takes. */
-function paceSocket(socket: Socket, parse: (bytes: Uint8Array) => void, allowance: ReadAllowance): PacedInput {
+function createPacedInput(socket: Socket, parse: (bytes: Uint8Array) => void, allowance: ReadAllowance): PacedInput {
 	const reading = createHoldableReading(socket);
 	/** What was read and isn't parsed. */
 	let waiting: Uint8Array[] = [];
@@ -142,7 +142,7 @@
 			}
 
 			const parse = listener as (bytes: Uint8Array) => void; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
-			const input = paceSocket(socket, bytes => {
+			const input = createPacedInput(socket, bytes => {
 				parse.call(socket, bytes);
 			}, budget.createAllowance());
 			socket.off('data', parse);
--- a/packages/endpoint/src/body-pieces.ts
+++ b/packages/endpoint/src/body-pieces.ts
@@ -55,7 +55,7 @@
 	controller: Dispatcher.DispatchController;
 	add(piece: Uint8Array): void;
 	/** Passes on what was added. */
-	flush(): void;
+	deliver(): void;
 }>;
 
 /** Joins the pieces of a body and passes them to `handle`, also of what arrives after a pause, which the parser notices late. */
@@ -63,7 +63,7 @@
 	const pieces = createPieceBuffer();
 	let isPaused = false;
 
-	function flush(): void {
+	function deliver(): void {
 		const bytes = pieces.tryTake();
 		if (bytes !== undefined) {
 			handle(wrapped, bytes);
@@ -71,13 +71,13 @@
 	}
 
 	/** Passes on what was added unless the response is paused. An error of the handler ends the response. */
-	function flushUnlessPaused(): void {
+	function deliverUnlessPaused(): void {
 		if (isPaused) {
 			return;
 		}
 
 		try {
-			flush();
+			deliver();
 		} catch (error) {
 			controller.abort(toError(error));
 		}
@@ -91,7 +91,7 @@
 		},
 		resume() {
 			isPaused = false;
-			flushUnlessPaused();
+			deliverUnlessPaused();
 			if (!wrapped.paused) {
 				controller.resume();
 			}
@@ -102,10 +102,10 @@
 		add(piece) {
 			if (pieces.add(piece)) {
 				// Runs once undici has parsed all that was read.
-				queueMicrotask(flushUnlessPaused);
+				queueMicrotask(deliverUnlessPaused);
 			}
 		},
-		flush,
+		deliver,
 	};
 }
 
@@ -131,11 +131,11 @@
 				getBody(controller).add(piece);
 			},
 			onResponseEnd(controller, trailers) {
-				getBody(controller).flush();
+				getBody(controller).deliver();
 				handler.onResponseEnd?.(getBody(controller).controller, trailers);
 			},
 			onResponseError(controller, error) {
-				getBody(controller).flush();
+				getBody(controller).deliver();
 				handler.onResponseError?.(getBody(controller).controller, error);
 			},
 		});
--- a/packages/gateway/src/response-pacer.ts
+++ b/packages/gateway/src/response-pacer.ts
@@ -71,7 +71,8 @@
 
 			pieces = 0;
 			bytes = 0;
-			if (!hasEnded && waitMs > 0) {
+			// A piece that the parser passes on before it notices the pause doesn't shorten it.
+			if (!hasEnded && waitMs > 0 && turnTimer === undefined) {
 				pause();
 				turnTimer = setTimeout(() => {
 					turnTimer = undefined;
