--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -5,10 +5,11 @@
 Any other request is sent again only if it is certain that it hasn't run. A request that may have run is never reported
 to its caller as not run.
 */
+import {createByteStore} from '../byte-buffer.js';
 import {createNotRunFailure, type ErrorKind, type Failure} from '../errors.js';
 import type {Milliseconds, Timestamp} from '../types.js';
 import type {EndpointRegistry, SentRequest} from './endpoint-registry.js';
-import {createEventSplitter, mergeBytes, type StreamEvent} from './event-splitter.js';
+import {createEventSplitter, type StreamEvent} from './event-splitter.js';
 import type {
 	EndpointId, EndpointReport, EndpointResponseHead, GatewayRequest, ListedEndpoint, ReportedLoad,
 } from './gateway-types.js';
@@ -93,9 +94,13 @@
 
 const firstErrorStatus = 300;
 const firstServerErrorStatus = 500;
+/** Statuses whose responses have neither a body nor a length. */
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 const misdirectedStatus = 421;
 const unavailableStatus = 503;
 
+type EventArrival = Readonly<{now: Timestamp; isPauseLearned: boolean}>;
+
 /** Creates the state machine of one request. */
 export function createForwardedRequest(request: GatewayRequest, context: RequestContext): ForwardedRequest {
 	const {route} = request;
@@ -165,7 +170,7 @@
 			id: sendId,
 			placement,
 			splitter: createEventSplitter(),
-			chunks: [],
+			body: createByteStore(),
 			memory: createSendReservation(placement, sendId, now),
 			head: undefined,
 			sentAt: now,
@@ -331,14 +336,18 @@
 		return [{kind: 'failRequest', key: request.key, failure}];
 	}
 
-	function createResponseActions({head, chunks}: SavedResponse): readonly GatewayAction[] {
-		const length = chunks.reduce((sum, chunk) => sum + chunk.length, 0);
-		const framing = head.isUndelimited ? [] : ['Content-Length', String(length)];
+	/**
+	Returns a complete response with its length, however the endpoint delimited it: what ends it early on the way to the caller, the end of the
+	gateway's process too, must not look like its end.
+	*/
+	function createResponseActions({head, parts}: SavedResponse): readonly GatewayAction[] {
+		const length = parts.reduce((sum, part) => sum + part.length, 0);
+		const framing = bodilessStatuses.has(head.status) ? [] : ['Content-Length', String(length)];
 		return [
 			{
-				kind: 'startResponse', key: request.key, status: head.status, headers: [...head.headers, ...framing], isUndelimited: head.isUndelimited,
+				kind: 'startResponse', key: request.key, status: head.status, headers: [...head.headers, ...framing],
 			},
-			...chunks.map((bytes): GatewayAction => ({kind: 'writeResponse', key: request.key, bytes})),
+			...parts.map((bytes): GatewayAction => ({kind: 'writeResponse', key: request.key, bytes})),
 			createEndAction(head.status),
 		];
 	}
@@ -465,15 +474,15 @@
 		return head.load === undefined ? [] : learnLoad(head.load, now);
 	}
 
-	function addBytes(bytes: Uint8Array, now: Timestamp): readonly GatewayAction[] {
+	function addBytes(bytes: Uint8Array, isFragmented: boolean, now: Timestamp): readonly GatewayAction[] {
 		if (current?.head === undefined) {
 			return [];
 		}
 
 		current.unproductiveBytes += bytes.length;
 		if (!isStreamResponse(request, current.head)) {
-			current.chunks.push(bytes);
-			if (current.unproductiveBytes >= minimumProgressBytes) {
+			current.body.add(bytes);
+			if (current.unproductiveBytes >= minimumProgressBytes && !isFragmented) {
 				recordProgress(current, now);
 			}
 
@@ -486,24 +495,27 @@
 	/** Delivers the events that the bytes complete, in one write. */
 	function addStreamBytes(send: Send, head: EndpointResponseHead, bytes: Uint8Array, now: Timestamp): readonly GatewayAction[] {
 		const actions: GatewayAction[] = [];
-		const delivered: Uint8Array[] = [];
 		let detail: string | undefined;
-		for (const event of send.splitter.addBytes(bytes)) {
-			const eventActions = deliverEvent(send, head, event, now);
+		let hasContent = false;
+		let eventCount = 0;
+		const delivered = send.splitter.addBytes(bytes, event => {
+			eventCount += 1;
+			const eventActions = deliverEvent(send, head, event, {now, isPauseLearned: eventCount <= learnedPauses});
 			if (eventActions === undefined) {
 				detail = `event ${event.id ?? ''} is out of order`;
-				break;
+				return false;
 			}
 
 			actions.push(...eventActions);
-			delivered.push(event.bytes);
-			if (event.hasContent) {
-				recordProgress(send, now);
-			}
+			hasContent ||= event.hasContent;
+			return true;
+		});
+		if (hasContent) {
+			recordProgress(send, now);
 		}
 
 		if (delivered.length > 0) {
-			actions.push({kind: 'writeResponse', key: request.key, bytes: mergeBytes(delivered)});
+			actions.push({kind: 'writeResponse', key: request.key, bytes: delivered});
 		}
 
 		if (Math.max(send.unproductiveBytes, send.splitter.getIncompleteByteCount()) > maximumEventBytes) {
@@ -513,8 +525,11 @@
 		return detail === undefined ? actions : [...actions, ...cancelCurrentSend(), ...handleLostSend('corrupt', detail, now)];
 	}
 
-	/** Returns what the delivery of an event requires before it is written, or `undefined` if its number doesn't follow the last one. */
-	function deliverEvent(send: Send, head: EndpointResponseHead, event: StreamEvent, now: Timestamp): readonly GatewayAction[] | undefined {
+	/**
+	Returns what the delivery of an event requires before it is written, or `undefined` if its number doesn't follow the last one. What many
+	events that are read together show of their endpoint's times is learned from the first ones.
+	*/
+	function deliverEvent(send: Send, head: EndpointResponseHead, event: StreamEvent, {now, isPauseLearned}: EventArrival): readonly GatewayAction[] | undefined {
 		const number = parseEventNumber(event.id);
 		const lastNumber = parseEventNumber(lastEventId);
 		if (number !== undefined && lastNumber !== undefined && number !== lastNumber + 1) {
@@ -527,7 +542,7 @@
 		previousEventAt = now;
 		const actions: GatewayAction[] = [];
 		if (send.hasEvents) {
-			actions.push(...learnPause(send, pauseMs, now));
+			actions.push(...(isPauseLearned ? learnPause(send, pauseMs, now) : []));
 		} else {
 			send.hasEvents = true;
 			firstEventAt ??= now;
@@ -596,7 +611,7 @@
 
 		hasStartedResponse = true;
 		return [{
-			kind: 'startResponse', key: request.key, status: head.status, headers: head.headers, isUndelimited: false,
+			kind: 'startResponse', key: request.key, status: head.status, headers: head.headers,
 		}];
 	}
 
@@ -612,7 +627,7 @@
 		}
 
 		if (head.status >= firstServerErrorStatus && mayRepeat) {
-			return handleFailedStatus({head, chunks: finishedSend.chunks}, now);
+			return handleFailedStatus({head, parts: finishedSend.body.getParts()}, now);
 		}
 
 		context.registry.recordSuccess(finishedSend.placement.endpoint.id);
@@ -620,7 +635,7 @@
 			...closeSend('answered', `status ${head.status}`, now),
 			// An error says nothing of the work that the request would have been.
 			...(head.status < firstErrorStatus ? [...recordCompletion(finishedSend, head, now), ...learnTime(finishedSend, now)] : []),
-			...endWithResponse({head, chunks: finishedSend.chunks}),
+			...endWithResponse({head, parts: finishedSend.body.getParts()}),
 		];
 	}
 
@@ -816,7 +831,7 @@
 			}
 
 			case 'responseBytes': {
-				return addBytes(event.bytes, now);
+				return addBytes(event.bytes, event.isFragmented ?? false, now);
 			}
 
 			case 'responseEnded': {
--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -11,11 +11,8 @@
 /** A request whose body has been read completely. */
 export type ReceivedRequest = Readonly<{message: IncomingMessage; head: CallerHead; body: Uint8Array}>;
 
-/**
-The head of a response. An undelimited body, which has neither a length nor chunks, is forwarded as it is and ends with the
-connection, since only its sender knows where it ends. A body that is neither undelimited nor has a length is sent in chunks.
-*/
-export type ResponseHead = Readonly<{status: number; headers: RawHeaders; isUndelimited: boolean}>;
+/** The head of a response. A body without a length is sent in chunks; to an HTTP/1.0 caller it ends with the connection. */
+export type ResponseHead = Readonly<{status: number; headers: RawHeaders}>;
 
 /** A received request and the operations that answer it. */
 export type CallerExchange = ReceivedRequest & Readonly<{
@@ -65,8 +62,10 @@
 
 export type CallerExchangeHost = Readonly<{
 	wireFormat: WireFormat;
-	/** While it returns true, responses carry `Connection: close`. */
+	/** While it returns true, all responses carry `Connection: close`. */
 	isDraining(): boolean;
+	/** Returns whether a caller's connection is closed once its requests are answered. */
+	isClosing(socket: Socket): boolean;
 	/** Returns the time for which a caller may read nothing of a complete response before its connection is closed. */
 	getIdleTimeoutMs(): number;
 	/** Called after each part with the bytes of the response that are held, 0 for as few as every caller may leave unread, and the function that breaks it off. */
@@ -117,7 +116,7 @@
 	}
 
 	function writeHead(status: number, headers: RawHeaders): void {
-		if (host.isDraining()) {
+		if (host.isDraining() || host.isClosing(message.socket)) {
 			response.setHeader('connection', 'close');
 		}
 
@@ -132,7 +131,7 @@
 		if (response.chunkedEncoding || response.hasHeader('content-length')) {
 			message.socket.destroy();
 		} else {
-			// The response is undelimited, as a stream to an HTTP/1.0 caller is, too.
+			// A stream to an HTTP/1.0 caller ends with its connection.
 			message.socket.resetAndDestroy();
 		}
 	}
@@ -161,13 +160,8 @@
 			receivedBytes = bytes;
 			reportQueued();
 		},
-		startResponse({status, headers, isUndelimited}) {
+		startResponse({status, headers}) {
 			receivedBytes = 0;
-			if (isUndelimited) {
-				response.setHeader('connection', 'close');
-				response.removeHeader('transfer-encoding');
-			}
-
 			writeHead(status, headers);
 			response.flushHeaders();
 		},
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -2,6 +2,7 @@
 HTTP server for callers. Reads each request completely, within the configured limits, and passes it to its host.
 */
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import net from 'node:net';
 import {setImmediate as setImmediatePromise} from 'node:timers/promises';
 import {createBodyReader} from '@currantcross/caller/body-reader';
 import {createCallerConnections, type CallerBound, type GiveWay} from '@currantcross/caller/caller-connections';
@@ -56,6 +57,8 @@
 	recordStoreCall(isAnswered: boolean): void;
 	/** Returns the number of requests whose head was accepted and that are not begun: their bodies still arrive, or they wait. */
 	getPendingCount(): number;
+	/** Returns the number of requests that are begun and whose responses are not delivered. */
+	getUndeliveredCount(): number;
 	/** Refuses these requests. */
 	refusePending(failure: Failure): void;
 	/** Accepts the connections that callers have opened, for `maximumMs` at most. Then stops listening, and closes the idle connections. */
@@ -91,7 +94,12 @@
 const expectationFailedStatus = 417;
 
 /** What the callers of a server may make it hold. */
-export type CallerBounds = Readonly<{memoryMb: number | undefined; maximumConnections: number}>;
+export type CallerBounds = Readonly<{
+	memoryMb: number | undefined;
+	maximumConnections: number;
+	/** Share of a processor that the process has. */
+	processorShare: number;
+}>;
 
 /** A request that arrived before it could be checked, and the function that refuses it while it is pending. */
 type EarlyRequest = Readonly<{message: IncomingMessage; head: CallerHead; arrival: RequestArrival; refuse: (failure: Failure) => void}>;
@@ -111,7 +119,7 @@
 	const memory = createCallerMemory<GiveWay>();
 	const bodyReader = createBodyReader();
 	const connections = createCallerConnections({
-		maximumConnections: bounds.maximumConnections, maximumHeadBytes: maximumHeaderBytes, memory, recordBound: host.recordBound,
+		maximumConnections: bounds.maximumConnections, processorShare: bounds.processorShare, maximumHeadBytes: maximumHeaderBytes, memory, recordBound: host.recordBound,
 	});
 	/** Functions that give way for a response, by the functions that break it off. */
 	const responseHolders = new WeakMap<() => void, GiveWay>();
@@ -125,7 +133,7 @@
 	/** Functions that refuse the requests that are not begun. */
 	const pendingRequests = new Set<(failure: Failure) => void>();
 	const exchangeHost = {
-		wireFormat: host.wireFormat, isDraining: () => host.isDraining(), getIdleTimeoutMs: () => idleTimeoutMs, onQueued: setQueuedBytes,
+		wireFormat: host.wireFormat, isDraining: () => host.isDraining(), isClosing: connections.isClosing, getIdleTimeoutMs: () => idleTimeoutMs, onQueued: setQueuedBytes,
 	};
 
 	/** Sets what a holder holds, and lets those give way that have to. */
@@ -349,7 +357,7 @@
 	/** Handles the head of a request that has arrived. With a status that request is refused which HTTP itself does not allow. */
 	function handleHead(message: IncomingMessage, response: ServerResponse, status?: number): void {
 		const {socket} = message;
-		if (!connections.tryAddRequest(socket)) {
+		if (!connections.tryAddRequest(message)) {
 			return;
 		}
 
@@ -379,6 +387,7 @@
 	server.on('checkExpectation', (message: IncomingMessage, response: ServerResponse) => {
 		handleHead(message, response, expectationFailedStatus);
 	});
+	server.on('clientError', connections.handleClientError);
 	server.on('connection', socket => {
 		acceptedCount += 1;
 		connections.add(socket);
@@ -396,6 +405,7 @@
 		resumeHeld: early.resumeAll,
 		recordStoreCall: early.recordCall,
 		getPendingCount: () => pendingRequests.size,
+		getUndeliveredCount: () => openExchanges.size,
 		refusePending(failure) {
 			for (const refuse of pendingRequests) {
 				refuse(failure);
@@ -414,7 +424,9 @@
 				}
 			}
 
-			server.close();
+			// The HTTP server's own `close` also closes connections whose response waits to be read, as if it ended there.
+			net.Server.prototype.close.call(server);
+			connections.closeIdle();
 		},
 		getConnectionCount: connections.getCount,
 		close() {
--- a/packages/gateway/src/endpoint-client.ts
+++ b/packages/gateway/src/endpoint-client.ts
@@ -7,11 +7,13 @@
 import {getErrorText} from '@currantcross/core/error-text';
 import type {RawHeaders} from '@currantcross/core/gateway/gateway-types';
 import type {SendId} from '@currantcross/core/gateway/gateway-events';
+import {createPieceInterceptor} from '@currantcross/endpoint/body-pieces';
 import {createResetDetector} from '@currantcross/endpoint/reset-detector';
 import {type Dispatcher, errors, Pool} from 'undici';
 import VError from 'verror';
 import type {ControlRequest} from './gateway-hosts.js';
 import {createResponseGuard} from './response-guard.js';
+import {createResponsePacer} from './response-pacer.js';
 
 /** A send: one transmission of a caller's request to an endpoint. A request that is retried has several sends. */
 export type EndpointRequest = Readonly<{
@@ -30,7 +32,8 @@
 	/** Called when a connection is open and the request is about to be written to it. */
 	onStart?(): void;
 	onHead(status: number, headers: IncomingHttpHeaders): void;
-	onBytes(bytes: Uint8Array): void;
+	/** Called for what was read at once. `isFragmented` if it came in so many small pieces that the response is read slowly. */
+	onBytes(bytes: Uint8Array, isFragmented: boolean): void;
 	onEnd(): void;
 	/** `wasSent` is false only if no part of the request can have reached the endpoint. */
 	onFailure(wasSent: boolean, detail: string): void;
@@ -124,10 +127,12 @@
 	isCallerResponse(status: number, headers: IncomingHttpHeaders): boolean;
 }>;
 
-/** Creates a client. Connections are opened on demand. */
-export function createEndpointClient(host: EndpointClientHost): EndpointClient {
+/** Creates a client in a process that has the given share of a processor. Connections are opened on demand. */
+export function createEndpointClient(host: EndpointClientHost, processorShare = 1): EndpointClient {
 	const pools = new Map<string, Dispatcher>();
 	const responseGuard = createResponseGuard();
+	const responsePacer = createResponsePacer(processorShare);
+	const joinPieces = createPieceInterceptor();
 	const openSends = new Map<SendId, OpenSend>();
 	/** Sends whose response the parser may have paused. */
 	const pausedSends = new Set<OpenSend>();
@@ -162,7 +167,7 @@
 	*/
 	function updateResetCode(socket: Socket): void {
 		socket.on('error', (error: NodeJS.ErrnoException) => {
-			if (pausedSends.size > 0 && error.code === resetCode) {
+			if ((pausedSends.size > 0 || responsePacer.hasPaused()) && error.code === resetCode) {
 				error.code = pausableResetCode;
 			}
 		});
@@ -177,7 +182,7 @@
 			bodyTimeout: 0,
 			pipelining: 1,
 			maxResponseSize: maximumResponseBytes,
-		}).compose(responseGuard.intercept);
+		}).compose(responseGuard.intercept, responsePacer.intercept, joinPieces);
 		pools.set(address, pool);
 		return pool;
 	}
@@ -217,9 +222,9 @@
 					controller.abort(new VError({name: 'TooManyInformationalResponses'}, 'the endpoint sent more than %d informational responses', maximumInformationalResponses));
 				}
 			},
-			onResponseData(_controller, bytes) {
+			onResponseData(controller, bytes) {
 				if (!openSend.isCancelled) {
-					listener.onBytes(bytes);
+					listener.onBytes(bytes, responsePacer.isFragmented(controller));
 				}
 			},
 			onResponseEnd() {
