--- a/packages/core/src/gateway/configuration-state.ts
+++ b/packages/core/src/gateway/configuration-state.ts
@@ -43,8 +43,6 @@
 	learnVersion(version: number, now: Timestamp): boolean;
 	/** Returns whether the configuration is known to be older than one that the operator has confirmed, and the store doesn't have that one. */
 	isOutdated(now: Timestamp): boolean;
-	/** Returns whether any answer has been a verification. */
-	hasBeenVerified(): boolean;
 	/** Discards the time of the last verification, so that keys are refused until the next one. */
 	expire(): void;
 	getAgeMs(now: Timestamp): Milliseconds;
@@ -70,7 +68,6 @@
 	let current: ServingConfiguration | undefined;
 	let routes: RouteTable | undefined;
 	let verifiedAt = Number.NEGATIVE_INFINITY;
-	let hasBeenVerified = false;
 	let writtenAtRevision: number | undefined;
 	/** Version that the store showed last, `undefined` if it was restored since. */
 	let storeVersion: number | undefined;
@@ -142,7 +139,6 @@
 			const isStoreOutdated = storeVersion !== undefined && storeVersion < getKnownVersion(at, now);
 			if (!isStoreOutdated && now >= rewrittenBy) {
 				verifiedAt = Math.max(verifiedAt, at);
-				hasBeenVerified = true;
 			}
 
 			return isApplied;
@@ -160,7 +156,6 @@
 			return true;
 		},
 		isOutdated,
-		hasBeenVerified: () => hasBeenVerified,
 		expire() {
 			verifiedAt = Number.NEGATIVE_INFINITY;
 		},
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -81,7 +81,7 @@
 	isConfigurationOutdated(now: Timestamp): boolean;
 	/** Returns whether a configuration and the lists that placements need have been read, so that requests can be checked. */
 	canCheck(): boolean;
-	/** Returns whether the current configuration is known and verified, and the list of endpoints known, so that requests can be served. */
+	/** Returns whether the current configuration and the list of endpoints are known, so that requests can be served. */
 	isReady(now: Timestamp): boolean;
 	getOpenRequestCount(): number;
 	getColdCounts(now: Timestamp): ColdCounts;
@@ -584,7 +584,7 @@
 	}
 
 	function canCheck(): boolean {
-		return configuration.tryGet() !== undefined && configuration.hasBeenVerified() && registry.hasList() && restrictions.isKnown();
+		return configuration.tryGet() !== undefined && registry.hasList() && restrictions.isKnown();
 	}
 
 	return {
--- a/packages/gateway/src/platform-feed.ts
+++ b/packages/gateway/src/platform-feed.ts
@@ -205,7 +205,7 @@
 	}
 
 	/**
-	Notices a restore by the first answer of a later epoch, or by the first answer at all if the store was ever restored.
+	Notices a restore by the first answer of a later epoch.
 
 	@throws VError if the answer is of an earlier epoch than the last one.
 	*/
@@ -222,12 +222,6 @@
 			handleRestore();
 		}
 
-		// How long ago the store was restored is not known to a process that has just started.
-		if (epoch === undefined && observed > 0) {
-			logger.info('storeRestored', {epoch: observed, source});
-			host.dispatch({kind: 'storeRestored'});
-		}
-
 		epoch = observed;
 	}
 
