Let the end of a caller's connection wait for what was read before it

Found on reading the change once more. A caller that closes its connection right after a body in small chunks lost the request: the end was read while bytes waited to be parsed, and reached the parser before them. The pacer hands over both now, in their order. What exceeds the allowance is waited for only while bytes wait, so that a caller's close is read at once, and a request of a connection that was held is begun only after the loop has read once more (by reasoning; the test passes without that too).

In the same reading: an incomplete event was moved to its own place with each read (a copy of all of it), and joined bytes were copied one by one. A head that is late, too long or malformed is counted and logged as a bound (`head`), which nothing did before.

Regression tests got the line that says what they guard against.

--- a/packages/caller/src/caller-connections.ts
+++ b/packages/caller/src/caller-connections.ts
@@ -6,8 +6,8 @@
 import {headPartBytes, type CallerMemory} from '@currantcross/core/gateway/caller-memory';
 import {createInputPacer, type PacedInput} from './input-pacer.js';
 
-/** The bound because of which a connection is closed or a request is refused. */
-export type CallerBound = 'memory' | 'connections' | 'pipelining';
+/** The bound because of which a connection is closed or a request is refused; `head` is that on a request's form, length and time. */
+export type CallerBound = 'memory' | 'connections' | 'pipelining' | 'head';
 
 /** Releases what a caller makes the gateway hold, because of a bound. */
 export type GiveWay = (bound: CallerBound) => void;
@@ -27,6 +27,8 @@
 	handleClientError(error: Readonly<Error & {code?: string}>, socket: Socket): void;
 	/** Returns whether no further request of the connection is served. */
 	isClosing(socket: Socket): boolean;
+	/** Returns whether a connection was ever not read for a while, so that its caller may have left meanwhile. */
+	wasHeld(socket: Socket): boolean;
 	getCount(): number;
 	/** Closes the connections without a request. */
 	closeIdle(): void;
@@ -256,19 +258,22 @@
 				return;
 			}
 
-			if (getArrivedRequests(connection) > 0) {
-				connection.isClosing = true;
-				return;
-			}
-
+			const hasArrivedRequest = getArrivedRequests(connection) > 0;
+			// The parser reports the same error again with all that follows.
 			if (!connection.isClosing) {
 				connection.isClosing = true;
-				socket.write(`HTTP/1.1 ${statusLine}\r\nConnection: close\r\n\r\n`);
+				host.recordBound('head');
+				if (!hasArrivedRequest) {
+					socket.write(`HTTP/1.1 ${statusLine}\r\nConnection: close\r\n\r\n`);
+				}
 			}
 
-			socket.destroySoon();
+			if (!hasArrivedRequest) {
+				socket.destroySoon();
+			}
 		},
 		isClosing: socket => connections.get(socket)?.isClosing === true,
+		wasHeld: socket => connections.get(socket)?.input.wasHeld() === true,
 		getCount: () => connections.size,
 		closeIdle() {
 			for (const socket of idleSockets) {
--- a/packages/caller/src/input-pacer.test.ts
+++ b/packages/caller/src/input-pacer.test.ts
@@ -17,14 +17,16 @@
 	}
 });
 
-type EchoServer = Readonly<{port: number; inputs: readonly PacedInput[]}>;
+type EchoServer = Readonly<{port: number; inputs: readonly PacedInput[]; bodies: readonly string[]}>;
 
 /** Starts a server that answers with what it has received. */
 async function startEchoServer(): Promise<EchoServer> {
 	const pacer = createInputPacer(1);
 	const inputs: PacedInput[] = [];
+	const bodies: string[] = [];
 	const server = http.createServer((message, response) => {
 		void text(message).then(body => {
+			bodies.push(body);
 			response.end(body);
 		}, () => undefined);
 	});
@@ -35,7 +37,7 @@
 		server.closeAllConnections();
 		server.close();
 	});
-	return {port: await listen(server, {host: '127.0.0.1', port: 0}), inputs};
+	return {port: await listen(server, {host: '127.0.0.1', port: 0}), inputs, bodies};
 }
 
 /** Sends bytes on a connection of its own and returns what comes back until it is closed. */
@@ -52,6 +54,7 @@
 	return `POST / HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n${body.replaceAll(/./gv, '1\r\n$&\r\n')}0\r\n\r\n`;
 }
 
+// Guards against bytes that are lost or change their order while a connection is held.
 test('a body in chunks of one byte arrives byte for byte, and so do pipelined requests', async () => {
 	const {port} = await startEchoServer();
 	const body = Array.from({length: 50_000}, (_, index) => String.fromCodePoint(97 + (index % 26))).join('');
@@ -77,6 +80,17 @@
 	expect(inputs[0]?.getWaitingBytes()).toBe(0);
 });
 
+// Guards against the end of a connection that overtakes what was read before it and waits.
+test('a body in chunks of one byte arrives as a whole if its caller closes the connection right after it', async () => {
+	const {port, bodies} = await startEchoServer();
+	const socket = net.connect(port, '127.0.0.1');
+	socket.on('error', () => undefined);
+	socket.end(createChunkedRequest('x'.repeat(60_000)));
+	await expect.poll(() => bodies.length, {timeout: 10_000}).toBe(1);
+	expect(bodies[0]).toBe('x'.repeat(60_000));
+});
+
+// Guards against bytes that are kept for callers who have left.
 test('what waits of a caller that leaves is dropped', async () => {
 	const {port, inputs} = await startEchoServer();
 	const socket = net.connect(port, '127.0.0.1');
--- a/packages/caller/src/input-pacer.ts
+++ b/packages/caller/src/input-pacer.ts
@@ -10,6 +10,8 @@
 export type PacedInput = Readonly<{
 	/** Returns the bytes that were read and wait to be parsed. */
 	getWaitingBytes(): number;
+	/** Returns whether the connection was ever held, so that its caller may have left meanwhile. */
+	wasHeld(): boolean;
 }>;
 
 export type InputPacer = Readonly<{
@@ -40,13 +42,14 @@
 	return {end, lines: linesPerTurn};
 }
 
-type HoldableReading = Readonly<{hold(): void; release(): void}>;
+type HoldableReading = Readonly<{hold(): void; release(): void; wasHeld(): boolean}>;
 
 /** Lets a connection be held, in which time it isn't read, whatever its server asks for. */
 function createHoldableReading(socket: Socket): HoldableReading {
 	const pause = socket.pause.bind(socket);
 	const resume = socket.resume.bind(socket);
 	let isHeld = false;
+	let wasHeld = false;
 	let isWanted = true;
 	socket.pause = () => {
 		isWanted = false;
@@ -61,6 +64,7 @@
 	return {
 		hold() {
 			isHeld = true;
+			wasHeld = true;
 			pause();
 		},
 		release() {
@@ -69,14 +73,19 @@
 				resume();
 			}
 		},
+		wasHeld: () => wasHeld,
 	};
 }
 
-/** Paces a connection whose bytes `parse` takes. */
-function createPacedInput(socket: Socket, parse: (bytes: Uint8Array) => void, allowance: ReadAllowance): PacedInput {
+/** The HTTP parser of a connection. */
+type InputParser = Readonly<{parse(bytes: Uint8Array): void; finish(): void}>;
+
+/** Paces what a connection passes to its parser, also its end, which may be read while bytes wait. */
+function createPacedInput(socket: Socket, {parse, finish}: InputParser, allowance: ReadAllowance): PacedInput {
 	const reading = createHoldableReading(socket);
 	/** What was read and isn't parsed. */
 	let waiting: Uint8Array[] = [];
+	let hasEnded = false;
 	let cancelTurn = (): void => undefined;
 
 	function runTurn(): void {
@@ -95,20 +104,27 @@
 		}
 
 		const waitMs = allowance.record(lines, performance.now());
+		if (waiting.length === 0) {
+			if (hasEnded) {
+				finish();
+			}
+
+			// What exceeds the allowance is waited for with the next read. Until then the caller's close may arrive.
+			reading.release();
+			return;
+		}
+
+		reading.hold();
 		if (waitMs >= minimumWaitMs) {
-			reading.hold();
 			const timer = setTimeout(runTurn, waitMs);
 			cancelTurn = () => {
 				clearTimeout(timer);
 			};
-		} else if (waiting.length > 0) {
-			reading.hold();
+		} else {
 			const immediate = setImmediate(runTurn);
 			cancelTurn = () => {
 				clearImmediate(immediate);
 			};
-		} else {
-			reading.release();
 		}
 	}
 
@@ -118,6 +134,12 @@
 			runTurn();
 		}
 	});
+	socket.once('end', () => {
+		hasEnded = true;
+		if (waiting.length === 0) {
+			finish();
+		}
+	});
 	socket.once('close', () => {
 		cancelTurn();
 		waiting = [];
@@ -126,26 +148,39 @@
 		getWaitingBytes() {
 			return waiting.reduce((sum, bytes) => sum + bytes.length, 0);
 		},
+		wasHeld: reading.wasHeld,
 	};
 }
 
+type SocketListener = (this: Socket, bytes?: Uint8Array) => void;
+
+function findLastListener(socket: Socket, event: 'data' | 'end'): SocketListener | undefined {
+	return socket.listeners(event).at(-1) as SocketListener | undefined; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+}
+
 /** Creates a pacer in a process that has the given share of a processor. */
 export function createInputPacer(processorShare: number): InputPacer {
 	const budget = createReadBudget({...budgetSettings, sharedUnitsPerSecond: sharedLinesPerSecond * Math.min(1, processorShare)});
 
 	return {
 		add(socket) {
-			// The server's own listener, which it adds with each connection.
-			const [listener] = socket.listeners('data');
-			if (listener === undefined) {
-				return {getWaitingBytes: () => 0};
+			// The server's own listeners, which it adds last with each connection.
+			const onData = findLastListener(socket, 'data');
+			const onEnd = findLastListener(socket, 'end');
+			if (onData === undefined || onEnd === undefined) {
+				return {getWaitingBytes: () => 0, wasHeld: () => false};
 			}
 
-			const parse = listener as (bytes: Uint8Array) => void; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
-			const input = createPacedInput(socket, bytes => {
-				parse.call(socket, bytes);
+			const input = createPacedInput(socket, {
+				parse(bytes) {
+					onData.call(socket, bytes);
+				},
+				finish() {
+					onEnd.call(socket);
+				},
 			}, budget.createAllowance());
-			socket.off('data', parse);
+			socket.off('data', onData);
+			socket.off('end', onEnd);
 			return input;
 		},
 	};
--- a/packages/core/src/byte-buffer.test.ts
+++ b/packages/core/src/byte-buffer.test.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import fc from 'fast-check';
-import {expect, test} from 'vitest';
+import {expect, test, vi} from 'vitest';
 import {createByteBuffer, createByteStore} from './byte-buffer.js';
 
 const pieces = fc.array(fc.uint8Array({maxLength: 9000}), {maxLength: 40});
@@ -21,6 +21,20 @@
 	}), {seed: 49, numRuns: 200});
 });
 
+// Guards against bytes that are moved again with each piece that arrives.
+test('a buffer from which nothing is removed moves no bytes', () => {
+	const buffer = createByteBuffer();
+	const copyWithin = vi.spyOn(Uint8Array.prototype, 'copyWithin');
+	for (let count = 0; count < 1000; count += 1) {
+		buffer.add(new Uint8Array([count]));
+		buffer.removeFirst(0);
+	}
+
+	expect(copyWithin).not.toHaveBeenCalled();
+	copyWithin.mockRestore();
+	expect(buffer.getLength()).toBe(1000);
+});
+
 test('a store holds what was added in its order, for any division into pieces', () => {
 	fc.assert(fc.property(pieces, parts => {
 		const store = createByteStore();
--- a/packages/core/src/byte-buffer.ts
+++ b/packages/core/src/byte-buffer.ts
@@ -41,6 +41,10 @@
 		},
 		getBytes: () => block.subarray(0, length),
 		removeFirst(count) {
+			if (count === 0) {
+				return;
+			}
+
 			block.copyWithin(0, count, length);
 			length -= count;
 			if (length === 0) {
--- a/packages/core/src/gateway/event-splitter.ts
+++ b/packages/core/src/gateway/event-splitter.ts
@@ -160,7 +160,7 @@
 			}
 
 			// The buffer is used again.
-			const kept = Uint8Array.from(acceptedBytes);
+			const kept = new Uint8Array(acceptedBytes);
 			incomplete.removeFirst(eventStart);
 			return kept;
 		},
--- a/packages/core/src/read-budget.test.ts
+++ b/packages/core/src/read-budget.test.ts
@@ -4,6 +4,7 @@
 
 const settings = {burstUnits: 2000, ownUnitsPerSecond: 4000, sharedUnitsPerSecond: 100_000};
 
+// Guards against sound streams that are held up because of others.
 test('a connection that stays within its own allowance is never held up, however much others read', () => {
 	const budget = createReadBudget(settings);
 	const [sound, ...others] = Array.from({length: 200}, () => budget.createAllowance());
--- a/packages/endpoint/src/body-pieces.ts
+++ b/packages/endpoint/src/body-pieces.ts
@@ -43,7 +43,7 @@
 				return piece;
 			}
 
-			const bytes = Uint8Array.from(joined.getBytes());
+			const bytes = new Uint8Array(joined.getBytes());
 			joined.removeFirst(bytes.length);
 			return bytes;
 		},
--- a/packages/gateway/src/caller-server.test.ts
+++ b/packages/gateway/src/caller-server.test.ts
@@ -267,6 +267,7 @@
 	expect(received).toMatch(/\r\n\r\n\/a$/v);
 });
 
+// Guards against such connections that get no answer, or stay open.
 test.each(brokenHeads)('a connection without a request is answered with a status and closed if what arrives %s', async (_, next, status) => {
 	const server = await startServer(answerLate);
 	server.setLimits({
@@ -275,7 +276,33 @@
 	expect(await exchangeText(server.port, next)).toMatch(new RegExp(String.raw`^HTTP/1\.1 ${status} `, 'v'));
 });
 
+// Guards against a request that waits for the rest of a body which can't be parsed.
 test('a request whose own body is malformed is answered with 400', async () => {
 	const {port} = await startServer(answerLate);
 	expect(await exchangeText(port, 'POST /a HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\nno length\r\n')).toMatch(/^HTTP\/1\.1 400 /v);
 });
+
+// Guards against requests that are begun for callers who have left while their connection was not read.
+test('a request whose body comes in chunks of one byte is not begun if its caller leaves right after it', async () => {
+	let begun = 0;
+	let departed = 0;
+	const {port, setLimits} = await startServer(exchange => {
+		begun += 1;
+		exchange.startResponse({status: 200, headers: ['Content-Length', '0']});
+		exchange.end();
+		return () => undefined;
+	}, {
+		recordDeparture() {
+			departed += 1;
+		},
+	});
+	setLimits({
+		maximumHeaderBytes: 65_536, maximumBodyBytes: 100_000, headerTimeoutMs: 5000, idleTimeoutMs: 20_000,
+	});
+	const socket = net.connect(port, '127.0.0.1');
+	socket.on('error', () => undefined);
+	socket.write(`POST / HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n${'1\r\nx\r\n'.repeat(60_000)}0\r\n\r\n`);
+	socket.destroySoon();
+	await expect.poll(() => begun + departed, {timeout: 20_000}).toBe(1);
+	expect({begun, departed}).toEqual({begun: 0, departed: 1});
+});
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -307,7 +307,7 @@
 		const {head, hasCallerLeft} = exchange;
 		await host.waitForNews();
 		intake.receive({
-			hasWaited: arrival.unreadMs > 0 && !isEarly,
+			hasWaited: (arrival.unreadMs > 0 && !isEarly) || connections.wasHeld(exchange.message.socket),
 			hasCallerLeft,
 			begin() {
 				if (endPending()) {
--- a/packages/gateway/src/endpoint-client.test.ts
+++ b/packages/gateway/src/endpoint-client.test.ts
@@ -302,6 +302,7 @@
 	expect(received.fragmentedCalls).toBeGreaterThan(0);
 });
 
+// Guards against sound responses whose bytes count as no progress.
 test('a response in large chunks, and a stream of a thousand events a second, do not count as fragmented', async () => {
 	const large = await startEndpoint(socket => {
 		socket.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n');
