Hold the connection of a paused response, not its parser

A response that is paused while its connection ends could end the process: undici finishes the parser of an undelimited response and asserts that it isn't paused.

Change: nothing is read from the connection of a paused response, nor its end, so that the parser is never paused. The code that gave resets another name while something was paused is not needed any more. The clients of the store and of agents, whose bodies are joined too, hold their connections alike.

--- a/packages/core/src/gateway/forwarded-request.test.ts
+++ b/packages/core/src/gateway/forwarded-request.test.ts
@@ -364,6 +364,7 @@
 		expect(answer(startRequest(fixtureIdempotentRoute), 'whole', {isUndelimited})).toEqual(['start 200 length 5', 'write whole', 'end']);
 	});
 
+	// Guards against a length on a response whose form has none.
 	test.each([204, 304])('forwards a response that has no body without a length (%i)', status => {
 		expect(answer(startRequest(fixtureIdempotentRoute), '', {status, isUndelimited: true})).toContain(`start ${status}`);
 	});
--- a/packages/endpoint/src/business-service.ts
+++ b/packages/endpoint/src/business-service.ts
@@ -7,6 +7,7 @@
 } from '@currantcross/core/types';
 import {Agent, request, type Dispatcher} from 'undici';
 import {createPieceInterceptor} from './body-pieces.js';
+import {createHeldConnections} from './held-connections.js';
 import {createResetDetector, createResetInterceptor} from './reset-detector.js';
 
 /** Outcome of a call; on failure, `ran` says whether the service may have run it. */
@@ -42,8 +43,9 @@
 /** Creates the client of the service at a URL. */
 export function createBusinessServiceClient(url: string): BusinessServiceClient {
 	// Connections are not reused: a call that fails on a stale connection can't be told from a call that ran.
-	const resetDetector = createResetDetector({});
-	const dispatcher = new Agent({pipelining: 0, keepAliveTimeout: 1, connect: resetDetector.connect}).compose(createResetInterceptor(resetDetector), createPieceInterceptor());
+	const heldConnections = createHeldConnections();
+	const resetDetector = createResetDetector({}, heldConnections.watchConnection);
+	const dispatcher = new Agent({pipelining: 0, keepAliveTimeout: 1, connect: resetDetector.connect}).compose(heldConnections.intercept, createResetInterceptor(resetDetector), createPieceInterceptor());
 
 	return {
 		async call(work, timeoutMs) {
--- a/packages/endpoint/src/model-server.ts
+++ b/packages/endpoint/src/model-server.ts
@@ -13,6 +13,7 @@
 import VError from 'verror';
 import {z} from 'zod';
 import {createPieceInterceptor} from './body-pieces.js';
+import {createHeldConnections, createHeldConnector} from './held-connections.js';
 
 /** Output that an engine streams while it runs a prompt. */
 export type EngineOutput
@@ -96,7 +97,10 @@
 
 /** Creates the client of the model server at a URL. `timeoutMs` applies to all calls except prompts. */
 export function createModelServerClient(url: string, timeoutMs: Milliseconds): ModelServerClient {
-	const dispatcher = new Agent({connections: 256, headersTimeout: engineIdleTimeoutMs, bodyTimeout: engineIdleTimeoutMs}).compose(createPieceInterceptor());
+	const heldConnections = createHeldConnections();
+	const dispatcher = new Agent({
+		connections: 256, headersTimeout: engineIdleTimeoutMs, bodyTimeout: engineIdleTimeoutMs, connect: createHeldConnector({}, heldConnections),
+	}).compose(heldConnections.intercept, createPieceInterceptor());
 
 	async function sendPost(path: string, body: unknown): Promise<number> {
 		const response = await request(new URL(path, url), {
--- a/packages/gateway/src/endpoint-client.test.ts
+++ b/packages/gateway/src/endpoint-client.test.ts
@@ -340,3 +340,16 @@
 	});
 	expect(await sendRequest(createClient(), address)).toEqual({kind: 'failed', wasSent: true});
 });
+
+// Guards against an error of undici that ends the process, when a connection ends while its response is not read.
+test('completes a long undelimited response that is read slowly and whose connection ends meanwhile', async () => {
+	const length = 8_000_000;
+	const address = await startEndpoint(socket => {
+		socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n');
+		socket.end('x'.repeat(length));
+	});
+	for (let trial = 0; trial < 5; trial += 1) {
+		const {text, failure} = await receiveBytes(address); // eslint-disable-line no-await-in-loop
+		expect({length: text.length, failure}).toEqual({length, failure: undefined});
+	}
+});
--- a/packages/gateway/src/endpoint-client.ts
+++ b/packages/gateway/src/endpoint-client.ts
@@ -3,11 +3,11 @@
 */
 import {Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders} from 'node:http';
-import type {Socket} from 'node:net';
 import {getErrorText} from '@currantcross/core/error-text';
 import type {RawHeaders} from '@currantcross/core/gateway/gateway-types';
 import type {SendId} from '@currantcross/core/gateway/gateway-events';
 import {createPieceInterceptor} from '@currantcross/endpoint/body-pieces';
+import {createHeldConnections} from '@currantcross/endpoint/held-connections';
 import {createResetDetector} from '@currantcross/endpoint/reset-detector';
 import {type Dispatcher, errors, Pool} from 'undici';
 import VError from 'verror';
@@ -69,8 +69,6 @@
 const keepAliveMarginMs = 1200;
 
 const resetCode = 'ECONNRESET';
-/** Code of a reset of a connection whose response may be paused. */
-const pausableResetCode = 'RESET';
 
 /** Lower statuses are informational (1xx) and are not forwarded. */
 const lowestFinalStatus = 200;
@@ -131,23 +129,21 @@
 export function createEndpointClient(host: EndpointClientHost, processorShare = 1): EndpointClient {
 	const pools = new Map<string, Dispatcher>();
 	const responseGuard = createResponseGuard();
+	const heldConnections = createHeldConnections();
 	const responsePacer = createResponsePacer(processorShare);
 	const joinPieces = createPieceInterceptor();
 	const openSends = new Map<SendId, OpenSend>();
-	/** Sends whose response the parser may have paused. */
-	const pausedSends = new Set<OpenSend>();
 	const resetDetector = createResetDetector({
 		timeout: connectTimeoutMs, keepAlive: true, keepAliveInitialDelay: 1000, autoSelectFamily: false,
 	}, socket => {
-		updateResetCode(socket);
+		heldConnections.watchConnection(socket);
 		responseGuard.watchConnection(socket);
 	});
 
-	/** Reads a response on, in a turn in which undici is not parsing another one: it can't parse two at a time. */
 	function resumeSend(openSend: OpenSend): void {
 		openSend.isPaused = false;
 		setImmediate(() => {
-			if (!openSend.isPaused && pausedSends.delete(openSend)) {
+			if (!openSend.isPaused) {
 				openSend.controller?.resume();
 			}
 		});
@@ -156,23 +152,10 @@
 	/** Removes a send whose response has ended. */
 	function removeSend(sendId: SendId, openSend: OpenSend): void {
 		openSends.delete(sendId);
-		pausedSends.delete(openSend);
 		openSend.controller = undefined;
 		clearTimeout(openSend.discardTimer);
 	}
 
-	/**
-	Gives the resets of a connection another code before undici sees them. For `ECONNRESET` it lets the parser finish a response after which
-	the connection is closed, and throws if that is paused.
-	*/
-	function updateResetCode(socket: Socket): void {
-		socket.on('error', (error: NodeJS.ErrnoException) => {
-			if ((pausedSends.size > 0 || responsePacer.hasPaused()) && error.code === resetCode) {
-				error.code = pausableResetCode;
-			}
-		});
-	}
-
 	function getPool(address: string): Dispatcher {
 		const pool = pools.get(address) ?? new Pool(`http://${address}`, {
 			connect: resetDetector.connect,
@@ -182,7 +165,7 @@
 			bodyTimeout: 0,
 			pipelining: 1,
 			maxResponseSize: maximumResponseBytes,
-		}).compose(responseGuard.intercept, responsePacer.intercept, joinPieces);
+		}).compose(responseGuard.intercept, heldConnections.intercept, responsePacer.intercept, joinPieces);
 		pools.set(address, pool);
 		return pool;
 	}
@@ -243,7 +226,7 @@
 				removeSend(sendId, openSend);
 				if (!openSend.isCancelled) {
 					const code = getErrorCode(error);
-					listener.onFailure(hasStarted || !connectErrorCodes.has(code), code === pausableResetCode ? resetCode : code);
+					listener.onFailure(hasStarted || !connectErrorCodes.has(code), code);
 				}
 			},
 		};
@@ -279,7 +262,6 @@
 			const openSend = openSends.get(sendId);
 			if (openSend !== undefined) {
 				openSend.isPaused = true;
-				pausedSends.add(openSend);
 				openSend.controller?.pause();
 			}
 		},
--- a/packages/gateway/src/paused-responses.test.ts
+++ b/packages/gateway/src/paused-responses.test.ts
@@ -164,3 +164,15 @@
 	await expect.poll(getOutcome, {timeout: outcomeTimeoutMs}).toBe('ended');
 	expect(getText()).toBe(`hal${'x'.repeat(5 * 1024)}ves`);
 });
+
+// Guards against an error of undici that ends the process: the end of a connection that is read while its response is paused.
+test.each(['f', ''])('an undelimited response whose connection ends while it is paused is complete once it is read on (after %j)', async rest => {
+	const {client, endpointSocket, getText, getOutcome} = await startPaused('Connection: close', 'hal');
+	endpointSocket.write(rest);
+	await wait(100);
+	endpointSocket.end();
+	await wait(200);
+	client.resume(1);
+	await expect.poll(getOutcome, {timeout: outcomeTimeoutMs}).toBe('ended');
+	expect(getText()).toBe(`hal${rest}`);
+});
--- a/packages/gateway/src/response-pacer.ts
+++ b/packages/gateway/src/response-pacer.ts
@@ -1,7 +1,6 @@
 /**
 Reads responses no faster than their budget allows, so that a server which sends very small pieces, or events, without end leaves the event
-loop to the others. One that exceeds it is not read for a while, in which its window closes. What was read at once is always parsed at once:
-the rest of it would be copied with each part.
+loop to the others. One that exceeds it is not read for a while, in which its window closes. What was read at once is parsed at once.
 */
 import {createReadBudget, getReadUnits} from '@currantcross/core/read-budget';
 import {createWrappedController, findInnerController} from '@currantcross/endpoint/wrapped-controller';
@@ -12,8 +11,6 @@
 	intercept: Dispatcher.DispatcherComposeInterceptor;
 	/** Returns whether a response comes in so many small pieces that it is more than its budget allows. */
 	isFragmented(controller: Dispatcher.DispatchController): boolean;
-	/** Returns whether the parser of any response is paused. */
-	hasPaused(): boolean;
 }>;
 
 type PacedController = Readonly<{
@@ -34,7 +31,6 @@
 /** Creates the pacer of a client in a process that has the given share of a processor. */
 export function createResponsePacer(processorShare: number): ResponsePacer {
 	const budget = createReadBudget({...budgetSettings, sharedUnitsPerSecond: sharedUnitsPerSecond * Math.min(1, processorShare)});
-	const pausedControllers = new Set<Dispatcher.DispatchController>();
 	const fragmentedControllers = new WeakSet<Dispatcher.DispatchController>();
 
 	/** Returns the controller for the handler of a response, whose own pauses add to those of the pacer. */
@@ -48,14 +44,12 @@
 
 		function pause(): void {
 			if (!hasEnded) {
-				pausedControllers.add(controller);
 				controller.pause();
 			}
 		}
 
 		function resumeIfFree(): void {
 			if (!isPausedByHandler && turnTimer === undefined && !hasEnded) {
-				pausedControllers.delete(controller);
 				controller.resume();
 			}
 		}
@@ -105,7 +99,6 @@
 			end() {
 				hasEnded = true;
 				clearTimeout(turnTimer);
-				pausedControllers.delete(controller);
 			},
 		};
 	}
@@ -147,6 +140,5 @@
 
 			return inner !== undefined;
 		},
-		hasPaused: () => pausedControllers.size > 0,
 	};
 }
