Release what callers' bodies took when they were read

Cause: since input-pacer.ts hands reads to the parser itself, a body's bytes exist twice until a garbage collection, as they were read (64 KiB each) and as the parser copied them. V8 collects such buffers after some 64 MB, whatever the host has.

Change: the buffers of large reads, once parsed, and of large pieces, once stored or discarded, are transferred to a closed port, which frees them at once. Only whole buffers of 16 KiB and more are.

--- a/packages/caller/src/body-reader.test.ts
+++ b/packages/caller/src/body-reader.test.ts
@@ -5,6 +5,7 @@
 import type {IncomingMessage} from 'node:http';
 import process from 'node:process';
 import {Readable} from 'node:stream';
+import {finished} from 'node:stream/promises';
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
 import {createBodyReader} from './body-reader.js';
@@ -52,3 +53,24 @@
 	expect(await reading.result).toEqual({kind: 'aborted'});
 	expect(calls.filter(bytes => bytes > 20_000)).toHaveLength(1);
 });
+
+// Guards against pieces that take memory beside the blocks, or after their body was refused, until a garbage collection.
+test('the memory of large pieces is released once they are stored, and that of a body that is too large at once', async () => {
+	const reader = createBodyReader();
+	const stored = [Buffer.alloc(20_000, 'a'), Buffer.alloc(20_000, 'b')];
+	const result = await reader.read(createMessage(stored), maximumBytes, () => undefined).result;
+	expect(result.kind === 'complete' && Buffer.from(result.body).equals(Buffer.concat([Buffer.alloc(20_000, 'a'), Buffer.alloc(20_000, 'b')]))).toBe(true);
+	expect(stored.map(piece => piece.length)).toEqual([0, 0]);
+	const refused = [Buffer.alloc(maximumBytes), Buffer.alloc(20_000), Buffer.alloc(20_000)];
+	const message = createMessage(refused);
+	expect(await reader.read(message, maximumBytes, () => undefined).result).toEqual({kind: 'tooLarge'});
+	await finished(message);
+	expect(refused.slice(1).map(piece => piece.length)).toEqual([0, 0]);
+});
+
+test('a body in one piece is kept as it is', async () => {
+	const piece = Buffer.alloc(20_000, 'a');
+	const result = await createBodyReader().read(createMessage([piece]), maximumBytes, () => undefined).result;
+	expect(result.kind === 'complete' && result.body === piece).toBe(true);
+	expect(piece.length).toBe(20_000);
+});
--- a/packages/caller/src/body-reader.ts
+++ b/packages/caller/src/body-reader.ts
@@ -4,6 +4,7 @@
 */
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
+import {releaseBytes} from './released-bytes.js';
 
 export type ReadResult
 	= | Readonly<{kind: 'complete'; body: Uint8Array}>
@@ -74,29 +75,34 @@
 				}
 			}
 
+			function movePieceToBlocks(piece: Uint8Array, offset: number): void {
+				addToBlocks(piece, offset);
+				releaseBytes(piece);
+			}
+
 			function handleData(piece: Uint8Array): void {
-				if (isDone) {
-					return;
+				if (!isDone && size + piece.length > maximumBytes) {
+					end({kind: 'tooLarge'});
 				}
 
-				if (size + piece.length > maximumBytes) {
-					end({kind: 'tooLarge'});
+				if (isDone) {
+					releaseBytes(piece);
 					return;
 				}
 
-				if (size === 0) {
+				const offset = size;
+				size += piece.length;
+				if (offset === 0) {
 					onlyPiece = piece;
 					onHeld(piece.length);
 				} else {
 					if (onlyPiece !== undefined) {
-						addToBlocks(onlyPiece, 0);
+						movePieceToBlocks(onlyPiece, 0);
 						onlyPiece = undefined;
 					}
 
-					addToBlocks(piece, size);
+					movePieceToBlocks(piece, offset);
 				}
-
-				size += piece.length;
 			}
 
 			message.on('data', handleData);
--- a/packages/caller/src/input-pacer.test.ts
+++ b/packages/caller/src/input-pacer.test.ts
@@ -17,13 +17,14 @@
 	}
 });
 
-type EchoServer = Readonly<{port: number; inputs: readonly PacedInput[]; bodies: readonly string[]}>;
+type EchoServer = Readonly<{port: number; inputs: readonly PacedInput[]; bodies: readonly string[]; reads: readonly Uint8Array[]}>;
 
 /** Starts a server that answers with what it has received. */
 async function startEchoServer(): Promise<EchoServer> {
 	const pacer = createInputPacer(1);
 	const inputs: PacedInput[] = [];
 	const bodies: string[] = [];
+	const reads: Uint8Array[] = [];
 	const server = http.createServer((message, response) => {
 		void text(message).then(body => {
 			bodies.push(body);
@@ -32,12 +33,17 @@
 	});
 	server.on('connection', socket => {
 		inputs.push(pacer.add(socket));
+		socket.on('data', (bytes: Uint8Array) => {
+			reads.push(bytes);
+		});
 	});
 	closers.push(() => {
 		server.closeAllConnections();
 		server.close();
 	});
-	return {port: await listen(server, {host: '127.0.0.1', port: 0}), inputs, bodies};
+	return {
+		port: await listen(server, {host: '127.0.0.1', port: 0}), inputs, bodies, reads,
+	};
 }
 
 /** Sends bytes on a connection of its own and returns what comes back until it is closed. */
@@ -64,6 +70,16 @@
 	expect(responses.split('HTTP/1.1 200').length - 1).toBe(3001);
 });
 
+// Guards against bodies that are held twice, as they were read and as they were parsed, until a garbage collection.
+test('the memory of a large read is released once it is parsed, and the body arrives whole', async () => {
+	const {port, bodies, reads} = await startEchoServer();
+	const body = 'abcdefghij'.repeat(100_000);
+	await exchangeBytes(port, `POST / HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
+	expect(bodies).toEqual([body]);
+	expect(reads.length).toBeGreaterThan(0);
+	expect(reads.filter(read => read.length >= 16_384)).toEqual([]);
+});
+
 // Guards against a body in tiny chunks that keeps the loop from all others until it has ended.
 test('an ordinary request is answered while a body in chunks of one byte arrives, of which what waits is counted', async () => {
 	const {port, inputs} = await startEchoServer();
--- a/packages/caller/src/input-pacer.ts
+++ b/packages/caller/src/input-pacer.ts
@@ -6,6 +6,7 @@
 */
 import type {Socket} from 'node:net';
 import {createReadBudget, type ReadAllowance} from '@currantcross/core/read-budget';
+import {releaseBytes} from './released-bytes.js';
 
 export type PacedInput = Readonly<{
 	/** Returns the bytes that were read and wait to be parsed. */
@@ -29,9 +30,9 @@
 const minimumWaitMs = 2;
 const lineFeed = 10;
 
-/** Returns the end of the part that is parsed next, and the number of its lines. */
-function getNextPart(bytes: Uint8Array): Readonly<{end: number; lines: number}> {
-	let end = 0;
+/** Returns the end of the part that begins at `start` and is parsed next, and the number of its lines. */
+function getNextPart(bytes: Uint8Array, start: number): Readonly<{end: number; lines: number}> {
+	let end = start;
 	for (let lines = 0; lines < linesPerTurn; lines += 1) {
 		end = bytes.indexOf(lineFeed, end) + 1;
 		if (end === 0) {
@@ -83,11 +84,18 @@
 /** Paces what a connection passes to its parser, also its end, which may be read while bytes wait. */
 function createPacedInput(socket: Socket, {parse, finish}: InputParser, allowance: ReadAllowance): PacedInput {
 	const reading = createHoldableReading(socket);
-	/** What was read and isn't parsed. */
+	/** What was read and isn't parsed completely. */
 	let waiting: Uint8Array[] = [];
+	/** Bytes of the first read that are parsed. */
+	let parsedBytes = 0;
 	let hasEnded = false;
 	let cancelTurn = (): void => undefined;
 
+	function removeWaiting(): void {
+		waiting = [];
+		parsedBytes = 0;
+	}
+
 	function runTurn(): void {
 		const [bytes, ...others] = waiting;
 		if (bytes === undefined) {
@@ -95,11 +103,19 @@
 			return;
 		}
 
-		const {end, lines} = getNextPart(bytes);
-		waiting = end === bytes.length ? others : [bytes.subarray(end), ...others];
-		parse(end === bytes.length ? bytes : bytes.subarray(0, end));
+		const {end, lines} = getNextPart(bytes, parsedBytes);
+		const part = bytes.subarray(parsedBytes, end);
+		const isLastPart = end === bytes.length;
+		waiting = isLastPart ? others : waiting;
+		parsedBytes = isLastPart ? 0 : end;
+		parse(part);
+		if (isLastPart) {
+			// The parser has copied what it passes on.
+			releaseBytes(bytes);
+		}
+
 		if (socket.destroyed) {
-			waiting = [];
+			removeWaiting();
 			return;
 		}
 
@@ -142,11 +158,11 @@
 	});
 	socket.once('close', () => {
 		cancelTurn();
-		waiting = [];
+		removeWaiting();
 	});
 	return {
 		getWaitingBytes() {
-			return waiting.reduce((sum, bytes) => sum + bytes.length, 0);
+			return waiting.reduce((sum, bytes) => sum + bytes.length, 0) - parsedBytes;
 		},
 		wasHeld: reading.wasHeld,
 	};
