Bound what agents hold of an answer without end

An engine or a service in trouble that answers without end filled the memory of the agent beside it until the request's time limit.

Cause: the agents' clients bound nothing that they collect: one event, an engine's error, a report, a service's answer.

Change: bounds on each (262,144 characters of an event, 200 of an error, 1 MiB, 8 MiB). What is longer fails and closes its connection. Calls besides streams join the pieces of what is read, too.

--- a/packages/endpoint/src/business-service.ts
+++ b/packages/endpoint/src/business-service.ts
@@ -20,6 +20,9 @@
 	call(work: ServiceWork, timeoutMs: Milliseconds): Promise<ServiceCallOutcome>;
 }>;
 
+/** Maximum length of an answer, which the agent holds as a whole. */
+const maximumAnswerBytes = 8_388_608;
+
 function isConnectionRefused(error: unknown): boolean {
 	return error instanceof Error && 'code' in error && error.code === 'ECONNREFUSED';
 }
@@ -45,7 +48,9 @@
 	// Connections are not reused: a call that fails on a stale connection can't be told from a call that ran.
 	const heldConnections = createHeldConnections();
 	const resetDetector = createResetDetector({}, heldConnections.watchConnection);
-	const dispatcher = new Agent({pipelining: 0, keepAliveTimeout: 1, connect: resetDetector.connect}).compose(heldConnections.intercept, createResetInterceptor(resetDetector), createPieceInterceptor());
+	const dispatcher = new Agent({
+		pipelining: 0, keepAliveTimeout: 1, maxResponseSize: maximumAnswerBytes, connect: resetDetector.connect,
+	}).compose(heldConnections.intercept, createResetInterceptor(resetDetector), createPieceInterceptor());
 
 	return {
 		async call(work, timeoutMs) {
--- a/packages/endpoint/src/model-server.ts
+++ b/packages/endpoint/src/model-server.ts
@@ -9,11 +9,10 @@
 	Attempt, AttemptId, Milliseconds, PromptWork,
 } from '@currantcross/core/types';
 import {createParser} from 'eventsource-parser';
-import {Agent, request} from 'undici';
+import {request} from 'undici';
 import VError from 'verror';
 import {z} from 'zod';
-import {createPieceInterceptor} from './body-pieces.js';
-import {createHeldConnections, createHeldConnector} from './held-connections.js';
+import {createResponseDispatcher} from './response-dispatcher.js';
 
 /** Output that an engine streams while it runs a prompt. */
 export type EngineOutput
@@ -58,6 +57,12 @@
 
 /** Time without data after which an engine's response is aborted. */
 const engineIdleTimeoutMs = 60_000;
+/** Length from which on an event of a stream is refused. */
+const maximumEventCharacters = 262_144;
+/** Length of what is shown of an engine's error. */
+const maximumErrorCharacters = 200;
+/** Maximum length of any response but a stream; a report of all attempts that hold memory is far shorter. */
+const maximumControlBytes = 1_048_576;
 
 function parseChunk(data: string): readonly EngineOutput[] {
 	const {choices} = chunkSchema.parse(JSON.parse(data));
@@ -80,31 +85,55 @@
 	});
 }
 
-/** Yields the data field of each server-sent event. */
+/** Yields the data field of each server-sent event. Throws if an event is too long. */
 async function * readEvents(body: AsyncIterable<Uint8Array>): AsyncGenerator<string> {
 	const events: string[] = [];
+	let isEventTooLong = false;
 	const parser = createParser({
+		maxBufferSize: maximumEventCharacters,
 		onEvent(event) {
 			events.push(event.data);
 		},
+		onError({type}) {
+			isEventTooLong ||= type === 'max-buffer-size-exceeded';
+		},
 	});
 	const decoder = new TextDecoder();
 	for await (const chunk of body) {
 		parser.feed(decoder.decode(chunk, {stream: true}));
 		yield * events.splice(0);
+		if (isEventTooLong) {
+			throw new VError({name: 'EngineError'}, 'the engine sent an event of more than %d characters', maximumEventCharacters);
+		}
 	}
 }
 
+/** Reads the beginning of a body and closes the connection of a longer one. */
+async function readBeginning(body: AsyncIterable<Uint8Array>): Promise<string> {
+	const decoder = new TextDecoder();
+	let text = '';
+	for await (const chunk of body) {
+		text += decoder.decode(chunk, {stream: true});
+		if (text.length >= maximumErrorCharacters) {
+			break;
+		}
+	}
+
+	return text.slice(0, maximumErrorCharacters);
+}
+
 /** Creates the client of the model server at a URL. `timeoutMs` applies to all calls except prompts. */
 export function createModelServerClient(url: string, timeoutMs: Milliseconds): ModelServerClient {
-	const heldConnections = createHeldConnections();
-	const dispatcher = new Agent({
-		connections: 256, headersTimeout: engineIdleTimeoutMs, bodyTimeout: engineIdleTimeoutMs, connect: createHeldConnector({}, heldConnections),
-	}).compose(heldConnections.intercept, createPieceInterceptor());
+	const dispatcher = createResponseDispatcher({connections: 256, headersTimeout: engineIdleTimeoutMs, bodyTimeout: engineIdleTimeoutMs});
+	const controlDispatcher = createResponseDispatcher({maxResponseSize: maximumControlBytes});
 
 	async function sendPost(path: string, body: unknown): Promise<number> {
 		const response = await request(new URL(path, url), {
-			method: 'POST', headers: {'content-type': 'application/json'}, body: JSON.stringify(body), signal: AbortSignal.timeout(timeoutMs),
+			method: 'POST',
+			headers: {'content-type': 'application/json'},
+			body: JSON.stringify(body),
+			dispatcher: controlDispatcher,
+			signal: AbortSignal.timeout(timeoutMs),
 		});
 		await response.body.dump();
 		return response.statusCode;
@@ -119,8 +148,7 @@
 			signal: call.signal,
 		});
 		if (response.statusCode !== 200) {
-			const text = await response.body.text();
-			throw new VError({name: 'EngineError'}, 'the engine answered %d: %s', response.statusCode, text.slice(0, 200));
+			throw new VError({name: 'EngineError'}, 'the engine answered %d: %s', response.statusCode, await readBeginning(response.body));
 		}
 
 		return response.body;
@@ -165,7 +193,7 @@
 			return status === okStatus;
 		},
 		async getReport() {
-			const response = await request(new URL('/v1/load', url), {signal: AbortSignal.timeout(timeoutMs)});
+			const response = await request(new URL('/v1/load', url), {dispatcher: controlDispatcher, signal: AbortSignal.timeout(timeoutMs)});
 			return reportSchema.parse(await response.body.json());
 		},
 	};
