Record in the store that an epoch has settled, and ask for it at a start

Cause: a process without an earlier epoch can't see that the store was restored, and takes its first answer for a verification.

Change: gateways that read the store record its epoch two seconds after they first saw it. A process that starts asks for that record if the epoch is above 0, and verifies nothing for two seconds if it names another epoch; a restore takes the record back, or leaves an earlier one. Where keys have to be verified, the gateway is ready once they were.

The stand-in's store begins with epoch 0 now, as a store that was never restored does; it began with 1, so that each test would begin with that wait. What its tests check is the same.

--- a/packages/core/src/gateway/configuration-state.ts
+++ b/packages/core/src/gateway/configuration-state.ts
@@ -43,6 +43,10 @@
 	learnVersion(version: number, now: Timestamp): boolean;
 	/** Returns whether the configuration is known to be older than one that the operator has confirmed, and the store doesn't have that one. */
 	isOutdated(now: Timestamp): boolean;
+	/** Records that the store's last restore is long ago, whatever was recorded since the process started. */
+	recordSettled(now: Timestamp): void;
+	/** Returns whether keys can be checked: none has to be verified, or a configuration was. */
+	canCheckKeys(): boolean;
 	/** Discards the time of the last verification, so that keys are refused until the next one. */
 	expire(): void;
 	getAgeMs(now: Timestamp): Milliseconds;
@@ -52,7 +56,7 @@
 }>;
 
 /** Time after a restore until the operator has written a configuration again that the restore has lost. */
-const rewriteMs: Milliseconds = 2000;
+export const rewriteMs: Milliseconds = 2000;
 /** Time for which a version of a peer is remembered; bounds how long an outdated gateway refuses requests. */
 const peerVersionMs: Milliseconds = 30_000;
 
@@ -68,6 +72,7 @@
 	let current: ServingConfiguration | undefined;
 	let routes: RouteTable | undefined;
 	let verifiedAt = Number.NEGATIVE_INFINITY;
+	let hasBeenVerified = false;
 	let writtenAtRevision: number | undefined;
 	/** Version that the store showed last, `undefined` if it was restored since. */
 	let storeVersion: number | undefined;
@@ -109,6 +114,15 @@
 		return current !== undefined && current.version < getKnownVersion(lastAnswerAt, now);
 	}
 
+	/** Takes what the store showed in answer to a call at `at` for verified, unless it is known to be outdated. */
+	function recordVerification(at: Timestamp, now: Timestamp): void {
+		const isStoreOutdated = storeVersion !== undefined && storeVersion < getKnownVersion(at, now);
+		if (!isStoreOutdated && now >= rewrittenBy) {
+			verifiedAt = Math.max(verifiedAt, at);
+			hasBeenVerified = true;
+		}
+	}
+
 	function getAbsenceFailure(kind: 'unauthorised' | 'routeNotFound', now: Timestamp): Failure {
 		return now - verifiedAt <= settings.maximumAbsenceAgeMs
 			? createNotRunFailure(kind)
@@ -136,11 +150,7 @@
 		recordAnswer({configuration: shown, writtenAtRevision: shownRevision, verifiedAt: at}, now) {
 			lastAnswerAt = Math.max(lastAnswerAt, at);
 			const isApplied = shown !== undefined && applyShown(shown, shownRevision);
-			const isStoreOutdated = storeVersion !== undefined && storeVersion < getKnownVersion(at, now);
-			if (!isStoreOutdated && now >= rewrittenBy) {
-				verifiedAt = Math.max(verifiedAt, at);
-			}
-
+			recordVerification(at, now);
 			return isApplied;
 		},
 		recordRestore(now) {
@@ -156,6 +166,13 @@
 			return true;
 		},
 		isOutdated,
+		recordSettled(now) {
+			rewrittenBy = Number.NEGATIVE_INFINITY;
+			if (storeVersion !== undefined) {
+				recordVerification(lastAnswerAt, now);
+			}
+		},
+		canCheckKeys: () => settings.maximumKeyAgeMs === undefined || hasBeenVerified,
 		expire() {
 			verifiedAt = Number.NEGATIVE_INFINITY;
 		},
--- a/packages/core/src/gateway/gateway-events.ts
+++ b/packages/core/src/gateway/gateway-events.ts
@@ -164,6 +164,10 @@
 		| Readonly<{kind: 'endpointListFailed'}>
 	/** The platform's store was restored from a copy: what was written to it since the copy was taken is gone, at least for some seconds. */
 		| Readonly<{kind: 'storeRestored'}>
+	/** A process that has just started can't tell whether the platform's store was restored just before. */
+		| Readonly<{kind: 'storeUnsettled'}>
+	/** The last restore of the platform's store is long ago: what it has lost was written again. */
+		| Readonly<{kind: 'storeSettled'}>
 	/** The store answered a read or a watch of the configuration. */
 		| (Readonly<{kind: 'configurationVerified'}> & ConfigurationAnswer)
 	/** Time may have passed that the monotonic clock didn't count, for example while the host was suspended. */
--- a/packages/core/src/gateway/gateway-parts.test.ts
+++ b/packages/core/src/gateway/gateway-parts.test.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import fc from 'fast-check';
 import {describe, expect, test} from 'vitest';
-import {createConfigurationState} from './configuration-state.js';
+import {createConfigurationState, rewriteMs} from './configuration-state.js';
 import {createEndpointRegistry, defaultEndpointRegistrySettings} from './endpoint-registry.js';
 import {createEventSplitter} from './event-splitter.js';
 import {
@@ -72,6 +72,34 @@
 		state.recordAnswer({configuration: undefined, verifiedAt: 2}, 2);
 		expect(state.checkRoute('a.example', '/book/1', fixtureApiKey, 3).kind).toBe('granted');
 	});
+
+	// Guards against a process that starts just after a restore and accepts keys of the restored configuration.
+	test('nothing is verified by what a store shows that may be just restored, until the operator has had the time to write again or it is settled', () => {
+		for (const isSettled of [false, true]) {
+			const state = createConfigurationState(settings);
+			state.recordRestore(0);
+			state.recordAnswer({configuration: fixtureConfiguration, verifiedAt: 1}, 1);
+			expect(state.canCheckKeys()).toBe(false);
+			expect(state.checkRoute('a.example', '/book/1', fixtureApiKey, 2)).toMatchObject({failure: {kind: 'platformUnavailable', ran: 'no'}});
+			if (isSettled) {
+				state.recordSettled(3);
+			} else {
+				state.recordAnswer({configuration: undefined, verifiedAt: rewriteMs - 1}, rewriteMs);
+			}
+
+			expect(state.canCheckKeys()).toBe(true);
+			expect(state.checkRoute('a.example', '/book/1', fixtureApiKey, rewriteMs + 1).kind).toBe('granted');
+		}
+	});
+
+	test('a store that is settled verifies nothing while it shows an older version than a peer has', () => {
+		const state = createConfigurationState(settings);
+		state.recordRestore(0);
+		state.learnVersion(fixtureConfiguration.version + 1, 0);
+		state.recordAnswer({configuration: fixtureConfiguration, verifiedAt: 1}, 1);
+		state.recordSettled(2);
+		expect(state.canCheckKeys()).toBe(false);
+	});
 });
 
 describe('createEndpointRegistry', () => {
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -512,6 +512,16 @@
 				return getVersionChanges().map((change): GatewayAction => ({kind: 'publishChange', change}));
 			}
 
+			case 'storeUnsettled': {
+				configuration.recordRestore(now);
+				return [];
+			}
+
+			case 'storeSettled': {
+				configuration.recordSettled(now);
+				return [];
+			}
+
 			case 'configurationVerified': {
 				configuration.recordAnswer(event, now);
 				return [];
@@ -584,7 +594,7 @@
 	}
 
 	function canCheck(): boolean {
-		return configuration.tryGet() !== undefined && registry.hasList() && restrictions.isKnown();
+		return configuration.tryGet() !== undefined && configuration.canCheckKeys() && registry.hasList() && restrictions.isKnown();
 	}
 
 	return {
--- a/packages/daemon/src/logger.ts
+++ b/packages/daemon/src/logger.ts
@@ -10,7 +10,7 @@
 /** The events that are logged. */
 export type LogEventName
 	= | 'started' | 'stopping' | 'stopped' | 'requestEnded' | 'attemptStarted' | 'attemptEnded' | 'streamBroken'
-		| 'hostListFailed' | 'configurationInForce' | 'configurationOutdated' | 'storeRestored' | 'gatewaysListed' | 'configurationRead' | 'probeFailed' | 'silenceChecked' | 'serverFailed' | 'orderSent' | 'internalError'
+		| 'hostListFailed' | 'configurationInForce' | 'configurationOutdated' | 'storeRestored' | 'storeUnsettled' | 'gatewaysListed' | 'configurationRead' | 'probeFailed' | 'silenceChecked' | 'serverFailed' | 'orderSent' | 'internalError'
 		| 'requestPlaced' | 'requestDeferred' | 'sendEnded' | 'requestRefused' | 'endpointChanged' | 'evacuationsChanged' | 'dependencyLost' | 'dependencyRegained'
 		| 'settingsReloaded' | 'settingsRefused' | 'clockJumped' | 'callersBounded' | 'peerFound' | 'peerLost' | 'readinessChanged' | 'linesDropped'
 		| 'orderRefused' | 'orderFailed' | 'serverCrashed' | 'segmentQuarantined' | 'segmentReleased' | 'segmentTried'
--- a/packages/gateway/src/gateway-hosts.ts
+++ b/packages/gateway/src/gateway-hosts.ts
@@ -110,6 +110,9 @@
 	/** Lists the crashes that all gateways have recorded. */
 	listCrashes(): Promise<Listing<CrashReport>>;
 	listGateways(): Promise<Listing<GatewayRegistration>>;
+	/** Returns whether it was recorded that what the store had lost when this epoch began was written again. */
+	isEpochSettled(epoch: number): Promise<boolean>;
+	recordSettledEpoch(epoch: number): Promise<void>;
 	registerGateway(registration: GatewayRegistration): Promise<void>;
 	close(): void;
 }>;
--- a/packages/gateway/src/platform-feed.test.ts
+++ b/packages/gateway/src/platform-feed.test.ts
@@ -1,4 +1,5 @@
 import {afterEach, expect, test} from 'vitest';
+import {rewriteMs} from '@currantcross/core/gateway/configuration-state';
 import {createFixtureEndpoints, fixtureConfiguration} from '@currantcross/core/gateway/gateway-fixtures';
 import type {ConfigurationUpdate, PlatformHost} from './gateway-hosts.js';
 import {createGatewayMetrics} from './metrics.js';
@@ -42,6 +43,8 @@
 			listCrashes: async () => emptyListing,
 			listGateways: async () => emptyListing,
 			registerGateway: async () => undefined,
+			isEpochSettled: async () => true,
+			recordSettledEpoch: async () => undefined,
 			close: () => undefined,
 			...platform,
 		},
@@ -327,3 +330,74 @@
 	expect(known.slice(0, 2)).toEqual([['gateway-2', 'gateway-3'], ['gateway-2', 'gateway-3']]);
 	expect(registrationCount).toBe(2);
 });
+
+// Guards against a process that takes a store for settled that was restored just before it started.
+test.each([
+	{
+		title: 'recorded as settled', answers: [true], events: ['storeUnsettled', 'storeSettled'], recorded: [],
+	},
+	{
+		title: 'recorded as settled, at the second call', answers: [undefined, true], events: ['storeUnsettled', 'storeSettled'], recorded: [],
+	},
+	{
+		title: 'not recorded, and records it when it is', answers: [false], events: ['storeUnsettled'], recorded: [1],
+	},
+])('asks at its start whether the epoch has settled, which is $title', async ({answers, events, recorded}) => {
+	const remaining = [...answers];
+	const dispatched: string[] = [];
+	const recordedEpochs: number[] = [];
+	startFeed({
+		async isEpochSettled() {
+			const answer = remaining.shift();
+			if (answer === undefined) {
+				throw new Error('the store is unavailable');
+			}
+
+			return answer;
+		},
+		async recordSettledEpoch(epoch) {
+			recordedEpochs.push(epoch);
+		},
+	}, {
+		dispatch({kind}) {
+			dispatched.push(kind);
+		},
+	});
+	await new Promise<void>(resolve => {
+		setTimeout(resolve, rewriteMs + 500);
+	});
+	expect(remaining).toEqual([]);
+	expect(dispatched.filter(kind => kind.startsWith('store'))).toEqual(events);
+	expect(recordedEpochs).toEqual(recorded);
+});
+
+test('a store that was never restored is asked nothing more at the start', async () => {
+	let calls = 0;
+	const listing = {...emptyListing, epoch: 0};
+	const dispatched: string[] = [];
+	startFeed({
+		readConfiguration: async () => ({
+			revision: {epoch: 0, sequence: 1}, configuration: undefined, writtenAtRevision: undefined, source: undefined,
+		}),
+		listEndpoints: async () => listing,
+		listQuarantines: async () => listing,
+		listCrashes: async () => listing,
+		listGateways: async () => listing,
+		async isEpochSettled() {
+			calls += 1;
+			return false;
+		},
+		async recordSettledEpoch() {
+			calls += 1;
+		},
+	}, {
+		dispatch({kind}) {
+			dispatched.push(kind);
+		},
+	});
+	await new Promise<void>(resolve => {
+		setTimeout(resolve, rewriteMs + 500);
+	});
+	expect(dispatched.filter(kind => kind.startsWith('store'))).toEqual([]);
+	expect(calls).toBe(0);
+});
--- a/packages/gateway/src/platform-feed.ts
+++ b/packages/gateway/src/platform-feed.ts
@@ -8,6 +8,7 @@
 another epoch: positions are dropped, and all is read again.
 */
 import {getErrorText} from '@currantcross/core/error-text';
+import {rewriteMs} from '@currantcross/core/gateway/configuration-state';
 import type {GatewayEvent} from '@currantcross/core/gateway/gateway-events';
 import type {ListedEndpoint, ServingConfiguration} from '@currantcross/core/gateway/gateway-types';
 import type {EvacuationList} from '@currantcross/core/gateway/placement-restrictions';
@@ -110,8 +111,11 @@
 	const closing = new AbortController();
 	/** Shared by watches and reads of the configuration: they use one store and fail together, so an outage is logged once. */
 	const configurationDependency: Dependency = {name: 'configuration', isLost: false, failures: 0};
+	const epochDependency: Dependency = {name: 'epoch', isLost: false, failures: 0};
 	let revision: Revision | undefined;
 	let epoch: number | undefined;
+	/** Epoch that is known to have been in force for longer than the operator takes to write again what a restore has lost. */
+	let settledEpoch: number | undefined;
 	let gatewayCount: number | undefined;
 	/** When `revision` was last known to be the newest of the store. */
 	let revisionVerifiedAt = Number.NEGATIVE_INFINITY;
@@ -204,6 +208,37 @@
 		host.dispatch({kind: 'storeRestored'});
 	}
 
+	/** Records that the epoch has settled, once the operator has had the time to write again what a restore has lost. */
+	async function recordSettledEpoch(restoredEpoch: number): Promise<void> {
+		await wait(rewriteMs + (Math.random() * (gatewayCount ?? 1) * writeSpreadPerGatewayMs));
+		if (isReading && epoch === restoredEpoch && settledEpoch !== restoredEpoch) {
+			await callPlatform(epochDependency, async () => platform.recordSettledEpoch(restoredEpoch));
+		}
+	}
+
+	/** Asks the store whether an epoch has settled, until it answers or the time is over. */
+	async function askWhetherSettled(askedEpoch: number, askUntil: Timestamp): Promise<boolean> {
+		const isSettled = await callPlatform(epochDependency, async () => platform.isEpochSettled(askedEpoch));
+		if (isSettled !== undefined || performance.now() >= askUntil) {
+			return isSettled === true;
+		}
+
+		await wait(getRetryDelayMs(epochDependency));
+		return askWhetherSettled(askedEpoch, askUntil);
+	}
+
+	/** Asks whether the store's last restore is long ago, since the first answer doesn't say it. Until that is known, it may be recent. */
+	async function checkFirstEpoch(firstEpoch: number): Promise<void> {
+		logger.info('storeUnsettled', {epoch: firstEpoch});
+		host.dispatch({kind: 'storeUnsettled'});
+		void recordSettledEpoch(firstEpoch);
+		const isSettled = await askWhetherSettled(firstEpoch, performance.now() + rewriteMs);
+		if (isSettled && epoch === firstEpoch) {
+			settledEpoch = firstEpoch;
+			host.dispatch({kind: 'storeSettled'});
+		}
+	}
+
 	/**
 	Notices a restore by the first answer of a later epoch.
 
@@ -214,15 +249,20 @@
 			throw new VError('the answer is from before the restore of the store');
 		}
 
-		if (epoch !== undefined && observed > epoch) {
+		const before = epoch;
+		epoch = observed;
+		if (before === undefined && observed > 0) {
+			void checkFirstEpoch(observed);
+		}
+
+		if (before !== undefined && observed > before) {
 			metrics.recordStoreRestore();
 			logger.warn('storeRestored', {
-				epoch: observed, before: epoch, revision: revision?.sequence, source,
+				epoch: observed, before, revision: revision?.sequence, source,
 			});
 			handleRestore();
+			void recordSettledEpoch(observed);
 		}
-
-		epoch = observed;
 	}
 
 	/** Calls the platform, counts the outcome, and logs when the dependency is lost or regained. Returns `undefined` on failure. */
--- a/packages/standins/src/platform-store-standin.ts
+++ b/packages/standins/src/platform-store-standin.ts
@@ -78,7 +78,7 @@
 
 const basePath = '/currantcross/objects/';
 const firstRevision = 7;
-const firstEpoch = 1;
+const firstEpoch = 0;
 
 /** Starts the store on a free port of loopback. */
 export async function startPlatformStore(): Promise<PlatformStoreStandin> {
