Let the framing of a response count towards what is read of it

What a trial showed: three gateways, four servers, one of which answers half of what it gets with a stream of events of 8 bytes, each in a chunk with an extension of 15,000 bytes, without end: 2.3 GB were read in 8 s of requests, and a gateway took 7.6 s of a processor.

Cause: the budget that bounds what a response takes of the event loop counts pieces of a body and their bytes. The parser drops the extensions of chunks, so that they count nothing, and each event is progress, so that no limit on unproductive bytes holds.

Change: what counts is what was read from the connection, if that is more.

--- a/packages/endpoint/src/held-connections.ts
+++ b/packages/endpoint/src/held-connections.ts
@@ -11,9 +11,11 @@
 	intercept: Dispatcher.DispatcherComposeInterceptor;
 	/** Makes a new connection one that can be held, before it is used. */
 	watchConnection(socket: Socket): void;
+	/** Returns the number of bytes that were read from the connection whose response is being parsed, framing included. */
+	getReadBytes(): number;
 }>;
 
-type HeldConnection = Readonly<{hold(): void; release(): void}>;
+type HeldConnection = Readonly<{hold(): void; release(): void; getReadBytes(): number}>;
 
 /** Bytes that are read from a connection in one turn of the event loop, as many as the operating system hands over at once. */
 const bytesPerTurn = 65_536;
@@ -23,6 +25,7 @@
 	const read = socket.read.bind(socket);
 	let isHeld = false;
 	let isTurnOver = false;
+	let readBytes = 0;
 
 	/** Lets undici read in a turn of its own: it can't parse two responses at a time. */
 	function scheduleRead(): void {
@@ -39,7 +42,9 @@
 			return null; // eslint-disable-line @typescript-eslint/no-restricted-types -- the contract of streams
 		}
 
-		const bytes: unknown = read(size === undefined && socket.readableLength > bytesPerTurn ? bytesPerTurn : size);
+		const lengthBefore = socket.readableLength;
+		const bytes: unknown = read(size === undefined && lengthBefore > bytesPerTurn ? bytesPerTurn : size);
+		readBytes += lengthBefore - socket.readableLength;
 		if (bytes !== null && socket.readableLength > 0) {
 			isTurnOver = true;
 			scheduleRead();
@@ -58,6 +63,7 @@
 				scheduleRead();
 			}
 		},
+		getReadBytes: () => readBytes,
 	};
 }
 
@@ -90,6 +96,7 @@
 				parsedConnection = connection;
 			});
 		},
+		getReadBytes: () => parsedConnection?.getReadBytes() ?? 0,
 		intercept: dispatch => (options, handler) => {
 			let connection: HeldConnection | undefined;
 			let isPaused = false;
--- a/packages/gateway/src/endpoint-client.test.ts
+++ b/packages/gateway/src/endpoint-client.test.ts
@@ -59,8 +59,8 @@
 	});
 }
 
-function createClient(): EndpointClient {
-	const client = createEndpointClient({isCallerResponse: (_status, headers) => headers['request-id'] === 'r-0'});
+function createClient(processorShare = 1): EndpointClient {
+	const client = createEndpointClient({isCallerResponse: (_status, headers) => headers['request-id'] === 'r-0'}, processorShare);
 	closers.push(client.close);
 	return client;
 }
@@ -302,6 +302,41 @@
 	expect(received.fragmentedCalls).toBeGreaterThan(0);
 });
 
+// Guards against framing, which no listener gets, that takes the event loop: chunks of one event each with a long extension, without end.
+test('reads framing without end no faster than the share of the processor allows', async () => {
+	const chunk = Buffer.from(`8;${'e'.repeat(2000)}\r\ndata:x\n\n\r\n`.repeat(32));
+	let sentBytes = 0;
+	const address = await startEndpoint(socket => {
+		const write = (): void => {
+			while (socket.writable && socket.write(chunk)) {
+				sentBytes += chunk.length;
+			}
+		};
+
+		socket.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n');
+		socket.on('drain', write);
+		write();
+	});
+	const client = createClient(0.1);
+	let receivedCalls = 0;
+	client.send({
+		sendId: 1, address, method: 'GET', target: '/', headers: ['Host', 'a.example'], body: new Uint8Array(0),
+	}, {
+		onHead: () => undefined,
+		onBytes() {
+			receivedCalls += 1;
+		},
+		onEnd: () => undefined,
+		onFailure: () => undefined,
+	});
+	await new Promise<void>(resolve => {
+		setTimeout(resolve, 2000);
+	});
+	expect(receivedCalls).toBeGreaterThan(0);
+	// A tenth of what a whole processor may read in two seconds, its burst, and the buffers of both sockets.
+	expect(sentBytes).toBeLessThan(maximumEndlessBytes / 2);
+});
+
 // Guards against sound responses whose bytes count as no progress.
 test('a response in large chunks, and a stream of a thousand events a second, do not count as fragmented', async () => {
 	const large = await startEndpoint(socket => {
--- a/packages/gateway/src/response-pacer.ts
+++ b/packages/gateway/src/response-pacer.ts
@@ -1,11 +1,18 @@
 /**
-Reads responses no faster than their budget allows, so that a server which sends very small pieces, or events, without end leaves the event
-loop to the others. One that exceeds it is not read for a while, in which its window closes. What was read at once is parsed at once.
+Reads responses no faster than their budget allows, so that a server which sends very small pieces, or events, or framing without end leaves
+the event loop to the others. One that exceeds it is not read for a while, in which its window closes. What was read at once is parsed at once.
 */
 import {createReadBudget, getReadUnits} from '@currantcross/core/read-budget';
 import {createWrappedController, findInnerController} from '@currantcross/endpoint/wrapped-controller';
 import type {Dispatcher} from 'undici';
 
+export type ResponsePacerHost = Readonly<{
+	/** Share of a processor that the process has. */
+	processorShare: number;
+	/** Returns the number of bytes that were read from the connection whose response is being parsed, framing included. */
+	getReadBytes(): number;
+}>;
+
 export type ResponsePacer = Readonly<{
 	/** Interceptor of all requests of a client. */
 	intercept: Dispatcher.DispatcherComposeInterceptor;
@@ -15,6 +22,8 @@
 
 type PacedController = Readonly<{
 	controller: Dispatcher.DispatchController;
+	/** Begins the pacing of a response whose head is parsed. */
+	start(): void;
 	recordPiece(piece: Uint8Array): void;
 	/** Ends the pacing of a response that is complete or has failed. */
 	end(): void;
@@ -28,8 +37,8 @@
 /** Units a second beyond the allowance of each response, for a whole processor. */
 const sharedUnitsPerSecond = 150_000;
 
-/** Creates the pacer of a client in a process that has the given share of a processor. */
-export function createResponsePacer(processorShare: number): ResponsePacer {
+/** Creates the pacer of a client. */
+export function createResponsePacer({processorShare, getReadBytes}: ResponsePacerHost): ResponsePacer {
 	const budget = createReadBudget({...budgetSettings, sharedUnitsPerSecond: sharedUnitsPerSecond * Math.min(1, processorShare)});
 	const fragmentedControllers = new WeakSet<Dispatcher.DispatchController>();
 
@@ -41,6 +50,9 @@
 		let hasEnded = false;
 		let pieces = 0;
 		let bytes = 0;
+		/** What was read from the connection by the end of the last turn, and by this one. */
+		let recordedReadBytes = 0;
+		let readBytes = 0;
 
 		function pause(): void {
 			if (!hasEnded) {
@@ -56,7 +68,7 @@
 
 		/** Ends a turn, after which the response is not read for a while if it is more than its budget allows. */
 		function endTurn(): void {
-			const waitMs = allowance.record(getReadUnits(pieces, bytes), performance.now());
+			const waitMs = allowance.record(getReadUnits(pieces, Math.max(bytes, readBytes - recordedReadBytes)), performance.now());
 			if (bytes >= pieces * smallPieceBytes) {
 				fragmentedControllers.delete(paced);
 			} else if (waitMs > 0) {
@@ -65,6 +77,7 @@
 
 			pieces = 0;
 			bytes = 0;
+			recordedReadBytes = readBytes;
 			// A piece that the parser passes on before it notices the pause doesn't shorten it.
 			if (!hasEnded && waitMs > 0 && turnTimer === undefined) {
 				pause();
@@ -88,9 +101,13 @@
 		});
 		return {
 			controller: paced,
+			start() {
+				recordedReadBytes = getReadBytes();
+			},
 			recordPiece(piece) {
 				pieces += 1;
 				bytes += piece.length;
+				readBytes = getReadBytes();
 				if (pieces === 1) {
 					// Runs once undici has parsed all that was read.
 					queueMicrotask(endTurn);
@@ -116,6 +133,7 @@
 					handler.onRequestStart?.(getPaced(controller).controller, context);
 				},
 				onResponseStart(controller, statusCode, headers, statusMessage) {
+					getPaced(controller).start();
 					handler.onResponseStart?.(getPaced(controller).controller, statusCode, headers, statusMessage);
 				},
 				onResponseData(controller, piece) {
