--- a/packages/caller/src/input-pacer.test.ts
+++ b/packages/caller/src/input-pacer.test.ts
@@ -3,7 +3,7 @@
 */
 import {once} from 'node:events';
 import http from 'node:http';
-import net from 'node:net';
+import net, {type Socket} from 'node:net';
 import {text} from 'node:stream/consumers';
 import {listen} from '@currantcross/core/listen';
 import {afterEach, expect, test} from 'vitest';
@@ -17,14 +17,15 @@
 	}
 });
 
-type EchoServer = Readonly<{port: number; inputs: readonly PacedInput[]; bodies: readonly string[]; reads: readonly Uint8Array[]}>;
+type EchoServer = Readonly<{port: number; inputs: readonly PacedInput[]; bodies: readonly string[]; reads: readonly Uint8Array[]; sockets: readonly Socket[]}>;
 
-/** Starts a server that answers with what it has received. */
-async function startEchoServer(): Promise<EchoServer> {
-	const pacer = createInputPacer(1);
+/** Starts a server that answers with what it has received, with the given share of a processor. */
+async function startEchoServer(processorShare = 1): Promise<EchoServer> {
+	const pacer = createInputPacer(processorShare);
 	const inputs: PacedInput[] = [];
 	const bodies: string[] = [];
 	const reads: Uint8Array[] = [];
+	const sockets: Socket[] = [];
 	const server = http.createServer((message, response) => {
 		void text(message).then(body => {
 			bodies.push(body);
@@ -32,6 +33,7 @@
 		}, () => undefined);
 	});
 	server.on('connection', socket => {
+		sockets.push(socket);
 		inputs.push(pacer.add(socket));
 		socket.on('data', (bytes: Uint8Array) => {
 			reads.push(bytes);
@@ -42,7 +44,7 @@
 		server.close();
 	});
 	return {
-		port: await listen(server, {host: '127.0.0.1', port: 0}), inputs, bodies, reads,
+		port: await listen(server, {host: '127.0.0.1', port: 0}), inputs, bodies, reads, sockets,
 	};
 }
 
@@ -80,6 +82,32 @@
 	expect(reads.filter(read => read.length >= 16_384)).toEqual([]);
 });
 
+// Guards against chunk extensions without end that take the loop, though few chunks, and hardly a byte of a body, arrive.
+test('what a connection brings beyond its allowance is read no faster than the share of the processor allows, whatever it is', async () => {
+	const {port, sockets} = await startEchoServer(0.1);
+	const socket = net.connect(port, '127.0.0.1');
+	closers.push(() => {
+		socket.destroy();
+	});
+	const chunks = `1;${'e'.repeat(15_000)}\r\nx\r\n`.repeat(20);
+	const write = (): void => {
+		while (socket.writable && socket.write(chunks)) {
+			// Until the buffer is full.
+		}
+	};
+
+	socket.on('error', () => undefined).on('drain', write);
+	socket.write('POST / HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n');
+	write();
+	await new Promise<void>(resolve => {
+		setTimeout(resolve, 2000);
+	});
+	const readBytes = sockets[0]?.bytesRead ?? 0;
+	expect(readBytes).toBeGreaterThan(1_000_000);
+	// Two seconds of a tenth of 32 MB a second, and the allowance of 0.5 MB that a connection begins with.
+	expect(readBytes).toBeLessThan(8_000_000);
+});
+
 // Guards against a body in tiny chunks that keeps the loop from all others until it has ended.
 test('an ordinary request is answered while a body in chunks of one byte arrives, of which what waits is counted', async () => {
 	const {port, inputs} = await startEchoServer();
