Count what is discarded of an oversized body before it is released

By reading: since large pieces that the body reader discards are released, and the listener that counts them, added later, saw a length of 0, so that the limit on what an entry discards counted small pieces only. It counts first now. The tests of http-server pass, and pass without this too: no test shows the difference.

--- a/packages/caller/src/http-server.ts
+++ b/packages/caller/src/http-server.ts
@@ -83,7 +83,8 @@
 async function drainOversizedBody(message: IncomingMessage, maximumBytes: number): Promise<void> {
 	let size = maximumBytes;
 	await new Promise<void>(resolve => {
-		message.on('data', (chunk: Uint8Array) => {
+		// The body reader releases what it discards.
+		message.prependListener('data', (chunk: Uint8Array) => {
 			size += chunk.length;
 			if (size > maximumBytes * discardLimitFactor) {
 				resolve();
