--- a/packages/caller/src/input-pacer.ts
+++ b/packages/caller/src/input-pacer.ts
@@ -1,12 +1,11 @@
 /**
 Passes what callers send to the HTTP parser in parts of limited cost, and no faster than a budget allows, so that the others get their turn.
 
-Answers callers that send bodies in chunks of a few bytes, or chunk extensions without end, or whatever else costs the parser far more than what
-is left of it. The cost is counted in lines, of which each chunk and each field of a head has some, and in bytes. What waits, waits as it was
-read, and meanwhile the connection isn't read.
+Answers callers that send bodies in chunks of a few bytes, or whatever else costs the parser far more than its bytes. The cost is counted in
+lines, of which each chunk and each field of a head has some. What waits, waits as it was read, and meanwhile the connection isn't read.
 */
 import type {Socket} from 'node:net';
-import {createReadBudget, getReadUnits, type ReadAllowance} from '@currantcross/core/read-budget';
+import {createReadBudget, type ReadAllowance} from '@currantcross/core/read-budget';
 import {releaseBytes} from './released-bytes.js';
 
 export type PacedInput = Readonly<{
@@ -25,8 +24,8 @@
 const linesPerTurn = 1024;
 /** For a caller that sends some requests a second, in chunks not much smaller than its packets. */
 const budgetSettings = {burstUnits: 4096, ownUnitsPerSecond: 500} as const;
-/** Units a second beyond the allowance of each connection, for a whole processor. */
-const sharedUnitsPerSecond = 250_000;
+/** Lines a second beyond the allowance of each connection, for a whole processor. */
+const sharedLinesPerSecond = 250_000;
 /** Shorter times aren't waited for until they have added up. */
 const minimumWaitMs = 2;
 const lineFeed = 10;
@@ -90,8 +89,6 @@
 	/** Bytes of the first read that are parsed. */
 	let parsedBytes = 0;
 	let hasEnded = false;
-	/** When the allowance lets the next part be parsed. */
-	let allowedAt = Number.NEGATIVE_INFINITY;
 	let cancelTurn = (): void => undefined;
 
 	function removeWaiting(): void {
@@ -99,23 +96,6 @@
 		parsedBytes = 0;
 	}
 
-	/** Lets the next turn run as soon as the allowance does, and another turn of the event loop later at the earliest. */
-	function scheduleTurn(): void {
-		reading.hold();
-		const waitMs = allowedAt - performance.now();
-		if (waitMs >= minimumWaitMs) {
-			const timer = setTimeout(runTurn, waitMs);
-			cancelTurn = () => {
-				clearTimeout(timer);
-			};
-		} else {
-			const immediate = setImmediate(runTurn);
-			cancelTurn = () => {
-				clearImmediate(immediate);
-			};
-		}
-	}
-
 	function runTurn(): void {
 		const [bytes, ...others] = waiting;
 		if (bytes === undefined) {
@@ -128,7 +108,6 @@
 		const isLastPart = end === bytes.length;
 		waiting = isLastPart ? others : waiting;
 		parsedBytes = isLastPart ? 0 : end;
-		const units = getReadUnits(lines, part.length);
 		parse(part);
 		if (isLastPart) {
 			// The parser has copied what it passes on.
@@ -140,8 +119,7 @@
 			return;
 		}
 
-		const now = performance.now();
-		allowedAt = now + allowance.record(units, now);
+		const waitMs = allowance.record(lines, performance.now());
 		if (waiting.length === 0) {
 			if (hasEnded) {
 				finish();
@@ -152,19 +130,24 @@
 			return;
 		}
 
-		scheduleTurn();
+		reading.hold();
+		if (waitMs >= minimumWaitMs) {
+			const timer = setTimeout(runTurn, waitMs);
+			cancelTurn = () => {
+				clearTimeout(timer);
+			};
+		} else {
+			const immediate = setImmediate(runTurn);
+			cancelTurn = () => {
+				clearImmediate(immediate);
+			};
+		}
 	}
 
 	socket.on('data', (bytes: Uint8Array) => {
 		waiting.push(bytes);
-		if (waiting.length > 1) {
-			return;
-		}
-
-		if (allowedAt - performance.now() < minimumWaitMs) {
+		if (waiting.length === 1) {
 			runTurn();
-		} else {
-			scheduleTurn();
 		}
 	});
 	socket.once('end', () => {
@@ -193,7 +176,7 @@
 
 /** Creates a pacer in a process that has the given share of a processor. */
 export function createInputPacer(processorShare: number): InputPacer {
-	const budget = createReadBudget({...budgetSettings, sharedUnitsPerSecond: sharedUnitsPerSecond * Math.min(1, processorShare)});
+	const budget = createReadBudget({...budgetSettings, sharedUnitsPerSecond: sharedLinesPerSecond * Math.min(1, processorShare)});
 
 	return {
 		add(socket) {
