Log how long each request may have waited to be accepted, held or read

The hypotheses for GONE can't be told apart by the logs: unreadMs knows the event loop, not the connection. Now the pacer of callers' input notes how long what it parses may have waited: for its connection to be accepted (a turn of the loop that accepts nothing shows that none waits), because the connection was held, and because the loop was late. requestPlaced, requestDropped, requestRefused and requestEnded tell it, acceptDelayed and a histogram sum it up.

What is begun, and when, is as before; unreadMs is taken when the bytes are read instead of when the head is handled, which differs only for connections that were held.

--- a/packages/caller/src/caller-connections.test.ts
+++ b/packages/caller/src/caller-connections.test.ts
@@ -18,6 +18,8 @@
 	const connections = createCallerConnections({
 		maximumConnections,
 		processorShare: 1,
+		getUnreadMs: () => 0,
+		getUnacceptedMs: () => 0,
 		maximumHeadBytes: 65_536,
 		memory: createCallerMemory<GiveWay>(),
 		recordBound(bound) {
--- a/packages/caller/src/caller-connections.ts
+++ b/packages/caller/src/caller-connections.ts
@@ -3,8 +3,9 @@
 */
 import type {IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
+import {noDelays, type ArrivalDelays} from '@currantcross/core/arrival-delays';
 import {headPartBytes, type CallerMemory} from '@currantcross/core/gateway/caller-memory';
-import {createInputPacer, type PacedInput} from './input-pacer.js';
+import {createInputPacer, type InputPacerHost, type PacedInput} from './input-pacer.js';
 
 /** The bound because of which a connection is closed or a request is refused; `head` is that on a request's form, length and time. */
 export type CallerBound = 'memory' | 'connections' | 'pipelining' | 'head';
@@ -29,16 +30,16 @@
 	isClosing(socket: Socket): boolean;
 	/** Returns whether a connection was ever not read for a while, so that its caller may have left meanwhile. */
 	wasHeld(socket: Socket): boolean;
+	/** Returns how long the request may have waited whose head is handled now. */
+	getDelays(socket: Socket): ArrivalDelays;
 	getCount(): number;
 	/** Closes the connections without a request. */
 	closeIdle(): void;
 	close(): void;
 }>;
 
-export type CallerConnectionsHost = Readonly<{
+export type CallerConnectionsHost = InputPacerHost & Readonly<{
 	maximumConnections: number;
-	/** Share of a processor that the process has. */
-	processorShare: number;
 	/** Size beyond which a head is refused; a body that is discarded after its response counts as much. */
 	maximumHeadBytes: number;
 	/** Memory in which the incomplete heads are counted, by the function that closes their connection. */
@@ -115,7 +116,7 @@
 /** Creates a record without connections. */
 export function createCallerConnections(host: CallerConnectionsHost): CallerConnections {
 	const connections = new Map<Socket, Connection>();
-	const inputPacer = createInputPacer(host.processorShare);
+	const inputPacer = createInputPacer(host);
 	/** Connections without a request, the one that has been so for longest first. */
 	const idleSockets = new Set<Socket>();
 
@@ -274,6 +275,7 @@
 		},
 		isClosing: socket => connections.get(socket)?.isClosing === true,
 		wasHeld: socket => connections.get(socket)?.input.wasHeld() === true,
+		getDelays: socket => connections.get(socket)?.input.getDelays() ?? noDelays,
 		getCount: () => connections.size,
 		closeIdle() {
 			for (const socket of idleSockets) {
--- a/packages/caller/src/http-server.ts
+++ b/packages/caller/src/http-server.ts
@@ -166,7 +166,7 @@
 	};
 	const bodyReader = createBodyReader();
 	const connections = createCallerConnections({
-		maximumConnections, processorShare: 1, maximumHeadBytes, memory, recordBound,
+		maximumConnections, processorShare: 1, maximumHeadBytes, memory, recordBound, getUnreadMs: () => 0, getUnacceptedMs: () => 0,
 	});
 	/** Functions that break off responses which are not read. */
 	const responseHolders = new Map<ServerResponse, GiveWay>();
--- a/packages/caller/src/input-pacer.test.ts
+++ b/packages/caller/src/input-pacer.test.ts
@@ -21,7 +21,7 @@
 
 /** Starts a server that answers with what it has received, with the given share of a processor. */
 async function startEchoServer(processorShare = 1): Promise<EchoServer> {
-	const pacer = createInputPacer(processorShare);
+	const pacer = createInputPacer({processorShare, getUnreadMs: () => 0, getUnacceptedMs: () => 0});
 	const inputs: PacedInput[] = [];
 	const bodies: string[] = [];
 	const reads: Uint8Array[] = [];
--- a/packages/caller/src/input-pacer.ts
+++ b/packages/caller/src/input-pacer.ts
@@ -5,7 +5,10 @@
 lines, of which each chunk and each field of a head has some. What waits, waits as it was read, and meanwhile the connection isn't read.
 */
 import type {Socket} from 'node:net';
+import {noDelays, type ArrivalDelays} from '@currantcross/core/arrival-delays';
+import {waitForReads} from '@currantcross/core/loop-monitor';
 import {createReadBudget, type ReadAllowance} from '@currantcross/core/read-budget';
+import type {Milliseconds, Timestamp} from '@currantcross/core/types';
 import {releaseBytes} from './released-bytes.js';
 
 export type PacedInput = Readonly<{
@@ -13,6 +16,17 @@
 	getWaitingBytes(): number;
 	/** Returns whether the connection was ever held, so that its caller may have left meanwhile. */
 	wasHeld(): boolean;
+	/** Returns how long what is parsed now may have waited. */
+	getDelays(): ArrivalDelays;
+}>;
+
+export type InputPacerHost = Readonly<{
+	/** Share of a processor that the process has. */
+	processorShare: number;
+	/** Returns the longest time that data on an accepted connection which is read now can have waited. */
+	getUnreadMs(): Milliseconds;
+	/** Returns the longest time that a connection which is accepted now can have waited. */
+	getUnacceptedMs(): Milliseconds;
 }>;
 
 export type InputPacer = Readonly<{
@@ -29,6 +43,8 @@
 /** Shorter times aren't waited for until they have added up. */
 const minimumWaitMs = 2;
 const lineFeed = 10;
+/** Size of the buffer into which Node.js reads. A read that doesn't fill it has emptied the socket. */
+const readBufferBytes = 65_536;
 
 /** Returns the end of the part that begins at `start` and is parsed next, and the number of its lines. */
 function getNextPart(bytes: Uint8Array, start: number): Readonly<{end: number; lines: number}> {
@@ -43,15 +59,45 @@
 	return {end, lines: linesPerTurn};
 }
 
-type HoldableReading = Readonly<{hold(): void; release(): void; wasHeld(): boolean}>;
+type ReadDelays = Readonly<{acceptMs: Milliseconds; heldMs: Milliseconds; unreadMs: Milliseconds}>;
+
+type HoldableReading = Readonly<{
+	hold(): void;
+	release(): void;
+	wasHeld(): boolean;
+	/** Records a read and returns how long what it brought may have waited. */
+	recordRead(byteCount: number): ReadDelays;
+}>;
+
+/** Why a connection may not have been read, and since when. */
+type Gap = Readonly<{cause: 'accept' | 'hold'; since: Timestamp}>;
 
 /** Lets a connection be held, in which time it isn't read, whatever its server asks for. */
-function createHoldableReading(socket: Socket): HoldableReading {
+function createHoldableReading(socket: Socket, host: InputPacerHost): HoldableReading {
 	const pause = socket.pause.bind(socket);
 	const resume = socket.resume.bind(socket);
 	let isHeld = false;
 	let wasHeld = false;
 	let isWanted = true;
+	let gap: Gap | undefined;
+	let readCount = 0;
+
+	/** Ends the gap once the loop has had the occasion to read and there was nothing. */
+	function waitForFirstRead(): void {
+		const countBefore = readCount;
+		waitForReads(() => {
+			if (readCount === countBefore && !isHeld) {
+				gap = undefined;
+			}
+		});
+	}
+
+	const unacceptedMs = host.getUnacceptedMs();
+	if (unacceptedMs > 0) {
+		gap = {cause: 'accept', since: performance.now() - unacceptedMs};
+		waitForFirstRead();
+	}
+
 	socket.pause = () => {
 		isWanted = false;
 		return pause();
@@ -64,28 +110,50 @@
 
 	return {
 		hold() {
+			gap ??= {cause: 'hold', since: performance.now()};
 			isHeld = true;
 			wasHeld = true;
 			pause();
 		},
 		release() {
+			if (isHeld) {
+				waitForFirstRead();
+			}
+
 			isHeld = false;
 			if (isWanted) {
 				resume();
 			}
 		},
 		wasHeld: () => wasHeld,
+		recordRead(byteCount) {
+			readCount += 1;
+			const gapMs = gap === undefined ? 0 : performance.now() - gap.since;
+			const delays: ReadDelays = {
+				acceptMs: gap?.cause === 'accept' ? gapMs : 0, heldMs: gap?.cause === 'hold' ? gapMs : 0, unreadMs: host.getUnreadMs(),
+			};
+			if (byteCount < readBufferBytes && !isHeld) {
+				gap = undefined;
+			}
+
+			return delays;
+		},
 	};
 }
 
 /** The HTTP parser of a connection. */
 type InputParser = Readonly<{parse(bytes: Uint8Array): void; finish(): void}>;
 
+/** What was read at a time, and how long it may have waited before. */
+type Read = Readonly<{bytes: Uint8Array; readAt: Timestamp; delays: ReadDelays}>;
+
 /** Paces what a connection passes to its parser, also its end, which may be read while bytes wait. */
-function createPacedInput(socket: Socket, {parse, finish}: InputParser, allowance: ReadAllowance): PacedInput {
-	const reading = createHoldableReading(socket);
+function createPacedInput(socket: Socket, {parse, finish}: InputParser, allowance: ReadAllowance, host: InputPacerHost): PacedInput {
+	const reading = createHoldableReading(socket, host);
 	/** What was read and isn't parsed completely. */
-	let waiting: Uint8Array[] = [];
+	let waiting: Read[] = [];
+	/** The read of which a part is parsed now, or was parsed last. */
+	let parsedRead: Read | undefined;
 	/** Bytes of the first read that are parsed. */
 	let parsedBytes = 0;
 	let hasEnded = false;
@@ -97,12 +165,14 @@
 	}
 
 	function runTurn(): void {
-		const [bytes, ...others] = waiting;
-		if (bytes === undefined) {
+		const [read, ...others] = waiting;
+		if (read === undefined) {
 			reading.release();
 			return;
 		}
 
+		const {bytes} = read;
+		parsedRead = read;
 		const {end, lines} = getNextPart(bytes, parsedBytes);
 		const part = bytes.subarray(parsedBytes, end);
 		const isLastPart = end === bytes.length;
@@ -145,7 +215,7 @@
 	}
 
 	socket.on('data', (bytes: Uint8Array) => {
-		waiting.push(bytes);
+		waiting.push({bytes, readAt: performance.now(), delays: reading.recordRead(bytes.length)});
 		if (waiting.length === 1) {
 			runTurn();
 		}
@@ -162,9 +232,20 @@
 	});
 	return {
 		getWaitingBytes() {
-			return waiting.reduce((sum, bytes) => sum + bytes.length, 0) - parsedBytes;
+			return waiting.reduce((sum, {bytes}) => sum + bytes.length, 0) - parsedBytes;
 		},
 		wasHeld: reading.wasHeld,
+		getDelays() {
+			if (parsedRead === undefined) {
+				return noDelays;
+			}
+
+			const {readAt, delays: {acceptMs, heldMs, unreadMs}} = parsedRead;
+			const unparsedMs = performance.now() - readAt;
+			return {
+				acceptMs, heldMs: heldMs + unparsedMs, unreadMs, totalMs: Math.max(acceptMs, heldMs, unreadMs) + unparsedMs,
+			};
+		},
 	};
 }
 
@@ -174,9 +255,9 @@
 	return socket.listeners(event).at(-1) as SocketListener | undefined; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
 }
 
-/** Creates a pacer in a process that has the given share of a processor. */
-export function createInputPacer(processorShare: number): InputPacer {
-	const budget = createReadBudget({...budgetSettings, sharedUnitsPerSecond: sharedLinesPerSecond * Math.min(1, processorShare)});
+/** Creates a pacer without connections. */
+export function createInputPacer(host: InputPacerHost): InputPacer {
+	const budget = createReadBudget({...budgetSettings, sharedUnitsPerSecond: sharedLinesPerSecond * Math.min(1, host.processorShare)});
 
 	return {
 		add(socket) {
@@ -184,7 +265,7 @@
 			const onData = findLastListener(socket, 'data');
 			const onEnd = findLastListener(socket, 'end');
 			if (onData === undefined || onEnd === undefined) {
-				return {getWaitingBytes: () => 0, wasHeld: () => false};
+				return {getWaitingBytes: () => 0, wasHeld: () => false, getDelays: () => noDelays};
 			}
 
 			const input = createPacedInput(socket, {
@@ -194,7 +275,7 @@
 				finish() {
 					onEnd.call(socket);
 				},
-			}, budget.createAllowance());
+			}, budget.createAllowance(), host);
 			socket.off('data', onData);
 			socket.off('end', onEnd);
 			return input;
--- a/packages/core/src/gateway/gateway-fixtures.ts
+++ b/packages/core/src/gateway/gateway-fixtures.ts
@@ -1,6 +1,7 @@
 /**
 Fixtures of a small deployment, for tests of the gateway and of the packages that use it.
 */
+import {noDelays} from '../arrival-delays.js';
 import type {
 	EndpointResponseHead, EngineProfile, GatewayRequest, ListedEndpoint, ServedRoute, ServingConfiguration,
 } from './gateway-types.js';
@@ -115,7 +116,7 @@
 		credential: fixtureApiKey,
 		deadlineAt: arrivedAt + route.timeoutMs,
 		arrivedAt,
-		unreadMs: 0,
+		delays: noDelays,
 		prompt: route.kind === 'streaming' ? {promptTokens: 5000, maximumTokens: 1000} : undefined,
 		sharedSegments: [],
 		fingerprint: `fingerprint-${changes.key ?? 1}`,
--- a/packages/core/src/gateway/gateway-types.ts
+++ b/packages/core/src/gateway/gateway-types.ts
@@ -3,6 +3,7 @@
 
 All durations are in milliseconds. A `Timestamp` is read from the monotonic clock of the process that holds it.
 */
+import type {ArrivalDelays} from '../arrival-delays.js';
 import type {Milliseconds, Timestamp, TokenCount} from '../types.js';
 
 /** Whether a request may run more than once: idempotent requests may, and streams if their route is resumable. */
@@ -139,8 +140,8 @@
 	deadlineAt: Timestamp;
 	/** Earliest time at which its head can have arrived. */
 	arrivedAt: Timestamp;
-	/** Time from `arrivedAt` until its head was read. */
-	unreadMs: Milliseconds;
+	/** How long it may have waited from `arrivedAt` until its head was handled. */
+	delays: ArrivalDelays;
 	prompt: PromptSize | undefined;
 	/** Segments of the prompt that other requests may share, in order; the prompt's own segment at its end is left out. */
 	sharedSegments: readonly SegmentId[];
--- a/packages/gateway/src/caller-server.test.ts
+++ b/packages/gateway/src/caller-server.test.ts
@@ -20,6 +20,11 @@
 	}
 });
 
+/** Returns a monitor of a loop that reads with this delay and accepts without. */
+function createLoopFixture(unreadMs: number): Parameters<typeof startCallerServer>[2]['loopMonitor'] {
+	return {getUnreadMs: () => unreadMs, getUnacceptedMs: () => 0, recordAccept: () => undefined};
+}
+
 type RequestHandler = Parameters<typeof startCallerServer>[2]['handleRequest'];
 
 /** Answers a request at once with `responseBytes` bytes. */
@@ -54,7 +59,7 @@
 		checkHead: () => undefined,
 		handleRequest,
 		waitForNews: async () => undefined,
-		getUnreadMs: () => 0,
+		loopMonitor: createLoopFixture(0),
 		recordRefusal: () => undefined,
 		recordDeparture: () => undefined,
 		recordBound(bound) {
@@ -217,7 +222,7 @@
 		exchange.startResponse({status: 200, headers: ['Content-Length', '0']});
 		exchange.end();
 		return () => undefined;
-	}, {isHolding: () => isHolding, getUnreadMs: () => 1});
+	}, {isHolding: () => isHolding, loopMonitor: createLoopFixture(1)});
 	const calls = [1, 2, 3].map(async () => fetch(`http://127.0.0.1:${server.port}/`));
 	while (server.getPendingCount() < calls.length) {
 		// eslint-disable-next-line no-await-in-loop
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -10,8 +10,10 @@
 import {
 	createCallerMemory, getBoundFailure, getCallerMemoryLimit, getRequestBytes,
 } from '@currantcross/core/gateway/caller-memory';
+import type {ArrivalDelays} from '@currantcross/core/arrival-delays';
 import {createNotRunFailure, type Failure} from '@currantcross/core/errors';
 import {listen} from '@currantcross/core/listen';
+import type {LoopMonitor} from '@currantcross/core/loop-monitor';
 import type {ServingLimits} from '@currantcross/core/gateway/gateway-types';
 import type {Milliseconds, Timestamp} from '@currantcross/core/types';
 import {createCallerExchange, type CallerExchange} from './caller-exchange.js';
@@ -20,14 +22,15 @@
 import {createIntakeRunner} from './intake-runner.js';
 import type {SocketAddress} from './settings.js';
 
-/** When a request's head was read, and the longest time that it can have waited before. */
-export type RequestArrival = Readonly<{readAt: Timestamp; unreadMs: Milliseconds}>;
+/** When a request's head was handled, and how long it may have waited before. */
+export type RequestArrival = Readonly<{readAt: Timestamp; delays: ArrivalDelays}>;
 
 /** How a request fared that arrived before it could be checked. */
 export type EarlyOutcome = 'checked' | 'refused' | 'departed';
 
 export type CallerServerHost = Readonly<{
 	wireFormat: WireFormat;
+	loopMonitor: Pick<LoopMonitor, 'getUnreadMs' | 'getUnacceptedMs' | 'recordAccept'>;
 	isDraining(): boolean;
 	/** Returns whether requests that arrive now are held until they can be checked. */
 	isHolding(): boolean;
@@ -38,9 +41,7 @@
 	waitForNews(): Promise<void>;
 	/** Handles a received request. Returns the function to call if the caller disconnects before the response is complete. */
 	handleRequest(exchange: CallerExchange, arrival: RequestArrival): () => void;
-	/** Returns the longest time that data which is read now can have waited. */
-	getUnreadMs(): Milliseconds;
-	recordRefusal(head: CallerHead, failure: Failure): void;
+	recordRefusal(head: CallerHead, arrival: RequestArrival, failure: Failure): void;
 	/** Records that a request was refused, or a connection closed, because of a bound on what callers make the gateway hold. */
 	recordBound(bound: CallerBound): void;
 	/** Records a request that is not begun since its caller has left. */
@@ -101,6 +102,8 @@
 	processorShare: number;
 }>;
 
+type ReceivedHead = Readonly<{head: CallerHead; arrival: RequestArrival}>;
+
 /** A request that arrived before it could be checked, and the function that refuses it while it is pending. */
 type EarlyRequest = Readonly<{message: IncomingMessage; head: CallerHead; arrival: RequestArrival; refuse: (failure: Failure) => void}>;
 
@@ -120,6 +123,7 @@
 	const bodyReader = createBodyReader();
 	const connections = createCallerConnections({
 		maximumConnections: bounds.maximumConnections, processorShare: bounds.processorShare, maximumHeadBytes: maximumHeaderBytes, memory, recordBound: host.recordBound,
+		getUnreadMs: host.loopMonitor.getUnreadMs, getUnacceptedMs: host.loopMonitor.getUnacceptedMs,
 	});
 	/** Functions that give way for a response, by the functions that break it off. */
 	const responseHolders = new WeakMap<() => void, GiveWay>();
@@ -162,12 +166,12 @@
 	}
 
 	async function receiveRequest(message: IncomingMessage, response: ServerResponse): Promise<void> {
-		const arrival: RequestArrival = {readAt: performance.now(), unreadMs: host.getUnreadMs()};
+		const arrival: RequestArrival = {readAt: performance.now(), delays: connections.getDelays(message.socket)};
 		const head = host.wireFormat.parseCallerHead(message.headers);
 		const isEarly = host.isHolding();
 		const refusal = isEarly ? undefined : host.checkHead(message, head);
 		if (refusal !== undefined) {
-			refuseRequest(message, response, head, refusal);
+			refuseRequest(message, response, {head, arrival}, refusal);
 			return;
 		}
 
@@ -180,7 +184,7 @@
 			endPending();
 			reading.discard();
 			if (!response.headersSent) {
-				refuseRequest(message, response, head, failure);
+				refuseRequest(message, response, {head, arrival}, failure);
 			}
 		};
 
@@ -220,7 +224,7 @@
 			: undefined;
 		const bodyTimer = setTimeout(() => {
 			refusePendingRequest(createNotRunFailure('deadlineExceeded', 'the body did not arrive'));
-		}, Math.max(0, (head.remainingMs ?? defaultBodyTimeoutMs) - arrival.unreadMs));
+		}, Math.max(0, (head.remainingMs ?? defaultBodyTimeoutMs) - arrival.delays.unreadMs));
 		const result = await reading.result;
 		clearTimeout(bodyTimer);
 		if (response.headersSent) {
@@ -236,7 +240,7 @@
 			case 'tooLarge': {
 				endPending();
 				// The limit of an early request was not the configuration's.
-				refuseRequest(message, response, head, createNotRunFailure(isEarly ? 'notReady' : 'payloadTooLarge'));
+				refuseRequest(message, response, {head, arrival}, createNotRunFailure(isEarly ? 'notReady' : 'payloadTooLarge'));
 				return;
 			}
 
@@ -278,7 +282,7 @@
 
 				resolve(false);
 			});
-			early.admit(entry, {remainingMs: head.remainingMs, unreadMs: arrival.unreadMs});
+			early.admit(entry, {remainingMs: head.remainingMs, unreadMs: arrival.delays.unreadMs});
 		});
 		if (!isKept) {
 			return;
@@ -291,8 +295,8 @@
 		}
 	}
 
-	function refuseRequest(message: IncomingMessage, response: ServerResponse, head: CallerHead, failure: Failure): void {
-		host.recordRefusal(head, failure);
+	function refuseRequest(message: IncomingMessage, response: ServerResponse, {head, arrival}: ReceivedHead, failure: Failure): void {
+		host.recordRefusal(head, arrival, failure);
 		if (hasToWait(response) && !message.socket.destroyed) {
 			connections.addWaitingBytes(message.socket, getRequestBytes(message.rawHeaders));
 		}
@@ -307,7 +311,7 @@
 		const {head, hasCallerLeft} = exchange;
 		await host.waitForNews();
 		intake.receive({
-			hasWaited: (arrival.unreadMs > 0 && !isEarly) || connections.wasHeld(exchange.message.socket),
+			hasWaited: (arrival.delays.unreadMs > 0 && !isEarly) || connections.wasHeld(exchange.message.socket),
 			hasCallerLeft,
 			begin() {
 				if (endPending()) {
@@ -316,7 +320,7 @@
 			},
 			refuse(failure) {
 				if (endPending()) {
-					host.recordRefusal(head, failure);
+					host.recordRefusal(head, arrival, failure);
 					exchange.fail(failure);
 				}
 			},
@@ -390,6 +394,7 @@
 	server.on('clientError', connections.handleClientError);
 	server.on('connection', socket => {
 		acceptedCount += 1;
+		host.loopMonitor.recordAccept();
 		connections.add(socket);
 	});
 	const port = await listen(server, {...address, backlog: connectionBacklog});
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -18,6 +18,8 @@
 import {createConnections, defaultConnectionSettings} from '@currantcross/peer/connections';
 import {registerGatewayService} from '@currantcross/peer/gateway-peers';
 import {startPeerServer} from '@currantcross/peer/peer-server';
+import {startLoopMonitor} from '@currantcross/core/loop-monitor';
+import {formatDelays} from '@currantcross/core/arrival-delays';
 import {startCallerServer, type RequestArrival} from './caller-server.js';
 import type {CallerExchange} from './caller-exchange.js';
 import {createClockJumpDetector, processClocks} from './clock-jump-detector.js';
@@ -26,7 +28,6 @@
 import type {
 	CallerHead, WireFormat, GatewayRegistration, PlatformHost,
 } from './gateway-hosts.js';
-import {startLoopMonitor} from './loop-monitor.js';
 import {createGatewayMetrics, startStatusServer} from './metrics.js';
 import {createPlatformFeed} from './platform-feed.js';
 import {parseAddress, type GatewayDaemonSettings} from './settings.js';
@@ -62,8 +63,8 @@
 /** How long the last requests may take to arrive on open connections, and their answers to reach the network, before connections are closed. */
 const lastAnswerMs = 150;
 const lastAnswerPollMs = 10;
-/** Delay of the event loop from which on it is logged. */
-const loggedLoopDelayMs = 250;
+/** Delay of the event loop, and time for which connections may wait to be accepted, from which on it is logged. */
+const loggedDelayMs = 250;
 
 /** Starts a gateway and returns once all its servers listen. */
 export async function startGatewayDaemon(settings: GatewayDaemonSettings, host: GatewayDaemonHost): Promise<GatewayDaemon> {
@@ -100,11 +101,15 @@
 	const readerConnections = createConnections({...defaultConnectionSettings, sharedKey, tls: undefined});
 	const clockJumpDetector = createClockJumpDetector(processClocks);
 	const loopMonitor = startLoopMonitor({
-		onTick(delayMs) {
+		onTick(delayMs, unacceptedMs) {
 			metrics.recordLoopDelay(delayMs);
-			if (delayMs > loggedLoopDelayMs) {
+			if (delayMs > loggedDelayMs) {
 				logger.warn('loopStalled', {delayMs: Math.round(delayMs)});
 			}
+
+			if (unacceptedMs > loggedDelayMs) {
+				logger.warn('acceptDelayed', {unacceptedMs: Math.round(unacceptedMs)});
+			}
 		},
 	});
 	let lastRequestKey = 0;
@@ -216,35 +221,41 @@
 		return result.kind === 'granted' ? result : result.failure;
 	}
 
-	function recordRefusal(head: CallerHead, failure: Failure): void {
+	function recordRefusal(head: CallerHead, arrival: RequestArrival, failure: Failure): void {
 		metrics.recordRequest(failure.kind, 0);
+		metrics.recordDelays(arrival.delays);
 		logger.info('requestRefused', {
 			request: head.requestId,
 			error: failure.kind,
 			detail: failure.detail,
 			retryAfterMs: failure.retryAfterMs,
+			...formatDelays(arrival.delays),
+			waitedMs: Math.round(performance.now() - arrival.readAt),
 			version: gateway.tryGetConfiguration()?.version,
 			configurationAgeMs: Math.round(gateway.getConfigurationAgeMs(performance.now())),
 		});
 	}
 
-	function recordDeparture(head: CallerHead, {readAt, unreadMs}: RequestArrival): void {
-		metrics.recordRequest('clientGone', unreadMs);
-		logger.info('requestDropped', {request: head.requestId, unreadMs: Math.round(unreadMs), waitedMs: Math.round(performance.now() - readAt)});
+	function recordDeparture(head: CallerHead, {readAt, delays}: RequestArrival): void {
+		metrics.recordRequest('clientGone', delays.unreadMs);
+		metrics.recordDelays(delays);
+		logger.info('requestDropped', {request: head.requestId, ...formatDelays(delays), waitedMs: Math.round(performance.now() - readAt)});
 	}
 
-	function handleRequest(callerExchange: CallerExchange, {readAt, unreadMs}: RequestArrival): () => void {
+	function handleRequest(callerExchange: CallerExchange, arrival: RequestArrival): () => void {
 		const {head, message} = callerExchange;
+		const {readAt, delays} = arrival;
 		checkClock();
 		const grantOrFailure = checkRoute(message, head);
 		if (!('route' in grantOrFailure)) {
-			recordRefusal(head, grantOrFailure);
+			recordRefusal(head, arrival, grantOrFailure);
 			callerExchange.fail(grantOrFailure);
 			return () => undefined;
 		}
 
 		const {route, organisation} = grantOrFailure;
-		const arrivedAt = readAt - unreadMs;
+		const arrivedAt = readAt - delays.unreadMs;
+		metrics.recordDelays(delays);
 		lastRequestKey += 1;
 		return driver.submit({
 			key: lastRequestKey,
@@ -256,7 +267,7 @@
 			credential: head.credential,
 			deadlineAt: arrivedAt + Math.min(route.timeoutMs, head.remainingMs ?? route.timeoutMs),
 			arrivedAt,
-			unreadMs,
+			delays,
 			prompt: head.prompt,
 			sharedSegments: head.sharedSegments,
 			fingerprint: hasher.getContentHash(`${message.method} ${message.headers.host} ${message.url} ${organisation ?? ''} `, callerExchange.body),
@@ -297,7 +308,7 @@
 		waitForNews: workExchange.waitForNews,
 		handleRequest,
 		recordDeparture,
-		getUnreadMs: loopMonitor.getUnreadMs,
+		loopMonitor,
 		recordRefusal,
 		recordBound(bound) {
 			metrics.recordCallerBound(bound);
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -6,6 +6,7 @@
 import type {
 	GatewayRequest, ListedEndpoint, RequestKey, SegmentId,
 } from '@currantcross/core/gateway/gateway-types';
+import {formatDelays, noDelays} from '@currantcross/core/arrival-delays';
 import type {ColdReport} from '@currantcross/core/gateway/cold-endpoints';
 import {isStreamResponse} from '@currantcross/core/gateway/request-send';
 import type {Gateway} from '@currantcross/core/gateway/gateway';
@@ -20,10 +21,10 @@
 import type {Reservation} from '@currantcross/core/gateway/memory-reservation';
 import type {Milliseconds} from '@currantcross/core/types';
 import type {Logger} from '@currantcross/daemon/logger';
+import {waitForReads} from '@currantcross/core/loop-monitor';
 import {getForwardedHeaders, type CallerExchange} from './caller-exchange.js';
 import type {ControlResponse, EndpointClient} from './endpoint-client.js';
 import type {ControlRequest, PlatformHost, WireFormat} from './gateway-hosts.js';
-import {waitForReads} from './loop-monitor.js';
 import type {GatewayMetrics} from './metrics.js';
 import {createResponseThrottle} from './response-throttle.js';
 
@@ -310,7 +311,9 @@
 
 	/** Logs and counts a request whose caller disconnected. */
 	function reportDisconnect(openRequest: OpenRequest | undefined): void {
-		host.logger.info('requestEnded', {request: openRequest?.request.requestId, outcome: 'clientGone', ageMs: getAgeMs(openRequest)});
+		host.logger.info('requestEnded', {
+			request: openRequest?.request.requestId, outcome: 'clientGone', ...formatDelays(openRequest?.request.delays ?? noDelays), ageMs: getAgeMs(openRequest),
+		});
 		host.metrics.recordRequest('clientGone', getAgeMs(openRequest) ?? 0);
 	}
 
@@ -342,7 +345,7 @@
 	function reportFailure(openRequest: OpenRequest | undefined, failure: Failure, outcome: 'broken' | 'failed'): void {
 		host.logger.info('requestEnded', {
 			request: openRequest?.request.requestId, route: openRequest?.request.route.name, outcome, error: failure.kind, ran: failure.ran,
-			detail: failure.detail, retryAfterMs: failure.retryAfterMs, ageMs: getAgeMs(openRequest),
+			detail: failure.detail, retryAfterMs: failure.retryAfterMs, ...formatDelays(openRequest?.request.delays ?? noDelays), ageMs: getAgeMs(openRequest),
 		});
 		host.metrics.recordRequest(failure.kind, getAgeMs(openRequest) ?? 0);
 	}
@@ -359,8 +362,8 @@
 					request, sendId, endpoint, helpers: helpers.length, helperIds: helpers.length === 0 ? undefined : helpers.join(','), reservations: formatReservations(reservations), firstEventMs, candidates, segments: formatSegments(sharedSegments),
 					fingerprint: openRequest?.fingerprint,
 					priority: openRequest?.priority,
-					unreadMs: openRequest === undefined ? undefined : Math.round(openRequest.unreadMs),
-					waitedMs: openRequest === undefined ? undefined : Math.round(performance.now() - openRequest.arrivedAt - openRequest.unreadMs),
+					...formatDelays(openRequest?.delays ?? noDelays),
+					waitedMs: openRequest === undefined ? undefined : Math.round(performance.now() - openRequest.arrivedAt - openRequest.delays.unreadMs),
 					configurationAgeMs: Math.round(gateway.getConfigurationAgeMs(performance.now())),
 				});
 				return;
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -2,6 +2,7 @@
 Counters and latency histograms in the Prometheus text format, and the HTTP server for metrics and readiness checks.
 */
 import http, {type Server} from 'node:http';
+import type {ArrivalDelays} from '@currantcross/core/arrival-delays';
 import type {ColdCounts} from '@currantcross/core/gateway/cold-endpoints';
 import {listen} from '@currantcross/core/listen';
 import {
@@ -15,6 +16,8 @@
 	recordSend(result: string): void;
 	/** Counts a prompt that waits for more urgent ones. */
 	recordDeferral(priority: number): void;
+	/** Records how long a request may have waited before it was handled, if it has. */
+	recordDelays(delays: ArrivalDelays): void;
 	/** Records by how much the event loop was late. */
 	recordLoopDelay(delayMs: number): void;
 	recordPlatformCall(call: string, outcome: string): void;
@@ -50,6 +53,8 @@
 
 const queryBucketsS = [0.001, 0.002, 0.005, 0.01, 0.025, 0.1];
 
+/** Shorter delays of requests are ordinary. */
+const minimumRecordedDelayMs = 10;
 const loopDelayBucketsS = [0.01, 0.05, 0.1, 0.2, 0.5, 1, 2, 5];
 
 /** Number of routes whose timings are told apart; those beyond are counted as `other`. */
@@ -74,6 +79,9 @@
 	const loopDelays = new Histogram({
 		name: 'currantcross_gateway_loop_delay_seconds', help: 'Time by which the event loop was late, ten times a second', buckets: loopDelayBucketsS, registers,
 	});
+	const requestDelays = new Histogram({
+		name: 'currantcross_request_delay_seconds', help: 'Longest time for which a delayed request can have waited before it was handled, by what delayed it', labelNames: ['cause'], buckets: loopDelayBucketsS, registers,
+	});
 	const platformCalls = new Counter({
 		name: 'currantcross_platform_calls_total', help: 'Calls to the platform', labelNames: ['call', 'outcome'], registers,
 	});
@@ -172,6 +180,13 @@
 		recordDeferral(priority) {
 			deferrals.inc({priority: Math.max(0, Math.min(maximumLabelledPriority, Math.round(priority)))});
 		},
+		recordDelays({acceptMs, heldMs, unreadMs}) {
+			for (const [cause, delayMs] of Object.entries({accept: acceptMs, hold: heldMs, read: unreadMs})) {
+				if (delayMs >= minimumRecordedDelayMs) {
+					requestDelays.observe({cause}, delayMs / millisecondsPerSecond);
+				}
+			}
+		},
 		recordLoopDelay(delayMs) {
 			loopDelays.observe(delayMs / millisecondsPerSecond);
 		},
--- a/packages/gateway/src/response-throttle.test.ts
+++ b/packages/gateway/src/response-throttle.test.ts
@@ -122,7 +122,7 @@
 		checkHead: () => undefined,
 		handleRequest,
 		waitForNews: async () => undefined,
-		getUnreadMs: () => 0,
+		loopMonitor: {getUnreadMs: () => 0, getUnacceptedMs: () => 0, recordAccept: () => undefined},
 		recordRefusal: () => undefined,
 		recordDeparture: () => undefined,
 		recordBound: () => undefined,
