--- a/packages/standins/src/impatient-callers.ts
+++ b/packages/standins/src/impatient-callers.ts
@@ -3,25 +3,27 @@
 on while the gateway's thread stands still. Reports the requests that reached a server after their callers had left.
 */
 import {once} from 'node:events';
-import http from 'node:http';
-import net from 'node:net';
+import type net from 'node:net';
 import process from 'node:process';
 import {setTimeout as wait} from 'node:timers/promises';
 import {parentPort} from 'node:worker_threads';
-import {listen} from '@currantcross/core/listen';
-import {formatCallHeaders} from './platform-caller-standin.js';
-
-/** How the servers of a round respond. */
-export type ResponseBehaviour
-	= | Readonly<{kind: 'serve'}>
-	/** Refuses each request as not run, `afterMs` after it arrived. */
-		| Readonly<{kind: 'refuse'; afterMs: number}>;
+import {createArrivalServers, type ResponseBehaviour} from './arrival-servers.js';
+import {
+	formatRequest, breakConnection, openConnection, waitForStatus, type CallResult,
+} from './impatient-caller.js';
+import {runCrowd, type CrowdSettings} from './impatient-crowd.js';
 
 /** What the test asks of the worker. */
 export type ImpatientCallersCommand
 	= | Readonly<{kind: 'startServers'; instanceIds: readonly string[]}>
-	/** Sends a request on each of `count` new connections, `delayMs` from now. */
-		| Readonly<{kind: 'send'; count: number; address: string; path: string; delayMs: number; patienceMs: number; behaviour: ResponseBehaviour}>;
+	/** Sends a request on each of `count` connections, `delayMs` from now. */
+		| Readonly<{
+			kind: 'send'; count: number; address: string; path: string; delayMs: number; patienceMs: number; behaviour: ResponseBehaviour;
+			/** Whether the connections are opened together with the requests, and each fourth of them is silent. */
+			isNewAtSend?: boolean;
+		}>
+		/** Sends requests to several gateways at a steady rate. */
+		| Readonly<{kind: 'sendAtRate'; behaviour: ResponseBehaviour; settings: CrowdSettings}>;
 
 /** Arrivals at servers, and responses, of the requests of one round. */
 export type RoundResult = Readonly<{
@@ -29,113 +31,71 @@
 	lateArrivalsMs: readonly number[];
 	arrivals: number;
 	responses: number;
+	/** Responses with the status 200. */
+	served: number;
+	requests: number;
 }>;
 
 export type ImpatientCallersReply
 	= | Readonly<{kind: 'serversStarted'; addresses: readonly string[]}>
 		| Readonly<{kind: 'roundEnded'; result: RoundResult}>;
 
+type SendCommand = Extract<ImpatientCallersCommand, {kind: 'send'}>;
+
 /** Every third caller resets its connection when it leaves; the others close it. */
 const resetInterval = 3;
 /** Every second caller has used its connection before. */
 const reuseInterval = 2;
+/** Of the connections that are opened with the requests, as many of this many send nothing, in a row, as a turn needs to see none. */
+const silentInterval = 16;
+const silentCount = 4;
 /** Time after the last caller has left in which its request may still reach a server. */
 const settleMs = 2500;
-const responseHead = 'HTTP/1.1 ';
-
-type Arrival = Readonly<{requestId: string; at: number}>;
+const okStatus = 200;
 
-const arrivals: Arrival[] = [];
-let behaviour: ResponseBehaviour = {kind: 'serve'};
+const servers = createArrivalServers();
 let roundCount = 0;
 
-async function startServer(instanceId: string): Promise<string> {
-	const server = http.createServer((message, response) => {
-		message.resume();
-		if (message.url === '/currantcross/report') {
-			response.end('{"waiting":0,"running":0}');
-			return;
-		}
-
-		const requestId = String(message.headers['request-id']);
-		arrivals.push({requestId, at: performance.now()});
-		switch (behaviour.kind) {
-			case 'serve': {
-				response.writeHead(200, {'request-id': requestId, 'response-stamp': `stamp-${instanceId}`, 'content-length': '4'});
-				response.end('done');
-				return;
-			}
-
-			case 'refuse': {
-				setTimeout(() => {
-					response.writeHead(503, {'request-id': requestId, 'not-run': '1', 'content-length': '0'});
-					response.end();
-				}, behaviour.afterMs);
-			}
-		}
-	});
-	return `127.0.0.1:${await listen(server, {host: '127.0.0.1', port: 0})}`;
-}
-
-function formatRequest(path: string, requestId: string): string {
-	const headers = formatCallHeaders({
-		host: 'a.example', requestId, remainingMs: 5000, key: 'key-1', promptTokens: undefined,
-	});
-	const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
-	return `GET ${path} HTTP/1.1\r\n${lines.join('')}\r\n`;
-}
-
-/** Waits until a socket has received a response, or for `patienceMs`. Returns whether it has. */
-async function waitForResponse(socket: net.Socket, patienceMs: number): Promise<boolean> {
-	return new Promise(resolve => {
-		const timer = setTimeout(() => {
-			resolve(false);
-		}, patienceMs);
-		socket.once('data', bytes => {
-			clearTimeout(timer);
-			resolve(String(bytes).startsWith(responseHead));
-		});
-	});
-}
-
-type CallerResult = Readonly<{requestId: string; leftAt: number | undefined}>;
-
-async function runCaller(index: number, {address, path, delayMs, patienceMs}: Extract<ImpatientCallersCommand, {kind: 'send'}>): Promise<CallerResult> {
-	const [host = '', port = ''] = address.split(':');
-	const requestId = `${roundCount}-${index}`;
-	const socket = net.connect(Number(port), host);
-	socket.on('error', () => undefined);
+/** Opens the connection of a caller, and uses it or not. */
+async function openSocket(index: number, requestId: string, {address, patienceMs}: SendCommand): Promise<net.Socket> {
+	const socket = openConnection(address);
 	await once(socket, 'connect');
-	const isReused = index % reuseInterval === 0;
-	if (isReused) {
+	if (index % reuseInterval === 0) {
 		socket.write(formatRequest('/book/look/warm', `warm-${requestId}`));
-		await waitForResponse(socket, patienceMs);
+		await waitForStatus(socket, patienceMs);
 	}
 
+	return socket;
+}
+
+async function runCaller(index: number, command: SendCommand): Promise<CallResult> {
+	const {path, delayMs, patienceMs, isNewAtSend = false} = command;
+	const requestId = `${roundCount}-${index}`;
+	const openSocketNow = isNewAtSend ? undefined : await openSocket(index, requestId, command);
 	await wait(delayMs);
-	socket.write(formatRequest(path, requestId));
-	const isAnswered = await waitForResponse(socket, patienceMs);
-	const leftAt = isAnswered ? undefined : performance.now();
-	if (index % resetInterval === 0) {
-		socket.resetAndDestroy();
-	} else {
-		socket.destroy();
+	const socket = openSocketNow ?? openConnection(command.address);
+	const isSilent = isNewAtSend && index % silentInterval < silentCount;
+	if (!isSilent) {
+		socket.write(formatRequest(path, requestId));
 	}
 
-	return {requestId, leftAt};
+	const status = await waitForStatus(socket, patienceMs);
+	const leftAt = status === undefined ? performance.now() : undefined;
+	breakConnection(socket, index % resetInterval === 0 ? 'reset' : 'close');
+	return {requestId, status, leftAt};
 }
 
-async function runRound(command: Extract<ImpatientCallersCommand, {kind: 'send'}>): Promise<RoundResult> {
-	roundCount += 1;
-	behaviour = command.behaviour;
-	const callers = await Promise.all(Array.from({length: command.count}, async (_, index) => runCaller(index, command)));
+/** Waits until nothing of a round can arrive any more, and sums it up. */
+async function summariseRound(calls: readonly CallResult[]): Promise<RoundResult> {
 	await wait(settleMs);
-	const leftAtById = new Map(callers.map(({requestId, leftAt}) => [requestId, leftAt]));
-	const roundArrivals = arrivals.filter(({requestId}) => leftAtById.has(requestId));
+	const leftAtById = new Map(calls.map(({requestId, leftAt}) => [requestId, leftAt]));
+	const roundArrivals = servers.arrivals.filter(({requestId}) => leftAtById.has(requestId));
 	return {
 		lateArrivalsMs: roundArrivals.map(({requestId, at}) => at - (leftAtById.get(requestId) ?? Number.POSITIVE_INFINITY)).filter(ms => ms > 0),
 		arrivals: roundArrivals.length,
-		responses: callers.filter(({leftAt}) => leftAt === undefined).length,
+		responses: calls.filter(({leftAt}) => leftAt === undefined).length,
+		served: calls.filter(({status}) => status === okStatus).length,
+		requests: calls.length,
 	};
 }
 
@@ -146,12 +106,22 @@
 async function handleCommand(command: ImpatientCallersCommand): Promise<void> {
 	switch (command.kind) {
 		case 'startServers': {
-			sendReply({kind: 'serversStarted', addresses: await Promise.all(command.instanceIds.map(async id => startServer(id)))});
+			sendReply({kind: 'serversStarted', addresses: await Promise.all(command.instanceIds.map(async id => servers.startServer(id)))});
 			return;
 		}
 
 		case 'send': {
-			sendReply({kind: 'roundEnded', result: await runRound(command)});
+			roundCount += 1;
+			servers.setBehaviour(command.behaviour);
+			const calls = await Promise.all(Array.from({length: command.count}, async (_, index) => runCaller(index, command)));
+			sendReply({kind: 'roundEnded', result: await summariseRound(calls)});
+			return;
+		}
+
+		case 'sendAtRate': {
+			roundCount += 1;
+			servers.setBehaviour(command.behaviour);
+			sendReply({kind: 'roundEnded', result: await summariseRound(await runCrowd(String(roundCount), command.settings))});
 		}
 	}
 }
