Begin each request only after the close that may lie behind it is read

Callers saw nothing; servers got requests whose callers had left, up to 1.7 s before, and dropped them.

Cause: whether a request may have waited was decided by the age of the loop as a whole. Two turns after a delay the loop counted as up to date, while connections went on waiting to be accepted, one a turn. A request of such a connection was begun in the turn in which it was read, the close behind it was read in the next one. Class: work begins for a caller that has left, since a shared clock says how old its request is. Now no clock decides: each request waits until the loop has read once more, which is one turn without other work.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -108,7 +108,7 @@
 type EarlyRequest = Readonly<{message: IncomingMessage; head: CallerHead; arrival: RequestArrival; refuse: (failure: Failure) => void}>;
 
 /** How a received request arrived, and the function that ends its being pending, which returns whether it was. */
-type PendingRequest = Readonly<{arrival: RequestArrival; isEarly: boolean; endPending: () => boolean}>;
+type PendingRequest = Readonly<{arrival: RequestArrival; endPending: () => boolean}>;
 
 /** Returns whether the response waits behind another one of its connection, which has the socket until then. */
 function hasToWait(response: ServerResponse): boolean {
@@ -256,7 +256,7 @@
 					return;
 				}
 
-				await receiveExchange(createCallerExchange({message, head, body: result.body}, response, exchangeHost), response, {arrival, isEarly, endPending});
+				await receiveExchange(createCallerExchange({message, head, body: result.body}, response, exchangeHost), response, {arrival, endPending});
 			}
 		}
 	}
@@ -307,11 +307,10 @@
 	}
 
 	/** Begins a request whose body has arrived, once the news that its placement needs are known. */
-	async function receiveExchange(exchange: CallerExchange, response: ServerResponse, {arrival, isEarly, endPending}: PendingRequest): Promise<void> {
+	async function receiveExchange(exchange: CallerExchange, response: ServerResponse, {arrival, endPending}: PendingRequest): Promise<void> {
 		const {head, hasCallerLeft} = exchange;
 		await host.waitForNews();
 		intake.receive({
-			hasWaited: (arrival.delays.unreadMs > 0 && !isEarly) || connections.wasHeld(exchange.message.socket),
 			hasCallerLeft,
 			begin() {
 				if (endPending()) {
--- a/packages/gateway/src/intake-runner.ts
+++ b/packages/gateway/src/intake-runner.ts
@@ -1,7 +1,6 @@
 /**
-Begins received requests. While the event loop reads without delay, a request is begun as soon as it has been read. One that
-may have waited is begun only after the loop has read the closes that arrived with it, and only for a limited time a turn, so
-that the loop goes on reading.
+Begins received requests, each after the loop has read the close that may have arrived with it, and only for a limited time a turn, so that
+the loop goes on reading.
 */
 import {createRequestIntake, getOverdueFailure} from '@currantcross/core/gateway/request-intake';
 import type {Failure} from '@currantcross/core/errors';
@@ -9,8 +8,6 @@
 
 /** A received request that waits to be begun. */
 export type IntakeEntry = Readonly<{
-	/** Whether the request may have waited before, so that its caller may have left. */
-	hasWaited: boolean;
 	hasCallerLeft(): boolean;
 	begin(): void;
 	refuse(failure: Failure): void;
@@ -81,11 +78,6 @@
 
 	return {
 		receive(entry) {
-			if (!entry.hasWaited && intake.isEmpty()) {
-				startEntry(entry);
-				return;
-			}
-
 			intake.add(entry, performance.now());
 			schedule();
 		},
--- a/packages/standins/src/impatient-callers.ts
+++ b/packages/standins/src/impatient-callers.ts
@@ -29,6 +29,8 @@
 export type RoundResult = Readonly<{
 	/** Times between the caller's leaving and the arrival at a server, for requests that arrived after it. */
 	lateArrivalsMs: readonly number[];
+	/** Ids of these requests. */
+	lateRequestIds: readonly string[];
 	arrivals: number;
 	responses: number;
 	/** Responses with the status 200. */
@@ -90,8 +92,10 @@
 	await wait(settleMs);
 	const leftAtById = new Map(calls.map(({requestId, leftAt}) => [requestId, leftAt]));
 	const roundArrivals = servers.arrivals.filter(({requestId}) => leftAtById.has(requestId));
+	const lateArrivals = roundArrivals.map(({requestId, at}) => ({requestId, lateMs: at - (leftAtById.get(requestId) ?? Number.POSITIVE_INFINITY)})).filter(({lateMs}) => lateMs > 0);
 	return {
-		lateArrivalsMs: roundArrivals.map(({requestId, at}) => at - (leftAtById.get(requestId) ?? Number.POSITIVE_INFINITY)).filter(ms => ms > 0),
+		lateArrivalsMs: lateArrivals.map(({lateMs}) => lateMs),
+		lateRequestIds: lateArrivals.map(({requestId}) => requestId),
 		arrivals: roundArrivals.length,
 		responses: calls.filter(({leftAt}) => leftAt === undefined).length,
 		served: calls.filter(({status}) => status === okStatus).length,
