Read once more before a request is written to a new connection

Servers got requests whose callers had left while a connection to the server was opened: a gateway that is starved of processor time opens one for 0.4 to 0.7 s (sendDelayed), and undici writes the request in the turn in which it is open.

Same class: the end of a wait is handled before the caller's close, which came first. Now a connection is passed on two turns later, in which the close cancels the request. One that is lost meanwhile counts as unused, so that the request may be sent elsewhere.

The unit test fails without the wait.

--- a/packages/gateway/src/endpoint-client.ts
+++ b/packages/gateway/src/endpoint-client.ts
@@ -8,6 +8,7 @@
 import type {SendId} from '@currantcross/core/gateway/gateway-events';
 import {createPieceInterceptor} from '@currantcross/endpoint/body-pieces';
 import {createHeldConnections} from '@currantcross/endpoint/held-connections';
+import {createLateConnector, unusedConnectionLostCode} from '@currantcross/endpoint/late-connector';
 import {createResetDetector} from '@currantcross/endpoint/reset-detector';
 import {type Dispatcher, errors, Pool} from 'undici';
 import VError from 'verror';
@@ -75,7 +76,7 @@
 
 /** Error codes that rule out that any part of the request was written. */
 const connectErrorCodes: ReadonlySet<string> = new Set([
-	'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'EMFILE', 'UND_ERR_CONNECT_TIMEOUT',
+	'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'EMFILE', 'UND_ERR_CONNECT_TIMEOUT', unusedConnectionLostCode,
 ]);
 
 /** Maximum length of a response body, which the gateway may have to hold until it is complete. */
@@ -139,6 +140,7 @@
 		heldConnections.watchConnection(socket);
 		responseGuard.watchConnection(socket);
 	});
+	const connect = createLateConnector(resetDetector.connect);
 
 	function resumeSend(openSend: OpenSend): void {
 		openSend.isPaused = false;
@@ -158,7 +160,7 @@
 
 	function getPool(address: string): Dispatcher {
 		const pool = pools.get(address) ?? new Pool(`http://${address}`, {
-			connect: resetDetector.connect,
+			connect,
 			keepAliveTimeout: keepAliveTimeoutMs,
 			keepAliveTimeoutThreshold: keepAliveMarginMs,
 			headersTimeout: 0,
