Let every later send of a request wait for the close of its caller

A retry, a send after a wait for room or memory, and a resumed stream were made at once while the loop counted as up to date, which allows for 150 ms, with the caller's close unread. Found by looking for the same cause elsewhere; no caller or server was seen to suffer from it. Now only the first send of a request that has just begun is made at once, since the loop has read just before.

The test fails on the old code: expected [ 7 ] to deeply equal [].

--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -132,7 +132,7 @@
 		},
 	});
 	const driver = createGatewayDriver(gateway, {
-		client, getUnreadMs: loopMonitor.getUnreadMs, wireFormat: host.wireFormat, logger, metrics, publishChange: workExchange.publish, name: settings.name, platform: host.platform,
+		client, wireFormat: host.wireFormat, logger, metrics, publishChange: workExchange.publish, name: settings.name, platform: host.platform,
 		callerMemoryLimit: getCallerMemoryLimit(settings.memoryMb, 0),
 		readConfiguration() {
 			feed.refresh();
--- /dev/null
+++ b/packages/gateway/src/gateway-driver.test.ts
@@ -0,0 +1,76 @@
+/* eslint-disable @typescript-eslint/no-unsafe-type-assertion -- the other members of the parts are not used */
+/**
+Tests the order in which the driver performs actions and the event loop reads.
+*/
+import {setTimeout as wait} from 'node:timers/promises';
+import {createFixtureEndpoints, createFixtureGatewayRequest, fixtureIdempotentRoute} from '@currantcross/core/gateway/gateway-fixtures';
+import type {GatewayEvent} from '@currantcross/core/gateway/gateway-events';
+import {expect, test} from 'vitest';
+import {createGatewayDriver, type GatewayDriver} from './gateway-driver.js';
+
+type DriverParameters = Parameters<typeof createGatewayDriver>;
+type Exchange = Parameters<GatewayDriver['submit']>[1];
+
+const key = 1;
+const settleMs = 20;
+
+const [endpoint] = createFixtureEndpoints('shop', 1);
+
+type Run = Readonly<{driver: GatewayDriver; sent: readonly number[]; exchange: Exchange; leave(): void}>;
+
+/** Creates a driver whose gateway sends the request with each event of this kind. */
+function createRun(sendingEvent: GatewayEvent['kind']): Run {
+	const sent: number[] = [];
+	const send = {
+		kind: 'send', key, sendId: 7, endpoint, helpers: [], remainingMs: 1000, lastEventId: undefined,
+	} as const;
+	let hasLeft = false;
+	const gateway = {
+		step: ({kind}: GatewayEvent) => kind === sendingEvent ? [send] : [],
+		tryGetWakeAt: () => undefined,
+		tryGetAdmissionPriority: () => undefined,
+	} as unknown as DriverParameters[0];
+	const host = {
+		client: {
+			send({sendId}: Readonly<{sendId: number}>) {
+				sent.push(sendId);
+			},
+		},
+		wireFormat: {formatSendHead: () => [], excludedRequestHeaders: new Set()},
+	} as unknown as DriverParameters[1];
+	const exchange = {
+		message: {
+			rawHeaders: [], headers: {}, method: 'GET', url: '/',
+		}, body: new Uint8Array(0), hasCallerLeft: () => hasLeft,
+	} as unknown as Exchange;
+	return {
+		driver: createGatewayDriver(gateway, host),
+		sent,
+		exchange,
+		leave() {
+			hasLeft = true;
+		},
+	};
+}
+
+const request = createFixtureGatewayRequest(fixtureIdempotentRoute, {key});
+
+test('a request that has just been submitted is sent at once', () => {
+	const {driver, sent, exchange} = createRun('requestArrived');
+	driver.submit(request, exchange);
+	expect(sent).toEqual([7]);
+});
+
+// Guards against a later send that is made before the close of its caller is read, although the loop reads without delay.
+test('a later send of a request is left out if its caller\'s close is read in the next turn, and made otherwise', async () => {
+	const departed = createRun('timePassed');
+	departed.driver.submit(request, departed.exchange);
+	departed.driver.dispatch({kind: 'timePassed'});
+	setImmediate(departed.leave);
+	const waiting = createRun('timePassed');
+	waiting.driver.submit(request, waiting.exchange);
+	waiting.driver.dispatch({kind: 'timePassed'});
+	await wait(settleMs);
+	expect(departed.sent).toEqual([]);
+	expect(waiting.sent).toEqual([7]);
+});
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -38,8 +38,6 @@
 	metrics: GatewayMetrics;
 	/** How many bytes callers may hold in all, `Infinity` if that is not bounded. */
 	callerMemoryLimit: number;
-	/** Returns the longest time that data which is read now can have waited, or 0 while the loop reads without delay. */
-	getUnreadMs(): Milliseconds;
 	publishChange(change: PeerChange): void;
 	readConfiguration(): void;
 }>;
@@ -47,7 +45,7 @@
 export type GatewayDriver = Readonly<{
 	/** Passes an event to the gateway and performs the resulting actions. */
 	dispatch(event: GatewayEvent): void;
-	/** Starts a request. Returns the function to call if the caller disconnects. */
+	/** Starts a request, whose caller has not left by what the loop has read. Returns the function to call if the caller disconnects. */
 	submit(request: GatewayRequest, exchange: CallerExchange): () => void;
 	close(): void;
 }>;
@@ -86,6 +84,8 @@
 	/** Sends that wait until the loop has read what has arrived. */
 	const heldSends = new Set<SendId>();
 	const throttle = createResponseThrottle({...host, dispatch: dispatchRelayEvent});
+	/** Request that is being submitted. */
+	let submittedKey: RequestKey | undefined;
 	let timer: NodeJS.Timeout | undefined;
 	let timerDueAt = Number.POSITIVE_INFINITY;
 
@@ -484,11 +484,11 @@
 	}
 
 	/**
-	Sends a request. After a delay of the loop its caller's close may be among what has not been read yet; then the send waits for
-	that, and is left out if it is cancelled or the caller has left.
+	Sends a request. The caller's close may be among what the loop has not read yet, unless the request has just been submitted, before which
+	the loop has read. The send waits for that, and is left out if it is cancelled or the caller has left.
 	*/
 	function performSend(action: SendAction): void {
-		if (host.getUnreadMs() === 0) {
+		if (action.key === submittedKey) {
 			startSend(action, action.remainingMs);
 			return;
 		}
@@ -584,7 +584,9 @@
 		dispatch,
 		submit(request, exchange) {
 			openRequests.set(request.key, {request, exchange});
+			submittedKey = request.key;
 			dispatch({kind: 'requestArrived', request});
+			submittedKey = undefined;
 			return () => {
 				dispatchRelayEvent(request.key, {kind: 'clientGone'});
 			};
