Count a request's age from when its connection may have arrived

A deadline and the times of a request counted from its reading, less the delay of the loop, although its connection may have waited seconds to be accepted, or been held: up to 9 s in the starved gateways (acceptMs).

Now the age is that of what is parsed. So a gateway whose accepts are behind opens connections to itself, five a second at most. Connections are accepted in order; what comes after such a probe is younger.

--- a/packages/core/src/loop-monitor.ts
+++ b/packages/core/src/loop-monitor.ts
@@ -11,12 +11,16 @@
 	getUnacceptedMs(): Milliseconds;
 	/** Records that the server has accepted a connection. */
 	recordAccept(): void;
+	/** Records that all connections have been accepted that had arrived before the given time. */
+	recordAcceptedUntil(at: Timestamp): void;
 	close(): void;
 }>;
 
 export type LoopMonitorHost = Readonly<{
 	/** Called after each tick with the time by which it was late, and the longest time that a connection which is accepted now can have waited. */
 	onTick(delayMs: Milliseconds, unacceptedMs: Milliseconds): void;
+	/** Called at each tick while connections have been accepted in each turn since the last one, so that others may have waited all the time. */
+	onAcceptsBehind?(): void;
 }>;
 
 const tickIntervalMs: Milliseconds = 100;
@@ -39,6 +43,10 @@
 	let acceptedCount = 0;
 	let isCheckingAccepts = false;
 
+	function recordAcceptedUntil(at: Timestamp): void {
+		acceptedUntil = Math.max(acceptedUntil, at);
+	}
+
 	/** Notes the time of the first complete turn of the loop that accepts nothing. A turn accepts one connection of those that wait. */
 	function checkAccepts(): void {
 		const now = performance.now();
@@ -51,7 +59,7 @@
 			}
 
 			isCheckingAccepts = false;
-			acceptedUntil = now;
+			recordAcceptedUntil(now);
 		});
 	}
 
@@ -63,7 +71,9 @@
 		waitForReads(() => {
 			readUntil = now;
 		});
-		if (!isCheckingAccepts) {
+		if (isCheckingAccepts) {
+			host.onAcceptsBehind?.();
+		} else {
 			checkAccepts();
 		}
 	}, tickIntervalMs);
@@ -74,6 +84,7 @@
 		recordAccept() {
 			acceptedCount += 1;
 		},
+		recordAcceptedUntil,
 		close() {
 			clearInterval(timer);
 		},
--- a/packages/daemon/src/logger.ts
+++ b/packages/daemon/src/logger.ts
@@ -15,7 +15,7 @@
 		| 'settingsReloaded' | 'settingsRefused' | 'clockJumped' | 'callersBounded' | 'peerFound' | 'peerLost' | 'readinessChanged' | 'linesDropped'
 		| 'orderRefused' | 'orderFailed' | 'serverCrashed' | 'segmentQuarantined' | 'segmentReleased' | 'segmentTried'
 		| 'quarantineNotRecorded' | 'crashesNotRecorded' | 'quarantineNotRemoved' | 'limitChanged' | 'paceObserved' | 'endpointCold' | 'endpointWarm'
-		| 'feedSourceChanged' | 'readerLost' | 'followerLost' | 'readerStateRefused' | 'entryUnusable' | 'loopStalled' | 'acceptDelayed' | 'requestDropped' | 'requestHeld' | 'sendDelayed'
+		| 'feedSourceChanged' | 'readerLost' | 'followerLost' | 'readerStateRefused' | 'entryUnusable' | 'loopStalled' | 'acceptDelayed' | 'acceptProbeFailed' | 'requestDropped' | 'requestHeld' | 'sendDelayed'
 		| 'responsePaused' | 'responseFragmented';
 
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
--- a/packages/gateway/src/caller-server.test.ts
+++ b/packages/gateway/src/caller-server.test.ts
@@ -22,7 +22,9 @@
 
 /** Returns a monitor of a loop that reads with this delay and accepts without. */
 function createLoopFixture(unreadMs: number): Parameters<typeof startCallerServer>[2]['loopMonitor'] {
-	return {getUnreadMs: () => unreadMs, getUnacceptedMs: () => 0, recordAccept: () => undefined};
+	return {
+		getUnreadMs: () => unreadMs, getUnacceptedMs: () => 0, recordAccept: () => undefined, recordAcceptedUntil: () => undefined,
+	};
 }
 
 type RequestHandler = Parameters<typeof startCallerServer>[2]['handleRequest'];
@@ -61,6 +63,7 @@
 		waitForNews: async () => undefined,
 		loopMonitor: createLoopFixture(0),
 		recordRefusal: () => undefined,
+		recordProbeFailure: () => undefined,
 		recordDeparture: () => undefined,
 		recordBound(bound) {
 			bounds.push(bound);
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -16,6 +16,7 @@
 import type {LoopMonitor} from '@currantcross/core/loop-monitor';
 import type {ServingLimits} from '@currantcross/core/gateway/gateway-types';
 import type {Milliseconds, Timestamp} from '@currantcross/core/types';
+import {createAcceptProber} from './accept-prober.js';
 import {createCallerExchange, type CallerExchange} from './caller-exchange.js';
 import {createEarlyRequestRunner, type EarlyEntry} from './early-request-runner.js';
 import type {CallerHead, WireFormat} from './gateway-hosts.js';
@@ -30,7 +31,7 @@
 
 export type CallerServerHost = Readonly<{
 	wireFormat: WireFormat;
-	loopMonitor: Pick<LoopMonitor, 'getUnreadMs' | 'getUnacceptedMs' | 'recordAccept'>;
+	loopMonitor: Pick<LoopMonitor, 'getUnreadMs' | 'getUnacceptedMs' | 'recordAccept' | 'recordAcceptedUntil'>;
 	isDraining(): boolean;
 	/** Returns whether requests that arrive now are held until they can be checked. */
 	isHolding(): boolean;
@@ -44,6 +45,8 @@
 	recordRefusal(head: CallerHead, arrival: RequestArrival, failure: Failure): void;
 	/** Records that a request was refused, or a connection closed, because of a bound on what callers make the gateway hold. */
 	recordBound(bound: CallerBound): void;
+	/** Records that a probe of how long connections wait to be accepted has failed, with the code of its error. */
+	recordProbeFailure(code: string): void;
 	/** Records a request that is not begun since its caller has left. */
 	recordDeparture(head: CallerHead, arrival: RequestArrival): void;
 }>;
@@ -64,6 +67,8 @@
 	refusePending(failure: Failure): void;
 	/** Accepts the connections that callers have opened, for `maximumMs` at most. Then stops listening, and closes the idle connections. */
 	stopListening(maximumMs: Milliseconds): Promise<void>;
+	/** Finds out how long connections wait to be accepted. */
+	probeAccepts(): void;
 	/** Returns the number of open connections. */
 	getConnectionCount(): number;
 	/** Stops listening and closes all connections. */
@@ -127,6 +132,7 @@
 	});
 	/** Functions that give way for a response, by the functions that break it off. */
 	const responseHolders = new WeakMap<() => void, GiveWay>();
+	const prober = createAcceptProber({recordFailure: host.recordProbeFailure});
 	let refusedCount = 0;
 	let acceptedCount = 0;
 	let maximumBodyBytes = defaultMaximumBodyBytes;
@@ -224,7 +230,7 @@
 			: undefined;
 		const bodyTimer = setTimeout(() => {
 			refusePendingRequest(createNotRunFailure('deadlineExceeded', 'the body did not arrive'));
-		}, Math.max(0, (head.remainingMs ?? defaultBodyTimeoutMs) - arrival.delays.unreadMs));
+		}, Math.max(0, (head.remainingMs ?? defaultBodyTimeoutMs) - arrival.delays.totalMs));
 		const result = await reading.result;
 		clearTimeout(bodyTimer);
 		if (response.headersSent) {
@@ -282,7 +288,7 @@
 
 				resolve(false);
 			});
-			early.admit(entry, {remainingMs: head.remainingMs, unreadMs: arrival.delays.unreadMs});
+			early.admit(entry, {remainingMs: head.remainingMs, unreadMs: arrival.delays.totalMs});
 		});
 		if (!isKept) {
 			return;
@@ -394,7 +400,12 @@
 	server.on('connection', socket => {
 		acceptedCount += 1;
 		host.loopMonitor.recordAccept();
-		connections.add(socket);
+		const probedAt = prober.tryTakeProbe(socket);
+		if (probedAt === undefined) {
+			connections.add(socket);
+		} else {
+			host.loopMonitor.recordAcceptedUntil(probedAt);
+		}
 	});
 	const port = await listen(server, {...address, backlog: connectionBacklog});
 	return {
@@ -432,8 +443,12 @@
 			net.Server.prototype.close.call(server);
 			connections.closeIdle();
 		},
+		probeAccepts() {
+			prober.probe({...address, port});
+		},
 		getConnectionCount: connections.getCount,
 		close() {
+			prober.close();
 			for (const exchange of openExchanges) {
 				exchange.breakConnection();
 			}
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -111,6 +111,9 @@
 				logger.warn('acceptDelayed', {unacceptedMs: Math.round(unacceptedMs)});
 			}
 		},
+		onAcceptsBehind() {
+			callerServer.probeAccepts();
+		},
 	});
 	let lastRequestKey = 0;
 	let stoppedAt: number | undefined;
@@ -237,7 +240,7 @@
 	}
 
 	function recordDeparture(head: CallerHead, {readAt, delays}: RequestArrival): void {
-		metrics.recordRequest('clientGone', delays.unreadMs);
+		metrics.recordRequest('clientGone', delays.totalMs);
 		metrics.recordDelays(delays);
 		logger.info('requestDropped', {request: head.requestId, ...formatDelays(delays), waitedMs: Math.round(performance.now() - readAt)});
 	}
@@ -254,7 +257,7 @@
 		}
 
 		const {route, organisation} = grantOrFailure;
-		const arrivedAt = readAt - delays.unreadMs;
+		const arrivedAt = readAt - delays.totalMs;
 		metrics.recordDelays(delays);
 		lastRequestKey += 1;
 		return driver.submit({
@@ -310,6 +313,9 @@
 		recordDeparture,
 		loopMonitor,
 		recordRefusal,
+		recordProbeFailure(code) {
+			logger.warn('acceptProbeFailed', {reason: code});
+		},
 		recordBound(bound) {
 			metrics.recordCallerBound(bound);
 			logger.warn('callersBounded', {bound});
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -363,7 +363,7 @@
 					fingerprint: openRequest?.fingerprint,
 					priority: openRequest?.priority,
 					...formatDelays(openRequest?.delays ?? noDelays),
-					waitedMs: openRequest === undefined ? undefined : Math.round(performance.now() - openRequest.arrivedAt - openRequest.delays.unreadMs),
+					waitedMs: openRequest === undefined ? undefined : Math.round(performance.now() - openRequest.arrivedAt - openRequest.delays.totalMs),
 					configurationAgeMs: Math.round(gateway.getConfigurationAgeMs(performance.now())),
 				});
 				return;
--- a/packages/gateway/src/response-throttle.test.ts
+++ b/packages/gateway/src/response-throttle.test.ts
@@ -122,8 +122,11 @@
 		checkHead: () => undefined,
 		handleRequest,
 		waitForNews: async () => undefined,
-		loopMonitor: {getUnreadMs: () => 0, getUnacceptedMs: () => 0, recordAccept: () => undefined},
+		loopMonitor: {
+			getUnreadMs: () => 0, getUnacceptedMs: () => 0, recordAccept: () => undefined, recordAcceptedUntil: () => undefined,
+		},
 		recordRefusal: () => undefined,
+		recordProbeFailure: () => undefined,
 		recordDeparture: () => undefined,
 		recordBound: () => undefined,
 	});
