Begin no request while its connection is held

A caller that sends a body in tiny chunks behind a request and leaves had the request begun: the pacer holds the connection until the rest is parsed, and the close lies behind it. Now such a request waits until its connection is read again, for as long as a request may wait to be begun, and is refused as not run after that.

--- a/packages/caller/src/caller-connections.ts
+++ b/packages/caller/src/caller-connections.ts
@@ -5,6 +5,7 @@
 import type {Socket} from 'node:net';
 import {noDelays, type ArrivalDelays} from '@currantcross/core/arrival-delays';
 import {headPartBytes, type CallerMemory} from '@currantcross/core/gateway/caller-memory';
+import type {Milliseconds} from '@currantcross/core/types';
 import {createInputPacer, type InputPacerHost, type PacedInput} from './input-pacer.js';
 
 /** The bound because of which a connection is closed or a request is refused; `head` is that on a request's form, length and time. */
@@ -28,8 +29,8 @@
 	handleClientError(error: Readonly<Error & {code?: string}>, socket: Socket): void;
 	/** Returns whether no further request of the connection is served. */
 	isClosing(socket: Socket): boolean;
-	/** Returns whether a connection was ever not read for a while, so that its caller may have left meanwhile. */
-	wasHeld(socket: Socket): boolean;
+	/** Waits until a connection is read, so that its caller's close is, for `maximumMs` at most. Returns whether that is so. */
+	waitUntilRead(socket: Socket, maximumMs: Milliseconds): Promise<boolean>;
 	/** Returns how long the request may have waited whose head is handled now. */
 	getDelays(socket: Socket): ArrivalDelays;
 	getCount(): number;
@@ -274,7 +275,7 @@
 			}
 		},
 		isClosing: socket => connections.get(socket)?.isClosing === true,
-		wasHeld: socket => connections.get(socket)?.input.wasHeld() === true,
+		waitUntilRead: async (socket, maximumMs) => await connections.get(socket)?.input.waitForRelease(maximumMs) ?? true,
 		getDelays: socket => connections.get(socket)?.input.getDelays() ?? noDelays,
 		getCount: () => connections.size,
 		closeIdle() {
--- a/packages/caller/src/input-pacer.ts
+++ b/packages/caller/src/input-pacer.ts
@@ -14,8 +14,8 @@
 export type PacedInput = Readonly<{
 	/** Returns the bytes that were read and wait to be parsed. */
 	getWaitingBytes(): number;
-	/** Returns whether the connection was ever held, so that its caller may have left meanwhile. */
-	wasHeld(): boolean;
+	/** Waits until the connection isn't held, so that the loop reads its close, for `maximumMs` at most. Returns whether that is so. */
+	waitForRelease(maximumMs: Milliseconds): Promise<boolean>;
 	/** Returns how long what is parsed now may have waited. */
 	getDelays(): ArrivalDelays;
 }>;
@@ -64,7 +64,7 @@
 type HoldableReading = Readonly<{
 	hold(): void;
 	release(): void;
-	wasHeld(): boolean;
+	waitForRelease(maximumMs: Milliseconds): Promise<boolean>;
 	/** Records a read and returns how long what it brought may have waited. */
 	recordRead(byteCount: number): ReadDelays;
 }>;
@@ -76,8 +76,8 @@
 function createHoldableReading(socket: Socket, host: InputPacerHost): HoldableReading {
 	const pause = socket.pause.bind(socket);
 	const resume = socket.resume.bind(socket);
+	const releaseListeners = new Set<() => void>();
 	let isHeld = false;
-	let wasHeld = false;
 	let isWanted = true;
 	let gap: Gap | undefined;
 	let readCount = 0;
@@ -112,7 +112,6 @@
 		hold() {
 			gap ??= {cause: 'hold', since: performance.now()};
 			isHeld = true;
-			wasHeld = true;
 			pause();
 		},
 		release() {
@@ -124,8 +123,29 @@
 			if (isWanted) {
 				resume();
 			}
+
+			for (const handleRelease of releaseListeners) {
+				handleRelease();
+			}
+		},
+		async waitForRelease(maximumMs) {
+			if (!isHeld) {
+				return true;
+			}
+
+			return new Promise(resolve => {
+				const end = (): void => {
+					clearTimeout(timer);
+					releaseListeners.delete(end);
+					socket.off('close', end);
+					resolve(!isHeld || socket.destroyed);
+				};
+
+				const timer = setTimeout(end, maximumMs);
+				releaseListeners.add(end);
+				socket.once('close', end);
+			});
 		},
-		wasHeld: () => wasHeld,
 		recordRead(byteCount) {
 			readCount += 1;
 			const gapMs = gap === undefined ? 0 : performance.now() - gap.since;
@@ -234,7 +254,7 @@
 		getWaitingBytes() {
 			return waiting.reduce((sum, {bytes}) => sum + bytes.length, 0) - parsedBytes;
 		},
-		wasHeld: reading.wasHeld,
+		waitForRelease: reading.waitForRelease,
 		getDelays() {
 			if (parsedRead === undefined) {
 				return noDelays;
@@ -265,7 +285,7 @@
 			const onData = findLastListener(socket, 'data');
 			const onEnd = findLastListener(socket, 'end');
 			if (onData === undefined || onEnd === undefined) {
-				return {getWaitingBytes: () => 0, wasHeld: () => false, getDelays: () => noDelays};
+				return {getWaitingBytes: () => 0, waitForRelease: async () => true, getDelays: () => noDelays};
 			}
 
 			const input = createPacedInput(socket, {
--- a/packages/gateway/src/caller-server.test.ts
+++ b/packages/gateway/src/caller-server.test.ts
@@ -314,3 +314,27 @@
 	await expect.poll(() => begun + departed, {timeout: 20_000}).toBe(1);
 	expect({begun, departed}).toEqual({begun: 0, departed: 1});
 });
+
+// Guards against a request that is begun while the connection, and with it its caller's close, isn't read because of what follows it.
+test('a request is not begun whose caller sends a body in chunks of one byte behind it and leaves', async () => {
+	const begun: string[] = [];
+	let departed = 0;
+	const {port, setLimits} = await startServer(exchange => {
+		begun.push(exchange.message.url ?? '');
+		return () => undefined;
+	}, {
+		recordDeparture() {
+			departed += 1;
+		},
+	});
+	setLimits({
+		maximumHeaderBytes: 65_536, maximumBodyBytes: 100_000, headerTimeoutMs: 5000, idleTimeoutMs: 20_000,
+	});
+	const socket = net.connect(port, '127.0.0.1');
+	socket.on('error', () => undefined);
+	const fragmented = `POST /b HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n${'1\r\nx\r\n'.repeat(20_000)}0\r\n\r\n`;
+	socket.write(`GET /a HTTP/1.1\r\nHost: a.example\r\n\r\n${fragmented}`);
+	socket.destroySoon();
+	await expect.poll(() => begun.length + departed, {timeout: 20_000}).toBeGreaterThan(0);
+	expect(begun).toEqual([]);
+});
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -15,12 +15,13 @@
 import {listen} from '@currantcross/core/listen';
 import type {LoopMonitor} from '@currantcross/core/loop-monitor';
 import type {ServingLimits} from '@currantcross/core/gateway/gateway-types';
+import {maximumIntakeWaitMs} from '@currantcross/core/gateway/request-intake';
 import type {Milliseconds, Timestamp} from '@currantcross/core/types';
 import {createAcceptProber} from './accept-prober.js';
 import {createCallerExchange, type CallerExchange} from './caller-exchange.js';
 import {createEarlyRequestRunner, type EarlyEntry} from './early-request-runner.js';
 import type {CallerHead, WireFormat} from './gateway-hosts.js';
-import {createIntakeRunner} from './intake-runner.js';
+import {createIntakeRunner, type IntakeEntry} from './intake-runner.js';
 import type {SocketAddress} from './settings.js';
 
 /** When a request's head was handled, and how long it may have waited before. */
@@ -314,9 +315,8 @@
 
 	/** Begins a request whose body has arrived, once the news that its placement needs are known. */
 	async function receiveExchange(exchange: CallerExchange, response: ServerResponse, {arrival, endPending}: PendingRequest): Promise<void> {
-		const {head, hasCallerLeft} = exchange;
-		await host.waitForNews();
-		intake.receive({
+		const {head, message, hasCallerLeft} = exchange;
+		const entry: IntakeEntry = {
 			hasCallerLeft,
 			begin() {
 				if (endPending()) {
@@ -333,7 +333,14 @@
 				endPending();
 				host.recordDeparture(head, arrival);
 			},
-		});
+		};
+		await host.waitForNews();
+		// Behind what is held of the connection there may be its close.
+		if (await connections.waitUntilRead(message.socket, maximumIntakeWaitMs)) {
+			intake.receive(entry);
+		} else {
+			intake.refuse(entry);
+		}
 	}
 
 	function startRequest(exchange: CallerExchange, response: ServerResponse, arrival: RequestArrival): void {
--- a/packages/gateway/src/intake-runner.ts
+++ b/packages/gateway/src/intake-runner.ts
@@ -17,6 +17,8 @@
 
 export type IntakeRunner = Readonly<{
 	receive(entry: IntakeEntry): void;
+	/** Refuses a request that has waited too long already. */
+	refuse(entry: IntakeEntry): void;
 }>;
 
 /** Time for which requests are begun before the loop reads again. */
@@ -81,5 +83,6 @@
 			intake.add(entry, performance.now());
 			schedule();
 		},
+		refuse: handleOverdue,
 	};
 }
