Read nothing from a new connection before its client does

The wait before a connection is passed on let the stream read: a client that found bytes on its new connection before it had written a request took them for an error and opened another one at once, without end. The wait now pauses the connection, before its watchers listen. The agents' engine client waits in the same way, since its prompts may be cancelled; the store's client and that of business services, whose calls are not cancelled, don't.

--- a/packages/gateway/src/accept-prober.ts
+++ b/packages/caller/src/accept-prober.ts
@@ -4,7 +4,9 @@
 */
 import net, {type Socket} from 'node:net';
 import type {Milliseconds, Timestamp} from '@currantcross/core/types';
-import type {SocketAddress} from './settings.js';
+
+/** The address on which a server listens. */
+type SocketAddress = Readonly<{host: string; port: number}>;
 
 export type AcceptProber = Readonly<{
 	/** Opens a probe to the address on which the server listens, unless the last one is recent or many are under way. */
--- a/packages/endpoint/src/business-service.ts
+++ b/packages/endpoint/src/business-service.ts
@@ -5,7 +5,9 @@
 import type {
 	Milliseconds, Ran, ServiceAnswer, ServiceWork,
 } from '@currantcross/core/types';
-import {Agent, request, type Dispatcher} from 'undici';
+import {
+	Agent, buildConnector, request, type Dispatcher,
+} from 'undici';
 import {createPieceInterceptor} from './body-pieces.js';
 import {createHeldConnections} from './held-connections.js';
 import {createResetDetector, createResetInterceptor} from './reset-detector.js';
@@ -47,7 +49,7 @@
 export function createBusinessServiceClient(url: string): BusinessServiceClient {
 	// Connections are not reused: a call that fails on a stale connection can't be told from a call that ran.
 	const heldConnections = createHeldConnections();
-	const resetDetector = createResetDetector({}, heldConnections.watchConnection);
+	const resetDetector = createResetDetector(buildConnector({}), heldConnections.watchConnection);
 	const dispatcher = new Agent({
 		pipelining: 0, keepAliveTimeout: 1, maxResponseSize: maximumAnswerBytes, connect: resetDetector.connect,
 	}).compose(heldConnections.intercept, createResetInterceptor(resetDetector), createPieceInterceptor());
--- a/packages/endpoint/src/held-connections.ts
+++ b/packages/endpoint/src/held-connections.ts
@@ -3,7 +3,7 @@
 either. The parser of undici is never paused itself; it fails with an error that nothing catches if the connection then ends.
 */
 import type {Socket} from 'node:net';
-import {buildConnector, type Dispatcher} from 'undici';
+import type {buildConnector, Dispatcher} from 'undici';
 import {createWrappedController} from './wrapped-controller.js';
 
 export type HeldConnections = Readonly<{
@@ -67,9 +67,8 @@
 	};
 }
 
-/** Returns a connector whose connections can be held. */
-export function createHeldConnector(options: buildConnector.BuildOptions, {watchConnection}: HeldConnections): buildConnector.connector {
-	const connect = buildConnector(options);
+/** Returns a connector whose connections, which `connect` opens, can be held. */
+export function createHeldConnector(connect: buildConnector.connector, {watchConnection}: HeldConnections): buildConnector.connector {
 	return (connectOptions, callback) => {
 		connect(connectOptions, (...[error, socket]) => {
 			if (error !== null) {
--- a/packages/endpoint/src/late-connector.ts
+++ b/packages/endpoint/src/late-connector.ts
@@ -3,27 +3,22 @@
 and not been read, so the loop reads once more before the request is written.
 */
 import {waitForReads} from '@currantcross/core/loop-monitor';
-import type {buildConnector} from 'undici';
-import VError from 'verror';
-
-/** Code of the error for a connection that was lost before anything was written to it. */
-export const unusedConnectionLostCode = 'CONNECTION_LOST_UNUSED';
+import {buildConnector} from 'undici';
 
 /** Returns a connector that passes a connection on after the loop has read once more. */
-export function createLateConnector(connect: buildConnector.connector): buildConnector.connector {
-	return (options, callback) => {
-		connect(options, (...[error, socket]) => {
+export function createLateConnector(options: buildConnector.BuildOptions): buildConnector.connector {
+	const connect = buildConnector(options);
+	return (connectOptions, callback) => {
+		connect(connectOptions, (...[error, socket]) => {
 			if (error !== null) {
 				callback(error, socket);
 				return;
 			}
 
+			// The client takes bytes that it finds on a new connection for an error, and would open another one at once.
+			socket.pause();
 			waitForReads(() => {
-				if (socket.destroyed) {
-					callback(Object.assign(new VError('the connection was lost before it was used'), {code: unusedConnectionLostCode}), null);
-				} else {
-					callback(error, socket);
-				}
+				callback(error, socket);
 			});
 		});
 	};
--- a/packages/endpoint/src/reset-detector.ts
+++ b/packages/endpoint/src/reset-detector.ts
@@ -7,7 +7,7 @@
 */
 import type {Socket} from 'node:net';
 import process from 'node:process';
-import {buildConnector, errors, type Dispatcher} from 'undici';
+import {type buildConnector, errors, type Dispatcher} from 'undici';
 
 export type ResetDetector = Readonly<{
 	/** Opens connections whose resets are detected. */
@@ -16,9 +16,8 @@
 	isHandlingReset(): boolean;
 }>;
 
-/** Creates a detector for the connections of one client. `onConnection` is called with each of them before it is used. */
-export function createResetDetector(options: buildConnector.BuildOptions, onConnection?: (socket: Socket) => void): ResetDetector {
-	const connect = buildConnector(options);
+/** Creates a detector for the connections that a client opens with `connect`. `onConnection` is called with each of them before it is used. */
+export function createResetDetector(connect: buildConnector.connector, onConnection?: (socket: Socket) => void): ResetDetector {
 	let isHandlingReset = false;
 
 	/** Responses end synchronously while undici handles the events of their socket. */
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -4,6 +4,7 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import net from 'node:net';
 import {setImmediate as setImmediatePromise} from 'node:timers/promises';
+import {createAcceptProber} from '@currantcross/caller/accept-prober';
 import {createBodyReader} from '@currantcross/caller/body-reader';
 import {createCallerConnections, type CallerBound, type GiveWay} from '@currantcross/caller/caller-connections';
 import {drainUnreadBody} from '@currantcross/caller/unread-body';
@@ -17,7 +18,6 @@
 import type {ServingLimits} from '@currantcross/core/gateway/gateway-types';
 import {maximumIntakeWaitMs} from '@currantcross/core/gateway/request-intake';
 import type {Milliseconds, Timestamp} from '@currantcross/core/types';
-import {createAcceptProber} from './accept-prober.js';
 import {createCallerExchange, type CallerExchange} from './caller-exchange.js';
 import {createEarlyRequestRunner, type EarlyEntry} from './early-request-runner.js';
 import type {CallerHead, WireFormat} from './gateway-hosts.js';
--- a/packages/gateway/src/endpoint-client.ts
+++ b/packages/gateway/src/endpoint-client.ts
@@ -8,7 +8,7 @@
 import type {SendId} from '@currantcross/core/gateway/gateway-events';
 import {createPieceInterceptor} from '@currantcross/endpoint/body-pieces';
 import {createHeldConnections} from '@currantcross/endpoint/held-connections';
-import {createLateConnector, unusedConnectionLostCode} from '@currantcross/endpoint/late-connector';
+import {createLateConnector} from '@currantcross/endpoint/late-connector';
 import {createResetDetector} from '@currantcross/endpoint/reset-detector';
 import {type Dispatcher, errors, Pool} from 'undici';
 import VError from 'verror';
@@ -76,7 +76,7 @@
 
 /** Error codes that rule out that any part of the request was written. */
 const connectErrorCodes: ReadonlySet<string> = new Set([
-	'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'EMFILE', 'UND_ERR_CONNECT_TIMEOUT', unusedConnectionLostCode,
+	'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'EMFILE', 'UND_ERR_CONNECT_TIMEOUT',
 ]);
 
 /** Maximum length of a response body, which the gateway may have to hold until it is complete. */
@@ -134,13 +134,12 @@
 	const responsePacer = createResponsePacer({processorShare, getReadBytes: heldConnections.getReadBytes});
 	const joinPieces = createPieceInterceptor();
 	const openSends = new Map<SendId, OpenSend>();
-	const resetDetector = createResetDetector({
+	const resetDetector = createResetDetector(createLateConnector({
 		timeout: connectTimeoutMs, keepAlive: true, keepAliveInitialDelay: 1000, autoSelectFamily: false,
-	}, socket => {
+	}), socket => {
 		heldConnections.watchConnection(socket);
 		responseGuard.watchConnection(socket);
 	});
-	const connect = createLateConnector(resetDetector.connect);
 
 	function resumeSend(openSend: OpenSend): void {
 		openSend.isPaused = false;
@@ -160,7 +159,7 @@
 
 	function getPool(address: string): Dispatcher {
 		const pool = pools.get(address) ?? new Pool(`http://${address}`, {
-			connect,
+			connect: resetDetector.connect,
 			keepAliveTimeout: keepAliveTimeoutMs,
 			keepAliveTimeoutThreshold: keepAliveMarginMs,
 			headersTimeout: 0,
