Begin requests at entries after the close behind the body, and count their age

Both tests fail on the old code: 10 requests handled where 0 are expected; failed at 2010 ms where 1510 is the latest.

--- a/packages/caller/src/caller-api.ts
+++ b/packages/caller/src/caller-api.ts
@@ -56,7 +56,7 @@
 
 /** Starts the API server and waits until it listens. */
 export async function startCallerApi(settings: CallerApiSettings, host: CallerHost): Promise<HttpServer> {
-	async function handleChat({message, readText}: HttpRequest, response: ServerResponse): Promise<void> {
+	async function handleChat({message, readText, getAgeMs}: HttpRequest, response: ServerResponse): Promise<void> {
 		const requestId = host.createRequestId();
 		const request = parseChatRequest(await readText(), host.getLongHash);
 		const cancel = () => {
@@ -73,6 +73,7 @@
 			keySha256: getBearerKeySha256(message),
 			route: request.route,
 			deadlineMs: tryGetDeadlineMs(message),
+			ageMs: getAgeMs(),
 			work: request.work,
 		}, listener);
 	}
@@ -126,7 +127,7 @@
 			host.cancel(requestId);
 		});
 		host.submit({
-			requestId, keySha256: getBearerKeySha256(request.message), route, deadlineMs: tryGetDeadlineMs(request.message), work,
+			requestId, keySha256: getBearerKeySha256(request.message), route, deadlineMs: tryGetDeadlineMs(request.message), ageMs: request.getAgeMs(), work,
 		}, createServiceListener(response, requestId));
 	}
 
--- a/packages/caller/src/http-server.test.ts
+++ b/packages/caller/src/http-server.test.ts
@@ -14,6 +14,7 @@
 import {discardTimeoutMs} from './unread-body.js';
 
 let server: HttpServer | undefined;
+let handledCount = 0;
 
 async function startEchoServer(maximumBodyBytes: number): Promise<string> {
 	server = await startHttpServer({
@@ -25,6 +26,7 @@
 			path: '/echo',
 			async handler(request, response) {
 				const text = await request.readText();
+				handledCount += 1;
 				sendJson(response, 200, {length: text.length});
 			},
 		}],
@@ -107,3 +109,25 @@
 		expect(performance.now() - startedAt).toBeLessThan(4 * discardTimeoutMs);
 	});
 });
+
+// Guards against work that is begun for callers whose close lies behind the body that has just been read.
+test('a request is not handled whose caller closes its connection right behind the body', async () => {
+	const {port} = new URL(await startEchoServer(1000));
+	const sockets = await Promise.all(Array.from({length: 10}, async () => {
+		const socket = net.connect(Number(port), '127.0.0.1');
+		socket.on('error', () => undefined);
+		await once(socket, 'connect');
+		return socket;
+	}));
+	handledCount = 0;
+	for (const socket of sockets) {
+		socket.write('POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx');
+		socket.destroySoon();
+	}
+
+	await Promise.all(sockets.map(async socket => once(socket, 'close')));
+	await new Promise(resolve => {
+		setTimeout(resolve, 200);
+	});
+	expect(handledCount).toBe(0);
+});
--- a/packages/caller/src/http-server.ts
+++ b/packages/caller/src/http-server.ts
@@ -8,8 +8,11 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import {createCallerMemory, getRequestBytes, type CallerMemory} from '@currantcross/core/gateway/caller-memory';
 import {listen} from '@currantcross/core/listen';
+import {startLoopMonitor, waitForReads} from '@currantcross/core/loop-monitor';
+import type {Milliseconds} from '@currantcross/core/types';
 import createRouter from 'find-my-way';
 import VError from 'verror';
+import {createAcceptProber} from './accept-prober.js';
 import {createBodyReader, type BodyReader} from './body-reader.js';
 import {createCallerConnections, type CallerBound, type GiveWay} from './caller-connections.js';
 import {discardTimeoutMs, drainUnreadBody} from './unread-body.js';
@@ -23,9 +26,12 @@
 	/**
 	Reads the whole body.
 
-	@throws VError named `PayloadTooLarge` if it exceeds the server's limit, `CallersBounded` if it had to give way to other callers.
+	@throws VError named `PayloadTooLarge` if it exceeds the server's limit, `CallersBounded` if it had to give way to other callers, `CallerGone`
+	if the caller has left by what the loop has read, which includes a close right behind the body.
 	*/
 	readText(): Promise<string>;
+	/** Returns the longest time for which the request can have waited since it arrived. */
+	getAgeMs(): Milliseconds;
 }>;
 
 export type HttpHandler = (request: HttpRequest, response: ServerResponse) => Promise<void> | void;
@@ -42,6 +48,8 @@
 	maximumConnections: number;
 	/** Records that a request was refused, or a connection closed, because of a bound. */
 	recordBound(bound: CallerBound): void;
+	/** Records that a probe of how long connections wait to be accepted has failed, with the code of its error. */
+	recordProbeFailure(code: string): void;
 }>;
 
 export type HttpServerSettings = Readonly<{
@@ -95,6 +103,17 @@
 	});
 }
 
+/** Lets the loop read once more, such as the close behind a request. */
+async function readOnce(): Promise<void> {
+	await new Promise<void>(resolve => {
+		waitForReads(resolve);
+	});
+}
+
+function hasCallerLeft({socket}: IncomingMessage, response: ServerResponse): boolean {
+	return response.destroyed || socket.destroyed || socket.readableEnded;
+}
+
 type ReadingContext = Readonly<{
 	maximumBodyBytes: number;
 	bodyReader: BodyReader;
@@ -136,6 +155,11 @@
 		}
 
 		case 'complete': {
+			await readOnce();
+			if (hasCallerLeft(message, response)) {
+				throw new VError({name: 'CallerGone'}, 'the caller left after the body');
+			}
+
 			const keptBytes = requestBytes + (textFactor * result.body.length);
 			memory.addKept(keptBytes);
 			response.once('close', () => {
@@ -161,12 +185,19 @@
 /** Starts a server and waits until it listens. */
 export async function startHttpServer(settings: HttpServerSettings): Promise<HttpServer> {
 	const openRequests = new Set<IncomingMessage>();
-	const {memory, maximumConnections, recordBound} = settings.bounds ?? {
-		memory: createCallerMemory<GiveWay>(), maximumConnections: Number.POSITIVE_INFINITY, recordBound: () => undefined,
+	const {memory, maximumConnections, recordBound, recordProbeFailure} = settings.bounds ?? {
+		memory: createCallerMemory<GiveWay>(), maximumConnections: Number.POSITIVE_INFINITY, recordBound: () => undefined, recordProbeFailure: () => undefined,
 	};
+	const prober = createAcceptProber({recordFailure: recordProbeFailure});
+	const loopMonitor = startLoopMonitor({
+		onTick: () => undefined,
+		onAcceptsBehind() {
+			prober.probe({host: settings.host, port});
+		},
+	});
 	const bodyReader = createBodyReader();
 	const connections = createCallerConnections({
-		maximumConnections, processorShare: 1, maximumHeadBytes, memory, recordBound, getUnreadMs: () => 0, getUnacceptedMs: () => 0,
+		maximumConnections, processorShare: 1, maximumHeadBytes, memory, recordBound, getUnreadMs: loopMonitor.getUnreadMs, getUnacceptedMs: loopMonitor.getUnacceptedMs,
 	});
 	/** Functions that break off responses which are not read. */
 	const responseHolders = new Map<ServerResponse, GiveWay>();
@@ -180,6 +211,8 @@
 	});
 
 	function handleRequest(handler: HttpHandler, message: IncomingMessage, response: ServerResponse, parameters: HttpRequest['parameters']): void {
+		const readAt = performance.now();
+		const {totalMs} = connections.getDelays(message.socket);
 		const request: HttpRequest = {
 			message,
 			url: new URL(message.url ?? '/', 'http://localhost'),
@@ -187,6 +220,7 @@
 			readText: async () => readBody(message, response, {
 				maximumBodyBytes: settings.maximumBodyBytes, bodyReader, memory, recordBound, setHeldBytes,
 			}),
+			getAgeMs: () => totalMs + performance.now() - readAt,
 		};
 		void runHandler(handler, request, response);
 	}
@@ -293,13 +327,23 @@
 		handleHead(message, response, expectationFailedStatus);
 	});
 	server.on('clientError', connections.handleClientError);
-	server.on('connection', connections.add);
+	server.on('connection', socket => {
+		loopMonitor.recordAccept();
+		const probedAt = prober.tryTakeProbe(socket);
+		if (probedAt === undefined) {
+			connections.add(socket);
+		} else {
+			loopMonitor.recordAcceptedUntil(probedAt);
+		}
+	});
 	server.keepAliveTimeout = 5000;
 	const port = await listen(server, {host: settings.host, port: settings.port});
 	return {
 		port,
 		async close() {
 			isClosing = true;
+			loopMonitor.close();
+			prober.close();
 			const bodyTimer = setTimeout(cancelUnfinishedBodies, discardTimeoutMs);
 			await new Promise<void>(resolve => {
 				server.close(() => {
--- a/packages/core/src/entry-types.ts
+++ b/packages/core/src/entry-types.ts
@@ -19,6 +19,8 @@
 	route: RouteName;
 	/** Time budget requested by the caller, if any. */
 	deadlineMs: Milliseconds | undefined;
+	/** Longest time for which the request can have waited since it arrived. */
+	ageMs: Milliseconds;
 	work: Work;
 }>;
 
--- a/packages/core/src/entry.test.ts
+++ b/packages/core/src/entry.test.ts
@@ -132,6 +132,14 @@
 		await expect(transcript).toMatchFileSnapshot('golden/entry-all-refuse.txt');
 	});
 
+	// Guards against an entry that serves a request beyond its caller's deadline, since the time before it was read isn't counted.
+	test('counts the deadline of a request from when it can have arrived', () => {
+		const request = {...createFixtureRequest('r1', createFixturePrompt(1000), 2000), ageMs: 500};
+		const steps = replaySession(createFixtureEntry(), [...initialEvents, {at: 10, event: {kind: 'requestArrived', request}}], 60_000);
+		const failedAt = steps.find(({actions}) => getFinalActions(actions).length > 0)?.at;
+		expect(failedAt).toBeLessThanOrEqual(1510);
+	});
+
 	test('fails a prompt without an answer at its deadline and reports that it may have run', async () => {
 		const {actions, transcript} = runEntry([createArrival(10, createFixturePrompt(1000), 2000)]);
 		expect(getFinalActions(actions)).toMatchObject([{kind: 'failRequest', failure: {ran: 'unknown'}}]);
--- a/packages/core/src/entry.ts
+++ b/packages/core/src/entry.ts
@@ -148,7 +148,7 @@
 			organisation: namedOrganisation.name,
 			pool: route.pool,
 			work: arrived.work,
-			deadlineAt: now + budgetMs,
+			deadlineAt: now - arrived.ageMs + budgetMs,
 		};
 		return checkWork(route, arrived.work)
 			?? checkDeadlineReachable(request, now)
--- a/packages/core/src/fixtures.ts
+++ b/packages/core/src/fixtures.ts
@@ -104,6 +104,6 @@
 /** Creates a request of the fixture organisation. */
 export function createFixtureRequest(requestId: string, work: PromptWork | ServiceWork, deadlineMs?: number): ArrivedRequest {
 	return {
-		requestId, keySha256: fixtureKeySha256, route: work.kind === 'prompt' ? 'rules' : 'shop', deadlineMs, work,
+		requestId, keySha256: fixtureKeySha256, route: work.kind === 'prompt' ? 'rules' : 'shop', deadlineMs, ageMs: 0, work,
 	};
 }
--- a/packages/daemon/src/entry-daemon.ts
+++ b/packages/daemon/src/entry-daemon.ts
@@ -231,10 +231,20 @@
 		}
 	}
 
+	function recordProbeFailure(code: string): void {
+		logger.warn('acceptProbeFailed', {reason: code});
+	}
+
 	const callerServer = await startCallerApi({
-		...settings.caller, bounds: {memory, recordBound, maximumConnections: getMaximumConnections(settings.maximumDescriptors)},
+		...settings.caller, bounds: {
+			memory, recordBound, recordProbeFailure, maximumConnections: getMaximumConnections(settings.maximumDescriptors),
+		},
 	}, callerHost);
-	const operatorServer = await startOperatorApi({...settings.operator, operatorKey, bounds: {memory, recordBound, maximumConnections: maximumOperatorConnections}}, operatorHost);
+	const operatorServer = await startOperatorApi({
+		...settings.operator, operatorKey, bounds: {
+			memory, recordBound, recordProbeFailure, maximumConnections: maximumOperatorConnections,
+		},
+	}, operatorHost);
 	const gaugeTimer = setInterval(() => {
 		metrics.recordOpenRequests(entry.getOpenRequestCount());
 	}, gaugeIntervalMs);
--- a/packages/measure/src/simulation.ts
+++ b/packages/measure/src/simulation.ts
@@ -466,6 +466,7 @@
 				keySha256: getOrganisationKeyHash(prompt.organisationIndex),
 				route: 'base',
 				deadlineMs: prompt.deadlineMs,
+				ageMs: 0,
 				work: prompt.work,
 			},
 		});
