Begin what waited while the loop stood still before refusing the rest

What can be begun in the turn is begun first. Besides, the pacer no longer keeps the bytes of a connection's last read, but their times alone.

--- a/packages/caller/src/input-pacer.ts
+++ b/packages/caller/src/input-pacer.ts
@@ -164,16 +164,18 @@
 /** The HTTP parser of a connection. */
 type InputParser = Readonly<{parse(bytes: Uint8Array): void; finish(): void}>;
 
-/** What was read at a time, and how long it may have waited before. */
-type Read = Readonly<{bytes: Uint8Array; readAt: Timestamp; delays: ReadDelays}>;
+/** When something was read, and how long it may have waited before. */
+type ReadTimes = Readonly<{readAt: Timestamp; delays: ReadDelays}>;
+
+type Read = Readonly<{bytes: Uint8Array; times: ReadTimes}>;
 
 /** Paces what a connection passes to its parser, also its end, which may be read while bytes wait. */
 function createPacedInput(socket: Socket, {parse, finish}: InputParser, allowance: ReadAllowance, host: InputPacerHost): PacedInput {
 	const reading = createHoldableReading(socket, host);
 	/** What was read and isn't parsed completely. */
 	let waiting: Read[] = [];
-	/** The read of which a part is parsed now, or was parsed last. */
-	let parsedRead: Read | undefined;
+	/** Times of the read of which a part is parsed now, or was parsed last. */
+	let parsedTimes: ReadTimes | undefined;
 	/** Bytes of the first read that are parsed. */
 	let parsedBytes = 0;
 	let hasEnded = false;
@@ -191,8 +193,8 @@
 			return;
 		}
 
-		const {bytes} = read;
-		parsedRead = read;
+		const {bytes, times} = read;
+		parsedTimes = times;
 		const {end, lines} = getNextPart(bytes, parsedBytes);
 		const part = bytes.subarray(parsedBytes, end);
 		const isLastPart = end === bytes.length;
@@ -235,7 +237,7 @@
 	}
 
 	socket.on('data', (bytes: Uint8Array) => {
-		waiting.push({bytes, readAt: performance.now(), delays: reading.recordRead(bytes.length)});
+		waiting.push({bytes, times: {readAt: performance.now(), delays: reading.recordRead(bytes.length)}});
 		if (waiting.length === 1) {
 			runTurn();
 		}
@@ -256,11 +258,11 @@
 		},
 		waitForRelease: reading.waitForRelease,
 		getDelays() {
-			if (parsedRead === undefined) {
+			if (parsedTimes === undefined) {
 				return noDelays;
 			}
 
-			const {readAt, delays: {acceptMs, heldMs, unreadMs}} = parsedRead;
+			const {readAt, delays: {acceptMs, heldMs, unreadMs}} = parsedTimes;
 			const unparsedMs = performance.now() - readAt;
 			return {
 				acceptMs, heldMs: heldMs + unparsedMs, unreadMs, totalMs: Math.max(acceptMs, heldMs, unreadMs) + unparsedMs,
--- a/packages/gateway/src/caller-server.test.ts
+++ b/packages/gateway/src/caller-server.test.ts
@@ -338,3 +338,21 @@
 	await expect.poll(() => begun.length + departed, {timeout: 20_000}).toBeGreaterThan(0);
 	expect(begun).toEqual([]);
 });
+
+// Guards against a request that is refused as overdue because the loop stood still between its reading and its start.
+test('a request that was read before the loop stood still is begun after that', async () => {
+	const {port} = await startServer(exchange => {
+		exchange.startResponse({status: 200, headers: ['Content-Length', '0']});
+		exchange.end();
+		return () => undefined;
+	}, {
+		checkHead() {
+			setImmediate(() => {
+				Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 600);
+			});
+			return undefined;
+		},
+	});
+	const {status} = await fetch(`http://127.0.0.1:${port}/`);
+	expect(status).toBe(200);
+});
--- a/packages/gateway/src/intake-runner.ts
+++ b/packages/gateway/src/intake-runner.ts
@@ -40,10 +40,6 @@
 	function runTurn(): void {
 		isScheduled = false;
 		const startedAt = performance.now();
-		for (const entry of intake.takeOverdue(startedAt)) {
-			handleOverdue(entry);
-		}
-
 		while (performance.now() - startedAt < turnBudgetMs) {
 			const entry = intake.tryTakeNewest();
 			if (entry === undefined) {
@@ -53,6 +49,11 @@
 			startEntry(entry);
 		}
 
+		// A request that could not be begun earlier, since the loop stood still, is begun if there is time for it.
+		for (const entry of intake.takeOverdue(startedAt)) {
+			handleOverdue(entry);
+		}
+
 		// What is added now becomes due in the next turn, after the loop has read once more.
 		intake.recordReads();
 		if (!intake.isEmpty()) {
