Count a complete body while its caller's close is waited for

The two turns in which an entry reads once more after a body counted it nowhere, found by reading the diff.

--- a/packages/caller/src/http-server.ts
+++ b/packages/caller/src/http-server.ts
@@ -155,16 +155,16 @@
 		}
 
 		case 'complete': {
-			await readOnce();
-			if (hasCallerLeft(message, response)) {
-				throw new VError({name: 'CallerGone'}, 'the caller left after the body');
-			}
-
 			const keptBytes = requestBytes + (textFactor * result.body.length);
 			memory.addKept(keptBytes);
 			response.once('close', () => {
 				memory.addKept(-keptBytes);
 			});
+			await readOnce();
+			if (hasCallerLeft(message, response)) {
+				throw new VError({name: 'CallerGone'}, 'the caller left after the body');
+			}
+
 			return Buffer.from(result.body.buffer, result.body.byteOffset, result.body.length).toString('utf8');
 		}
 	}
