--- a/packages/caller/src/accept-prober.test.ts
+++ b/packages/caller/src/accept-prober.test.ts
@@ -13,6 +13,8 @@
 const loadMs = 1500;
 /** Connections that wait to be accepted, below the backlog of the server. */
 const waitingCount = 400;
+/** Probes that are accepted before the load ends, however long that takes. */
+const minimumProbes = 3;
 /** Least time that a turn of the event loop takes. */
 const turnMs = 1;
 
@@ -89,7 +91,7 @@
 				open();
 			}
 
-			if (performance.now() - startedAt < loadMs) {
+			if (performance.now() - startedAt < loadMs || (areProbed && probeCount < minimumProbes)) {
 				setImmediate(run);
 			} else {
 				resolve();
