Leave out a send whose time is over once the loop has read

A later send waits for one more read, in which its deadline may pass; it was made all the same, with no time left. The request ends at its deadline as before. A variable of the stand-in callers has a plainer name, too.

--- a/packages/gateway/src/gateway-driver.test.ts
+++ b/packages/gateway/src/gateway-driver.test.ts
@@ -19,10 +19,10 @@
 type Run = Readonly<{driver: GatewayDriver; sent: readonly number[]; exchange: Exchange; leave(): void}>;
 
 /** Creates a driver whose gateway sends the request with each event of this kind. */
-function createRun(sendingEvent: GatewayEvent['kind']): Run {
+function createRun(sendingEvent: GatewayEvent['kind'], remainingMs = 1000): Run {
 	const sent: number[] = [];
 	const send = {
-		kind: 'send', key, sendId: 7, endpoint, helpers: [], remainingMs: 1000, lastEventId: undefined,
+		kind: 'send', key, sendId: 7, endpoint, helpers: [], remainingMs, lastEventId: undefined,
 	} as const;
 	let hasLeft = false;
 	const gateway = {
@@ -74,3 +74,12 @@
 	expect(departed.sent).toEqual([]);
 	expect(waiting.sent).toEqual([7]);
 });
+
+// Guards against a send whose deadline has passed while it waited for the loop to read.
+test('a later send of a request is left out if its time is over before the loop has read once more', async () => {
+	const {driver, sent, exchange} = createRun('timePassed', 0);
+	driver.submit(request, exchange);
+	driver.dispatch({kind: 'timePassed'});
+	await wait(settleMs);
+	expect(sent).toEqual([]);
+});
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -485,7 +485,7 @@
 
 	/**
 	Sends a request. The caller's close may be among what the loop has not read yet, unless the request has just been submitted, before which
-	the loop has read. The send waits for that, and is left out if it is cancelled or the caller has left.
+	the loop has read. The send waits for that, and is left out if it is cancelled, its time is over, or the caller has left.
 	*/
 	function performSend(action: SendAction): void {
 		if (action.key === submittedKey) {
@@ -496,8 +496,9 @@
 		const heldAt = performance.now();
 		heldSends.add(action.sendId);
 		waitForReads(() => {
-			if (heldSends.delete(action.sendId) && openRequests.get(action.key)?.exchange.hasCallerLeft() === false) {
-				startSend(action, action.remainingMs - (performance.now() - heldAt));
+			const remainingMs = action.remainingMs - (performance.now() - heldAt);
+			if (heldSends.delete(action.sendId) && remainingMs > 0 && openRequests.get(action.key)?.exchange.hasCallerLeft() === false) {
+				startSend(action, remainingMs);
 			}
 		});
 	}
--- a/packages/standins/src/impatient-callers.ts
+++ b/packages/standins/src/impatient-callers.ts
@@ -73,9 +73,9 @@
 async function runCaller(index: number, command: SendCommand): Promise<CallResult> {
 	const {path, delayMs, patienceMs, isNewAtSend = false} = command;
 	const requestId = `${roundCount}-${index}`;
-	const openSocketNow = isNewAtSend ? undefined : await openSocket(index, requestId, command);
+	const openedSocket = isNewAtSend ? undefined : await openSocket(index, requestId, command);
 	await wait(delayMs);
-	const socket = openSocketNow ?? openConnection(command.address);
+	const socket = openedSocket ?? openConnection(command.address);
 	const isSilent = isNewAtSend && index % silentInterval < silentCount;
 	if (!isSilent) {
 		socket.write(formatRequest(path, requestId));
