Log for each send its connection and what the response said of it

No decision changes.

Now sendEnded has connection, requestNumber, writtenBytes, status, responseId and refusal, and requestPlaced has resentAfter.

--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -19,7 +19,7 @@
 } from './memory-reservation.js';
 import type {Placement} from './placement.js';
 import type {
-	GatewayAction, RequestEvent, SendId, SendResult, SilenceOutcome,
+	GatewayAction, RequestEvent, ResponseEvidence, SendId, SendResult, SilenceOutcome,
 } from './gateway-events.js';
 import {
 	getSilenceTimeoutMs, hasPaused, isLeftUnread, isStreamResponse, learnedPauses, maximumEventBytes, minimumProgressBytes, parseEventNumber, pauseSend, resumeSend,
@@ -112,6 +112,7 @@
 	/** Number of sends that may have run the request, including the current one. */
 	let possibleRunCount = 0;
 	let current: Send | undefined;
+	let lastResult: SendResult | undefined;
 	/** Latest error response from an endpoint; the caller receives it if no later send succeeds. */
 	let savedErrorResponse: SavedResponse | undefined;
 	/** When the placement of a deferred request is retried. */
@@ -173,6 +174,7 @@
 			body: createByteStore(),
 			memory: createSendReservation(placement, sendId, now),
 			head: undefined,
+			evidence: undefined,
 			sentAt: now,
 			dispatchedAt: undefined,
 			lastProgressAt: now,
@@ -190,7 +192,7 @@
 		excluded.add(placement.endpoint.id);
 		return [
 			...decision.trialActions,
-			createPlacementReport(request, current, decision.candidates),
+			createPlacementReport(request, current, {candidates: decision.candidates, resentAfter: lastResult}),
 			...recordWork({
 				kind: 'started',
 				work: {
@@ -309,6 +311,7 @@
 		}
 
 		current = undefined;
+		lastResult = result;
 		const isKnownNotRun = result === 'notRun' || result === 'replaced' || result === 'noMemory' || result === 'forbidden';
 		if (isKnownNotRun) {
 			possibleRunCount -= 1;
@@ -433,11 +436,17 @@
 		return current === undefined ? [] : [{kind: 'cancelSend', sendId: current.id, how}];
 	}
 
+	function createEvidence({status, requestId = '', refusalText}: EndpointResponseHead): ResponseEvidence {
+		const otherId = requestId === '' ? 'missing' : 'other';
+		return {status, id: requestId === request.requestId ? 'own' : otherId, refusalText};
+	}
+
 	function startResponse(head: EndpointResponseHead, now: Timestamp): readonly GatewayAction[] {
 		if (current === undefined) {
 			return [];
 		}
 
+		current.evidence = createEvidence(head);
 		// A promise, a limit or a status counts only if the response belongs to this request. One without an id may be left over from a control request.
 		if ((head.requestId ?? '') !== request.requestId) {
 			return [...cancelCurrentSend(), ...handleLostSend('corrupt', 'the answer belongs to another request', now)];
--- a/packages/core/src/gateway/gateway-events.ts
+++ b/packages/core/src/gateway/gateway-events.ts
@@ -125,12 +125,33 @@
 		firstEventMs: Milliseconds;
 		candidates: number;
 		sharedSegments: readonly SegmentId[];
+		/** How the send ended that this one repeats; `undefined` for the first send of a request. */
+		resentAfter: SendResult | undefined;
 	}>
 	/** A prompt waits for room since placing it now would cost more urgent ones more than it is worth, or since a more urgent one waits. */
 	| Readonly<{kind: 'deferred'; priority: number; firstEventMs: Milliseconds; interferenceCost: number}>
 	/** A send made no progress for `silentMs`. */
 	| Readonly<{kind: 'silenceChecked'; sendId: SendId; endpoint: string; silentMs: Milliseconds; outcome: SilenceOutcome}>
-	| Readonly<{kind: 'sendEnded'; sendId: SendId; endpoint: string; result: SendResult; mayHaveRun: boolean; hasEvents: boolean; detail: string}>;
+	| Readonly<{
+		kind: 'sendEnded';
+		sendId: SendId;
+		endpoint: string;
+		result: SendResult;
+		mayHaveRun: boolean;
+		hasEvents: boolean;
+		detail: string;
+		/** `undefined` if no head of a response was received. */
+		response: ResponseEvidence | undefined;
+	}>;
+
+/** What the head of a response shows of whether its endpoint has run the request. */
+export type ResponseEvidence = Readonly<{
+	status: number;
+	/** Whether the response names the request, another one, or none. */
+	id: 'own' | 'other' | 'missing';
+	/** How the endpoint states that it has not run the request, if it does. */
+	refusalText: string | undefined;
+}>;
 
 /**
 What follows from the check of a silent send: its endpoint is probed, the send is abandoned, or it is kept. A send is kept if
--- a/packages/core/src/gateway/gateway-fixtures.ts
+++ b/packages/core/src/gateway/gateway-fixtures.ts
@@ -133,6 +133,7 @@
 		requestId: 'r-1',
 		hasStamp: true,
 		isNotRun: false,
+		refusalText: undefined,
 		faultyAddress: undefined,
 		isEncoded: false,
 		isUndelimited: false,
--- a/packages/core/src/gateway/gateway-types.ts
+++ b/packages/core/src/gateway/gateway-types.ts
@@ -178,6 +178,8 @@
 	hasStamp: boolean;
 	/** Whether the endpoint states that it has not run the request and will not run it. */
 	isNotRun: boolean;
+	/** How it states this, for the log; `undefined` if the response has no such statement. */
+	refusalText: string | undefined;
 	/** Address of another endpoint that caused the failure, such as a helper. */
 	faultyAddress: string | undefined;
 	/** Whether the body has a content encoding. Endpoints don't encode bodies, so such a response is corrupt. */
--- a/packages/core/src/gateway/request-send.ts
+++ b/packages/core/src/gateway/request-send.ts
@@ -7,7 +7,7 @@
 import type {EndpointResponseHead, GatewayRequest, ServedRoute} from './gateway-types.js';
 import type {MemoryReservation} from './memory-reservation.js';
 import type {Placement} from './placement.js';
-import type {SendId, SilenceOutcome} from './gateway-events.js';
+import type {ResponseEvidence, SendId, SilenceOutcome} from './gateway-events.js';
 
 /** Timeouts of a send without progress, in milliseconds and as multiples of its route's latency targets. */
 export const silenceTimeouts = {
@@ -49,6 +49,8 @@
 	/** Memory reservations at the helpers; the request is sent once all are held. */
 	readonly memory: MemoryReservation | undefined;
 	head: EndpointResponseHead | undefined;
+	/** What the head of the response shows, whether the response was accepted or not. */
+	evidence: ResponseEvidence | undefined;
 	readonly sentAt: Timestamp;
 	/** When the request went to its endpoint, after memory was reserved; `undefined` until then. */
 	dispatchedAt: Timestamp | undefined;
--- a/packages/core/src/gateway/send-reports.ts
+++ b/packages/core/src/gateway/send-reports.ts
@@ -6,8 +6,11 @@
 import type {GatewayRequest, RequestKey} from './gateway-types.js';
 import type {Send} from './request-send.js';
 
-/** Returns the report of a send's placement, which was chosen among `candidates` endpoints. */
-export function createPlacementReport(request: GatewayRequest, {id, placement, memory}: Send, candidates: number): GatewayAction {
+/** How a send was chosen: among how many endpoints, and after which end of the send before. */
+export type PlacementOrigin = Readonly<{candidates: number; resentAfter: SendResult | undefined}>;
+
+/** Returns the report of a send's placement. */
+export function createPlacementReport(request: GatewayRequest, {id, placement, memory}: Send, origin: PlacementOrigin): GatewayAction {
 	return {
 		kind: 'reportDecision',
 		key: request.key,
@@ -18,8 +21,8 @@
 			helpers: placement.helpers.map(({endpoint}) => endpoint.id),
 			reservations: memory?.reservations ?? [],
 			firstEventMs: Math.round(placement.firstEventMs),
-			candidates,
 			sharedSegments: request.sharedSegments,
+			...origin,
 		},
 	};
 }
@@ -27,14 +30,14 @@
 /** Returns the report of how a send ended. */
 export function createSendEndReport(
 	key: RequestKey,
-	{id, placement, hasEvents}: Send,
+	{id, placement, hasEvents, evidence}: Send,
 	outcome: Readonly<{result: SendResult; mayHaveRun: boolean; detail: string}>,
 ): GatewayAction {
 	return {
 		kind: 'reportDecision',
 		key,
 		decision: {
-			kind: 'sendEnded', sendId: id, endpoint: placement.endpoint.id, hasEvents, ...outcome,
+			kind: 'sendEnded', sendId: id, endpoint: placement.endpoint.id, hasEvents, response: evidence, ...outcome,
 		},
 	};
 }
--- a/packages/gateway/src/endpoint-client.test.ts
+++ b/packages/gateway/src/endpoint-client.test.ts
@@ -5,6 +5,7 @@
 	afterEach, expect, test, vi,
 } from 'vitest';
 import {startEndlessServer} from '@currantcross/standins/platform-endless-server-standin';
+import type {ConnectionUse} from './connection-uses.js';
 import {createEndpointClient, type EndpointClient} from './endpoint-client.js';
 
 type Outcome = Readonly<{kind: 'ended'; text: string}> | Readonly<{kind: 'failed'; wasSent: boolean}>;
@@ -388,3 +389,57 @@
 		expect({length: text.length, failure}).toEqual({length, failure: undefined});
 	}
 });
+
+// Guards against logs that don't tell a request which follows others on a kept connection from the first one on a new connection.
+test('tells on which connection each request was written, after how many others, and how much of it', async () => {
+	let answerCount = 0;
+	const server = net.createServer(socket => {
+		socket.on('error', () => undefined).on('data', () => {
+			answerCount += 1;
+			socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok', () => {
+				if (answerCount === 2) {
+					socket.end();
+				}
+			});
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	closers.push(() => {
+		server.close();
+	});
+	const bound = server.address();
+	const address = `127.0.0.1:${typeof bound === 'object' ? bound?.port ?? 0 : 0}`;
+	const client = createEndpointClient({isCallerResponse: () => false});
+	closers.push(client.close);
+	const uses: Array<ConnectionUse | undefined> = [];
+	for (const sendId of [1, 2, 3]) {
+		// eslint-disable-next-line no-await-in-loop -- each request is written after the one before has ended
+		await new Promise<void>(resolve => {
+			let getUse: () => ConnectionUse | undefined = () => undefined;
+			const recordUse = (): void => {
+				uses.push(getUse());
+				resolve();
+			};
+
+			client.send({
+				sendId, address, method: 'POST', target: '/', headers: ['Host', 'a.example', 'Content-Length', '4'], body: Buffer.from('body'),
+			}, {
+				onStart(startedUse) {
+					getUse = startedUse;
+				},
+				onHead: () => undefined,
+				onBytes: () => undefined,
+				onEnd: recordUse,
+				onFailure: recordUse,
+			});
+		});
+		// eslint-disable-next-line no-await-in-loop -- the connection is kept or closed by then
+		await new Promise(resolve => {
+			setTimeout(resolve, 30);
+		});
+	}
+
+	expect(uses.map(use => [use?.connection, use?.requestNumber])).toEqual([[1, 1], [1, 2], [2, 1]]);
+	expect(uses.every(use => (use?.writtenBytes ?? 0) > 30)).toBe(true);
+});
--- a/packages/gateway/src/endpoint-client.ts
+++ b/packages/gateway/src/endpoint-client.ts
@@ -12,6 +12,7 @@
 import {createResetDetector} from '@currantcross/endpoint/reset-detector';
 import {type Dispatcher, errors, Pool} from 'undici';
 import VError from 'verror';
+import {createConnectionUses, type ConnectionUse} from './connection-uses.js';
 import type {ControlRequest} from './gateway-hosts.js';
 import {createResponseGuard} from './response-guard.js';
 import {createResponsePacer} from './response-pacer.js';
@@ -30,8 +31,8 @@
 
 /** Receives the response to a request. */
 export type EndpointListener = Readonly<{
-	/** Called when a connection is open and the request is about to be written to it. */
-	onStart?(): void;
+	/** Called when a connection is open and the request is about to be written to it. `getUse` tells of that once it is. */
+	onStart?(getUse: () => ConnectionUse | undefined): void;
 	onHead(status: number, headers: IncomingHttpHeaders): void;
 	/** Called for what was read at once. `isFragmented` if it came in so many small pieces that the response is read slowly. */
 	onBytes(bytes: Uint8Array, isFragmented: boolean): void;
@@ -130,6 +131,7 @@
 export function createEndpointClient(host: EndpointClientHost, processorShare = 1): EndpointClient {
 	const pools = new Map<string, Dispatcher>();
 	const responseGuard = createResponseGuard();
+	const connectionUses = createConnectionUses();
 	const heldConnections = createHeldConnections();
 	const responsePacer = createResponsePacer({processorShare, getReadBytes: heldConnections.getReadBytes});
 	const joinPieces = createPieceInterceptor();
@@ -139,6 +141,7 @@
 	}), socket => {
 		heldConnections.watchConnection(socket);
 		responseGuard.watchConnection(socket);
+		connectionUses.watchConnection(socket);
 	});
 
 	function resumeSend(openSend: OpenSend): void {
@@ -166,7 +169,7 @@
 			bodyTimeout: 0,
 			pipelining: 1,
 			maxResponseSize: maximumResponseBytes,
-		}).compose(responseGuard.intercept, heldConnections.intercept, responsePacer.intercept, joinPieces);
+		}).compose(connectionUses.intercept, responseGuard.intercept, heldConnections.intercept, responsePacer.intercept, joinPieces);
 		pools.set(address, pool);
 		return pool;
 	}
@@ -193,7 +196,7 @@
 					return;
 				}
 
-				listener.onStart?.();
+				listener.onStart?.(connectionUses.getStarted());
 			},
 			onResponseStart(controller, status, headers) {
 				if (status >= lowestFinalStatus) {
--- a/packages/gateway/src/gateway-driver.test.ts
+++ b/packages/gateway/src/gateway-driver.test.ts
@@ -6,6 +6,7 @@
 import {createFixtureEndpoints, createFixtureGatewayRequest, fixtureIdempotentRoute} from '@currantcross/core/gateway/gateway-fixtures';
 import type {GatewayEvent} from '@currantcross/core/gateway/gateway-events';
 import {expect, test} from 'vitest';
+import type {EndpointListener} from './endpoint-client.js';
 import {createGatewayDriver, type GatewayDriver} from './gateway-driver.js';
 
 type DriverParameters = Parameters<typeof createGatewayDriver>;
@@ -83,3 +84,53 @@
 	await wait(settleMs);
 	expect(sent).toEqual([]);
 });
+
+// Guards against logs that don't show why a request was sent again: what was written where, and what the response said.
+test('the line of a send that has ended shows its connection, the status, the id and the refusal of its response', () => {
+	const lines: Array<readonly [string, Readonly<Record<string, unknown>>]> = [];
+	const placed = {
+		kind: 'placed', sendId: 7, endpoint: 'shop-0', helpers: [], reservations: [], firstEventMs: 0, candidates: 2, sharedSegments: [], resentAfter: 'replaced',
+	};
+	const ended = {
+		kind: 'sendEnded', sendId: 7, endpoint: 'shop-0', result: 'notRun', mayHaveRun: false, hasEvents: false, detail: 'status 503', response: {status: 503, id: 'own', refusalText: '1'},
+	};
+	const use = {connection: 3, requestNumber: 2, writtenBytes: 120};
+	const gateway = {
+		step: ({kind}: GatewayEvent) => kind === 'requestArrived'
+			? [{kind: 'reportDecision', key, decision: placed}, {
+				kind: 'send', key, sendId: 7, endpoint, helpers: [], remainingMs: 1000, lastEventId: undefined,
+			}]
+			: [{kind: 'reportDecision', key, decision: ended}],
+		tryGetWakeAt: () => undefined,
+		tryGetAdmissionPriority: () => undefined,
+		getConfigurationAgeMs: () => 0,
+	} as unknown as DriverParameters[0];
+	const host = {
+		client: {
+			send(_request: unknown, listener: EndpointListener) {
+				listener.onStart?.(() => use);
+			},
+		},
+		wireFormat: {formatSendHead: () => [], excludedRequestHeaders: new Set()},
+		logger: {
+			info(event: string, fields: Readonly<Record<string, unknown>>) {
+				lines.push([event, fields]);
+			},
+		},
+		metrics: {recordSend: () => undefined},
+	} as unknown as DriverParameters[1];
+	const exchange = {
+		message: {
+			rawHeaders: [], headers: {}, method: 'GET', url: '/',
+		}, body: new Uint8Array(0), hasCallerLeft: () => false,
+	} as unknown as Exchange;
+	const driver = createGatewayDriver(gateway, host);
+	driver.submit(request, exchange);
+	driver.dispatch({kind: 'timePassed'});
+	expect(lines).toMatchObject([
+		['requestPlaced', {sendId: 7, resentAfter: 'replaced'}],
+		['sendEnded', {
+			sendId: 7, result: 'notRun', ...use, status: 503, responseId: 'own', refusal: '1',
+		}],
+	]);
+});
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -23,6 +23,7 @@
 import type {Logger} from '@currantcross/daemon/logger';
 import {waitForReads} from '@currantcross/core/loop-monitor';
 import {getForwardedHeaders, type CallerExchange} from './caller-exchange.js';
+import type {ConnectionUse} from './connection-uses.js';
 import type {ControlResponse, EndpointClient} from './endpoint-client.js';
 import type {ControlRequest, PlatformHost, WireFormat} from './gateway-hosts.js';
 import type {GatewayMetrics} from './metrics.js';
@@ -83,6 +84,8 @@
 	const openRequests = new Map<RequestKey, OpenRequest>();
 	/** Sends that wait until the loop has read what has arrived. */
 	const heldSends = new Set<SendId>();
+	/** Tells of each open send that was written on which connection. */
+	const connectionUses = new Map<SendId, () => ConnectionUse | undefined>();
 	const throttle = createResponseThrottle({...host, dispatch: dispatchRelayEvent});
 	/** Request that is being submitted. */
 	let submittedKey: RequestKey | undefined;
@@ -356,10 +359,10 @@
 		switch (decision.kind) {
 			case 'placed': {
 				const {
-					sendId, endpoint, helpers, reservations, firstEventMs, candidates, sharedSegments,
+					sendId, endpoint, helpers, reservations, firstEventMs, candidates, sharedSegments, resentAfter,
 				} = decision;
 				host.logger.info('requestPlaced', {
-					request, sendId, endpoint, helpers: helpers.length, helperIds: helpers.length === 0 ? undefined : helpers.join(','), reservations: formatReservations(reservations), firstEventMs, candidates, segments: formatSegments(sharedSegments),
+					request, sendId, endpoint, resentAfter, helpers: helpers.length, helperIds: helpers.length === 0 ? undefined : helpers.join(','), reservations: formatReservations(reservations), firstEventMs, candidates, segments: formatSegments(sharedSegments),
 					fingerprint: openRequest?.fingerprint,
 					priority: openRequest?.priority,
 					...formatDelays(openRequest?.delays ?? noDelays),
@@ -387,10 +390,13 @@
 			}
 
 			case 'sendEnded': {
-				const {sendId, endpoint, result, mayHaveRun, hasEvents, detail} = decision;
+				const {sendId, endpoint, result, mayHaveRun, hasEvents, detail, response} = decision;
+				const use = connectionUses.get(sendId)?.();
+				connectionUses.delete(sendId);
 				host.metrics.recordSend(result);
 				host.logger.info('sendEnded', {
-					request, sendId, endpoint, result, mayHaveRun, hasEvents, detail: detail === '' ? undefined : detail,
+					request, sendId, endpoint, result, mayHaveRun, hasEvents, ...use, status: response?.status, responseId: response?.id, refusal: response?.refusalText,
+					detail: detail === '' ? undefined : detail,
 				});
 			}
 		}
@@ -533,7 +539,8 @@
 		host.client.send({
 			sendId, address: endpoint.address, method: message.method ?? 'GET', target: message.url ?? '/', headers, body: Buffer.from(body.buffer, body.byteOffset, body.byteLength),
 		}, {
-			onStart() {
+			onStart(getUse) {
+				connectionUses.set(sendId, getUse);
 				const waitedMs = performance.now() - handedOverAt;
 				if (waitedMs > loggedSendDelayMs) {
 					host.logger.info('sendDelayed', {
