Take a request for not run only after a response that states it

What callers saw: actions that ran at two servers, and actions that they repeated after 503, 429, 408 or 421, which promise that a request has not run, though it had.

Cause: a refusal was any response with the header Not-Run or with the status 421, whatever else it said; and a response with a status that promises was passed on although nothing in it stated that the request had not run. PROTOCOL.md names the statuses that come with Not-Run and says that no other response states this, and that 408, 421, 429 and 503 are promises to callers.

Change: run-statement.ts decides alone, from the id, the status, the header and whether the address got the request before (a copy of an earlier refusal bears the same id). With a refusal's status and without a valid statement a request counts as one that may have run: repeated if its route allows, or else answered 502. Not-Run on another status is not forwarded.

--- a/packages/core/src/gateway/forwarded-request.test.ts
+++ b/packages/core/src/gateway/forwarded-request.test.ts
@@ -209,6 +209,13 @@
 		expect(harness.step({kind: 'responseStarted', sendId: harness.getSendId(), head: createFixtureHead({status: 503, isNotRun: true, hasStamp: false})}, 10)).toEqual(['discard', 'send shop']);
 	});
 
+	// Guards against requests that run twice, or that callers repeat, because the status of a refusal alone is taken for one.
+	test.each([408, 421, 429, 503])('fails as possibly run, without a second send, after status %i without the statement that it has not run', status => {
+		const harness = startRequest(fixtureNonIdempotentRoute);
+		const head = createFixtureHead({status, hasStamp: false, retryAfterMs: 100});
+		expect(harness.step({kind: 'responseStarted', sendId: harness.getSendId(), head}, 10)).toEqual(['discard', 'fail serverFailed ran=unknown']);
+	});
+
 	// Guards against requests to a server that has asked for none for some time.
 	test('is not sent to endpoints that asked for time until that has passed, and is refused with the time to come back if all have', () => {
 		const harness = createHarness();
@@ -246,7 +253,7 @@
 		['a refusal that names another server', {
 			status: 503, isNotRun: true, hasStamp: false, faultyAddress: '10.0.4.1:80',
 		}],
-		['a response of another instance', {status: 421, hasStamp: false}],
+		['a response of another instance', {status: 421, isNotRun: true, hasStamp: false}],
 		['a limit', {status: 200, requestsPerSecond: 0}],
 	])('fails as possibly run, without a second send, after %s with the id of an earlier request or without an id', (_, changes) => {
 		for (const requestId of ['r-0', undefined]) {
@@ -268,6 +275,11 @@
 		expect(actions).toEqual(['discard', 'fail overloaded ran=no']);
 	});
 
+	// Guards against a response that contradicts itself and is taken for a refusal.
+	test.each([200, 400, 404, 500, 504])('ends with a response of status %i, though that also states that it has not run', status => {
+		expect(answer(startRequest(fixtureNonIdempotentRoute), 'done', {status, isNotRun: true})).toEqual([`start ${status} length 4`, 'write done', 'end']);
+	});
+
 	test('forwards the error response of its endpoint unchanged', () => {
 		expect(answer(startRequest(fixtureNonIdempotentRoute), 'oops', {status: 500})).toEqual(['start 500 length 4', 'write oops', 'end']);
 	});
@@ -290,6 +302,14 @@
 });
 
 describe('an idempotent request', () => {
+	// Guards against a request that has run and is reported as not run by the status that is passed on in the end.
+	test.each([408, 421, 429, 503])('is sent again after status %i without the statement that it has not run, and fails as possibly run if the second send ends so too', status => {
+		const harness = startRequest(fixtureIdempotentRoute);
+		const head = createFixtureHead({status, hasStamp: false});
+		expect(harness.step({kind: 'responseStarted', sendId: harness.getSendId(), head}, 10)).toEqual(['discard', 'send shop']);
+		expect(harness.step({kind: 'responseStarted', sendId: harness.getSendId(), head}, 20)).toEqual(['discard', 'fail serverFailed ran=unknown']);
+	});
+
 	test('is sent again after an error response, and ends with that response if the second send fails too', () => {
 		const harness = startRequest(fixtureIdempotentRoute);
 		expect(answer(harness, 'oops', {status: 500})).toEqual(['send shop']);
@@ -561,6 +581,7 @@
 		['301', {status: 301, headers: ['content-type', 'text/event-stream']}],
 		['503 as not run', {status: 503, isNotRun: true, hasStamp: false}],
 		['421', {status: 421, hasStamp: false}],
+		['421 as not run', {status: 421, isNotRun: true, hasStamp: false}],
 		['200 without a stamp', {hasStamp: false}],
 		['200 with a content encoding', {isEncoded: true}],
 		['500 as undelimited', {status: 500, isUndelimited: true}],
--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -19,13 +19,14 @@
 } from './memory-reservation.js';
 import type {Placement} from './placement.js';
 import type {
-	GatewayAction, RequestEvent, ResponseEvidence, SendId, SendResult, SilenceOutcome,
+	GatewayAction, RequestEvent, SendId, SendResult, SilenceOutcome,
 } from './gateway-events.js';
 import {
 	getSilenceTimeoutMs, hasPaused, isLeftUnread, isStreamResponse, learnedPauses, maximumEventBytes, minimumProgressBytes, parseEventNumber, pauseSend, resumeSend,
 	silenceTimeouts, type SavedResponse, type Send,
 } from './request-send.js';
 import type {RetryQuota} from './retry-quota.js';
+import {getRunStatement, type RunStatement} from './run-statement.js';
 import type {WorkObservation} from './work-routing.js';
 import {createPlacementReport, createSendEndReport, createSilenceReports} from './send-reports.js';
 
@@ -106,6 +107,8 @@
 	const {route} = request;
 	const mayRepeat = route.kind === 'idempotent' || (route.kind === 'streaming' && route.isResumable);
 	const excluded = new Set<EndpointId>();
+	/** Addresses that the request was sent to. */
+	const sentAddresses = new Set<string>();
 	let sendCount = 0;
 	let unreachedCount = 0;
 	let failedReservations = 0;
@@ -177,6 +180,7 @@
 			evidence: undefined,
 			sentAt: now,
 			dispatchedAt: undefined,
+			isRepeated: false,
 			lastProgressAt: now,
 			checkAt: now,
 			isProbed: false,
@@ -229,6 +233,8 @@
 	function dispatchSend(dispatched: Send, now: Timestamp): readonly GatewayAction[] {
 		const {id, placement, memory} = dispatched;
 		dispatched.dispatchedAt = now;
+		dispatched.isRepeated = sentAddresses.has(placement.endpoint.address);
+		sentAddresses.add(placement.endpoint.address);
 		const helpers = placement.helpers.map(({endpoint}) => ({
 			address: endpoint.address,
 			reservationId: memory?.reservations.find(reservation => reservation.endpoint === endpoint)?.id,
@@ -404,7 +410,7 @@
 		return [...closeActions, ...(isPaused ? endWithFailure(failure) : retryOrEnd(failure, true, now))];
 	}
 
-	/** Handles a refusal: the endpoint hasn't run the request, or another endpoint responds at its address. */
+	/** Handles a refusal: the endpoint hasn't run the request. Another endpoint may respond at its address. */
 	function handleRefusal(head: EndpointResponseHead, now: Timestamp): readonly GatewayAction[] {
 		const refusedSend = current;
 		if (refusedSend === undefined) {
@@ -413,7 +419,6 @@
 
 		const endpointId = refusedSend.placement.endpoint.id;
 		const faulty = head.faultyAddress === undefined ? undefined : context.registry.findByAddress(head.faultyAddress);
-		const isReplaced = head.status === misdirectedStatus;
 		if (faulty !== undefined && faulty.id !== endpointId) {
 			excluded.delete(endpointId);
 			excluded.add(faulty.id);
@@ -421,13 +426,13 @@
 			if (now - refusedSend.sentAt > maximumRefusalDelayMs) {
 				context.registry.recordFailure(faulty.id, now);
 			}
-		} else if (isReplaced) {
+		} else if (head.status === misdirectedStatus) {
 			context.registry.recordReplaced(endpointId);
 		} else {
 			context.registry.recordFailure(endpointId, now);
 		}
 
-		const closeActions = closeSend(isReplaced ? 'replaced' : 'notRun', `status ${head.status}`, now);
+		const closeActions = closeSend(head.status === misdirectedStatus ? 'replaced' : 'notRun', `status ${head.status}`, now);
 		const failure = possibleRunCount === 0 ? createNotRunFailure('overloaded', undefined, head.retryAfterMs) : createFailure('serverLost');
 		return [...closeActions, ...retryOrEnd(failure, true, now)];
 	}
@@ -436,9 +441,13 @@
 		return current === undefined ? [] : [{kind: 'cancelSend', sendId: current.id, how}];
 	}
 
-	function createEvidence({status, requestId = '', refusalText}: EndpointResponseHead): ResponseEvidence {
-		const otherId = requestId === '' ? 'missing' : 'other';
-		return {status, id: requestId === request.requestId ? 'own' : otherId, refusalText};
+	/**
+	Handles a response whose status is that of a refusal though the request may have run. Passed on, the status would promise the caller that it
+	has not.
+	*/
+	function handleUnprovenRefusal({status}: EndpointResponseHead, now: Timestamp): readonly GatewayAction[] {
+		const detail = `status ${status} without a valid statement`;
+		return [...closeSend('failedStatus', detail, now), ...retryOrEnd(createFailure('serverFailed', detail), true, now)];
 	}
 
 	function startResponse(head: EndpointResponseHead, now: Timestamp): readonly GatewayAction[] {
@@ -446,9 +455,12 @@
 			return [];
 		}
 
-		current.evidence = createEvidence(head);
-		// A promise, a limit or a status counts only if the response belongs to this request. One without an id may be left over from a control request.
-		if ((head.requestId ?? '') !== request.requestId) {
+		const statement = getRunStatement(head, {requestId: request.requestId, isRepeated: current.isRepeated});
+		current.evidence = {
+			status: head.status, statement, id: head.requestId, refusalText: head.refusalText,
+		};
+		// A limit or a status counts only if the response belongs to this request. One without an id may be left over from a control request.
+		if (statement === 'foreign') {
 			return [...cancelCurrentSend(), ...handleLostSend('corrupt', 'the answer belongs to another request', now)];
 		}
 
@@ -462,16 +474,28 @@
 
 		// A misdirected response comes from another endpoint at the address.
 		const leavingActions = head.isLeaving && head.status !== misdirectedStatus ? context.recordLeaving(current.placement.endpoint) : [];
-		return [...limitActions, ...leavingActions, ...applyHead(head, now)];
+		return [...limitActions, ...leavingActions, ...applyHead(head, statement, now)];
 	}
 
-	function applyHead(head: EndpointResponseHead, now: Timestamp): readonly GatewayAction[] {
-		if (current === undefined) {
-			return [];
+	function applyHead(head: EndpointResponseHead, statement: Exclude<RunStatement, 'foreign'>, now: Timestamp): readonly GatewayAction[] {
+		switch (statement) {
+			case 'notRun': {
+				return [...cancelCurrentSend('discard'), ...handleRefusal(head, now)];
+			}
+
+			case 'unproven': {
+				return [...cancelCurrentSend('discard'), ...handleUnprovenRefusal(head, now)];
+			}
+
+			case 'answered': {
+				return receiveAnswer(head, now);
+			}
 		}
+	}
 
-		if (head.isNotRun || head.status === misdirectedStatus) {
-			return [...cancelCurrentSend('discard'), ...handleRefusal(head, now)];
+	function receiveAnswer(head: EndpointResponseHead, now: Timestamp): readonly GatewayAction[] {
+		if (current === undefined) {
+			return [];
 		}
 
 		if (head.isEncoded || (head.status < firstErrorStatus && !head.hasStamp)) {
--- a/packages/core/src/gateway/gateway-events.ts
+++ b/packages/core/src/gateway/gateway-events.ts
@@ -13,6 +13,7 @@
 import type {GatewayName} from './load-view.js';
 import type {Reservation, ReservationId} from './memory-reservation.js';
 import type {PeerChange} from './peer-changes.js';
+import type {RunStatement} from './run-statement.js';
 import type {EvacuationChanges, EvacuationList} from './placement-restrictions.js';
 import type {
 	EndpointCheck, Quarantine, QuarantineRecord, QuarantineReport,
@@ -147,8 +148,10 @@
 /** What the head of a response shows of whether its endpoint has run the request. */
 export type ResponseEvidence = Readonly<{
 	status: number;
-	/** Whether the response names the request, another one, or none. */
-	id: 'own' | 'other' | 'missing';
+	/** What the gateway concluded from the head. */
+	statement: RunStatement;
+	/** Id of the request that the response names; `undefined` if it names none, or several. */
+	id: string | undefined;
 	/** How the endpoint states that it has not run the request, if it does. */
 	refusalText: string | undefined;
 }>;
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -58,6 +58,8 @@
 const maximumTimerMs = 2_147_483_647;
 /** Time that a send may wait for a connection without being logged. */
 const loggedSendDelayMs = 100;
+/** Maximum number of characters of an endpoint's text in one line of the log. */
+const maximumLoggedCharacters = 64;
 /** Maximum number of segments in one line of the log. */
 const maximumLoggedSegments = 16;
 
@@ -395,7 +397,8 @@
 				connectionUses.delete(sendId);
 				host.metrics.recordSend(result);
 				host.logger.info('sendEnded', {
-					request, sendId, endpoint, result, mayHaveRun, hasEvents, ...use, status: response?.status, responseId: response?.id, refusal: response?.refusalText,
+					request, sendId, endpoint, result, mayHaveRun, hasEvents, ...use, status: response?.status, statement: response?.statement, refusal: response?.refusalText,
+					responseId: response === undefined || response.id === request ? undefined : response.id?.slice(0, maximumLoggedCharacters) ?? 'none',
 					detail: detail === '' ? undefined : detail,
 				});
 			}
--- a/packages/standins/src/platform-server-standin.ts
+++ b/packages/standins/src/platform-server-standin.ts
@@ -199,7 +199,7 @@
 		}
 
 		if (getHeader(message, 'expect-instance') !== settings.instanceId) {
-			response.writeHead(421, {'instance-id': settings.instanceId, 'request-id': getHeader(message, 'request-id') ?? ''});
+			response.writeHead(421, {'not-run': '1', 'instance-id': settings.instanceId, 'request-id': getHeader(message, 'request-id') ?? ''});
 			response.end();
 			return;
 		}
