Pause a server after 421 as after any failure, until the list names another one

Cause: a 421 left an endpoint out until it was listed with another start. Nothing proves that another server has taken its address: a request may also be misdirected because of a version that its caller expects, and a server in trouble may answer anything.

Change: a refusal with 421 pauses the endpoint like other refusals (0.4 s, doubled up to 4 s); one that isn't stated as not run doesn't, like other errors. A server that has gone costs a refused send every four seconds until its entry expires.

Evidence: forwarded-request.test (leaves out after 421) failed: no endpoint got another request. The test of a restarted endpoint now asks the same after a failure, as nothing else leaves an endpoint out. forwarded-request, gateway-parts and doubtful-refusals: 192 of 192.

--- a/packages/core/src/gateway/endpoint-registry.ts
+++ b/packages/core/src/gateway/endpoint-registry.ts
@@ -67,8 +67,6 @@
 	long as that of `sentRequest`. A busy endpoint answers older requests first, so the overtaken request is probably lost.
 	*/
 	isOvertaken(id: EndpointId, sentRequest: SentRequest, since: Timestamp): boolean;
-	/** Records that another endpoint now responds at this endpoint's address. */
-	recordReplaced(id: EndpointId): void;
 	/** Records that the endpoint wants no requests from this gateway for some time. */
 	recordRest(id: EndpointId, restMs: Milliseconds, now: Timestamp): void;
 	/** Returns for how long the endpoint wants no requests from this gateway. */
@@ -92,7 +90,6 @@
 	avoidedUntil: Timestamp;
 	/** Until then the endpoint wants no requests from this gateway. */
 	restsUntil: Timestamp;
-	isReplaced: boolean;
 	lastResponseAt: Timestamp;
 	/** Requests whose response has begun, except those that were sent no later than another one whose prompt is at least as long. */
 	answeredRequests: readonly SentRequest[];
@@ -157,7 +154,6 @@
 				consecutiveFailures: 0,
 				avoidedUntil: Number.NEGATIVE_INFINITY,
 				restsUntil: Number.NEGATIVE_INFINITY,
-				isReplaced: false,
 				lastResponseAt: Number.NEGATIVE_INFINITY,
 				answeredRequests: [],
 			});
@@ -170,7 +166,7 @@
 	}
 
 	function getReady(service: string): readonly KnownEndpoint[] {
-		return [...endpointsById.values()].filter(({listed, isReplaced}) => listed.service === service && listed.state === 'ready' && !isReplaced);
+		return [...endpointsById.values()].filter(({listed}) => listed.service === service && listed.state === 'ready');
 	}
 
 	return {
@@ -255,12 +251,6 @@
 			return promptTokens !== undefined
 				&& answeredRequests.some(other => other.sentAt > since + minimumOvertakeMs && (other.promptTokens ?? 0) >= promptTokens);
 		},
-		recordReplaced(id) {
-			const endpoint = endpointsById.get(id);
-			if (endpoint !== undefined) {
-				endpoint.isReplaced = true;
-			}
-		},
 		recordRest(id, restMs, now) {
 			const endpoint = endpointsById.get(id);
 			if (endpoint !== undefined) {
--- a/packages/core/src/gateway/forwarded-request.test.ts
+++ b/packages/core/src/gateway/forwarded-request.test.ts
@@ -216,6 +216,34 @@
 		expect(harness.step({kind: 'responseStarted', sendId: harness.getSendId(), head}, 10)).toEqual(['discard', 'fail serverFailed ran=unknown']);
 	});
 
+	// Guards against servers that get no request until they are listed anew because they have refused one as misdirected.
+	test.each([
+		['without a statement, no endpoint', false, 1, 30],
+		['as not run, each endpoint for moments only', true, 3, 3],
+	] as const)('leaves out after 421 %s', (_, isNotRun, endpointCount, minimumSends) => {
+		const harness = createHarness();
+		const sentTo: string[] = [];
+		for (let key = 1; key <= 60; key += 1) {
+			const now = key * 500;
+			harness.gateway.step({kind: 'configurationVerified', configuration: fixtureConfiguration, verifiedAt: now}, now);
+			const request = createFixtureGatewayRequest(fixtureNonIdempotentRoute, {key, arrivedAt: now});
+			let actions = harness.gateway.step({kind: 'requestArrived', request}, now);
+			let sent = actions.find(action => action.kind === 'send');
+			while (sent?.kind === 'send') {
+				if (key > 30) {
+					sentTo.push(sent.endpoint.id);
+				}
+
+				const head = createFixtureHead({status: 421, isNotRun, hasStamp: false});
+				actions = harness.gateway.step({kind: 'requestChanged', key, event: {kind: 'responseStarted', sendId: sent.sendId, head}}, now);
+				sent = actions.find(action => action.kind === 'send');
+			}
+		}
+
+		expect(new Set(sentTo).size).toBe(endpointCount);
+		expect(sentTo.length).toBeGreaterThanOrEqual(minimumSends);
+	});
+
 	// Guards against requests to a server that has asked for none for some time.
 	test('is not sent to endpoints that asked for time until that has passed, and is refused with the time to come back if all have', () => {
 		const harness = createHarness();
--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -426,8 +426,6 @@
 			if (now - refusedSend.sentAt > maximumRefusalDelayMs) {
 				context.registry.recordFailure(faulty.id, now);
 			}
-		} else if (head.status === misdirectedStatus) {
-			context.registry.recordReplaced(endpointId);
 		} else {
 			context.registry.recordFailure(endpointId, now);
 		}
--- a/packages/core/src/gateway/gateway-parts.test.ts
+++ b/packages/core/src/gateway/gateway-parts.test.ts
@@ -154,10 +154,10 @@
 		expect(registry.isOvertaken('models-0', {sentAt: 100, promptTokens: undefined}, 100)).toBe(false);
 	});
 
-	test('a restarted endpoint is available even if it was recorded as replaced before', () => {
+	test('a restarted endpoint is available even if it was recorded as failing before', () => {
 		const registry = createEndpointRegistry(defaultEndpointRegistrySettings);
 		registry.applyList(endpoints, 0);
-		registry.recordReplaced('models-0');
+		registry.recordFailure('models-0', 0);
 		expect(registry.getAvailable('models', 1)).toHaveLength(1);
 		registry.applyList(endpoints.map(endpoint => ({...endpoint, startedAt: 2})), 10);
 		expect(registry.getAvailable('models', 10)).toHaveLength(2);
