--- a/packages/core/src/gateway/forwarded-request.test.ts
+++ b/packages/core/src/gateway/forwarded-request.test.ts
@@ -495,10 +495,11 @@
 		...fixtureStreamRoute, timeoutMs: 15_000, objectiveMs: 3000, longestPauseMs: 1000,
 	};
 
+	const head = createFixtureHead({
+		status: 503, isNotRun: true, hasStamp: false, faultyAddress: '10.0.6.3:80',
+	});
+
 	function refuse(harness: GatewayHarness, now: number): readonly GatewayAction[] {
-		const head = createFixtureHead({
-			status: 503, isNotRun: true, hasStamp: false, faultyAddress: '10.0.6.3:80',
-		});
 		return harness.gateway.step({kind: 'requestChanged', key: 1, event: {kind: 'responseStarted', sendId: harness.getSendId(), head}}, now);
 	}
 
@@ -512,6 +513,22 @@
 		const others = Array.from({length: 16}, (_, index) => harness.gateway.step({kind: 'requestArrived', request: createFixtureGatewayRequest(fixtureStreamRoute, {key: index + 2})}, 30));
 		expect(others.flatMap(actions => getUsedAddresses(actions)).length).toBe(16);
 	});
+
+	// Guards against a prompt that runs twice because the copy of an earlier refusal, which bears the same id, is taken for a second one.
+	test('and once more by the same receiver, ends a prompt that may not be repeated as possibly run', () => {
+		const harness = startRequest({...route, isResumable: false}, {prompt});
+		const receiver = harness.getEndpointId();
+		harness.step({kind: 'responseStarted', sendId: harness.getSendId(), head}, 20);
+		expect(harness.getEndpointId()).toBe(receiver);
+		expect(harness.step({kind: 'responseStarted', sendId: harness.getSendId(), head}, 21)).toEqual(['discard', 'fail serverFailed ran=unknown']);
+	});
+
+	test('again and again does not keep a prompt that may be repeated from being sent, but it is not reported as not run', () => {
+		const harness = startRequest(route, {prompt});
+		const actions = Array.from({length: 6}, (_, index) => harness.step({kind: 'responseStarted', sendId: harness.getSendId(), head}, 20 + index)).flat();
+		expect(actions.filter(action => action.startsWith('send')).length).toBeGreaterThanOrEqual(3);
+		expect(actions.at(-1)).toBe('fail serverLost ran=unknown');
+	});
 });
 
 describe('a huge prompt that would miss its objective anyway', () => {
--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -114,6 +114,8 @@
 	let failedReservations = 0;
 	/** Number of sends that may have run the request, including the current one. */
 	let possibleRunCount = 0;
+	/** Whether a refusal may have been the copy of an earlier one. */
+	let hasDoubtfulRefusal = false;
 	let current: Send | undefined;
 	let lastResult: SendResult | undefined;
 	/** Latest error response from an endpoint; the caller receives it if no later send succeeds. */
@@ -137,6 +139,10 @@
 		return mayRepeat || possibleRunCount === 0;
 	}
 
+	function isKnownNotRun(): boolean {
+		return possibleRunCount === 0 && !hasDoubtfulRefusal;
+	}
+
 	function start(now: Timestamp): readonly GatewayAction[] {
 		context.retryQuota.recordRequest(request.service, now);
 		return send(now, undefined);
@@ -151,7 +157,7 @@
 
 		const refusal = context.checkCredential(request, now);
 		if (refusal !== undefined) {
-			return endWithFailure(possibleRunCount === 0 ? refusal : lastFailure ?? createFailure('serverLost'));
+			return endWithFailure(isKnownNotRun() ? refusal : lastFailure ?? createFailure('serverLost'));
 		}
 
 		deferredUntil = Number.POSITIVE_INFINITY;
@@ -283,7 +289,7 @@
 	function abandonForbiddenSend({placement}: Send, now: Timestamp): readonly GatewayAction[] {
 		excluded.delete(placement.endpoint.id);
 		const closeActions = closeSend('forbidden', 'the endpoints may no longer get the request', now);
-		return [...closeActions, ...send(now, possibleRunCount === 0 ? undefined : createFailure('serverLost'))];
+		return [...closeActions, ...send(now, isKnownNotRun() ? undefined : createFailure('serverLost'))];
 	}
 
 	/** Abandons a send whose memory could not be reserved, and tries other endpoints. */
@@ -295,7 +301,7 @@
 		}
 
 		const closeActions = closeSend('noMemory', memory.getFailedEndpoints().map(({id}) => id).join(','), now);
-		const failure = possibleRunCount === 0 ? createNotRunFailure('overloaded', 'no memory is free') : createFailure('serverLost');
+		const failure = isKnownNotRun() ? createNotRunFailure('overloaded', 'no memory is free') : createFailure('serverLost');
 		return [...closeActions, ...(failedReservations > maximumFailedReservations ? endWithFailure(failure) : send(now, failure))];
 	}
 
@@ -306,7 +312,7 @@
 
 	/** Creates a failure that is reported as not run only if no endpoint may have run the request. */
 	function createFailure(kind: ErrorKind, detail?: string): Failure {
-		return possibleRunCount === 0 ? createNotRunFailure(kind, detail) : {kind, ran: 'unknown', detail};
+		return isKnownNotRun() ? createNotRunFailure(kind, detail) : {kind, ran: 'unknown', detail};
 	}
 
 	/** Closes the current send and releases its load and memory. */
@@ -318,15 +324,15 @@
 
 		current = undefined;
 		lastResult = result;
-		const isKnownNotRun = result === 'notRun' || result === 'replaced' || result === 'noMemory' || result === 'forbidden';
-		if (isKnownNotRun) {
+		const hasNotRun = result === 'notRun' || result === 'replaced' || result === 'noMemory' || result === 'forbidden';
+		if (hasNotRun) {
 			possibleRunCount -= 1;
 		}
 
 		return [
 			...recordWork({kind: 'ended', id: closedSend.id}, now),
 			...closedSend.memory?.reservations.map((reservation): GatewayAction => ({kind: 'releaseMemory', reservation})) ?? [],
-			createSendEndReport(request.key, closedSend, {result, mayHaveRun: !isKnownNotRun, detail}),
+			createSendEndReport(request.key, closedSend, {result, mayHaveRun: !hasNotRun, detail}),
 			...learnOverdue(closedSend, result, now),
 		];
 	}
@@ -431,7 +437,7 @@
 		}
 
 		const closeActions = closeSend(head.status === misdirectedStatus ? 'replaced' : 'notRun', `status ${head.status}`, now);
-		const failure = possibleRunCount === 0 ? createNotRunFailure('overloaded', undefined, head.retryAfterMs) : createFailure('serverLost');
+		const failure = isKnownNotRun() ? createNotRunFailure('overloaded', undefined, head.retryAfterMs) : createFailure('serverLost');
 		return [...closeActions, ...retryOrEnd(failure, true, now)];
 	}
 
@@ -481,6 +487,11 @@
 				return [...cancelCurrentSend('discard'), ...handleRefusal(head, now)];
 			}
 
+			case 'repeated': {
+				hasDoubtfulRefusal = true;
+				return [...cancelCurrentSend('discard'), ...(mayRepeat ? handleRefusal(head, now) : handleUnprovenRefusal(head, now))];
+			}
+
 			case 'unproven': {
 				return [...cancelCurrentSend('discard'), ...handleUnprovenRefusal(head, now)];
 			}
@@ -894,7 +905,7 @@
 
 			case 'graceEnded': {
 				const closeActions = [...cancelCurrentSend(), ...closeSend('stopped', '', now)];
-				return [...closeActions, ...endWithFailure(possibleRunCount === 0 ? createNotRunFailure('draining', 'the process ends', 0) : createFailure('outcomeUnknown', 'the process ends'))];
+				return [...closeActions, ...endWithFailure(isKnownNotRun() ? createNotRunFailure('draining', 'the process ends', 0) : createFailure('outcomeUnknown', 'the process ends'))];
 			}
 
 			case 'timePassed': {
@@ -926,7 +937,7 @@
 		return [
 			...closeActions,
 			...(placement === undefined ? [] : context.recordUnreachable(placement.endpoint.id, now)),
-			...retryOrEnd(possibleRunCount === 0 ? createNotRunFailure('endpointUnreachable', detail, unreachableRetryMs) : createFailure('serverLost', detail), false, now),
+			...retryOrEnd(isKnownNotRun() ? createNotRunFailure('endpointUnreachable', detail, unreachableRetryMs) : createFailure('serverLost', detail), false, now),
 		];
 	}
 
--- a/packages/core/src/gateway/run-statement.ts
+++ b/packages/core/src/gateway/run-statement.ts
@@ -9,6 +9,8 @@
 	= | 'foreign'
 	/** The endpoint has not run the request and never will. */
 		| 'notRun'
+	/** The response refuses a request that its address got before; it may be a copy of the refusal before. */
+		| 'repeated'
 	/** The response has the status of a refusal, but doesn't state that the request has not run. */
 		| 'unproven'
 	/** The endpoint answers the request, which it may have run. */
@@ -34,6 +36,10 @@
 		return 'answered';
 	}
 
-	// Without an id, or with one that the address knows already, the response may be left over from another send.
-	return head.isNotRun && requestId !== '' && !isRepeated ? 'notRun' : 'unproven';
+	// Without an id the response may belong to any other request without one.
+	if (!head.isNotRun || requestId === '') {
+		return 'unproven';
+	}
+
+	return isRepeated ? 'repeated' : 'notRun';
 }
