Judge answers that state anything by the properties of requests

Cause: the generated endpoints refused only truthfully, by 503 and 421 with the statement, and each answer came once. What a gateway concludes from a status, a statement and an id that don't fit together was judged by no property.

Change: a behaviour that runs the request or not and then answers any of eleven statuses with the statement, without it or with a denial of it, with the request's id, another one or none, with or without the name of another server at fault, and with or without a copy that the next send to that server receives in place of its own answer. Left out is one case, a server that runs a request and refuses it in the platform's own form, which nothing can tell from the truth. A tenth of the requests have no id. Requests now have ids of their own. A new property: no answer is passed on with a status by which callers learn that a request has not run if it has.

--- a/packages/core/src/gateway/endpoint-behaviour.ts
+++ b/packages/core/src/gateway/endpoint-behaviour.ts
@@ -28,19 +28,44 @@
 		| Readonly<{kind: 'skipEvent'; delayMs: Milliseconds}>
 		| Readonly<{kind: 'silent'}>
 	/** Reads the request, never begins to work on it, and goes on answering probes. */
-		| Readonly<{kind: 'hang'}>;
+		| Readonly<{kind: 'hang'}>
+		| StatingBehaviour;
+
+/** What a response says in its `Not-Run` header. */
+export type Statement = 'none' | 'notRun' | 'denied';
+
+/** Runs the request or not, and answers with any status, statement and id. */
+export type StatingBehaviour = Readonly<{
+	kind: 'state';
+	isRun: boolean;
+	status: number;
+	statement: Statement;
+	id: 'own' | 'other' | 'missing';
+	/** Whether the response names another endpoint as the cause. */
+	namesOther: boolean;
+	/** Whether a copy of the response follows, where the response to the next request on the connection is expected. */
+	isRepeated: boolean;
+	delayMs: Milliseconds;
+}>;
 
 /** An event that the endpoint causes, and its delay after the send. */
 export type BehaviourStep = Readonly<{afterMs: Milliseconds; event: RequestEvent}>;
 
 /** The part of a send that its endpoint sees. */
-export type ReceivedSend = Readonly<{sendId: SendId; kind: RequestKind; lastEventId: string | undefined}>;
+export type ReceivedSend = Readonly<{sendId: SendId; requestId: string; kind: RequestKind; lastEventId: string | undefined}>;
 
 /** Number of events of a complete stream. */
 export const streamEventCount = 5;
 const eventPauseMs: Milliseconds = 40;
 const nonStreamBody = 'whole answer';
 
+/** Statuses by which callers learn that a request has not run and never will. */
+export const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const lowestErrorStatus = 300;
+const otherRequestId = 'r-other';
+/** Address of an endpoint of the fixtures. */
+const otherAddress = '10.0.6.7:80';
+
 /** Returns the text of one event of a stream. */
 export function getStreamEvent(number: number): string {
 	return `id: ${number}\ndata: piece ${number}\n\n`;
@@ -51,9 +76,14 @@
 	return kind === 'streaming' ? Array.from({length: streamEventCount}, (_, index) => getStreamEvent(index + 1)).join('') : nonStreamBody;
 }
 
+/** Returns whether the response is the platform's statement that the request has not run, which no gateway can tell from a false one. */
+export function isRefusal({status, statement, id}: StatingBehaviour): boolean {
+	return notRunStatuses.has(status) && statement === 'notRun' && id === 'own';
+}
+
 /** Returns whether an endpoint with this behaviour runs the request. */
 export function isRequestRun(behaviour: EndpointBehaviour): boolean {
-	return behaviour.kind !== 'refuse' && behaviour.kind !== 'misdirect' && behaviour.kind !== 'failConnection' && behaviour.kind !== 'hang';
+	return behaviour.kind === 'state' ? behaviour.isRun : behaviour.kind !== 'refuse' && behaviour.kind !== 'misdirect' && behaviour.kind !== 'failConnection' && behaviour.kind !== 'hang';
 }
 
 /** Returns the parts of a response: up to `count` of the remaining events, or the body of a response that isn't a stream. */
@@ -65,12 +95,12 @@
 }
 
 function getEvents(send: ReceivedSend, behaviour: Exclude<EndpointBehaviour, {kind: 'silent' | 'hang'}>): readonly RequestEvent[] {
-	const {sendId} = send;
+	const {sendId, requestId} = send;
 	const end: RequestEvent = {kind: 'responseEnded', sendId};
 	const connectionReset: RequestEvent = {
 		kind: 'sendFailed', sendId, wasSent: true, detail: 'ECONNRESET',
 	};
-	const createHeadEvent = (changes: Parameters<typeof createFixtureHead>[0] = {}): RequestEvent => ({kind: 'responseStarted', sendId, head: createFixtureHead(changes)});
+	const createHeadEvent = (changes: Parameters<typeof createFixtureHead>[0] = {}): RequestEvent => ({kind: 'responseStarted', sendId, head: createFixtureHead({requestId, ...changes})});
 	const createBytesEvent = (text: string): RequestEvent => ({kind: 'responseBytes', sendId, bytes: Buffer.from(text)});
 	const createParts = (count: number): readonly RequestEvent[] => getBodyParts(send, count).map(part => createBytesEvent(part));
 	switch (behaviour.kind) {
@@ -102,11 +132,23 @@
 
 		case 'corrupt': {
 			const head = createHeadEvent({
-				requestId: behaviour.how === 'foreign' ? 'r-other' : 'r-1', hasStamp: behaviour.how !== 'unstamped', isEncoded: behaviour.how === 'encoded',
+				requestId: behaviour.how === 'foreign' ? otherRequestId : requestId, hasStamp: behaviour.how !== 'unstamped', isEncoded: behaviour.how === 'encoded',
 			});
 			return [head, createBytesEvent('not the answer'), end];
 		}
 
+		case 'state': {
+			const {status, id, statement, namesOther} = behaviour;
+			const head = createHeadEvent({
+				status,
+				requestId: {own: requestId, other: otherRequestId, missing: undefined}[id],
+				isNotRun: statement === 'notRun',
+				refusalText: {none: undefined, notRun: '1', denied: '0'}[statement],
+				faultyAddress: namesOther ? otherAddress : undefined,
+			});
+			return [head, ...(status < lowestErrorStatus ? createParts(streamEventCount) : [createBytesEvent('failed')]), end];
+		}
+
 		case 'skipEvent': {
 			const last = send.kind === 'streaming' ? [createBytesEvent(getStreamEvent(streamEventCount))] : [];
 			return [createHeadEvent(), ...createParts(1), ...last, end];
--- a/packages/core/src/gateway/gateway-fault-simulation.ts
+++ b/packages/core/src/gateway/gateway-fault-simulation.ts
@@ -8,7 +8,7 @@
 import type {Milliseconds, Timestamp} from '../types.js';
 import {createGateway} from './gateway.js';
 import {
-	getBehaviourSteps, isRequestRun, type BehaviourStep, type EndpointBehaviour,
+	getBehaviourSteps, isRequestRun, type BehaviourStep, type EndpointBehaviour, type ReceivedSend,
 } from './endpoint-behaviour.js';
 import {
 	createFixtureEndpoints, createFixtureGatewayRequest, fixtureNonIdempotentRoute, fixtureConfiguration, fixtureGatewaySettings,
@@ -29,6 +29,8 @@
 	callerTimeoutMs: Milliseconds;
 	/** Time from arrival until the caller disconnects, or `undefined` if it doesn't. */
 	disconnectsAfterMs: Milliseconds | undefined;
+	/** Whether its caller gives it no id; absent if it does. */
+	isAnonymous?: boolean;
 	/** How its caller fails to read the response to each send; absent if it reads all at once. */
 	pause?: ReaderPause;
 }>;
@@ -134,6 +136,7 @@
 	const route = getRoute(scripted.kind);
 	return createFixtureGatewayRequest(route, {
 		key,
+		requestId: scripted.isAnonymous === true ? '' : `r-${key}`,
 		arrivedAt: scripted.at,
 		deadlineAt: scripted.at + Math.min(route.timeoutMs, scripted.callerTimeoutMs),
 		prompt: route.kind === 'streaming' ? {promptTokens: scripted.promptTokens, maximumTokens: 200} : undefined,
@@ -142,6 +145,9 @@
 
 type Task = Readonly<{at: Timestamp; order: number; run(): void}>;
 
+/** A send and the behaviour by which it was answered. */
+type AnsweredSend = Readonly<{send: ReceivedSend; behaviour: EndpointBehaviour}>;
+
 type SendAction = Extract<GatewayAction, {kind: 'send'}>;
 
 /** Returns the steps of a send whose response isn't read for some time once some events were received. */
@@ -176,6 +182,8 @@
 	const reservationsAfterRelease: ReservationId[] = [];
 	/** Endpoint of each send that it has begun to work on. */
 	const begunSends = new Map<SendId, EndpointId>();
+	/** Answers whose copies the next send to their endpoint receives in place of its own. */
+	const repeatedAnswers = new Map<EndpointId, AnsweredSend>();
 	/** When each reservation that no request has used yet was granted. */
 	const unusedReservations = new Map<ReservationId, Timestamp>();
 	let longestUnusedMs = 0;
@@ -354,6 +362,13 @@
 		}
 	}
 
+	/** Returns the answer whose copy a send receives, or its own. */
+	function takeRepeatedAnswer(endpoint: EndpointId, own: AnsweredSend): AnsweredSend {
+		const repeated = own.behaviour.kind === 'failConnection' ? undefined : repeatedAnswers.get(endpoint);
+		repeatedAnswers.delete(endpoint);
+		return repeated ?? own;
+	}
+
 	function performSend(action: SendAction): void {
 		const record = records.get(action.key);
 		if (record === undefined) {
@@ -375,7 +390,15 @@
 		}
 
 		const {key, sendId, lastEventId} = action;
-		const steps = getBehaviourSteps({sendId, lastEventId, kind: record.request.route.kind}, behaviour);
+		const {requestId, route} = record.request;
+		const answered: AnsweredSend = {
+			send: {
+				sendId, requestId, lastEventId, kind: route.kind,
+			},
+			behaviour,
+		};
+		const {send: answeredSend, behaviour: answeringBehaviour} = takeRepeatedAnswer(action.endpoint.id, answered);
+		const steps = getBehaviourSteps({...answeredSend, sendId}, answeringBehaviour);
 		const {pause} = scenario.requests[key - 1] ?? {};
 		for (const {afterMs, event} of pause === undefined || record.request.route.kind !== 'streaming' ? steps : createPausedSteps(sendId, steps, pause)) {
 			schedule(now + afterMs, () => {
@@ -387,6 +410,11 @@
 					record.openSends.delete(sendId);
 				}
 
+				// The driver holds the next send until the rest of a discarded response has been read.
+				if (event.kind === 'responseStarted' && behaviour.kind === 'state' && behaviour.isRepeated) {
+					repeatedAnswers.set(action.endpoint.id, answered);
+				}
+
 				dispatch(key, event);
 			});
 		}
--- a/packages/core/src/gateway/gateway-properties.test.ts
+++ b/packages/core/src/gateway/gateway-properties.test.ts
@@ -9,7 +9,7 @@
 import {fixtureGatewaySettings} from './gateway-fixtures.js';
 import {reservationHoldMs} from './memory-reservation.js';
 import {
-	getCompleteBody, getStreamEvent, streamEventCount, type EndpointBehaviour,
+	getCompleteBody, getStreamEvent, isRefusal, notRunStatuses, streamEventCount, type EndpointBehaviour, type StatingBehaviour,
 } from './endpoint-behaviour.js';
 import {
 	runGatewayScenario, simulatedFixedSends, type RequestRecord, type GatewayScenario, type ScriptedGatewayRequest, type ScriptedChange, type GatewayScenarioResult,
@@ -23,6 +23,30 @@
 const eventTime = fc.integer({min: 0, max: 12_000});
 const delayMs = fc.oneof(fc.integer({min: 0, max: 300}), fc.integer({min: 0, max: 9000}));
 
+/** An endpoint that runs a request states nothing false in the platform's own form, which nothing could tell from the truth. */
+const statingBehaviour: fc.Arbitrary<StatingBehaviour> = fc.record({
+	kind: fc.constant('state' as const),
+	isRun: fc.boolean(),
+	status: fc.constantFrom(200, 302, 400, 404, 408, 421, 429, 500, 502, 503, 504),
+	statement: fc.constantFrom('none' as const, 'notRun' as const, 'denied' as const),
+	id: fc.constantFrom('own' as const, 'own' as const, 'other' as const, 'missing' as const),
+	namesOther: fc.boolean(),
+	isRepeated: fc.boolean(),
+	delayMs,
+}).filter(stating => !stating.isRun || !isRefusal(stating));
+
+/** A refusal after which the same endpoint may be tried again, where a copy of it is left. */
+const repeatedRefusal: fc.Arbitrary<StatingBehaviour> = fc.record({
+	kind: fc.constant('state' as const),
+	isRun: fc.constant(false),
+	status: fc.constantFrom(...notRunStatuses),
+	statement: fc.constant('notRun' as const),
+	id: fc.constant('own' as const),
+	namesOther: fc.constant(true),
+	isRepeated: fc.constant(true),
+	delayMs: fc.integer({min: 0, max: 300}),
+});
+
 const behaviour: fc.Arbitrary<EndpointBehaviour> = fc.oneof(
 	{weight: 3, arbitrary: fc.record({kind: fc.constant('serve' as const), delayMs})},
 	fc.record({kind: fc.constantFrom('refuse' as const, 'misdirect' as const, 'failConnection' as const, 'reset' as const, 'skipEvent' as const), delayMs}),
@@ -37,6 +61,8 @@
 	}),
 	fc.constant({kind: 'silent' as const}),
 	fc.constant({kind: 'hang' as const}),
+	{weight: 4, arbitrary: statingBehaviour},
+	repeatedRefusal,
 );
 
 const scriptedKinds = ['stream', 'nonResumableStream', 'longStream', 'nonResumableLongStream', 'nonIdempotent', 'idempotent'] as const;
@@ -47,6 +73,7 @@
 	promptTokens: fc.constantFrom(1000, 5000, 45_000, 200_000, 600_000, 1_000_000),
 	callerTimeoutMs: fc.oneof(fc.integer({min: 20, max: 15_000}), fc.constant(15_000)),
 	disconnectsAfterMs: fc.option(fc.integer({min: 0, max: 6000}), {nil: undefined, freq: 4}),
+	isAnonymous: fc.oneof({weight: 9, arbitrary: fc.constant(false)}, fc.constant(true)),
 });
 
 const scriptedChange: fc.Arbitrary<ScriptedChange> = fc.oneof(
@@ -124,12 +151,39 @@
 			}
 
 			const {status} = getErrorDefinition(outcome.failure.kind);
-			if (outcome.failure.ran === 'no' || [408, 421, 429, 503].includes(status)) {
+			if (outcome.failure.ran === 'no' || notRunStatuses.has(status)) {
 				expect(runs).toEqual([]);
 			}
 		});
 	});
 
+	// Guards against answers that have run and are passed on with a status by which callers learn that they have not.
+	test('has run on no endpoint if an answer is passed on whose status says so', () => {
+		checkRecords(({status, runs}) => {
+			if (notRunStatuses.has(status ?? 0)) {
+				expect(runs).toEqual([]);
+			}
+		});
+	});
+
+	// Guards against a copy of a request's earlier refusal that is taken for the answer to a later send of it.
+	test('has run on no endpoint if it is answered as not run, though its first refusal is repeated behind its second send', () => {
+		const request = {
+			kind: 'nonIdempotent', promptTokens: 0, callerTimeoutMs: 15_000, disconnectsAfterMs: undefined,
+		} as const;
+		// The second request raises the retry quota to one retry.
+		const {records} = runGatewayScenario({
+			requests: [{...request, at: 0}, {...request, at: 10}],
+			behaviours: [{
+				kind: 'state', isRun: false, status: 503, statement: 'notRun', id: 'own', namesOther: true, isRepeated: true, delayMs: 20,
+			}, {kind: 'serve', delayMs: 10}, {kind: 'serve', delayMs: 10}],
+			grants: [true],
+			changes: [],
+		});
+		expect(records[0]?.runs).toHaveLength(1);
+		expect(records[0]?.finalOutcomes).not.toMatchObject([{outcome: {failure: {ran: 'no'}}}]);
+	});
+
 	test('delivers exactly the complete response if it succeeds', () => {
 		checkRecords(({finalOutcomes, request, text}) => {
 			const outcome = finalOutcomes[0]?.outcome;
