Report a send that fails to dispatch as sent if it was started

Cause: where `dispatch` of the client library throws, the send was reported as not sent, whatever had been handed to the library by then. A request that it has begun to write, or still has in its queue and writes later, could so run at two servers.

Evidence: by reading.

Change: the send is reported as sent if it was started. A request is started once: one that was reported as failed, or that is taken up again after its first start, is aborted before it is written, which the library checks right after the start.

--- a/packages/gateway/src/endpoint-client.test.ts
+++ b/packages/gateway/src/endpoint-client.test.ts
@@ -2,8 +2,9 @@
 import net, {type Socket} from 'node:net';
 import {once} from 'node:events';
 import {
-	afterEach, expect, test, vi,
+	afterEach, describe, expect, test, vi,
 } from 'vitest';
+import {Pool, type Dispatcher} from 'undici';
 import {startEndlessServer} from '@currantcross/standins/platform-endless-server-standin';
 import type {ConnectionUse} from './connection-uses.js';
 import {createEndpointClient, type EndpointClient} from './endpoint-client.js';
@@ -19,6 +20,7 @@
 const closers: Array<() => void> = [];
 
 afterEach(() => {
+	vi.restoreAllMocks();
 	for (const close of closers.splice(0)) {
 		close();
 	}
@@ -121,6 +123,53 @@
 	expect(await sendRequest(createClient(), `127.0.0.1:${port}`)).toEqual({kind: 'failed', wasSent: false});
 });
 
+describe('a request that the client library fails to dispatch', () => {
+	function createController(): Dispatcher.DispatchController {
+		return {
+			aborted: false, paused: false, reason: null, rawHeaders: null, rawTrailers: null, abort: vi.fn<() => void>(), pause: vi.fn<() => void>(), resume: vi.fn<() => void>(),
+		};
+	}
+
+	/** Makes the client library take a request, handle it by `handle`, and throw. Returns the handlers of the requests. */
+	function breakDispatch(handle: (handler: Dispatcher.DispatchHandler) => void): readonly Dispatcher.DispatchHandler[] {
+		const handlers: Dispatcher.DispatchHandler[] = [];
+		vi.spyOn(Pool.prototype, 'dispatch').mockImplementation((_options, handler) => {
+			handlers.push(handler);
+			handle(handler);
+			throw new Error('broken');
+		});
+		return handlers;
+	}
+
+	// Guards against a request that is sent to another endpoint, though the library has begun to write it.
+	test('is reported as sent if it has been started', async () => {
+		breakDispatch(handler => {
+			handler.onRequestStart?.(createController(), {});
+		});
+		expect(await sendRequest(createClient(), '127.0.0.1:1')).toEqual({kind: 'failed', wasSent: true});
+	});
+
+	// Guards against a request that the library still has in its queue after it was sent to another endpoint.
+	test('is not written later if it has been reported as not sent', async () => {
+		const handlers = breakDispatch(() => undefined);
+		expect(await sendRequest(createClient(), '127.0.0.1:1')).toEqual({kind: 'failed', wasSent: false});
+		const controller = createController();
+		handlers[0]?.onRequestStart?.(controller, {});
+		expect(controller.abort).toHaveBeenCalledOnce();
+	});
+
+	// Guards against a library that writes a request again after the connection on which it was written has closed.
+	test('is not written a second time', async () => {
+		const controller = createController();
+		breakDispatch(handler => {
+			handler.onRequestStart?.(controller, {});
+			handler.onRequestStart?.(controller, {});
+		});
+		expect(await sendRequest(createClient(), '127.0.0.1:1')).toEqual({kind: 'failed', wasSent: true});
+		expect(controller.abort).toHaveBeenCalledOnce();
+	});
+});
+
 // Guards against a faulty endpoint whose endless response fills the memory or keeps the connection.
 test.each(['garbage', 'reason', 'header', 'headers', 'informational', 'trailers', 'chunkSize', 'chunkExtension', 'body'] as const)('fails an endless response (%s) and closes the connection', async kind => {
 	const endpoint = await startEndlessServer(kind);
--- a/packages/gateway/src/endpoint-client.ts
+++ b/packages/gateway/src/endpoint-client.ts
@@ -108,8 +108,11 @@
 /** A send whose response has not ended. `controller` is set from when undici starts to write the request until the response ends. */
 type OpenSend = {
 	controller: Dispatcher.DispatchController | undefined;
+	/** Whether undici has begun to write the request. */
+	hasStarted: boolean;
 	isPaused: boolean;
-	isCancelled: boolean;
+	/** Whether the listener is not called again. */
+	isOver: boolean;
 	discardTimer: NodeJS.Timeout | undefined;
 };
 
@@ -153,11 +156,14 @@
 		});
 	}
 
-	/** Removes a send whose response has ended. */
-	function removeSend(sendId: SendId, openSend: OpenSend): void {
+	/** Removes a send whose response has ended. Returns whether its listener is to be told. */
+	function removeSend(sendId: SendId, openSend: OpenSend): boolean {
+		const wasOpen = !openSend.isOver;
 		openSends.delete(sendId);
 		openSend.controller = undefined;
+		openSend.isOver = true;
 		clearTimeout(openSend.discardTimer);
+		return wasOpen;
 	}
 
 	function getPool(address: string): Dispatcher {
@@ -180,18 +186,15 @@
 		void pool?.close();
 	}
 
-	function createHandler(sendId: SendId, listener: EndpointListener): Dispatcher.DispatchHandler {
-		const openSend: OpenSend = {
-			controller: undefined, isPaused: false, isCancelled: false, discardTimer: undefined,
-		};
-		openSends.set(sendId, openSend);
-		let hasStarted = false;
+	function createHandler(sendId: SendId, openSend: OpenSend, listener: EndpointListener): Dispatcher.DispatchHandler {
 		let informationalResponses = 0;
 		return {
 			onRequestStart(controller) {
-				hasStarted = true;
+				// Not even the client's queue writes a request again, or after it was reported as failed.
+				const mayStart = !openSend.isOver && !openSend.hasStarted;
+				openSend.hasStarted = true;
 				openSend.controller = controller;
-				if (openSend.isCancelled) {
+				if (!mayStart) {
 					cancelOpenSend(openSend);
 					return;
 				}
@@ -210,13 +213,12 @@
 				}
 			},
 			onResponseData(controller, bytes) {
-				if (!openSend.isCancelled) {
+				if (!openSend.isOver) {
 					listener.onBytes(bytes, responsePacer.isFragmented(controller));
 				}
 			},
 			onResponseEnd() {
-				removeSend(sendId, openSend);
-				if (openSend.isCancelled) {
+				if (!removeSend(sendId, openSend)) {
 					return;
 				}
 
@@ -227,10 +229,9 @@
 				}
 			},
 			onResponseError(_controller, error) {
-				removeSend(sendId, openSend);
-				if (!openSend.isCancelled) {
+				if (removeSend(sendId, openSend)) {
 					const code = getErrorCode(error);
-					listener.onFailure(hasStarted || !connectErrorCodes.has(code), code);
+					listener.onFailure(openSend.hasStarted || !connectErrorCodes.has(code), code);
 				}
 			},
 		};
@@ -239,14 +240,18 @@
 	return {
 		send(request, listener) {
 			const {sendId, address, method, target, headers, body} = request;
-			const handler = createHandler(sendId, listener);
+			const openSend: OpenSend = {
+				controller: undefined, hasStarted: false, isPaused: false, isOver: false, discardTimer: undefined,
+			};
+			openSends.set(sendId, openSend);
 			try {
 				getPool(address).dispatch({
 					method, path: target, headers: [...headers], body: body.length === 0 ? null : body,
-				}, handler);
+				}, createHandler(sendId, openSend, listener));
 			} catch (error) {
-				openSends.delete(sendId);
-				listener.onFailure(false, getErrorText(error));
+				if (removeSend(sendId, openSend)) {
+					listener.onFailure(openSend.hasStarted, getErrorText(error));
+				}
 			}
 		},
 		async sendControlRequest(address, {method, target, headers, body}) {
@@ -282,7 +287,7 @@
 			}
 
 			openSends.delete(sendId);
-			openSend.isCancelled = true;
+			openSend.isOver = true;
 			switch (how) {
 				case 'abort': {
 					cancelOpenSend(openSend);
