Don't answer 503 for an entry's request that may have run

What callers saw: an idempotent call or a prompt that had run at one server, and was refused by the others, was answered 503 "overloaded" with `ran: unknown` or `yes`. The answer said both; clients and proxies that know only the status take it for a call that has not run.

Cause: `createRetryableRequest` reports the reason for which its last attempt could not be made, whatever became of the earlier ones.

Change: a failure of a request that may have run is reported as `serverLost` (502) if its kind has a status by which callers learn that it has not. `ran` is as before. Non-idempotent calls were never affected: their sessions fail with such a kind only as not run.

--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -104,6 +104,9 @@
 /** A kind of error; `errorTable` defines all of them. */
 export type ErrorKind = keyof typeof errorTable;
 
+/** Statuses by which callers learn that a request has not run and never will. */
+export const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
 /** A failure that is reported to a caller. */
 export type Failure = Readonly<{
 	kind: ErrorKind;
--- a/packages/core/src/fault-properties.test.ts
+++ b/packages/core/src/fault-properties.test.ts
@@ -5,6 +5,7 @@
 import process from 'node:process';
 import fc from 'fast-check';
 import {describe, expect, test} from 'vitest';
+import {getErrorDefinition, notRunStatuses} from './errors.js';
 import type {
 	Fault, RequestResult, Scenario, ScriptedRequest,
 } from './fault-scenario.js';
@@ -106,6 +107,18 @@
 		}), parameters);
 	});
 
+	// Guards against a 503 for a request that has run, which clients repeat whatever the rest of the answer says.
+	test('a request whose failure has a status that says that it was not run never started', () => {
+		fc.assert(fc.property(createScenarioArbitrary(['prompt', 'idempotentCall', 'nonIdempotentCall']), scenario => {
+			for (const {finalAction, wasStarted} of runScenario(scenario).requests) {
+				if (finalAction?.kind === 'failRequest' && notRunStatuses.has(getErrorDefinition(finalAction.failure.kind).status)) {
+					expect(wasStarted).toBe(false);
+					expect(finalAction.failure.ran).toBe('no');
+				}
+			}
+		}), parameters);
+	});
+
 	test('a caller receives a prefix of its own answer, and all of it when the request completes', () => {
 		fc.assert(fc.property(createScenarioArbitrary(['prompt']), scenario => {
 			for (const {finalAction, deliveredTokens, requestId} of runScenario(scenario).requests) {
--- a/packages/core/src/fault-regressions.test.ts
+++ b/packages/core/src/fault-regressions.test.ts
@@ -28,6 +28,34 @@
 	});
 });
 
+describe('an idempotent call that has run at one server', () => {
+	// The first attempt ran and its response was lost; the other server refused the second one, and the entry answered "overloaded".
+	test('is not answered with a status that says that it was not run when the other server refuses it', () => {
+		const {requests} = runScenario({
+			seed: 1,
+			requests: [
+				{
+					at: 0, entry: 1, kind: 'idempotentCall', key: 'k1', promptTokens: 0, deadlineMs: 1513,
+				},
+				{
+					at: 1506, entry: 1, kind: 'idempotentCall', key: 'k1', promptTokens: 0, deadlineMs: 300,
+				},
+			],
+			faults: [
+				{
+					kind: 'delaySubmits', at: 0, count: 1, delayMs: 1504, isDuplicated: false,
+				},
+				{
+					kind: 'killAgent', index: 2, at: 1516, downMs: 0,
+				},
+				{kind: 'loseServiceResponses', at: 0, count: 1},
+			],
+		});
+		expect(requests[1]?.wasStarted).toBe(true);
+		expect(requests[1]?.finalAction).toMatchObject({kind: 'failRequest', failure: {kind: 'serverLost', ran: 'unknown'}});
+	});
+});
+
 describe('a non-idempotent call whose outcome was never recorded', () => {
 	function createAction(at: number, entry: number): ScriptedRequest {
 		return {
--- a/packages/core/src/gateway/endpoint-behaviour.ts
+++ b/packages/core/src/gateway/endpoint-behaviour.ts
@@ -3,6 +3,7 @@
 platform allows.
 */
 import {Buffer} from 'node:buffer';
+import {notRunStatuses} from '../errors.js';
 import type {Milliseconds} from '../types.js';
 import {createFixtureHead} from './gateway-fixtures.js';
 import type {RequestKind} from './gateway-types.js';
@@ -59,8 +60,6 @@
 const eventPauseMs: Milliseconds = 40;
 const nonStreamBody = 'whole answer';
 
-/** Statuses by which callers learn that a request has not run and never will. */
-export const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const lowestErrorStatus = 300;
 const otherRequestId = 'r-other';
 /** Address of an endpoint of the fixtures. */
--- a/packages/core/src/gateway/gateway-properties.test.ts
+++ b/packages/core/src/gateway/gateway-properties.test.ts
@@ -5,11 +5,11 @@
 import process from 'node:process';
 import fc from 'fast-check';
 import {describe, expect, test} from 'vitest';
-import {getErrorDefinition} from '../errors.js';
+import {getErrorDefinition, notRunStatuses} from '../errors.js';
 import {fixtureGatewaySettings} from './gateway-fixtures.js';
 import {reservationHoldMs} from './memory-reservation.js';
 import {
-	getCompleteBody, getStreamEvent, isRefusal, notRunStatuses, streamEventCount, type EndpointBehaviour, type StatingBehaviour,
+	getCompleteBody, getStreamEvent, isRefusal, streamEventCount, type EndpointBehaviour, type StatingBehaviour,
 } from './endpoint-behaviour.js';
 import {
 	runGatewayScenario, simulatedFixedSends, type RequestRecord, type GatewayScenario, type ScriptedGatewayRequest, type ScriptedChange, type GatewayScenarioResult,
--- a/packages/core/src/retryable-request.ts
+++ b/packages/core/src/retryable-request.ts
@@ -7,7 +7,7 @@
 */
 import {createAttemptTracker, type AttemptTracker, type TrackerStep} from './attempt-tracker.js';
 import type {AdmittedRequest, EntryAction} from './entry-types.js';
-import type {ErrorKind} from './errors.js';
+import {getErrorDefinition, notRunStatuses, type ErrorKind} from './errors.js';
 import {
 	createAttempt, createServerLookup, findPermit, isUsableAfterProbe, type RequestSession, type SessionEvent, type SessionHost,
 } from './request-session.js';
@@ -26,6 +26,11 @@
 
 const defaultRetryAfterMs = 1000;
 
+/** Returns the kind by which a failure is reported, whose status must not say that a request was not run which may have run. */
+function getReportedKind(kind: ErrorKind, ran: Ran): ErrorKind {
+	return ran === 'no' || !notRunStatuses.has(getErrorDefinition(kind).status) ? kind : 'serverLost';
+}
+
 /** Creates the session of an admitted request. */
 export function createRetryableRequest(request: AdmittedRequest, host: SessionHost): RequestSession {
 	const excluded = new Set<ServerName>();
@@ -62,7 +67,7 @@
 			kind: 'failRequest',
 			requestId: request.requestId,
 			failure: {
-				kind, ran, detail: failureDetail, retryAfterMs,
+				kind: getReportedKind(kind, ran), ran, detail: failureDetail, retryAfterMs,
 			},
 		}];
 	}
