Generate services that refuse calls before they run

Cause: the generated faults of entries and agents had no service that accepts no connections, so that no generated run moved the claim of a call from an attempt that had been accepted and had failed as not run.

--- a/packages/core/src/fault-scenario.ts
+++ b/packages/core/src/fault-scenario.ts
@@ -20,6 +20,8 @@
 		| Readonly<{kind: 'loseWriteResponses'; at: Timestamp; count: number}>
 	/** The next service calls run but their responses are lost. */
 		| Readonly<{kind: 'loseServiceResponses'; at: Timestamp; count: number}>
+	/** The next service calls are refused before they run, as by a service that accepts no connections. */
+		| Readonly<{kind: 'refuseServiceCalls'; at: Timestamp; count: number}>
 	/** The prompts that are running on the agent's engine fail. */
 		| Readonly<{kind: 'killEngine'; index: number; at: Timestamp}>
 	/** The next submits reach their agents after `delayMs`; if `isDuplicated`, a copy also arrives without the delay. */
--- a/packages/core/src/fault-simulation.ts
+++ b/packages/core/src/fault-simulation.ts
@@ -99,6 +99,7 @@
 	let apiDownUntil: Timestamp = 0;
 	let writeResponsesToLose = 0;
 	let serviceResponsesToLose = 0;
+	let serviceCallsToRefuse = 0;
 	let delayedSubmits = {count: 0, delayMs: 0, isDuplicated: false};
 	let partitionedLinks: ReadonlyArray<Readonly<{entry: number; agent: number; until: Timestamp}>> = [];
 	let attemptCount = 0;
@@ -454,6 +455,14 @@
 			return;
 		}
 
+		if (serviceCallsToRefuse > 0) {
+			serviceCallsToRefuse -= 1;
+			stepAgent(index, {
+				kind: 'workFailed', attemptId, ran: 'no', detail: 'the service accepts no connections',
+			});
+			return;
+		}
+
 		startedAttemptIds.add(attemptId);
 		const key = idempotencyKey ?? 'lookup';
 		runCounts.set(key, (runCounts.get(key) ?? 0) + 1);
@@ -629,6 +638,11 @@
 				return;
 			}
 
+			case 'refuseServiceCalls': {
+				serviceCallsToRefuse += fault.count;
+				return;
+			}
+
 			case 'killEngine': {
 				getAgent(fault.index).engineGeneration += 1;
 				return;
