Test what is said of a call whose service closes and accepts no other connection

Cause looked for: a refused connection counts as not run, and the client library opens another connection for what it has not written. A call that was written and taken up again would be reported as not run.

Measured: it is not (by reading, too: the library fails a request that it has begun to write). Ten calls each to a service that reads the call, then ends or resets the connection, in its head or behind an informational response, and listens no longer: possibly run, and read once. A service that never accepts: not run. Answers with 408, 421, 429 and 503, a statement and a time to come back are passed on as answers, and the call is sent once.

--- a/packages/endpoint/src/business-service.test.ts
+++ b/packages/endpoint/src/business-service.test.ts
@@ -59,3 +59,66 @@
 		expect(await client.call(work, 2000)).toMatchObject({kind: 'failed', ran: 'unknown'});
 	}
 });
+
+/** Starts a service that listens no longer once it has accepted a connection. Returns the number of requests that it has read. */
+async function startLastService(answer: (socket: Socket) => void): Promise<Readonly<{url: string; getRequestCount: () => number}>> {
+	let requestCount = 0;
+	const server = net.createServer(socket => {
+		server.close();
+		socket.on('error', () => undefined);
+		socket.on('data', bytes => {
+			requestCount += bytes.toString().split('POST ').length - 1;
+			answer(socket);
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const address = server.address();
+	return {url: `http://127.0.0.1:${typeof address === 'object' ? address?.port ?? 0 : 0}`, getRequestCount: () => requestCount};
+}
+
+const action = {
+	...work, method: 'POST', body: 'deposit', isIdempotent: false,
+} as const;
+
+// Guards against a call that is reported as not run, since a second connection is refused after the first one has carried it.
+test.each([
+	['ends', (socket: Socket) => {
+		socket.end();
+	}],
+	['resets', (socket: Socket) => {
+		socket.resetAndDestroy();
+	}],
+	['ends in its head', (socket: Socket) => {
+		socket.end('HTTP/1.1 200 OK\r\nContent-Le');
+	}],
+	['ends after an informational response', (socket: Socket) => {
+		socket.end('HTTP/1.1 102 Processing\r\n\r\n');
+	}],
+] as const)('fails a call as possibly run, and sends it once, if the service reads it, %s the connection and accepts no other', async (_, answer) => {
+	for (let trial = 0; trial < 10; trial += 1) {
+		const {url, getRequestCount} = await startLastService(answer); // eslint-disable-line no-await-in-loop -- one after the other
+		// eslint-disable-next-line no-await-in-loop
+		expect(await createBusinessServiceClient(url).call(action, 2000)).toMatchObject({kind: 'failed', ran: 'unknown'});
+		expect(getRequestCount()).toBe(1);
+	}
+});
+
+test('fails a call as not run if the service accepts no connections', async () => {
+	const {url} = await startLastService(() => undefined);
+	const socket = net.connect(Number(new URL(url).port), '127.0.0.1');
+	await once(socket, 'connect');
+	socket.destroy();
+	expect(await createBusinessServiceClient(url).call(action, 2000)).toMatchObject({kind: 'failed', ran: 'no'});
+});
+
+// Guards against a status of the service that is taken for the statement that it has not run the call.
+test.each([408, 421, 429, 503])('passes on an answer with status %d, and sends the call once', async status => {
+	let requestCount = 0;
+	const url = await startService(socket => {
+		requestCount += 1;
+		socket.end(`HTTP/1.1 ${status} Refused\r\nNot-Run: 1\r\nRetry-After: 0\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbusy`);
+	});
+	expect(await createBusinessServiceClient(url).call(action, 2000)).toMatchObject({kind: 'answered', answer: {status, body: 'busy'}});
+	expect(requestCount).toBe(1);
+});
