Take only an agent's own refusal of the key for an attempt that was not sent

Cause: any error with the code `unauthenticated` proved to an entry that an attempt had not reached its agent. The RPC library gives this code to every answer of status 401, whoever sends it and whatever became of the attempt that was read before.

Evidence: a server that reads the attempt and answers 401 without being an agent. No run of the product has shown it; between entries and agents there is nothing of that kind today.

Change: the refusal of the shared key is told by its text, too. An entry and an agent of different versions whose texts differ take the attempt for sent, which is safe.

--- a/packages/peer/src/agent-client.ts
+++ b/packages/peer/src/agent-client.ts
@@ -1,7 +1,7 @@
 /**
 RPC client with which an entry calls agents.
 */
-import {Code, ConnectError, createClient} from '@connectrpc/connect';
+import {createClient} from '@connectrpc/connect';
 import type {Order, OrderOutcome} from '@currantcross/core/order-fencing';
 import type {StreamMode} from '@currantcross/core/entry-types';
 import type {
@@ -13,6 +13,7 @@
 	toWireAttempt, fromWireMessage, fromWireAttemptState, fromWireStatus,
 } from './message-codec.js';
 import {toWireOrder, fromWireOrderOutcome} from './order-codec.js';
+import {isKeyRefusal} from './shared-key.js';
 
 /** Parameters of a stream to open for an attempt. */
 export type StreamRequest = Readonly<{
@@ -53,11 +54,7 @@
 refused.
 */
 export function isUnsentError(error: unknown): boolean {
-	if (error instanceof ConnectError && error.code === Code.Unauthenticated) {
-		return true;
-	}
-
-	return tryGetErrorCode(error) === 'ECONNREFUSED';
+	return isKeyRefusal(error) || tryGetErrorCode(error) === 'ECONNREFUSED';
 }
 
 /** Creates a client whose unary calls, other than orders, time out after `timeoutMs`. */
