Fail a read of the host list that isn't answered with 200

What is seen: the body of any response but 304 was read as the host list: one with 500, 206 or 600 and a body of the right form counted as a list without hosts.

Cause: the status was compared with 304 only. Now any other than 200 fails the read, and the last list stays in use, as with a read that times out.

--- a/packages/object-api/src/host-list.ts
+++ b/packages/object-api/src/host-list.ts
@@ -35,6 +35,7 @@
 	readIfChanged(): Promise<HostList | undefined>;
 }>;
 
+const okStatus = 200;
 const notModifiedStatus = 304;
 
 /** Creates a client that uses the list's entity tag to fetch it only if it has changed. */
@@ -51,6 +52,11 @@
 			return undefined;
 		}
 
+		if (response.statusCode !== okStatus) {
+			await response.body.dump();
+			throw new VError('the platform answered %d', response.statusCode);
+		}
+
 		const hostList = hostListSchema.parse(await response.body.json());
 		const {etag} = response.headers;
 		entityTag = typeof etag === 'string' ? etag : undefined;
