Take a response whose status HTTP doesn't have for none

What callers saw: 600, 700 and 999 as answers of the server, through gateways and through entries and agents; with Not-Run, a gateway took them for the server's word that it had run nothing and answered 503. An engine's 600 to a release of memory counted as done. Statuses below 100 failed by an assertion of undici alone.

Cause: undici accepts any three digits from 100 on, and the clients compared statuses with those that they know.

Evidence, on the code before, one server that writes the status line as it is (gateway client, agent's client of services): 600, 700 and 999 ended as answers; 000, 0, 00, 099, 99, 100, 101, 102, 199 (as final ones), 20, 2000, 1000, -01, 200x, 599x failed. PROTOCOL.md has a request whose server answers no such thing end as one that may have run.

--- a/packages/endpoint/src/business-service.test.ts
+++ b/packages/endpoint/src/business-service.test.ts
@@ -59,3 +59,11 @@
 		expect(await client.call(work, 2000)).toMatchObject({kind: 'failed', ran: 'unknown'});
 	}
 });
+
+// Guards against bytes that are no answer in HTTP and that a caller gets as the service's answer.
+test.each(['000', '099', '101', '600', '999'])('fails a call whose response has the status %s, which the service may have run', async status => {
+	const url = await startService(socket => {
+		socket.end(`HTTP/1.1 ${status} Trouble\r\nConnection: close\r\nContent-Length: 2\r\n\r\nno`);
+	});
+	expect(await createBusinessServiceClient(url).call(work, 2000)).toMatchObject({kind: 'failed', ran: 'unknown'});
+});
--- a/packages/gateway/src/endpoint-client.test.ts
+++ b/packages/gateway/src/endpoint-client.test.ts
@@ -153,6 +153,24 @@
 	expect(performance.now() - startedAt).toBeLessThan(2500);
 });
 
+// Guards against bytes that are no answer in HTTP and that a caller gets as the endpoint's answer.
+test.each(['000', '099', '101', '600', '700', '999'])('fails a response, and a control request, whose status is %s, and closes the connection', async status => {
+	let openConnections = 0;
+	const address = await startEndpoint(socket => {
+		openConnections += 1;
+		socket.on('close', () => {
+			openConnections -= 1;
+		});
+		socket.write(`HTTP/1.1 ${status} Trouble\r\nNot-Run: 1\r\nContent-Length: 2\r\n\r\n{}`);
+	});
+	const client = createClient();
+	expect(await sendRequest(client, address)).toEqual({kind: 'failed', wasSent: true});
+	await expect(client.sendControlRequest(address, {
+		method: 'POST', target: '/order', headers: [], body: '{}',
+	})).rejects.toThrow();
+	await expect.poll(() => openConnections).toBe(0);
+});
+
 // Guards against a slow sound response that is taken for one without progress.
 test('completes a response whose chunks and their framing come apart, with pauses', async () => {
 	const parts = ['HTTP/1.1 200 OK\r\n', 'Transfer-Encoding: chunked\r\n\r\n', ...Array.from({length: 8}, () => ['3;a=b\r\n', 'abc', '\r\n']).flat(), '0\r\n\r\n'];
--- a/packages/gateway/src/endpoint-client.ts
+++ b/packages/gateway/src/endpoint-client.ts
@@ -10,6 +10,7 @@
 import {createHeldConnections} from '@currantcross/endpoint/held-connections';
 import {createLateConnector} from '@currantcross/endpoint/late-connector';
 import {createResetDetector} from '@currantcross/endpoint/reset-detector';
+import {createHeadInterceptor} from '@currantcross/endpoint/response-heads';
 import {type Dispatcher, errors, Pool} from 'undici';
 import VError from 'verror';
 import {createConnectionUses, type ConnectionUse} from './connection-uses.js';
@@ -135,6 +136,7 @@
 	const heldConnections = createHeldConnections();
 	const responsePacer = createResponsePacer({processorShare, getReadBytes: heldConnections.getReadBytes});
 	const joinPieces = createPieceInterceptor();
+	const checkHeads = createHeadInterceptor();
 	const openSends = new Map<SendId, OpenSend>();
 	const resetDetector = createResetDetector(createLateConnector({
 		timeout: connectTimeoutMs, keepAlive: true, keepAliveInitialDelay: 1000, autoSelectFamily: false,
@@ -169,7 +171,7 @@
 			bodyTimeout: 0,
 			pipelining: 1,
 			maxResponseSize: maximumResponseBytes,
-		}).compose(connectionUses.intercept, responseGuard.intercept, heldConnections.intercept, responsePacer.intercept, joinPieces);
+		}).compose(connectionUses.intercept, responseGuard.intercept, heldConnections.intercept, responsePacer.intercept, joinPieces, checkHeads);
 		pools.set(address, pool);
 		return pool;
 	}
