--- a/packages/endpoint/src/business-service.test.ts
+++ b/packages/endpoint/src/business-service.test.ts
@@ -122,3 +122,11 @@
 	expect(await createBusinessServiceClient(url).call(action, 2000)).toMatchObject({kind: 'answered', answer: {status, body: 'busy'}});
 	expect(requestCount).toBe(1);
 });
+
+// Guards against bytes that are no answer in HTTP and that a caller gets as the service's answer.
+test.each(['000', '099', '101', '600', '999'])('fails a call whose response has the status %s, which the service may have run', async status => {
+	const url = await startService(socket => {
+		socket.end(`HTTP/1.1 ${status} Trouble\r\nConnection: close\r\nContent-Length: 2\r\n\r\nno`);
+	});
+	expect(await createBusinessServiceClient(url).call(work, 2000)).toMatchObject({kind: 'failed', ran: 'unknown'});
+});
