--- a/packages/core/src/gateway/run-statement.test.ts
+++ b/packages/core/src/gateway/run-statement.test.ts
@@ -2,8 +2,9 @@
 Tests what the head of a response states of whether its endpoint has run the request.
 */
 import {describe, expect, test} from 'vitest';
+import {notRunStatuses} from '../errors.js';
 import {createFixtureHead} from './gateway-fixtures.js';
-import {getRunStatement, refusalStatuses} from './run-statement.js';
+import {getRunStatement} from './run-statement.js';
 
 const statuses = Array.from({length: 800}, (_, index) => 200 + index);
 const ownSend = {requestId: 'r-1', isRepeated: false} as const;
@@ -15,15 +16,15 @@
 		expect(refusals).toEqual([408, 421, 429, 503]);
 	});
 
-	test.each([...refusalStatuses])('not with status %i alone', status => {
+	test.each([...notRunStatuses])('not with status %i alone', status => {
 		expect(getRunStatement(createFixtureHead({status}), ownSend)).toBe('unproven');
 	});
 
-	test.each([...refusalStatuses])('not with status %i if the request was sent to the address before, since it may answer the send before', status => {
+	test.each([...notRunStatuses])('not with status %i if the request was sent to the address before, since it may answer the send before', status => {
 		expect(getRunStatement(createFixtureHead({status, isNotRun: true}), {...ownSend, isRepeated: true})).toBe('repeated');
 	});
 
-	test.each([...refusalStatuses])('not with status %i if the request has no id, since it may answer another one without', status => {
+	test.each([...notRunStatuses])('not with status %i if the request has no id, since it may answer another one without', status => {
 		for (const requestId of [undefined, '']) {
 			expect(getRunStatement(createFixtureHead({status, isNotRun: true, requestId}), {...ownSend, requestId: ''})).toBe('unproven');
 		}
--- a/packages/core/src/gateway/run-statement.ts
+++ b/packages/core/src/gateway/run-statement.ts
@@ -2,6 +2,7 @@
 Decides what the head of a response says of whether its endpoint has run the request. A request that may not be repeated is sent again, and any
 request is reported as not run, only after a response that states it here; whatever else comes may be the response of an endpoint that has run it.
 */
+import {notRunStatuses} from '../errors.js';
 import type {EndpointResponseHead} from './gateway-types.js';
 
 export type RunStatement
@@ -23,16 +24,13 @@
 	isRepeated: boolean;
 }>;
 
-/** Statuses that promise a caller that its request has not run and never will. */
-export const refusalStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-
 /** Returns what the head of a response to a send states. */
 export function getRunStatement(head: EndpointResponseHead, {requestId, isRepeated}: JudgedSend): RunStatement {
 	if ((head.requestId ?? '') !== requestId) {
 		return 'foreign';
 	}
 
-	if (!refusalStatuses.has(head.status)) {
+	if (!notRunStatuses.has(head.status)) {
 		return 'answered';
 	}
 
