Repeat a request only if its route still allows it

What callers would see: an action that runs twice, once its route has been changed from idempotent to non-idempotent while it was open.

Cause: whether a request may be repeated was taken from its route once, when it arrived; a request that waits, is deferred or whose connection breaks after a change of the route was sent again by the old one.

Change: it is asked each time, of the route at arrival and of the one that has its host and prefix now.

--- a/packages/core/src/gateway/configuration-state.ts
+++ b/packages/core/src/gateway/configuration-state.ts
@@ -53,6 +53,8 @@
 	checkRoute(host: string, path: string, credential: string | undefined, now: Timestamp): RouteGrant | RouteRefusal;
 	/** Checks whether a request with the key may be sent, and returns the failure if not. */
 	checkCredential(route: ServedRoute, credential: string | undefined, now: Timestamp): Failure | undefined;
+	/** Returns whether a request that arrived on the route may be repeated, by that route and by the one that has its place now, if any. */
+	mayRepeat(route: ServedRoute): boolean;
 }>;
 
 /** Time after a restore until the operator has written a configuration again that the restore has lost. */
@@ -67,6 +69,10 @@
 	return {kind: 'refused', failure};
 }
 
+function isRepeatable({kind, isResumable}: ServedRoute): boolean {
+	return kind === 'idempotent' || (kind === 'streaming' && isResumable);
+}
+
 /** Creates a state without a configuration. */
 export function createConfigurationState(settings: ConfigurationStateSettings): ConfigurationState {
 	let current: ServingConfiguration | undefined;
@@ -195,5 +201,9 @@
 			return failure === undefined ? {kind: 'granted', route, organisation: findOrganisation(credential)} : refuse(failure);
 		},
 		checkCredential,
+		mayRepeat(route) {
+			const present = routes?.findRoute(route.host, route.prefix);
+			return isRepeatable(route) && (present === undefined || isRepeatable(present));
+		},
 	};
 }
--- a/packages/core/src/gateway/forwarded-request.test.ts
+++ b/packages/core/src/gateway/forwarded-request.test.ts
@@ -751,6 +751,7 @@
 		choosePlacement: () => decisions.shift() ?? {kind: 'refused', failure: createNotRunFailure('overloaded')},
 		isPermitted: () => true,
 		checkCredential: () => undefined,
+		mayRepeat: () => true,
 		recordBrokenSend: () => [],
 		recordLimit: () => [],
 		recordCompletion: () => [],
--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -44,6 +44,8 @@
 	/** Returns whether the request may be sent to the endpoint, which may have changed since it was chosen. */
 	isPermitted(request: GatewayRequest, endpoint: ListedEndpoint): boolean;
 	checkCredential(request: GatewayRequest, now: Timestamp): Failure | undefined;
+	/** Returns whether the request may run more than once, also by what its route says now. */
+	mayRepeat(request: GatewayRequest): boolean;
 	/** Records that the connection of a request broke at an endpoint that may have run it. */
 	recordBrokenSend(request: GatewayRequest, endpoint: ListedEndpoint, now: Timestamp): readonly GatewayAction[];
 	/** Records that an endpoint could not be reached. */
@@ -105,7 +107,6 @@
 /** Creates the state machine of one request. */
 export function createForwardedRequest(request: GatewayRequest, context: RequestContext): ForwardedRequest {
 	const {route} = request;
-	const mayRepeat = route.kind === 'idempotent' || (route.kind === 'streaming' && route.isResumable);
 	const excluded = new Set<EndpointId>();
 	/** Addresses that the request was sent to. */
 	const sentAddresses = new Set<string>();
@@ -136,7 +137,11 @@
 			return false;
 		}
 
-		return mayRepeat || possibleRunCount === 0;
+		return possibleRunCount === 0 || mayRepeat();
+	}
+
+	function mayRepeat(): boolean {
+		return context.mayRepeat(request);
 	}
 
 	function isKnownNotRun(): boolean {
@@ -489,7 +494,7 @@
 
 			case 'repeated': {
 				hasDoubtfulRefusal = true;
-				return [...cancelCurrentSend('discard'), ...(mayRepeat ? handleRefusal(head, now) : handleUnprovenRefusal(head, now))];
+				return [...cancelCurrentSend('discard'), ...(mayRepeat() ? handleRefusal(head, now) : handleUnprovenRefusal(head, now))];
 			}
 
 			case 'unproven': {
@@ -668,7 +673,7 @@
 			return completeStream(finishedSend, head, now);
 		}
 
-		if (head.status >= firstServerErrorStatus && mayRepeat) {
+		if (head.status >= firstServerErrorStatus && mayRepeat()) {
 			return handleFailedStatus({head, parts: finishedSend.body.getParts()}, now);
 		}
 
@@ -785,7 +790,7 @@
 		const {id} = placement.endpoint;
 		silentSend.checkAt = now + silenceTimeouts.recheckMs;
 		silentSend.isProbed = false;
-		if (!mayRepeat || !canRetry()) {
+		if (!mayRepeat() || !canRetry()) {
 			return reportSilence(silentSend, 'retryForbidden', now);
 		}
 
--- a/packages/core/src/gateway/unread-responses.test.ts
+++ b/packages/core/src/gateway/unread-responses.test.ts
@@ -151,6 +151,7 @@
 				},
 			isPermitted: () => true,
 			checkCredential: () => undefined,
+			mayRepeat: () => true,
 			recordBrokenSend: () => [],
 			recordUnreachable: () => [],
 			recordLeaving: () => [],
