Send an entry's call again only if its route in force allows it, too

What callers saw: a call whose method had become non-idempotent after it arrived was sent to another server after an attempt that may have run, and could run twice.

Cause: whether a call may be repeated was taken from the route once, at its arrival. It is the entry's form of what changed-routes.test.ts shows of the gateway.

Change: before another attempt of a call that may have run, the entry asks the route in force. Prompts, and calls whose route is gone, are as before. The other way needs nothing: a call that arrived as non-idempotent keeps its claim.

--- a/packages/core/src/entry.ts
+++ b/packages/core/src/entry.ts
@@ -156,10 +156,16 @@
 			?? {kind: 'admitted', request, route};
 	}
 
+	/** Returns whether work may run more than once by its route in force; a route that is gone forbids nothing. */
+	function mayRepeat(routeName: RouteName, work: Work): boolean {
+		const route = host.configuration.tryGetRoute(routeName);
+		return work.kind === 'prompt' || route?.kind !== 'service' || route.idempotentMethods.includes(work.method);
+	}
+
 	function createSession(request: AdmittedRequest, routeName: RouteName): RequestSession {
 		const {work} = request;
 		if (work.kind === 'prompt' || work.isIdempotent) {
-			return createRetryableRequest(request, sessionHost);
+			return createRetryableRequest(request, () => mayRepeat(routeName, work), sessionHost);
 		}
 
 		const key = `${request.organisation}/${routeName}/${work.idempotencyKey}`;
--- a/packages/core/src/retryable-request.ts
+++ b/packages/core/src/retryable-request.ts
@@ -31,8 +31,8 @@
 	return ran === 'no' || !notRunStatuses.has(getErrorDefinition(kind).status) ? kind : 'serverLost';
 }
 
-/** Creates the session of an admitted request. */
-export function createRetryableRequest(request: AdmittedRequest, host: SessionHost): RequestSession {
+/** Creates the session of an admitted request. `mayRepeat` tells whether the request may run more than once by the configuration in force. */
+export function createRetryableRequest(request: AdmittedRequest, mayRepeat: () => boolean, host: SessionHost): RequestSession {
 	const excluded = new Set<ServerName>();
 	const deliveredTokens: string[] = [];
 	let phase: Phase = {kind: 'idle'};
@@ -73,6 +73,10 @@
 	}
 
 	function startAttempt(server: Server, now: Timestamp): readonly EntryAction[] {
+		if (getRan() !== 'no' && !mayRepeat()) {
+			return fail('serverLost');
+		}
+
 		const lookup = findPermit(host, server, host.settings.maximumPermitAgeMs, now);
 		if (lookup.kind === 'probing') {
 			phase = {kind: 'probing', server};
