Generate writes that take effect and are answered as refused

Cause: the client of the object API takes a write that is answered 429 or 503 for one that had no effect, by its status alone, and no generated fault contradicted it.

--- a/packages/core/src/fault-properties.test.ts
+++ b/packages/core/src/fault-properties.test.ts
@@ -45,6 +45,7 @@
 	}),
 	fc.record({kind: fc.constant('stopObjectApi' as const), at: time, durationMs: duration}),
 	fc.record({kind: fc.constant('loseWriteResponses' as const), at: time, count}),
+	fc.record({kind: fc.constant('refuseAppliedWrites' as const), at: time, count}),
 	fc.record({kind: fc.constant('loseServiceResponses' as const), at: time, count}),
 	fc.record({kind: fc.constant('refuseServiceCalls' as const), at: time, count}),
 	fc.record({kind: fc.constant('killEngine' as const), index, at: time}),
--- a/packages/core/src/fault-scenario.ts
+++ b/packages/core/src/fault-scenario.ts
@@ -18,6 +18,8 @@
 		| Readonly<{kind: 'stopObjectApi'; at: Timestamp; durationMs: number}>
 	/** The next writes to the object API take effect but their responses are lost. */
 		| Readonly<{kind: 'loseWriteResponses'; at: Timestamp; count: number}>
+	/** The next writes to the object API take effect but are answered as refused. */
+		| Readonly<{kind: 'refuseAppliedWrites'; at: Timestamp; count: number}>
 	/** The next service calls run but their responses are lost. */
 		| Readonly<{kind: 'loseServiceResponses'; at: Timestamp; count: number}>
 	/** The next service calls are refused before they run, as by a service that accepts no connections. */
--- a/packages/core/src/fault-simulation.ts
+++ b/packages/core/src/fault-simulation.ts
@@ -98,6 +98,7 @@
 	let now: Timestamp = 0;
 	let apiDownUntil: Timestamp = 0;
 	let writeResponsesToLose = 0;
+	let appliedWritesToRefuse = 0;
 	let serviceResponsesToLose = 0;
 	let serviceCallsToRefuse = 0;
 	let delayedSubmits = {count: 0, delayMs: 0, isDuplicated: false};
@@ -544,7 +545,10 @@
 
 			const isLost = isDown || (!exists && writeResponsesToLose > 0);
 			writeResponsesToLose -= isLost && !isDown ? 1 : 0;
-			const outcome = isLost ? 'unknown' : (exists ? 'exists' : 'created');
+			const isRefused = !isLost && !exists && appliedWritesToRefuse > 0;
+			appliedWritesToRefuse -= isRefused ? 1 : 0;
+			const answered = exists ? 'exists' : (isRefused ? 'refused' : 'created');
+			const outcome = isLost ? 'unknown' : answered;
 			scheduleIn(process, drawDelayMs(objectApiDelayMs), () => {
 				stepLog(index, {kind: 'createAnswered', sequence: entry.sequence, outcome});
 			});
@@ -633,6 +637,11 @@
 				return;
 			}
 
+			case 'refuseAppliedWrites': {
+				appliedWritesToRefuse += fault.count;
+				return;
+			}
+
 			case 'loseServiceResponses': {
 				serviceResponsesToLose += fault.count;
 				return;
