Show that a request that waited for memory is sent with a key that is no longer verified

Cause: `send` in forwarded-request.ts checks the key before memory is reserved; once the reservations are answered, up to 0.4 s later, only the evacuations and home regions are checked again.

The counterexample is a named test, which fails: sent at 4,001 ms, 4,000 are allowed.

--- a/packages/core/src/gateway/gateway-properties.test.ts
+++ b/packages/core/src/gateway/gateway-properties.test.ts
@@ -229,6 +229,23 @@
 	});
 });
 
+// Guards against a request that is sent with a key that may have been revoked while it waited for memory; found with seed 202.
+test('a request that waits for memory is not sent once its key can no longer be verified', () => {
+	const lostAt = 0;
+	const {records} = runGatewayScenario({
+		requests: [{
+			at: 3591, kind: 'nonResumableLongStream', promptTokens: 600_000, callerTimeoutMs: 15_000, disconnectsAfterMs: undefined,
+		}, {
+			at: 0, kind: 'stream', promptTokens: 1000, callerTimeoutMs: 20, disconnectsAfterMs: undefined,
+		}],
+		behaviours: [{kind: 'silent'}],
+		grants: [false, undefined, true],
+		changes: [{kind: 'loseVerification', at: lostAt}],
+	});
+	const staleAt = lostAt + (fixtureGatewaySettings.configuration.maximumKeyAgeMs ?? 0);
+	expect(records.flatMap(({sends}) => sends).filter(({at}) => at > staleAt)).toEqual([]);
+});
+
 describe('a gateway under random faults', () => {
 	test('keeps its retries within the limit in every window', () => {
 		fc.assert(fc.property(scenario, input => {
