Check a request's key again once its memory is reserved

What callers would see: a prompt that is sent with a key whose verification is too old, up to 0.4 s after the bound of strict revocation.

Cause: the key was checked when a prompt was placed; once its reservations were answered only evacuations and home regions were checked.

--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -272,7 +272,8 @@
 			}
 
 			case 'held': {
-				if (!isPlacementPermitted(current.placement)) {
+				// The key may have been revoked, or its verification become too old, since the placement.
+				if (!isPlacementPermitted(current.placement) || context.checkCredential(request, now) !== undefined) {
 					return abandonForbiddenSend(current, now);
 				}
 
@@ -293,7 +294,7 @@
 	/** Abandons a send whose endpoints may no longer get the request, though memory is reserved, and tries others. */
 	function abandonForbiddenSend({placement}: Send, now: Timestamp): readonly GatewayAction[] {
 		excluded.delete(placement.endpoint.id);
-		const closeActions = closeSend('forbidden', 'the endpoints may no longer get the request', now);
+		const closeActions = closeSend('forbidden', 'the request may no longer be sent to the endpoints', now);
 		return [...closeActions, ...send(now, isKnownNotRun() ? undefined : createFailure('serverLost'))];
 	}
 
