Show that a doubtful refusal is forgotten once the route forbids repeats

Cause: a second refusal from one address, which may be a copy of the first, lowers the count of possible runs while the route allows repeats. `canRetry` looks at that count before it asks whether the request may be repeated, and not at `hasDoubtfulRefusal`.

Measured: an idempotent request that is refused twice by one server, whose route then becomes non-idempotent and whose third send reaches no server, is sent a fourth time; it may have run at the second one.

--- a/packages/core/src/gateway/changed-routes.test.ts
+++ b/packages/core/src/gateway/changed-routes.test.ts
@@ -1,7 +1,7 @@
 import {describe, expect, test} from 'vitest';
 import {createGateway, type Gateway} from './gateway.js';
 import {
-	createFixtureEndpoints, createFixtureGatewayRequest, fixtureConfiguration, fixtureGatewaySettings, fixtureIdempotentRoute, fixtureStreamRoute,
+	createFixtureEndpoints, createFixtureGatewayRequest, createFixtureHead, fixtureConfiguration, fixtureGatewaySettings, fixtureIdempotentRoute, fixtureStreamRoute,
 } from './gateway-fixtures.js';
 import type {GatewayAction, SendId} from './gateway-events.js';
 import type {ServedRoute} from './gateway-types.js';
@@ -52,4 +52,31 @@
 		expect(getSendIds(breakSendAfterChange(arrivalRoute, route => [{...route, timeoutMs: route.timeoutMs + 1}]))).toHaveLength(1);
 		expect(getSendIds(breakSendAfterChange(arrivalRoute, route => route.name === arrivalRoute.name ? [] : [route]))).toHaveLength(1);
 	});
+
+	// Guards against a request that runs twice, since a copy of its refusal, taken for one while its route allowed repeats, is forgotten later.
+	test('is not sent again if a refusal may have been a copy of the one before, and its route has become non-idempotent since', () => {
+		const gateway = createGateway(fixtureGatewaySettings);
+		const [first, ...others] = createFixtureEndpoints('shop', 3);
+		const models = createFixtureEndpoints('models', 4);
+		gateway.step({kind: 'configurationVerified', configuration: fixtureConfiguration, verifiedAt: 0}, 0);
+		gateway.step({kind: 'endpointsListed', endpoints: [...models, ...(first === undefined ? [] : [first])]}, 0);
+		let sendIds = getSendIds(gateway.step({kind: 'requestArrived', request: createFixtureGatewayRequest(fixtureIdempotentRoute)}, 0));
+		const refusal = createFixtureHead({
+			status: 503, isNotRun: true, refusalText: '1', faultyAddress: models[0]?.address,
+		});
+		for (const now of [1, 2]) {
+			sendIds = getSendIds(gateway.step({kind: 'requestChanged', key: 1, event: {kind: 'responseStarted', sendId: sendIds[0] ?? 0, head: refusal}}, now));
+			expect(sendIds).toHaveLength(1);
+		}
+
+		gateway.step({kind: 'endpointsListed', endpoints: [...models, ...(first === undefined ? [] : [first]), ...others]}, 3);
+		replaceRoutes(gateway, route => [route.name === fixtureIdempotentRoute.name ? {...route, kind: 'nonIdempotent'} : route]);
+		const actions = gateway.step({
+			kind: 'requestChanged', key: 1, event: {
+				kind: 'sendFailed', sendId: sendIds[0] ?? 0, wasSent: false, detail: 'ECONNREFUSED',
+			},
+		}, brokenAt);
+		expect(getSendIds(actions)).toEqual([]);
+		expect(actions.find(action => action.kind === 'failRequest')).toMatchObject({failure: {ran: 'unknown'}});
+	});
 });
