Test that no library sends a call or an attempt again where others are accepted

Measured: an attempt or call that was read is sent once and counts as possibly run, whether its host accepts no other connection or any number; four ways to break an attempt's stream and its connection, four for a call's.

--- a/packages/endpoint/src/business-service.test.ts
+++ b/packages/endpoint/src/business-service.test.ts
@@ -60,11 +60,14 @@
 	}
 });
 
-/** Starts a service that listens no longer once it has accepted a connection. Returns the number of requests that it has read. */
-async function startLastService(answer: (socket: Socket) => void): Promise<Readonly<{url: string; getRequestCount: () => number}>> {
+/** Starts a service that counts the requests that it has read, and accepts one connection or any number. */
+async function startCountingService(answer: (socket: Socket) => void, connections: 'one' | 'any' = 'one'): Promise<Readonly<{url: string; getRequestCount: () => number}>> {
 	let requestCount = 0;
 	const server = net.createServer(socket => {
-		server.close();
+		if (connections === 'one') {
+			server.close();
+		}
+
 		socket.on('error', () => undefined);
 		socket.on('data', bytes => {
 			requestCount += bytes.toString().split('POST ').length - 1;
@@ -73,6 +76,9 @@
 	});
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
+	closers.push(() => {
+		server.close();
+	});
 	const address = server.address();
 	return {url: `http://127.0.0.1:${typeof address === 'object' ? address?.port ?? 0 : 0}`, getRequestCount: () => requestCount};
 }
@@ -95,9 +101,9 @@
 	['ends after an informational response', (socket: Socket) => {
 		socket.end('HTTP/1.1 102 Processing\r\n\r\n');
 	}],
-] as const)('fails a call as possibly run, and sends it once, if the service reads it, %s the connection and accepts no other', async (_, answer) => {
-	for (let trial = 0; trial < 10; trial += 1) {
-		const {url, getRequestCount} = await startLastService(answer); // eslint-disable-line no-await-in-loop -- one after the other
+] as const)('fails a call as possibly run, and sends it once, if the service reads it and %s the connection, whether or not it accepts another', async (_, answer) => {
+	for (const connections of ['one', 'any', 'one', 'any', 'one', 'any'] as const) {
+		const {url, getRequestCount} = await startCountingService(answer, connections); // eslint-disable-line no-await-in-loop -- one after the other
 		// eslint-disable-next-line no-await-in-loop
 		expect(await createBusinessServiceClient(url).call(action, 2000)).toMatchObject({kind: 'failed', ran: 'unknown'});
 		expect(getRequestCount()).toBe(1);
@@ -105,7 +111,7 @@
 });
 
 test('fails a call as not run if the service accepts no connections', async () => {
-	const {url} = await startLastService(() => undefined);
+	const {url} = await startCountingService(() => undefined);
 	const socket = net.connect(Number(new URL(url).port), '127.0.0.1');
 	await once(socket, 'connect');
 	socket.destroy();
--- a/packages/peer/src/agent-client.test.ts
+++ b/packages/peer/src/agent-client.test.ts
@@ -88,20 +88,22 @@
 	}
 }
 
-/** Starts an agent's host that takes one connection, and breaks it once it has read `readStreams` calls on it. */
-async function startAgentHost(breakage: Breakage, readStreams = 1): Promise<Readonly<{url: string; getStreamCount: () => number}>> {
+/** Starts an agent's host that breaks each connection, or stream, once it has read a call on it. It takes one connection, or any number. */
+async function startAgentHost(breakage: Breakage, connections: 'one' | 'any' = 'one'): Promise<Readonly<{url: string; getStreamCount: () => number}>> {
 	let streamCount = 0;
 	const server = http2.createServer();
 	server.on('session', session => {
-		server.close();
 		session.on('error', () => undefined);
+		if (connections === 'one') {
+			server.close();
+		}
 	});
 	server.on('stream', stream => {
 		streamCount += 1;
 		stream.on('error', () => undefined);
 		stream.on('data', () => {
 			const {session} = stream;
-			if (session !== undefined && streamCount >= readStreams) {
+			if (session !== undefined) {
 				breakStream(stream, session, breakage);
 			}
 		});
@@ -124,6 +126,15 @@
 	}
 });
 
+// Guards against an attempt that is submitted a second time by the library that opens its connections.
+test.each(['end', 'reset', 'refuseStream', 'cancelStream'] as const)('an attempt that was read is sent once if its connection breaks (%s) and others are accepted', async breakage => {
+	for (let trial = 0; trial < 5; trial += 1) {
+		const {url, getStreamCount} = await startAgentHost(breakage, 'any'); // eslint-disable-line no-await-in-loop -- one after the other
+		expect(await submitAttempt(createClient(), url)).toBe(false); // eslint-disable-line no-await-in-loop
+		expect(getStreamCount()).toBe(1);
+	}
+});
+
 test('an attempt counts as not sent if the connection of an earlier one has ended and no other is accepted', async () => {
 	const {url, getStreamCount} = await startAgentHost('end');
 	const client = createClient();
