Ask the route of a request's path before each send that repeats it

What callers would see: an action that runs twice after its route was changed while it was open.

Cause: asked only where a send ends. A request that was deferred, waited for memory or was probed then was sent by what its route had said before; and the present route was found by the old prefix, so that one which a longer prefix had taken out was missed.

Change: the route that the request's path selects now is asked before each placement after a possible run, before a send whose memory is held, and before a silent send is abandoned.

--- a/packages/core/src/gateway/configuration-state.ts
+++ b/packages/core/src/gateway/configuration-state.ts
@@ -53,8 +53,8 @@
 	checkRoute(host: string, path: string, credential: string | undefined, now: Timestamp): RouteGrant | RouteRefusal;
 	/** Checks whether a request with the key may be sent, and returns the failure if not. */
 	checkCredential(route: ServedRoute, credential: string | undefined, now: Timestamp): Failure | undefined;
-	/** Returns whether a request that arrived on the route may be repeated, by that route and by the one that has its place now, if any. */
-	mayRepeat(route: ServedRoute): boolean;
+	/** Returns whether a request that arrived on the route may be repeated, by that route and by the one that its path selects now, if any. */
+	mayRepeat(route: ServedRoute, path: string): boolean;
 }>;
 
 /** Time after a restore until the operator has written a configuration again that the restore has lost. */
@@ -201,8 +201,8 @@
 			return failure === undefined ? {kind: 'granted', route, organisation: findOrganisation(credential)} : refuse(failure);
 		},
 		checkCredential,
-		mayRepeat(route) {
-			const present = routes?.findRoute(route.host, route.prefix);
+		mayRepeat(route, path) {
+			const present = routes?.findRoute(route.host, path);
 			return isRepeatable(route) && (present === undefined || isRepeatable(present));
 		},
 	};
--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -156,6 +156,10 @@
 	/** Chooses a placement and sends the request there, defers the request, or ends it if neither is possible. */
 	function send(now: Timestamp, lastFailure: Failure | undefined): readonly GatewayAction[] {
 		const remainingMs = request.deadlineAt - now;
+		if (!isKnownNotRun() && !mayRepeat()) {
+			return endWithFailure(lastFailure ?? createFailure('serverLost'));
+		}
+
 		if (remainingMs < minimumSendMs) {
 			return endWithFailure(lastFailure ?? createNotRunFailure('deadlineUnreachable', 'no time is left', 0));
 		}
@@ -272,14 +276,19 @@
 			}
 
 			case 'held': {
-				// The key may have been revoked, or its verification become too old, since the placement.
-				if (!isPlacementPermitted(current.placement) || context.checkCredential(request, now) !== undefined) {
+				if (!mayDispatch(current, now)) {
 					return abandonForbiddenSend(current, now);
 				}
 
 				current.checkAt = now + getSilenceTimeoutMs(route, current);
 				return dispatchSend(current, now);
 			}
+	/** Returns whether a send may still be made once its memory is reserved: its endpoints, the key or the route may have changed. */
+	function mayDispatch({placement}: Send, now: Timestamp): boolean {
+		const isFirstRun = possibleRunCount === 1;
+		return isPlacementPermitted(placement) && context.checkCredential(request, now) === undefined && (isFirstRun || mayRepeat());
+	}
+
 
 			case 'failed': {
 				return handleReservationFailure(current, current.memory, now);
@@ -291,7 +300,7 @@
 		return [endpoint, ...helpers.map(helper => helper.endpoint)].every(other => context.isPermitted(request, other));
 	}
 
-	/** Abandons a send whose endpoints may no longer get the request, though memory is reserved, and tries others. */
+	/** Abandons a send that may no longer be made, though memory is reserved, and tries other endpoints if there may be another send. */
 	function abandonForbiddenSend({placement}: Send, now: Timestamp): readonly GatewayAction[] {
 		excluded.delete(placement.endpoint.id);
 		const closeActions = closeSend('forbidden', 'the request may no longer be sent to the endpoints', now);
@@ -815,6 +824,10 @@
 
 		return abandonSilentSend(silentSend, 'the endpoint went silent', now);
 	}
+		if (!canRetry()) {
+			return reportSilence(silentSend, 'retryForbidden', now);
+		}
+
 
 	/** Sends the request of a silent send to another endpoint if the retry quota allows it. */
 	function abandonSilentSend(silentSend: Send, detail: string, now: Timestamp): readonly GatewayAction[] {
--- a/packages/core/src/gateway/gateway-fixtures.ts
+++ b/packages/core/src/gateway/gateway-fixtures.ts
@@ -110,6 +110,7 @@
 		key: 1,
 		requestId: 'r-1',
 		route,
+		path: route.prefix,
 		service: route.services[0]?.service ?? '',
 		organisation: 'club',
 		priority: route.priority,
--- a/packages/core/src/gateway/gateway-types.ts
+++ b/packages/core/src/gateway/gateway-types.ts
@@ -130,6 +130,8 @@
 	/** The caller's id of this attempt, forwarded unchanged. */
 	requestId: string;
 	route: ServedRoute;
+	/** Path by which the route was found. */
+	path: string;
 	service: string;
 	organisation: string | undefined;
 	/** Urgency, from its organisation or else its route; 0 is the most urgent. */
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -355,7 +355,7 @@
 		choosePlacement,
 		isPermitted: (request: GatewayRequest, endpoint: ListedEndpoint) => restrictions.isPermitted(request, findOrganisation(request), endpoint),
 		checkCredential: (request: GatewayRequest, now: Timestamp) => configuration.checkCredential(request.route, request.credential, now),
-		mayRepeat: ({route}: GatewayRequest) => configuration.mayRepeat(route),
+		mayRepeat: ({route, path}: GatewayRequest) => configuration.mayRepeat(route, path),
 		recordBrokenSend: (request: GatewayRequest, endpoint: ListedEndpoint, now: Timestamp) =>
 			[...quarantine.recordBrokenSend(endpoint, getTraits(request), now), ...cold?.recordLost(endpoint.id, now) ?? []],
 		recordUnreachable: (endpoint: EndpointId, now: Timestamp): readonly GatewayAction[] =>
--- a/packages/gateway/src/gateway-daemon.ts
+++ b/packages/gateway/src/gateway-daemon.ts
@@ -219,7 +219,7 @@
 			return createNotRunFailure('draining', undefined, 0);
 		}
 
-		const [path = ''] = (message.url ?? '').split('?');
+		const path = getPath(message);
 		const result = gateway.checkRoute(message.headers.host ?? '', path, head.credential, performance.now());
 		return result.kind === 'granted' ? result : result.failure;
 	}
@@ -264,6 +264,7 @@
 			key: lastRequestKey,
 			requestId: head.requestId,
 			route,
+			path: getPath(message),
 			service: getWeightedService(route, Math.random()),
 			organisation,
 			priority: gateway.getPriority(route, organisation),
@@ -368,6 +369,11 @@
 	};
 }
 
+function getPath({url = ''}: IncomingMessage): string {
+	const [path = ''] = url.split('?');
+	return path;
+}
+
 /** Returns the settings keys whose values differ. */
 function getChangedKeys(before: GatewayDaemonSettings, after: GatewayDaemonSettings): readonly string[] {
 	const oldValues = new Map<string, unknown>(Object.entries(before));
