Judge a refusal by its connection, and pause each server that refuses

Cause: a second refusal from an address was doubted, as a copy of the first one bears the same id, also where none had been sent before or another server has the address. And a refusal without a statement paused nothing, so that the quickest server got the next request.

Change: a copy can follow only on the connection that brought the refusal. A server that names its own address as the cause is excluded, though the address is listed under an older id, too. The verdict has its own name now, as not all of its values are statements.

--- a/packages/core/src/gateway/endpoint-behaviour.ts
+++ b/packages/core/src/gateway/endpoint-behaviour.ts
@@ -32,7 +32,7 @@
 		| Readonly<{kind: 'hang'}>
 		| StatingBehaviour;
 
-/** What a response says in its `Not-Run` header. */
+/** What a response says of whether its request has run. */
 export type Statement = 'none' | 'notRun' | 'denied';
 
 /** Runs the request or not, and answers with any status, statement and id. */
--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -26,7 +26,7 @@
 	silenceTimeouts, type SavedResponse, type Send,
 } from './request-send.js';
 import type {RetryQuota} from './retry-quota.js';
-import {getRunStatement, type RunStatement} from './run-statement.js';
+import {getResponseVerdict, type ResponseVerdict} from './response-verdict.js';
 import type {WorkObservation} from './work-routing.js';
 import {createPlacementReport, createSendEndReport, createSilenceReports} from './send-reports.js';
 
@@ -108,15 +108,11 @@
 export function createForwardedRequest(request: GatewayRequest, context: RequestContext): ForwardedRequest {
 	const {route} = request;
 	const excluded = new Set<EndpointId>();
-	/** Addresses that the request was sent to. */
-	const sentAddresses = new Set<string>();
 	let sendCount = 0;
 	let unreachedCount = 0;
 	let failedReservations = 0;
 	/** Number of sends that may have run the request, including the current one. */
 	let possibleRunCount = 0;
-	/** Whether a refusal may have been the copy of an earlier one. */
-	let hasDoubtfulRefusal = false;
 	let current: Send | undefined;
 	let lastResult: SendResult | undefined;
 	/** Latest error response from an endpoint; the caller receives it if no later send succeeds. */
@@ -137,7 +133,7 @@
 			return false;
 		}
 
-		return possibleRunCount === 0 || mayRepeat();
+		return isKnownNotRun() || mayRepeat();
 	}
 
 	function mayRepeat(): boolean {
@@ -145,7 +141,7 @@
 	}
 
 	function isKnownNotRun(): boolean {
-		return possibleRunCount === 0 && !hasDoubtfulRefusal;
+		return possibleRunCount === 0;
 	}
 
 	function start(now: Timestamp): readonly GatewayAction[] {
@@ -156,14 +152,14 @@
 	/** Chooses a placement and sends the request there, defers the request, or ends it if neither is possible. */
 	function send(now: Timestamp, lastFailure: Failure | undefined): readonly GatewayAction[] {
 		const remainingMs = request.deadlineAt - now;
-		if (!isKnownNotRun() && !mayRepeat()) {
-			return endWithFailure(lastFailure ?? createFailure('serverLost'));
-		}
-
 		if (remainingMs < minimumSendMs) {
 			return endWithFailure(lastFailure ?? createNotRunFailure('deadlineUnreachable', 'no time is left', 0));
 		}
 
+		if (!isKnownNotRun() && !mayRepeat()) {
+			return endWithFailure(lastFailure ?? createFailure('serverLost'));
+		}
+
 		const refusal = context.checkCredential(request, now);
 		if (refusal !== undefined) {
 			return endWithFailure(isKnownNotRun() ? refusal : lastFailure ?? createFailure('serverLost'));
@@ -195,7 +191,6 @@
 			evidence: undefined,
 			sentAt: now,
 			dispatchedAt: undefined,
-			isRepeated: false,
 			lastProgressAt: now,
 			checkAt: now,
 			isProbed: false,
@@ -248,8 +243,6 @@
 	function dispatchSend(dispatched: Send, now: Timestamp): readonly GatewayAction[] {
 		const {id, placement, memory} = dispatched;
 		dispatched.dispatchedAt = now;
-		dispatched.isRepeated = sentAddresses.has(placement.endpoint.address);
-		sentAddresses.add(placement.endpoint.address);
 		const helpers = placement.helpers.map(({endpoint}) => ({
 			address: endpoint.address,
 			reservationId: memory?.reservations.find(reservation => reservation.endpoint === endpoint)?.id,
@@ -283,12 +276,6 @@
 				current.checkAt = now + getSilenceTimeoutMs(route, current);
 				return dispatchSend(current, now);
 			}
-	/** Returns whether a send may still be made once its memory is reserved: its endpoints, the key or the route may have changed. */
-	function mayDispatch({placement}: Send, now: Timestamp): boolean {
-		const isFirstRun = possibleRunCount === 1;
-		return isPlacementPermitted(placement) && context.checkCredential(request, now) === undefined && (isFirstRun || mayRepeat());
-	}
-
 
 			case 'failed': {
 				return handleReservationFailure(current, current.memory, now);
@@ -296,6 +283,12 @@
 		}
 	}
 
+	/** Returns whether a send may still be made once its memory is reserved: its endpoints, the key or the route may have changed. */
+	function mayDispatch({placement}: Send, now: Timestamp): boolean {
+		const isFirstRun = possibleRunCount === 1;
+		return isPlacementPermitted(placement) && context.checkCredential(request, now) === undefined && (isFirstRun || mayRepeat());
+	}
+
 	function isPlacementPermitted({endpoint, helpers}: Placement): boolean {
 		return [endpoint, ...helpers.map(helper => helper.endpoint)].every(other => context.isPermitted(request, other));
 	}
@@ -438,22 +431,25 @@
 			return [];
 		}
 
-		const endpointId = refusedSend.placement.endpoint.id;
-		const faulty = head.faultyAddress === undefined ? undefined : context.registry.findByAddress(head.faultyAddress);
-		if (faulty !== undefined && faulty.id !== endpointId) {
+		const {id: endpointId, address} = refusedSend.placement.endpoint;
+		const isMisdirected = head.status === misdirectedStatus;
+		const faulty = head.faultyAddress === undefined || head.faultyAddress === address ? undefined : context.registry.findByAddress(head.faultyAddress);
+		if (faulty === undefined) {
+			context.registry.recordFailure(endpointId, now);
+		} else {
 			excluded.delete(endpointId);
 			excluded.add(faulty.id);
 			// The endpoint reports a busy helper at once, and a dead one only after waiting for it.
 			if (now - refusedSend.sentAt > maximumRefusalDelayMs) {
 				context.registry.recordFailure(faulty.id, now);
 			}
-		} else {
-			context.registry.recordFailure(endpointId, now);
 		}
 
-		const closeActions = closeSend(head.status === misdirectedStatus ? 'replaced' : 'notRun', `status ${head.status}`, now);
+		// A copy of the refusal may follow on the connection, where the response to another send of the request to this address is expected.
+		const cancelActions = cancelCurrentSend(faulty !== undefined || isMisdirected ? 'abort' : 'discard');
+		const closeActions = closeSend(isMisdirected ? 'replaced' : 'notRun', `status ${head.status}`, now);
 		const failure = isKnownNotRun() ? createNotRunFailure('overloaded', undefined, head.retryAfterMs) : createFailure('serverLost');
-		return [...closeActions, ...retryOrEnd(failure, true, now)];
+		return [...cancelActions, ...closeActions, ...retryOrEnd(failure, true, now)];
 	}
 
 	function cancelCurrentSend(how: 'abort' | 'discard' = 'abort'): readonly GatewayAction[] {
@@ -461,12 +457,17 @@
 	}
 
 	/**
-	Handles a response whose status is that of a refusal though the request may have run. Passed on, the status would promise the caller that it
+	Handles a response whose status is that of a refusal though the request may have run. Passed on, the status would tell the caller that it
 	has not.
 	*/
 	function handleUnprovenRefusal({status}: EndpointResponseHead, now: Timestamp): readonly GatewayAction[] {
+		if (current === undefined) {
+			return [];
+		}
+
 		const detail = `status ${status} without a valid statement`;
-		return [...closeSend('failedStatus', detail, now), ...retryOrEnd(createFailure('serverFailed', detail), true, now)];
+		context.registry.recordFailure(current.placement.endpoint.id, now);
+		return [...cancelCurrentSend('discard'), ...closeSend('failedStatus', detail, now), ...retryOrEnd(createFailure('serverFailed', detail), true, now)];
 	}
 
 	function startResponse(head: EndpointResponseHead, now: Timestamp): readonly GatewayAction[] {
@@ -474,12 +475,12 @@
 			return [];
 		}
 
-		const statement = getRunStatement(head, {requestId: request.requestId, isRepeated: current.isRepeated});
+		const verdict = getResponseVerdict(head, request.requestId);
 		current.evidence = {
-			status: head.status, statement, id: head.requestId, refusalText: head.refusalText,
+			status: head.status, verdict, id: head.requestId, refusalText: head.refusalText,
 		};
 		// A limit or a status counts only if the response belongs to this request. One without an id may be left over from a control request.
-		if (statement === 'foreign') {
+		if (verdict === 'foreign') {
 			return [...cancelCurrentSend(), ...handleLostSend('corrupt', 'the answer belongs to another request', now)];
 		}
 
@@ -493,22 +494,17 @@
 
 		// A misdirected response comes from another endpoint at the address.
 		const leavingActions = head.isLeaving && head.status !== misdirectedStatus ? context.recordLeaving(current.placement.endpoint) : [];
-		return [...limitActions, ...leavingActions, ...applyHead(head, statement, now)];
+		return [...limitActions, ...leavingActions, ...applyHead(head, verdict, now)];
 	}
 
-	function applyHead(head: EndpointResponseHead, statement: Exclude<RunStatement, 'foreign'>, now: Timestamp): readonly GatewayAction[] {
-		switch (statement) {
+	function applyHead(head: EndpointResponseHead, verdict: Exclude<ResponseVerdict, 'foreign'>, now: Timestamp): readonly GatewayAction[] {
+		switch (verdict) {
 			case 'notRun': {
-				return [...cancelCurrentSend('discard'), ...handleRefusal(head, now)];
-			}
-
-			case 'repeated': {
-				hasDoubtfulRefusal = true;
-				return [...cancelCurrentSend('discard'), ...(mayRepeat() ? handleRefusal(head, now) : handleUnprovenRefusal(head, now))];
+				return handleRefusal(head, now);
 			}
 
 			case 'unproven': {
-				return [...cancelCurrentSend('discard'), ...handleUnprovenRefusal(head, now)];
+				return handleUnprovenRefusal(head, now);
 			}
 
 			case 'answered': {
@@ -824,14 +820,14 @@
 
 		return abandonSilentSend(silentSend, 'the endpoint went silent', now);
 	}
-		if (!canRetry()) {
-			return reportSilence(silentSend, 'retryForbidden', now);
-		}
-
 
 	/** Sends the request of a silent send to another endpoint if the retry quota allows it. */
 	function abandonSilentSend(silentSend: Send, detail: string, now: Timestamp): readonly GatewayAction[] {
 		silentSend.isProbed = false;
+		if (!canRetry()) {
+			return reportSilence(silentSend, 'retryForbidden', now);
+		}
+
 		if (!context.retryQuota.tryTake(request.service, now)) {
 			return reportSilence(silentSend, 'quotaExhausted', now);
 		}
--- a/packages/core/src/gateway/gateway-events.ts
+++ b/packages/core/src/gateway/gateway-events.ts
@@ -13,7 +13,7 @@
 import type {GatewayName} from './load-view.js';
 import type {Reservation, ReservationId} from './memory-reservation.js';
 import type {PeerChange} from './peer-changes.js';
-import type {RunStatement} from './run-statement.js';
+import type {ResponseVerdict} from './response-verdict.js';
 import type {EvacuationChanges, EvacuationList} from './placement-restrictions.js';
 import type {
 	EndpointCheck, Quarantine, QuarantineRecord, QuarantineReport,
@@ -149,8 +149,8 @@
 export type ResponseEvidence = Readonly<{
 	status: number;
 	/** What the gateway concluded from the head. */
-	statement: RunStatement;
-	/** Id of the request that the response names; `undefined` if it names none, or several. */
+	verdict: ResponseVerdict;
+	/** Id of the request that the response names; `undefined` if it names none. */
 	id: string | undefined;
 	/** How the endpoint states that it has not run the request, if it does. */
 	refusalText: string | undefined;
@@ -164,7 +164,7 @@
 
 /**
 How a send ended; `replaced` means that another endpoint now responds at the address, and `memoryUnused` that the receiver
-didn't begin a request for which other endpoints held memory, `forbidden` that its endpoints may no longer get the request, `unread` that its connection broke after the gateway had not read from it for
+didn't begin a request for which other endpoints held memory, `forbidden` that it may no longer be made, `unread` that its connection broke after the gateway had not read from it for
 long, and `stopped` that this gateway's process ends.
 */
 export type SendResult
--- a/packages/core/src/gateway/gateway-fault-simulation.ts
+++ b/packages/core/src/gateway/gateway-fault-simulation.ts
@@ -338,6 +338,13 @@
 		for (const record of records.values()) {
 			record.openSends.delete(sendId);
 		}
+
+		// What would follow on its connection is lost.
+		for (const [endpoint, {send}] of repeatedAnswers) {
+			if (send.sendId === sendId) {
+				repeatedAnswers.delete(endpoint);
+			}
+		}
 	}
 
 	function performReservation(key: RequestKey, reservation: Reservation): void {
--- a/packages/core/src/gateway/request-send.ts
+++ b/packages/core/src/gateway/request-send.ts
@@ -54,8 +54,6 @@
 	readonly sentAt: Timestamp;
 	/** When the request went to its endpoint, after memory was reserved; `undefined` until then. */
 	dispatchedAt: Timestamp | undefined;
-	/** Whether the request was sent to the same address before. */
-	isRepeated: boolean;
 	/** When the request was sent, or its response last progressed: by its head, events with content, or enough bytes of another body. */
 	lastProgressAt: Timestamp;
 	/** When to check next whether the send is lost. */
--- a/packages/core/src/gateway/response-verdict.ts
+++ b/packages/core/src/gateway/response-verdict.ts
@@ -5,27 +5,18 @@
 import {notRunStatuses} from '../errors.js';
 import type {EndpointResponseHead} from './gateway-types.js';
 
-export type RunStatement
+export type ResponseVerdict
 	/** The response belongs to another request, or to none. */
 	= | 'foreign'
 	/** The endpoint has not run the request and never will. */
 		| 'notRun'
-	/** The response refuses a request that its address got before; it may be a copy of the refusal before. */
-		| 'repeated'
 	/** The response has the status of a refusal, but doesn't state that the request has not run. */
 		| 'unproven'
 	/** The endpoint answers the request, which it may have run. */
 		| 'answered';
 
-/** A send of a request, as far as a response to it is judged by it. */
-export type JudgedSend = Readonly<{
-	requestId: string;
-	/** Whether the request was sent to the same address before. */
-	isRepeated: boolean;
-}>;
-
-/** Returns what the head of a response to a send states. */
-export function getRunStatement(head: EndpointResponseHead, {requestId, isRepeated}: JudgedSend): RunStatement {
+/** Judges the head of a response to the request with this id. */
+export function getResponseVerdict(head: EndpointResponseHead, requestId: string): ResponseVerdict {
 	if ((head.requestId ?? '') !== requestId) {
 		return 'foreign';
 	}
@@ -35,9 +26,5 @@
 	}
 
 	// Without an id the response may belong to any other request without one.
-	if (!head.isNotRun || requestId === '') {
-		return 'unproven';
-	}
-
-	return isRepeated ? 'repeated' : 'notRun';
+	return head.isNotRun && requestId !== '' ? 'notRun' : 'unproven';
 }
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -397,7 +397,7 @@
 				connectionUses.delete(sendId);
 				host.metrics.recordSend(result);
 				host.logger.info('sendEnded', {
-					request, sendId, endpoint, result, mayHaveRun, hasEvents, ...use, status: response?.status, statement: response?.statement, refusal: response?.refusalText,
+					request, sendId, endpoint, result, mayHaveRun, hasEvents, ...use, status: response?.status, verdict: response?.verdict, refusal: response?.refusalText,
 					responseId: response === undefined || response.id === request ? undefined : response.id?.slice(0, maximumLoggedCharacters) ?? 'none',
 					detail: detail === '' ? undefined : detail,
 				});
