Fail a control request whose undelimited response is reset

What is seen: a probe or an order whose response had neither a length nor chunks and was cut off by a reset came back as answered, with a part of its body. A crash check took such an endpoint for alive, and a reservation for held. Found by reading, not seen in a run of whole gateways.

Cause: the gateway told a reset from an end for the sends of callers alone; control requests, on the same connections, ended as complete.

Change: the interceptor of the agent's client, which fails each response that a reset ends, is part of the detector, and the gateway's client uses it for all its requests. The log's detail of such a send is ConnectionReset instead of ECONNRESET.

--- a/packages/endpoint/src/business-service.ts
+++ b/packages/endpoint/src/business-service.ts
@@ -10,7 +10,7 @@
 } from 'undici';
 import {createPieceInterceptor} from './body-pieces.js';
 import {createHeldConnections} from './held-connections.js';
-import {createResetDetector, createResetInterceptor} from './reset-detector.js';
+import {createResetDetector} from './reset-detector.js';
 import {createHeadInterceptor} from './response-heads.js';
 
 /** Outcome of a call; on failure, `ran` says whether the service may have run it. */
@@ -53,7 +53,7 @@
 	const resetDetector = createResetDetector(buildConnector({}), heldConnections.watchConnection);
 	const dispatcher = new Agent({
 		pipelining: 0, keepAliveTimeout: 1, maxResponseSize: maximumAnswerBytes, connect: resetDetector.connect,
-	}).compose(heldConnections.intercept, createResetInterceptor(resetDetector), createPieceInterceptor(), createHeadInterceptor());
+	}).compose(heldConnections.intercept, resetDetector.intercept, createPieceInterceptor(), createHeadInterceptor());
 
 	return {
 		async call(work, timeoutMs) {
--- a/packages/endpoint/src/reset-detector.ts
+++ b/packages/endpoint/src/reset-detector.ts
@@ -7,17 +7,19 @@
 */
 import type {Socket} from 'node:net';
 import process from 'node:process';
-import {type buildConnector, errors, type Dispatcher} from 'undici';
+import type {buildConnector, Dispatcher} from 'undici';
+import VError from 'verror';
 
 export type ResetDetector = Readonly<{
 	/** Opens connections whose resets are detected. */
 	connect: buildConnector.connector;
-	/** Returns whether the response that ends at this moment is ended by a reset of its connection. */
-	isHandlingReset(): boolean;
+	/** Interceptor of all requests on these connections. Fails each response that a reset ends. */
+	intercept: Dispatcher.DispatcherComposeInterceptor;
 }>;
 
 /** Creates a detector for the connections that a client opens with `connect`. `onConnection` is called with each of them before it is used. */
 export function createResetDetector(connect: buildConnector.connector, onConnection?: (socket: Socket) => void): ResetDetector {
+	/** Whether the response that ends at this moment is ended by a reset of its connection. */
 	let isHandlingReset = false;
 
 	/** Responses end synchronously while undici handles the events of their socket. */
@@ -46,31 +48,26 @@
 				callback(error, socket);
 			});
 		},
-		isHandlingReset: () => isHandlingReset,
+		intercept: dispatch => (options, handler) => dispatch(options, {
+			onRequestStart(controller, context) {
+				handler.onRequestStart?.(controller, context);
+			},
+			onResponseStart(controller, statusCode, headers, statusMessage) {
+				handler.onResponseStart?.(controller, statusCode, headers, statusMessage);
+			},
+			onResponseData(controller, chunk) {
+				handler.onResponseData?.(controller, chunk);
+			},
+			onResponseEnd(controller, trailers) {
+				if (isHandlingReset) {
+					handler.onResponseError?.(controller, new VError({name: 'ConnectionReset'}, 'the connection was reset'));
+				} else {
+					handler.onResponseEnd?.(controller, trailers);
+				}
+			},
+			onResponseError(controller, error) {
+				handler.onResponseError?.(controller, error);
+			},
+		}),
 	};
 }
-
-/** Creates an interceptor for a client with these connections, which fails each response that a reset ends. */
-export function createResetInterceptor({isHandlingReset}: ResetDetector): Dispatcher.DispatcherComposeInterceptor {
-	return dispatch => (options, handler) => dispatch(options, {
-		onRequestStart(controller, context) {
-			handler.onRequestStart?.(controller, context);
-		},
-		onResponseStart(controller, statusCode, headers, statusMessage) {
-			handler.onResponseStart?.(controller, statusCode, headers, statusMessage);
-		},
-		onResponseData(controller, chunk) {
-			handler.onResponseData?.(controller, chunk);
-		},
-		onResponseEnd(controller, trailers) {
-			if (isHandlingReset()) {
-				handler.onResponseError?.(controller, new errors.SocketError('the connection was reset'));
-			} else {
-				handler.onResponseEnd?.(controller, trailers);
-			}
-		},
-		onResponseError(controller, error) {
-			handler.onResponseError?.(controller, error);
-		},
-	});
-}
--- a/packages/gateway/src/endpoint-client.test.ts
+++ b/packages/gateway/src/endpoint-client.test.ts
@@ -103,6 +103,21 @@
 	}
 });
 
+// Guards against a part of a control response that counts as the whole of it, and its endpoint as alive.
+test.each([0, 20])('rejects a control request whose undelimited response is reset %d ms after its last bytes', async delayMs => {
+	const address = await startEndpoint(socket => {
+		socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{"wai', () => {
+			setTimeout(() => {
+				socket.resetAndDestroy();
+			}, delayMs);
+		});
+	});
+	const probe = {
+		method: 'GET', target: '/', headers: [], body: '',
+	};
+	await expect(createClient().sendControlRequest(address, probe)).rejects.toThrow('reset');
+});
+
 test.each(['', 'Connection: close\r\n'])('fails a chunked response when the connection closes before the last chunk (%j)', async header => {
 	const address = await startEndpoint(socket => {
 		socket.end(`HTTP/1.1 200 OK\r\n${header}Transfer-Encoding: chunked\r\n\r\n3\r\nhal\r\n`);
--- a/packages/gateway/src/endpoint-client.ts
+++ b/packages/gateway/src/endpoint-client.ts
@@ -71,8 +71,6 @@
 /** How long before the endpoint's own `Keep-Alive` timeout a connection is no longer reused. */
 const keepAliveMarginMs = 1200;
 
-const resetCode = 'ECONNRESET';
-
 /** Lower statuses are informational (1xx) and are not forwarded. */
 const lowestFinalStatus = 200;
 
@@ -171,7 +169,7 @@
 			bodyTimeout: 0,
 			pipelining: 1,
 			maxResponseSize: maximumResponseBytes,
-		}).compose(connectionUses.intercept, responseGuard.intercept, heldConnections.intercept, responsePacer.intercept, joinPieces, checkHeads);
+		}).compose(connectionUses.intercept, resetDetector.intercept, responseGuard.intercept, heldConnections.intercept, responsePacer.intercept, joinPieces, checkHeads);
 		pools.set(address, pool);
 		return pool;
 	}
@@ -218,13 +216,7 @@
 			},
 			onResponseEnd() {
 				removeSend(sendId, openSend);
-				if (openSend.isCancelled) {
-					return;
-				}
-
-				if (resetDetector.isHandlingReset()) {
-					listener.onFailure(true, resetCode);
-				} else {
+				if (!openSend.isCancelled) {
 					listener.onEnd();
 				}
 			},
