--- a/packages/gateway/src/endpoint-client.ts
+++ b/packages/gateway/src/endpoint-client.ts
@@ -71,8 +71,6 @@
 /** How long before the endpoint's own `Keep-Alive` timeout a connection is no longer reused. */
 const keepAliveMarginMs = 1200;
 
-const resetCode = 'ECONNRESET';
-
 /** Lower statuses are informational (1xx) and are not forwarded. */
 const lowestFinalStatus = 200;
 
@@ -177,7 +175,7 @@
 			bodyTimeout: 0,
 			pipelining: 1,
 			maxResponseSize: maximumResponseBytes,
-		}).compose(connectionUses.intercept, responseGuard.intercept, heldConnections.intercept, responsePacer.intercept, joinPieces, checkHeads);
+		}).compose(connectionUses.intercept, resetDetector.intercept, responseGuard.intercept, heldConnections.intercept, responsePacer.intercept, joinPieces, checkHeads);
 		pools.set(address, pool);
 		return pool;
 	}
@@ -220,13 +218,7 @@
 				}
 			},
 			onResponseEnd() {
-				if (!removeSend(sendId, openSend)) {
-					return;
-				}
-
-				if (resetDetector.isHandlingReset()) {
-					listener.onFailure(true, resetCode);
-				} else {
+				if (removeSend(sendId, openSend)) {
 					listener.onEnd();
 				}
 			},
