--- a/packages/core/src/fault-simulation.ts
+++ b/packages/core/src/fault-simulation.ts
@@ -98,7 +98,9 @@
 	let now: Timestamp = 0;
 	let apiDownUntil: Timestamp = 0;
 	let writeResponsesToLose = 0;
+	let appliedWritesToRefuse = 0;
 	let serviceResponsesToLose = 0;
+	let serviceCallsToRefuse = 0;
 	let delayedSubmits = {count: 0, delayMs: 0, isDuplicated: false};
 	let partitionedLinks: ReadonlyArray<Readonly<{entry: number; agent: number; until: Timestamp}>> = [];
 	let attemptCount = 0;
@@ -454,6 +456,14 @@
 			return;
 		}
 
+		if (serviceCallsToRefuse > 0) {
+			serviceCallsToRefuse -= 1;
+			stepAgent(index, {
+				kind: 'workFailed', attemptId, ran: 'no', detail: 'the service accepts no connections',
+			});
+			return;
+		}
+
 		startedAttemptIds.add(attemptId);
 		const key = idempotencyKey ?? 'lookup';
 		runCounts.set(key, (runCounts.get(key) ?? 0) + 1);
@@ -535,7 +545,10 @@
 
 			const isLost = isDown || (!exists && writeResponsesToLose > 0);
 			writeResponsesToLose -= isLost && !isDown ? 1 : 0;
-			const outcome = isLost ? 'unknown' : (exists ? 'exists' : 'created');
+			const isRefused = !isLost && !exists && appliedWritesToRefuse > 0;
+			appliedWritesToRefuse -= isRefused ? 1 : 0;
+			const answered = exists ? 'exists' : (isRefused ? 'refused' : 'created');
+			const outcome = isLost ? 'unknown' : answered;
 			scheduleIn(process, drawDelayMs(objectApiDelayMs), () => {
 				stepLog(index, {kind: 'createAnswered', sequence: entry.sequence, outcome});
 			});
@@ -624,11 +637,21 @@
 				return;
 			}
 
+			case 'refuseAppliedWrites': {
+				appliedWritesToRefuse += fault.count;
+				return;
+			}
+
 			case 'loseServiceResponses': {
 				serviceResponsesToLose += fault.count;
 				return;
 			}
 
+			case 'refuseServiceCalls': {
+				serviceCallsToRefuse += fault.count;
+				return;
+			}
+
 			case 'killEngine': {
 				getAgent(fault.index).engineGeneration += 1;
 				return;
--- a/packages/core/src/gateway/forwarded-request.test.ts
+++ b/packages/core/src/gateway/forwarded-request.test.ts
@@ -209,6 +209,67 @@
 		expect(harness.step({kind: 'responseStarted', sendId: harness.getSendId(), head: createFixtureHead({status: 503, isNotRun: true, hasStamp: false})}, 10)).toEqual(['discard', 'send shop']);
 	});
 
+	// Guards against a server that names itself as the cause, and that gets the request again if its address is listed under an older id, too.
+	test('is sent to another endpoint if the one that refuses it names its own address as the cause', () => {
+		const harness = startRequest(fixtureNonIdempotentRoute);
+		const endpoints = createFixtureEndpoints('shop', 3);
+		const refused = endpoints.find(({id}) => id === harness.getEndpointId());
+		const older = endpoints.filter(({id}) => id === refused?.id).map(endpoint => ({...endpoint, id: 'older'}));
+		harness.gateway.step({kind: 'endpointsListed', endpoints: [...older, ...endpoints]}, 5);
+		const head = createFixtureHead({
+			status: 503, isNotRun: true, hasStamp: false, faultyAddress: refused?.address,
+		});
+		expect(harness.step({kind: 'responseStarted', sendId: harness.getSendId(), head}, 10)).toEqual(['discard', 'send shop']);
+		expect(harness.getEndpointId()).not.toBe(refused?.id);
+	});
+
+	// Guards against requests that run twice, or that callers repeat, because the status of a refusal alone is taken for one.
+	test.each([408, 421, 429, 503])('fails as possibly run, without a second send, after status %i without the statement that it has not run', status => {
+		const harness = startRequest(fixtureNonIdempotentRoute);
+		const head = createFixtureHead({status, hasStamp: false, retryAfterMs: 100});
+		expect(harness.step({kind: 'responseStarted', sendId: harness.getSendId(), head}, 10)).toEqual(['discard', 'fail serverFailed ran=unknown']);
+	});
+
+	// Guards against servers that get no request until they are listed anew, and against one that refuses at once and so gets nearly all.
+	test.each([
+		['stated as not run', true],
+		['not stated', false],
+	] as const)('pauses an endpoint that refuses it with 421 (%s) as after another failure', (_, isNotRun) => {
+		const harness = createHarness();
+		const sentTo: string[] = [];
+		const openSends: Array<Readonly<{key: number; sendId: number}>> = [];
+		for (let key = 1; key <= 200; key += 1) {
+			const now = key * 50;
+			harness.gateway.step({kind: 'configurationVerified', configuration: fixtureConfiguration, verifiedAt: now}, now);
+			let actions = harness.gateway.step({kind: 'requestArrived', request: createFixtureGatewayRequest(fixtureNonIdempotentRoute, {key, arrivedAt: now})}, now);
+			let sent = actions.find(action => action.kind === 'send');
+			while (sent?.kind === 'send') {
+				const {sendId, endpoint} = sent;
+				sentTo.push(endpoint.id);
+				sent = undefined;
+				if (endpoint.id === 'shop-0') {
+					const head = createFixtureHead({status: 421, isNotRun, hasStamp: false});
+					actions = harness.gateway.step({kind: 'requestChanged', key, event: {kind: 'responseStarted', sendId, head}}, now);
+					sent = actions.find(action => action.kind === 'send');
+				} else {
+					openSends.push({key, sendId});
+				}
+			}
+
+			const ended = openSends.length > 3 ? openSends.shift() : undefined;
+			if (ended !== undefined) {
+				harness.gateway.step({kind: 'requestChanged', key: ended.key, event: {kind: 'responseStarted', sendId: ended.sendId, head: createFixtureHead()}}, now);
+				harness.gateway.step({kind: 'requestChanged', key: ended.key, event: {kind: 'responseEnded', sendId: ended.sendId}}, now);
+			}
+		}
+
+		const refusals = sentTo.filter(id => id === 'shop-0').length;
+		// In 10 s: pauses of 0.4, 0.8, 1.6 and 3.2 s, and 4 s from then on.
+		expect(refusals).toBeGreaterThanOrEqual(4);
+		expect(refusals).toBeLessThanOrEqual(8);
+		expect(new Set(sentTo.slice(-20)).size).toBeGreaterThanOrEqual(2);
+	});
+
 	// Guards against requests to a server that has asked for none for some time.
 	test('is not sent to endpoints that asked for time until that has passed, and is refused with the time to come back if all have', () => {
 		const harness = createHarness();
@@ -246,7 +307,7 @@
 		['a refusal that names another server', {
 			status: 503, isNotRun: true, hasStamp: false, faultyAddress: '10.0.4.1:80',
 		}],
-		['a response of another instance', {status: 421, hasStamp: false}],
+		['a response of another instance', {status: 421, isNotRun: true, hasStamp: false}],
 		['a limit', {status: 200, requestsPerSecond: 0}],
 	])('fails as possibly run, without a second send, after %s with the id of an earlier request or without an id', (_, changes) => {
 		for (const requestId of ['r-0', undefined]) {
@@ -268,6 +329,11 @@
 		expect(actions).toEqual(['discard', 'fail overloaded ran=no']);
 	});
 
+	// Guards against a response that contradicts itself and is taken for a refusal.
+	test.each([200, 400, 404, 500, 504])('ends with a response of status %i, though that also states that it has not run', status => {
+		expect(answer(startRequest(fixtureNonIdempotentRoute), 'done', {status, isNotRun: true})).toEqual([`start ${status} length 4`, 'write done', 'end']);
+	});
+
 	test('forwards the error response of its endpoint unchanged', () => {
 		expect(answer(startRequest(fixtureNonIdempotentRoute), 'oops', {status: 500})).toEqual(['start 500 length 4', 'write oops', 'end']);
 	});
@@ -290,6 +356,14 @@
 });
 
 describe('an idempotent request', () => {
+	// Guards against a request that has run and is reported as not run by the status that is passed on in the end.
+	test.each([408, 421, 429, 503])('is sent again after status %i without the statement that it has not run, and fails as possibly run if the second send ends so too', status => {
+		const harness = startRequest(fixtureIdempotentRoute);
+		const head = createFixtureHead({status, hasStamp: false});
+		expect(harness.step({kind: 'responseStarted', sendId: harness.getSendId(), head}, 10)).toEqual(['discard', 'send shop']);
+		expect(harness.step({kind: 'responseStarted', sendId: harness.getSendId(), head}, 20)).toEqual(['discard', 'fail serverFailed ran=unknown']);
+	});
+
 	test('is sent again after an error response, and ends with that response if the second send fails too', () => {
 		const harness = startRequest(fixtureIdempotentRoute);
 		expect(answer(harness, 'oops', {status: 500})).toEqual(['send shop']);
@@ -447,10 +521,11 @@
 		...fixtureStreamRoute, timeoutMs: 15_000, objectiveMs: 3000, longestPauseMs: 1000,
 	};
 
+	const head = createFixtureHead({
+		status: 503, isNotRun: true, hasStamp: false, faultyAddress: '10.0.6.3:80',
+	});
+
 	function refuse(harness: GatewayHarness, now: number): readonly GatewayAction[] {
-		const head = createFixtureHead({
-			status: 503, isNotRun: true, hasStamp: false, faultyAddress: '10.0.6.3:80',
-		});
 		return harness.gateway.step({kind: 'requestChanged', key: 1, event: {kind: 'responseStarted', sendId: harness.getSendId(), head}}, now);
 	}
 
@@ -464,6 +539,14 @@
 		const others = Array.from({length: 16}, (_, index) => harness.gateway.step({kind: 'requestArrived', request: createFixtureGatewayRequest(fixtureStreamRoute, {key: index + 2})}, 30));
 		expect(others.flatMap(actions => getUsedAddresses(actions)).length).toBe(16);
 	});
+
+	// Guards against a prompt that runs twice because a copy of the refusal, which bears the same id, follows where the next response is expected.
+	test.each([true, false])('closes the connection on which it is reported before the prompt is sent again (resumable: %s)', isResumable => {
+		const harness = startRequest({...route, isResumable}, {prompt});
+		const receiver = harness.getEndpointId();
+		expect(harness.step({kind: 'responseStarted', sendId: harness.getSendId(), head}, 20)).toEqual(['cancel', 'send models']);
+		expect(harness.getEndpointId()).toBe(receiver);
+	});
 });
 
 describe('a huge prompt that would miss its objective anyway', () => {
@@ -561,6 +644,7 @@
 		['301', {status: 301, headers: ['content-type', 'text/event-stream']}],
 		['503 as not run', {status: 503, isNotRun: true, hasStamp: false}],
 		['421', {status: 421, hasStamp: false}],
+		['421 as not run', {status: 421, isNotRun: true, hasStamp: false}],
 		['200 without a stamp', {hasStamp: false}],
 		['200 with a content encoding', {isEncoded: true}],
 		['500 as undelimited', {status: 500, isUndelimited: true}],
@@ -685,6 +769,7 @@
 		choosePlacement: () => decisions.shift() ?? {kind: 'refused', failure: createNotRunFailure('overloaded')},
 		isPermitted: () => true,
 		checkCredential: () => undefined,
+		mayRepeat: () => true,
 		recordBrokenSend: () => [],
 		recordLimit: () => [],
 		recordCompletion: () => [],
--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -19,13 +19,14 @@
 } from './memory-reservation.js';
 import type {Placement} from './placement.js';
 import type {
-	GatewayAction, RequestEvent, ResponseEvidence, SendId, SendResult, SilenceOutcome,
+	GatewayAction, RequestEvent, SendId, SendResult, SilenceOutcome,
 } from './gateway-events.js';
 import {
 	getSilenceTimeoutMs, hasPaused, isLeftUnread, isStreamResponse, learnedPauses, maximumEventBytes, minimumProgressBytes, parseEventNumber, pauseSend, resumeSend,
 	silenceTimeouts, type SavedResponse, type Send,
 } from './request-send.js';
 import type {RetryQuota} from './retry-quota.js';
+import {getResponseVerdict, type ResponseVerdict} from './response-verdict.js';
 import type {WorkObservation} from './work-routing.js';
 import {createPlacementReport, createSendEndReport, createSilenceReports} from './send-reports.js';
 
@@ -43,6 +44,8 @@
 	/** Returns whether the request may be sent to the endpoint, which may have changed since it was chosen. */
 	isPermitted(request: GatewayRequest, endpoint: ListedEndpoint): boolean;
 	checkCredential(request: GatewayRequest, now: Timestamp): Failure | undefined;
+	/** Returns whether the request may run more than once, also by what its route says now. */
+	mayRepeat(request: GatewayRequest): boolean;
 	/** Records that the connection of a request broke at an endpoint that may have run it. */
 	recordBrokenSend(request: GatewayRequest, endpoint: ListedEndpoint, now: Timestamp): readonly GatewayAction[];
 	/** Records that an endpoint could not be reached. */
@@ -104,7 +107,6 @@
 /** Creates the state machine of one request. */
 export function createForwardedRequest(request: GatewayRequest, context: RequestContext): ForwardedRequest {
 	const {route} = request;
-	const mayRepeat = route.kind === 'idempotent' || (route.kind === 'streaming' && route.isResumable);
 	const excluded = new Set<EndpointId>();
 	let sendCount = 0;
 	let unreachedCount = 0;
@@ -131,7 +133,15 @@
 			return false;
 		}
 
-		return mayRepeat || possibleRunCount === 0;
+		return isKnownNotRun() || mayRepeat();
+	}
+
+	function mayRepeat(): boolean {
+		return context.mayRepeat(request);
+	}
+
+	function isKnownNotRun(): boolean {
+		return possibleRunCount === 0;
 	}
 
 	function start(now: Timestamp): readonly GatewayAction[] {
@@ -146,9 +156,13 @@
 			return endWithFailure(lastFailure ?? createNotRunFailure('deadlineUnreachable', 'no time is left', 0));
 		}
 
+		if (!isKnownNotRun() && !mayRepeat()) {
+			return endWithFailure(lastFailure ?? createFailure('serverLost'));
+		}
+
 		const refusal = context.checkCredential(request, now);
 		if (refusal !== undefined) {
-			return endWithFailure(possibleRunCount === 0 ? refusal : lastFailure ?? createFailure('serverLost'));
+			return endWithFailure(isKnownNotRun() ? refusal : lastFailure ?? createFailure('serverLost'));
 		}
 
 		deferredUntil = Number.POSITIVE_INFINITY;
@@ -255,7 +269,7 @@
 			}
 
 			case 'held': {
-				if (!isPlacementPermitted(current.placement)) {
+				if (!mayDispatch(current, now)) {
 					return abandonForbiddenSend(current, now);
 				}
 
@@ -269,15 +283,21 @@
 		}
 	}
 
+	/** Returns whether a send may still be made once its memory is reserved: its endpoints, the key or the route may have changed. */
+	function mayDispatch({placement}: Send, now: Timestamp): boolean {
+		const isFirstRun = possibleRunCount === 1;
+		return isPlacementPermitted(placement) && context.checkCredential(request, now) === undefined && (isFirstRun || mayRepeat());
+	}
+
 	function isPlacementPermitted({endpoint, helpers}: Placement): boolean {
 		return [endpoint, ...helpers.map(helper => helper.endpoint)].every(other => context.isPermitted(request, other));
 	}
 
-	/** Abandons a send whose endpoints may no longer get the request, though memory is reserved, and tries others. */
+	/** Abandons a send that may no longer be made, though memory is reserved, and tries other endpoints if there may be another send. */
 	function abandonForbiddenSend({placement}: Send, now: Timestamp): readonly GatewayAction[] {
 		excluded.delete(placement.endpoint.id);
-		const closeActions = closeSend('forbidden', 'the endpoints may no longer get the request', now);
-		return [...closeActions, ...send(now, possibleRunCount === 0 ? undefined : createFailure('serverLost'))];
+		const closeActions = closeSend('forbidden', 'the request may no longer be sent to the endpoints', now);
+		return [...closeActions, ...send(now, isKnownNotRun() ? undefined : createFailure('serverLost'))];
 	}
 
 	/** Abandons a send whose memory could not be reserved, and tries other endpoints. */
@@ -289,7 +309,7 @@
 		}
 
 		const closeActions = closeSend('noMemory', memory.getFailedEndpoints().map(({id}) => id).join(','), now);
-		const failure = possibleRunCount === 0 ? createNotRunFailure('overloaded', 'no memory is free') : createFailure('serverLost');
+		const failure = isKnownNotRun() ? createNotRunFailure('overloaded', 'no memory is free') : createFailure('serverLost');
 		return [...closeActions, ...(failedReservations > maximumFailedReservations ? endWithFailure(failure) : send(now, failure))];
 	}
 
@@ -300,7 +320,7 @@
 
 	/** Creates a failure that is reported as not run only if no endpoint may have run the request. */
 	function createFailure(kind: ErrorKind, detail?: string): Failure {
-		return possibleRunCount === 0 ? createNotRunFailure(kind, detail) : {kind, ran: 'unknown', detail};
+		return isKnownNotRun() ? createNotRunFailure(kind, detail) : {kind, ran: 'unknown', detail};
 	}
 
 	/** Closes the current send and releases its load and memory. */
@@ -312,15 +332,15 @@
 
 		current = undefined;
 		lastResult = result;
-		const isKnownNotRun = result === 'notRun' || result === 'replaced' || result === 'noMemory' || result === 'forbidden';
-		if (isKnownNotRun) {
+		const hasNotRun = result === 'notRun' || result === 'replaced' || result === 'noMemory' || result === 'forbidden';
+		if (hasNotRun) {
 			possibleRunCount -= 1;
 		}
 
 		return [
 			...recordWork({kind: 'ended', id: closedSend.id}, now),
 			...closedSend.memory?.reservations.map((reservation): GatewayAction => ({kind: 'releaseMemory', reservation})) ?? [],
-			createSendEndReport(request.key, closedSend, {result, mayHaveRun: !isKnownNotRun, detail}),
+			createSendEndReport(request.key, closedSend, {result, mayHaveRun: !hasNotRun, detail}),
 			...learnOverdue(closedSend, result, now),
 		];
 	}
@@ -404,41 +424,50 @@
 		return [...closeActions, ...(isPaused ? endWithFailure(failure) : retryOrEnd(failure, true, now))];
 	}
 
-	/** Handles a refusal: the endpoint hasn't run the request, or another endpoint responds at its address. */
+	/** Handles a refusal: the endpoint hasn't run the request. Another endpoint may respond at its address. */
 	function handleRefusal(head: EndpointResponseHead, now: Timestamp): readonly GatewayAction[] {
 		const refusedSend = current;
 		if (refusedSend === undefined) {
 			return [];
 		}
 
-		const endpointId = refusedSend.placement.endpoint.id;
-		const faulty = head.faultyAddress === undefined ? undefined : context.registry.findByAddress(head.faultyAddress);
-		const isReplaced = head.status === misdirectedStatus;
-		if (faulty !== undefined && faulty.id !== endpointId) {
+		const {id: endpointId, address} = refusedSend.placement.endpoint;
+		const isMisdirected = head.status === misdirectedStatus;
+		const faulty = head.faultyAddress === undefined || head.faultyAddress === address ? undefined : context.registry.findByAddress(head.faultyAddress);
+		if (faulty === undefined) {
+			context.registry.recordFailure(endpointId, now);
+		} else {
 			excluded.delete(endpointId);
 			excluded.add(faulty.id);
 			// The endpoint reports a busy helper at once, and a dead one only after waiting for it.
 			if (now - refusedSend.sentAt > maximumRefusalDelayMs) {
 				context.registry.recordFailure(faulty.id, now);
 			}
-		} else if (isReplaced) {
-			context.registry.recordReplaced(endpointId);
-		} else {
-			context.registry.recordFailure(endpointId, now);
 		}
 
-		const closeActions = closeSend(isReplaced ? 'replaced' : 'notRun', `status ${head.status}`, now);
-		const failure = possibleRunCount === 0 ? createNotRunFailure('overloaded', undefined, head.retryAfterMs) : createFailure('serverLost');
-		return [...closeActions, ...retryOrEnd(failure, true, now)];
+		// A copy of the refusal may follow on the connection, where the response to another send of the request to this address is expected.
+		const cancelActions = cancelCurrentSend(faulty !== undefined || isMisdirected ? 'abort' : 'discard');
+		const closeActions = closeSend(isMisdirected ? 'replaced' : 'notRun', `status ${head.status}`, now);
+		const failure = isKnownNotRun() ? createNotRunFailure('overloaded', undefined, head.retryAfterMs) : createFailure('serverLost');
+		return [...cancelActions, ...closeActions, ...retryOrEnd(failure, true, now)];
 	}
 
 	function cancelCurrentSend(how: 'abort' | 'discard' = 'abort'): readonly GatewayAction[] {
 		return current === undefined ? [] : [{kind: 'cancelSend', sendId: current.id, how}];
 	}
 
-	function createEvidence({status, requestId = '', refusalText}: EndpointResponseHead): ResponseEvidence {
-		const otherId = requestId === '' ? 'missing' : 'other';
-		return {status, id: requestId === request.requestId ? 'own' : otherId, refusalText};
+	/**
+	Handles a response whose status is that of a refusal though the request may have run. Passed on, the status would tell the caller that it
+	has not.
+	*/
+	function handleUnprovenRefusal({status}: EndpointResponseHead, now: Timestamp): readonly GatewayAction[] {
+		if (current === undefined) {
+			return [];
+		}
+
+		const detail = `status ${status} without a valid statement`;
+		context.registry.recordFailure(current.placement.endpoint.id, now);
+		return [...cancelCurrentSend('discard'), ...closeSend('failedStatus', detail, now), ...retryOrEnd(createFailure('serverFailed', detail), true, now)];
 	}
 
 	function startResponse(head: EndpointResponseHead, now: Timestamp): readonly GatewayAction[] {
@@ -446,9 +475,12 @@
 			return [];
 		}
 
-		current.evidence = createEvidence(head);
-		// A promise, a limit or a status counts only if the response belongs to this request. One without an id may be left over from a control request.
-		if ((head.requestId ?? '') !== request.requestId) {
+		const verdict = getResponseVerdict(head, request.requestId);
+		current.evidence = {
+			status: head.status, verdict, id: head.requestId, refusalText: head.refusalText,
+		};
+		// A limit or a status counts only if the response belongs to this request. One without an id may be left over from a control request.
+		if (verdict === 'foreign') {
 			return [...cancelCurrentSend(), ...handleLostSend('corrupt', 'the answer belongs to another request', now)];
 		}
 
@@ -462,16 +494,28 @@
 
 		// A misdirected response comes from another endpoint at the address.
 		const leavingActions = head.isLeaving && head.status !== misdirectedStatus ? context.recordLeaving(current.placement.endpoint) : [];
-		return [...limitActions, ...leavingActions, ...applyHead(head, now)];
+		return [...limitActions, ...leavingActions, ...applyHead(head, verdict, now)];
 	}
 
-	function applyHead(head: EndpointResponseHead, now: Timestamp): readonly GatewayAction[] {
-		if (current === undefined) {
-			return [];
+	function applyHead(head: EndpointResponseHead, verdict: Exclude<ResponseVerdict, 'foreign'>, now: Timestamp): readonly GatewayAction[] {
+		switch (verdict) {
+			case 'notRun': {
+				return handleRefusal(head, now);
+			}
+
+			case 'unproven': {
+				return handleUnprovenRefusal(head, now);
+			}
+
+			case 'answered': {
+				return receiveAnswer(head, now);
+			}
 		}
+	}
 
-		if (head.isNotRun || head.status === misdirectedStatus) {
-			return [...cancelCurrentSend('discard'), ...handleRefusal(head, now)];
+	function receiveAnswer(head: EndpointResponseHead, now: Timestamp): readonly GatewayAction[] {
+		if (current === undefined) {
+			return [];
 		}
 
 		if (head.isEncoded || (head.status < firstErrorStatus && !head.hasStamp)) {
@@ -635,7 +679,7 @@
 			return completeStream(finishedSend, head, now);
 		}
 
-		if (head.status >= firstServerErrorStatus && mayRepeat) {
+		if (head.status >= firstServerErrorStatus && mayRepeat()) {
 			return handleFailedStatus({head, parts: finishedSend.body.getParts()}, now);
 		}
 
@@ -752,7 +796,7 @@
 		const {id} = placement.endpoint;
 		silentSend.checkAt = now + silenceTimeouts.recheckMs;
 		silentSend.isProbed = false;
-		if (!mayRepeat || !canRetry()) {
+		if (!mayRepeat() || !canRetry()) {
 			return reportSilence(silentSend, 'retryForbidden', now);
 		}
 
@@ -780,6 +824,10 @@
 	/** Sends the request of a silent send to another endpoint if the retry quota allows it. */
 	function abandonSilentSend(silentSend: Send, detail: string, now: Timestamp): readonly GatewayAction[] {
 		silentSend.isProbed = false;
+		if (!canRetry()) {
+			return reportSilence(silentSend, 'retryForbidden', now);
+		}
+
 		if (!context.retryQuota.tryTake(request.service, now)) {
 			return reportSilence(silentSend, 'quotaExhausted', now);
 		}
@@ -872,7 +920,7 @@
 
 			case 'graceEnded': {
 				const closeActions = [...cancelCurrentSend(), ...closeSend('stopped', '', now)];
-				return [...closeActions, ...endWithFailure(possibleRunCount === 0 ? createNotRunFailure('draining', 'the process ends', 0) : createFailure('outcomeUnknown', 'the process ends'))];
+				return [...closeActions, ...endWithFailure(isKnownNotRun() ? createNotRunFailure('draining', 'the process ends', 0) : createFailure('outcomeUnknown', 'the process ends'))];
 			}
 
 			case 'timePassed': {
@@ -904,7 +952,7 @@
 		return [
 			...closeActions,
 			...(placement === undefined ? [] : context.recordUnreachable(placement.endpoint.id, now)),
-			...retryOrEnd(possibleRunCount === 0 ? createNotRunFailure('endpointUnreachable', detail, unreachableRetryMs) : createFailure('serverLost', detail), false, now),
+			...retryOrEnd(isKnownNotRun() ? createNotRunFailure('endpointUnreachable', detail, unreachableRetryMs) : createFailure('serverLost', detail), false, now),
 		];
 	}
 
