--- a/packages/endpoint/src/business-service.test.ts
+++ b/packages/endpoint/src/business-service.test.ts
@@ -67,3 +67,17 @@
 	});
 	expect(await createBusinessServiceClient(url).call(work, 2000)).toMatchObject({kind: 'failed', ran: 'unknown'});
 });
+
+// Guards against a part of a response that is passed on as whole, since its end is read before the reset that an unread upload causes.
+test('fails an undelimited response that ends while an upload is written, when the connection is reset then', async () => {
+	const url = await startService(socket => {
+		socket.pause();
+		socket.end(`${head}hal`, () => {
+			setTimeout(() => {
+				socket.resetAndDestroy();
+			}, 20);
+		});
+	});
+	const upload = {...work, method: 'POST', body: 'x'.repeat(1_000_000)};
+	expect(await createBusinessServiceClient(url).call(upload, 2000)).toMatchObject({kind: 'failed', ran: 'unknown'});
+});
--- a/packages/gateway/src/endpoint-client.test.ts
+++ b/packages/gateway/src/endpoint-client.test.ts
@@ -40,11 +40,11 @@
 	return `127.0.0.1:${typeof address === 'object' ? address?.port ?? 0 : 0}`;
 }
 
-async function sendRequest(client: EndpointClient, address: string): Promise<Outcome> {
+async function sendRequest(client: EndpointClient, address: string, body = new Uint8Array(0)): Promise<Outcome> {
 	return new Promise(resolve => {
 		let text = '';
 		client.send({
-			sendId: 1, address, method: 'GET', target: '/', headers: ['Host', 'a.example'], body: new Uint8Array(0),
+			sendId: 1, address, method: body.length === 0 ? 'GET' : 'POST', target: '/', headers: ['Host', 'a.example'], body,
 		}, {
 			onHead: () => undefined,
 			onBytes(bytes) {
@@ -103,6 +103,30 @@
 	}
 });
 
+/** Lengths of uploads, the longer one of which the operating system doesn't take at once. */
+const uploadLengths = [100_000, 8_000_000];
+
+// Guards against a part of a response that is passed on as whole, since its end is read before the reset that an unread upload causes.
+test.each(uploadLengths)('fails an undelimited response that ends while an upload of %d bytes is written, when the connection is reset then', async length => {
+	const address = await startEndpoint(socket => {
+		socket.pause();
+		socket.end('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhal', () => {
+			setTimeout(() => {
+				socket.resetAndDestroy();
+			}, 20);
+		});
+	});
+	expect(await sendRequest(createClient(), address, new Uint8Array(length))).toEqual({kind: 'failed', wasSent: true});
+});
+
+test.each(uploadLengths)('completes an undelimited response that ends while an upload of %d bytes is written, when the endpoint reads on', async length => {
+	const address = await startEndpoint(socket => {
+		socket.end('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole');
+		socket.resume();
+	});
+	expect(await sendRequest(createClient(), address, new Uint8Array(length))).toEqual({kind: 'ended', text: 'whole'});
+});
+
 // Guards against a part of a control response that counts as the whole of it, and its endpoint as alive.
 test.each([0, 20])('rejects a control request whose undelimited response is reset %d ms after its last bytes', async delayMs => {
 	const address = await startEndpoint(socket => {
