Begin nothing in a turn whose reads are too old

Cause: what begins work lets the loop read once more, but a turn may last for 0.6 s and more. What arrives after its reads has not been read when its last callbacks run, so the wait for two turns says nothing of how old the reads are.

Change: waitForRecentReads goes on while the turn that has ended took over 250 ms, half of the bound. The connectors to servers and engines, later sends of gateways, held early requests and bodies at entries wait by it. The intake begins nothing in such a turn; what is overdue is refused only if the turn before was as long, so that a request isn't refused for one standstill. The loop monitor, the pacer and the store's client, which begin nothing, wait as before.

--- a/packages/caller/src/http-server.ts
+++ b/packages/caller/src/http-server.ts
@@ -8,7 +8,7 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import {createCallerMemory, getRequestBytes, type CallerMemory} from '@currantcross/core/gateway/caller-memory';
 import {listen} from '@currantcross/core/listen';
-import {startLoopMonitor, waitForReads} from '@currantcross/core/loop-monitor';
+import {startLoopMonitor, waitForRecentReads} from '@currantcross/core/loop-monitor';
 import type {Milliseconds} from '@currantcross/core/types';
 import createRouter from 'find-my-way';
 import VError from 'verror';
@@ -106,7 +106,7 @@
 /** Lets the loop read once more, such as the close behind a request. */
 async function readOnce(): Promise<void> {
 	await new Promise<void>(resolve => {
-		waitForReads(resolve);
+		waitForRecentReads(resolve);
 	});
 }
 
--- a/packages/core/src/loop-monitor.ts
+++ b/packages/core/src/loop-monitor.ts
@@ -26,6 +26,8 @@
 const tickIntervalMs: Milliseconds = 100;
 /** Delay of a tick that is normal for timers. */
 const toleranceMs: Milliseconds = 50;
+/** Half of the time after which work for a caller who has left is late. */
+const maximumReadAgeMs: Milliseconds = 250;
 
 /** Returns the time since `until`, or 0 if it is normal between ticks. */
 function getDelayMs(until: Timestamp): Milliseconds {
@@ -97,3 +99,26 @@
 		setImmediate(callback);
 	});
 }
+
+/** Returns whether what the loop has read by now is recent, if it began to read after the given time. */
+export function isReadRecent(readAfter: Timestamp): boolean {
+	return performance.now() - readAfter <= maximumReadAgeMs;
+}
+
+/** Calls the function as `waitForReads` does, in the first turn that is short enough for what arrived until then to have been read. */
+export function waitForRecentReads(callback: () => void): void {
+	setImmediate(() => {
+		waitForShortTurn(callback);
+	});
+}
+
+function waitForShortTurn(callback: () => void): void {
+	const startedAt = performance.now();
+	setImmediate(() => {
+		if (isReadRecent(startedAt)) {
+			callback();
+		} else {
+			waitForShortTurn(callback);
+		}
+	});
+}
--- a/packages/gateway/src/early-request-runner.ts
+++ b/packages/gateway/src/early-request-runner.ts
@@ -4,7 +4,7 @@
 */
 import {createEarlyRequests, type EarlyTimes, type RefusedEntry} from '@currantcross/core/gateway/early-requests';
 import type {Failure} from '@currantcross/core/errors';
-import {waitForReads} from '@currantcross/core/loop-monitor';
+import {waitForRecentReads} from '@currantcross/core/loop-monitor';
 
 /** A request that may be held. Either of the functions ends its hold. */
 export type EarlyEntry = Readonly<{
@@ -49,7 +49,7 @@
 
 	function resumeNext([next, ...others]: readonly EarlyEntry[]): void {
 		if (next !== undefined) {
-			waitForReads(() => {
+			waitForRecentReads(() => {
 				next.resume();
 				resumeNext(others);
 			});
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -21,7 +21,7 @@
 import type {Reservation} from '@currantcross/core/gateway/memory-reservation';
 import type {Milliseconds} from '@currantcross/core/types';
 import type {Logger} from '@currantcross/daemon/logger';
-import {waitForReads} from '@currantcross/core/loop-monitor';
+import {waitForRecentReads} from '@currantcross/core/loop-monitor';
 import {getForwardedHeaders, type CallerExchange} from './caller-exchange.js';
 import type {ConnectionUse} from './connection-uses.js';
 import type {ControlResponse, EndpointClient} from './endpoint-client.js';
@@ -501,7 +501,7 @@
 
 		const heldAt = performance.now();
 		heldSends.add(action.sendId);
-		waitForReads(() => {
+		waitForRecentReads(() => {
 			const remainingMs = action.remainingMs - (performance.now() - heldAt);
 			if (heldSends.delete(action.sendId) && remainingMs > 0 && openRequests.get(action.key)?.exchange.hasCallerLeft() === false) {
 				startSend(action, remainingMs);
--- a/packages/gateway/src/intake-runner.ts
+++ b/packages/gateway/src/intake-runner.ts
@@ -4,7 +4,8 @@
 */
 import {createRequestIntake, getOverdueFailure} from '@currantcross/core/gateway/request-intake';
 import type {Failure} from '@currantcross/core/errors';
-import type {Milliseconds} from '@currantcross/core/types';
+import {isReadRecent} from '@currantcross/core/loop-monitor';
+import type {Milliseconds, Timestamp} from '@currantcross/core/types';
 
 /** A received request that waits to be begun. */
 export type IntakeEntry = Readonly<{
@@ -28,11 +29,15 @@
 export function createIntakeRunner(): IntakeRunner {
 	const intake = createRequestIntake<IntakeEntry>();
 	let isScheduled = false;
+	/** After this time the loop begins to read what is known in the next turn. */
+	let scheduledAt: Timestamp = 0;
+	let wasLastReadRecent = true;
 	let refusedCount = 0;
 
 	function schedule(): void {
 		if (!isScheduled) {
 			isScheduled = true;
+			scheduledAt = performance.now();
 			setImmediate(runTurn);
 		}
 	}
@@ -40,27 +45,39 @@
 	function runTurn(): void {
 		isScheduled = false;
 		const startedAt = performance.now();
-		while (performance.now() - startedAt < turnBudgetMs) {
-			const entry = intake.tryTakeNewest();
-			if (entry === undefined) {
-				break;
-			}
-
-			startEntry(entry);
+		const isRecent = isReadRecent(scheduledAt);
+		if (isRecent) {
+			startEntries(startedAt);
 		}
 
 		// A request that could not be begun earlier, since the loop stood still, is begun if there is time for it.
-		for (const entry of intake.takeOverdue(startedAt)) {
-			handleOverdue(entry);
+		if (isRecent || !wasLastReadRecent) {
+			for (const entry of intake.takeOverdue(startedAt)) {
+				handleOverdue(entry);
+			}
 		}
 
 		// What is added now becomes due in the next turn, after the loop has read once more.
 		intake.recordReads();
-		if (!intake.isEmpty()) {
+		if (intake.isEmpty()) {
+			wasLastReadRecent = true;
+		} else {
+			wasLastReadRecent = isRecent;
 			schedule();
 		}
 	}
 
+	function startEntries(startedAt: Timestamp): void {
+		while (performance.now() - startedAt < turnBudgetMs) {
+			const entry = intake.tryTakeNewest();
+			if (entry === undefined) {
+				return;
+			}
+
+			startEntry(entry);
+		}
+	}
+
 	function startEntry(entry: IntakeEntry): void {
 		if (entry.hasCallerLeft()) {
 			entry.drop();
