Write no request whose caller's close is known or may be unread

Cause, two places behind the last check of the driver. undici writes to an idle connection one turn after it has chosen it (its validation of idle sockets), and that turn may be long. And the server tells of a close a turn or two after it was read, so that a request is written though its caller's close has been read.

Change: a request whose connection is open is cancelled if its caller's close has been read. If it was handed over more than a short turn ago and the connection has not been opened just now, its bytes are held on the connection until the loop has read again; the connection is destroyed if the request is cancelled meanwhile, which it is too if the close has been read by then.

Evidence: the new tests failed before (the endpoint had received the cancelled request; no send was cancelled).

--- a/packages/gateway/src/endpoint-client.test.ts
+++ b/packages/gateway/src/endpoint-client.test.ts
@@ -121,6 +121,42 @@
 	expect(await sendRequest(createClient(), `127.0.0.1:${port}`)).toEqual({kind: 'failed', wasSent: false});
 });
 
+// Guards against requests that are written after their callers have left, whose closes came in a long turn after an idle connection was chosen.
+test.each([false, true])('a request on an idle connection is written only after the loop has read what arrived in a long turn (cancelled by that: %s)', async isCancelled => {
+	const received: string[] = [];
+	const address = await startEndpoint(socket => {
+		socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+		socket.on('data', (bytes: Uint8Array) => {
+			received.push(Buffer.from(bytes).toString().split('\r\n', 1)[0] ?? '');
+			socket.write('HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore');
+		});
+	});
+	const client = createClient();
+	expect(await sendRequest(client, address)).toEqual({kind: 'ended', text: 'ok'});
+	const outcome = new Promise<Outcome>(resolve => {
+		setImmediate(() => {
+			setImmediate(() => {
+				Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 700);
+				if (isCancelled) {
+					setImmediate(() => {
+						client.cancel(1, 'abort');
+					});
+				}
+			});
+			void sendRequest(client, address).then(resolve);
+		});
+	});
+	if (isCancelled) {
+		await new Promise(resolve => {
+			setTimeout(resolve, 900);
+		});
+		expect(received).toEqual([]);
+	} else {
+		expect(await outcome).toEqual({kind: 'ended', text: 'more'});
+		expect(received).toEqual(['GET / HTTP/1.1']);
+	}
+});
+
 // Guards against a faulty endpoint whose endless response fills the memory or keeps the connection.
 test.each(['garbage', 'reason', 'header', 'headers', 'informational', 'trailers', 'chunkSize', 'chunkExtension', 'body'] as const)('fails an endless response (%s) and closes the connection', async kind => {
 	const endpoint = await startEndlessServer(kind);
--- a/packages/gateway/src/endpoint-client.ts
+++ b/packages/gateway/src/endpoint-client.ts
@@ -9,6 +9,7 @@
 import {createPieceInterceptor} from '@currantcross/endpoint/body-pieces';
 import {createHeldConnections} from '@currantcross/endpoint/held-connections';
 import {createLateConnector} from '@currantcross/endpoint/late-connector';
+import {createLateWrites} from '@currantcross/endpoint/late-writes';
 import {createResetDetector} from '@currantcross/endpoint/reset-detector';
 import {type Dispatcher, errors, Pool} from 'undici';
 import VError from 'verror';
@@ -33,6 +34,8 @@
 export type EndpointListener = Readonly<{
 	/** Called when a connection is open and the request is about to be written to it. `getUse` tells of that once it is. */
 	onStart?(getUse: () => ConnectionUse | undefined): void;
+	/** Called before a request is written that was held on its connection after that, since the loop had not read for long. */
+	onRelease?(): void;
 	onHead(status: number, headers: IncomingHttpHeaders): void;
 	/** Called for what was read at once. `isFragmented` if it came in so many small pieces that the response is read slowly. */
 	onBytes(bytes: Uint8Array, isFragmented: boolean): void;
@@ -132,6 +135,7 @@
 	const pools = new Map<string, Dispatcher>();
 	const responseGuard = createResponseGuard();
 	const connectionUses = createConnectionUses();
+	const lateWrites = createLateWrites();
 	const heldConnections = createHeldConnections();
 	const responsePacer = createResponsePacer({processorShare, getReadBytes: heldConnections.getReadBytes});
 	const joinPieces = createPieceInterceptor();
@@ -142,6 +146,7 @@
 		heldConnections.watchConnection(socket);
 		responseGuard.watchConnection(socket);
 		connectionUses.watchConnection(socket);
+		lateWrites.watchConnection(socket);
 	});
 
 	function resumeSend(openSend: OpenSend): void {
@@ -185,6 +190,7 @@
 			controller: undefined, isPaused: false, isCancelled: false, discardTimer: undefined,
 		};
 		openSends.set(sendId, openSend);
+		const dispatchedAt = performance.now();
 		let hasStarted = false;
 		let informationalResponses = 0;
 		return {
@@ -197,6 +203,9 @@
 				}
 
 				listener.onStart?.(connectionUses.getStarted());
+				if (!openSend.isCancelled) {
+					lateWrites.hold(dispatchedAt, () => listener.onRelease?.());
+				}
 			},
 			onResponseStart(controller, status, headers) {
 				if (status >= lowestFinalStatus) {
--- a/packages/gateway/src/gateway-driver.test.ts
+++ b/packages/gateway/src/gateway-driver.test.ts
@@ -17,24 +17,46 @@
 
 const [endpoint] = createFixtureEndpoints('shop', 1);
 
-type Run = Readonly<{driver: GatewayDriver; sent: readonly number[]; exchange: Exchange; leave(): void}>;
+type Run = Readonly<{
+	driver: GatewayDriver;
+	sent: readonly number[];
+	cancelled: readonly number[];
+	exchange: Exchange;
+	leave(): void;
+	/** Lets the connections be open to which the sends are written. */
+	start(): void;
+	/** Lets the sends be written that were held. */
+	release(): void;
+}>;
 
 /** Creates a driver whose gateway sends the request with each event of this kind. */
 function createRun(sendingEvent: GatewayEvent['kind'], remainingMs = 1000): Run {
 	const sent: number[] = [];
+	const cancelled: number[] = [];
+	const listeners: EndpointListener[] = [];
 	const send = {
 		kind: 'send', key, sendId: 7, endpoint, helpers: [], remainingMs, lastEventId: undefined,
 	} as const;
 	let hasLeft = false;
 	const gateway = {
-		step: ({kind}: GatewayEvent) => kind === sendingEvent ? [send] : [],
+		step(event: GatewayEvent) {
+			if (event.kind === 'requestChanged' && event.event.kind === 'clientGone') {
+				return [{kind: 'cancelSend', sendId: 7, how: 'abort'}];
+			}
+
+			return event.kind === sendingEvent ? [send] : [];
+		},
 		tryGetWakeAt: () => undefined,
 		tryGetAdmissionPriority: () => undefined,
 	} as unknown as DriverParameters[0];
 	const host = {
 		client: {
-			send({sendId}: Readonly<{sendId: number}>) {
+			send({sendId}: Readonly<{sendId: number}>, listener: EndpointListener) {
 				sent.push(sendId);
+				listeners.push(listener);
+			},
+			cancel(sendId: number) {
+				cancelled.push(sendId);
 			},
 		},
 		wireFormat: {formatSendHead: () => [], excludedRequestHeaders: new Set()},
@@ -47,10 +69,21 @@
 	return {
 		driver: createGatewayDriver(gateway, host),
 		sent,
+		cancelled,
 		exchange,
 		leave() {
 			hasLeft = true;
 		},
+		start() {
+			for (const {onStart} of listeners) {
+				onStart?.(() => undefined);
+			}
+		},
+		release() {
+			for (const {onRelease} of listeners) {
+				onRelease?.();
+			}
+		},
 	};
 }
 
@@ -85,6 +118,25 @@
 	expect(sent).toEqual([]);
 });
 
+// Guards against requests that are written although their callers' closes have been read, of which the server tells a turn or two later.
+test.each([
+	['open', false], ['open', true], ['released', false], ['released', true],
+] as const)('a send whose connection is %s is cancelled if its caller\'s close has been read (%s)', (state, isDeparted) => {
+	const departed = createRun('requestArrived');
+	departed.driver.submit(request, departed.exchange);
+	if (isDeparted) {
+		departed.leave();
+	}
+
+	if (state === 'open') {
+		departed.start();
+	} else {
+		departed.release();
+	}
+
+	expect(departed.cancelled).toEqual(isDeparted ? [7] : []);
+});
+
 // Guards against logs that don't show why a request was sent again: what was written where, and what the response said.
 test('the line of a send that has ended shows its connection, the status, the id and the refusal of its response', () => {
 	const lines: Array<readonly [string, Readonly<Record<string, unknown>>]> = [];
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -532,6 +532,16 @@
 			headers.push('Content-Length', String(body.length));
 		}
 
+		/** Cancels the send if the caller's close has been read, of which the server tells a turn later or more. Returns whether it was. */
+		const cancelIfDeparted = (): boolean => {
+			const hasLeft = openRequest.exchange.hasCallerLeft();
+			if (hasLeft) {
+				dispatchRelayEvent(key, {kind: 'clientGone'});
+			}
+
+			return hasLeft;
+		};
+
 		const handedOverAt = performance.now();
 		let isHeld = false;
 		let receivedBytes = 0;
@@ -540,6 +550,10 @@
 			sendId, address: endpoint.address, method: message.method ?? 'GET', target: message.url ?? '/', headers, body: Buffer.from(body.buffer, body.byteOffset, body.byteLength),
 		}, {
 			onStart(getUse) {
+				if (cancelIfDeparted()) {
+					return;
+				}
+
 				connectionUses.set(sendId, getUse);
 				const waitedMs = performance.now() - handedOverAt;
 				if (waitedMs > loggedSendDelayMs) {
@@ -548,6 +562,9 @@
 					});
 				}
 			},
+			onRelease() {
+				cancelIfDeparted();
+			},
 			onHead(status, responseHeaders) {
 				const head = host.wireFormat.parseResponseHead(status, responseHeaders);
 				isHeld = !isStreamResponse(openRequest.request, head);
