Run the servers that record arrivals in a thread of their own

Request 1-17: its caller left at 06.199, the gateway's send ended with clientGone at 06.329, the server recorded it at 07.836. 1,200 callers a second keep that thread busy; what the servers record was late by that.

Change: the servers run in a thread of their own, and times are compared by a clock that both threads share. The check and its bound are as before.

--- a/packages/standins/src/arrival-servers.ts
+++ b/packages/standins/src/arrival-servers.ts
@@ -3,6 +3,7 @@
 */
 import http from 'node:http';
 import {listen} from '@currantcross/core/listen';
+import {getSharedTime} from './shared-clock.js';
 
 /** How the servers respond. */
 export type ResponseBehaviour
@@ -12,6 +13,7 @@
 	/** Refuses each request as not run, `afterMs` after it arrived. */
 		| Readonly<{kind: 'refuse'; afterMs: number}>;
 
+/** When a request reached a server, by the shared clock. */
 export type Arrival = Readonly<{requestId: string; at: number}>;
 
 export type ArrivalServers = Readonly<{
@@ -69,7 +71,7 @@
 				}
 
 				const requestId = String(message.headers['request-id']);
-				arrivals.push({requestId, at: performance.now()});
+				arrivals.push({requestId, at: getSharedTime()});
 				handleRequest(requestId, instanceId, response);
 			});
 			return `127.0.0.1:${await listen(server, {host: '127.0.0.1', port: 0})}`;
--- a/packages/standins/src/impatient-caller.ts
+++ b/packages/standins/src/impatient-caller.ts
@@ -7,7 +7,7 @@
 /** How a caller leaves: it closes its connection, only its sending side, or resets it. */
 export type Departure = 'close' | 'halfClose' | 'reset';
 
-/** What came of a request: the status of the response, or when the caller left. */
+/** What came of a request: the status of the response, or when the caller left, by the shared clock. */
 export type CallResult = Readonly<{requestId: string; status: number | undefined; leftAt: number | undefined}>;
 
 const statusPattern = /^HTTP\/1\.1 (?<status>\d{3}) /v;
--- a/packages/standins/src/impatient-callers.ts
+++ b/packages/standins/src/impatient-callers.ts
@@ -1,17 +1,19 @@
 /**
-Worker thread with callers that leave after a time without a response, and with the servers that they reach, so that both go
+Worker thread with callers that leave after a time without a response, and another one with the servers that they reach, so that both go
 on while the gateway's thread stands still. Reports the requests that reached a server after their callers had left.
 */
 import {once} from 'node:events';
 import type net from 'node:net';
 import process from 'node:process';
 import {setTimeout as wait} from 'node:timers/promises';
-import {parentPort} from 'node:worker_threads';
-import {createArrivalServers, type ResponseBehaviour} from './arrival-servers.js';
+import {parentPort, Worker} from 'node:worker_threads';
+import type {ResponseBehaviour} from './arrival-servers.js';
+import type {ArrivalServersCommand, ArrivalServersReply} from './arrival-servers-thread.js';
 import {
 	formatRequest, breakConnection, openConnection, waitForStatus, type CallResult,
 } from './impatient-caller.js';
 import {runCrowd, type CrowdSettings} from './impatient-crowd.js';
+import {getSharedTime} from './shared-clock.js';
 
 /** What the test asks of the worker. */
 export type ImpatientCallersCommand
@@ -55,9 +57,16 @@
 const settleMs = 2500;
 const okStatus = 200;
 
-const servers = createArrivalServers();
+const servers = new Worker(new URL('arrival-servers-thread.js', import.meta.url));
 let roundCount = 0;
 
+async function askServers(command: ArrivalServersCommand): Promise<ArrivalServersReply> {
+	return new Promise(resolve => {
+		servers.once('message', resolve);
+		servers.postMessage(command);
+	});
+}
+
 /** Opens the connection of a caller, and uses it or not. */
 async function openSocket(index: number, requestId: string, {address, patienceMs}: SendCommand): Promise<net.Socket> {
 	const socket = openConnection(address);
@@ -82,7 +91,7 @@
 	}
 
 	const status = await waitForStatus(socket, patienceMs);
-	const leftAt = status === undefined ? performance.now() : undefined;
+	const leftAt = status === undefined ? getSharedTime() : undefined;
 	breakConnection(socket, index % resetInterval === 0 ? 'reset' : 'close');
 	return {requestId, status, leftAt};
 }
@@ -91,7 +100,8 @@
 async function summariseRound(calls: readonly CallResult[]): Promise<RoundResult> {
 	await wait(settleMs);
 	const leftAtById = new Map(calls.map(({requestId, leftAt}) => [requestId, leftAt]));
-	const roundArrivals = servers.arrivals.filter(({requestId}) => leftAtById.has(requestId));
+	const {arrivals} = await askServers({kind: 'getArrivals'});
+	const roundArrivals = arrivals.filter(({requestId}) => leftAtById.has(requestId));
 	const lateArrivals = roundArrivals.map(({requestId, at}) => ({requestId, lateMs: at - (leftAtById.get(requestId) ?? Number.POSITIVE_INFINITY)})).filter(({lateMs}) => lateMs > 0);
 	return {
 		lateArrivalsMs: lateArrivals.map(({lateMs}) => lateMs),
@@ -110,13 +120,14 @@
 async function handleCommand(command: ImpatientCallersCommand): Promise<void> {
 	switch (command.kind) {
 		case 'startServers': {
-			sendReply({kind: 'serversStarted', addresses: await Promise.all(command.instanceIds.map(async id => servers.startServer(id)))});
+			const {addresses} = await askServers({kind: 'startServers', instanceIds: command.instanceIds});
+			sendReply({kind: 'serversStarted', addresses});
 			return;
 		}
 
 		case 'send': {
 			roundCount += 1;
-			servers.setBehaviour(command.behaviour);
+			await askServers({kind: 'setBehaviour', behaviour: command.behaviour});
 			const calls = await Promise.all(Array.from({length: command.count}, async (_, index) => runCaller(index, command)));
 			sendReply({kind: 'roundEnded', result: await summariseRound(calls)});
 			return;
@@ -124,7 +135,7 @@
 
 		case 'sendAtRate': {
 			roundCount += 1;
-			servers.setBehaviour(command.behaviour);
+			await askServers({kind: 'setBehaviour', behaviour: command.behaviour});
 			sendReply({kind: 'roundEnded', result: await summariseRound(await runCrowd(String(roundCount), command.settings))});
 		}
 	}
--- a/packages/standins/src/impatient-crowd.ts
+++ b/packages/standins/src/impatient-crowd.ts
@@ -7,6 +7,7 @@
 import {
 	formatRequest, breakConnection, openConnection, waitForStatus, type CallResult, type Departure,
 } from './impatient-caller.js';
+import {getSharedTime} from './shared-clock.js';
 
 export type CrowdSettings = Readonly<{
 	seed: number;
@@ -34,7 +35,7 @@
 	const status = await waitForStatus(socket, patienceMs);
 	if (status === undefined) {
 		breakConnection(socket, departure);
-		return {requestId, status, leftAt: performance.now()};
+		return {requestId, status, leftAt: getSharedTime()};
 	}
 
 	if (isKept) {
