--- a/packages/gateway/src/endpoint-client.test.ts
+++ b/packages/gateway/src/endpoint-client.test.ts
@@ -42,11 +42,11 @@
 	return `127.0.0.1:${typeof address === 'object' ? address?.port ?? 0 : 0}`;
 }
 
-async function sendRequest(client: EndpointClient, address: string): Promise<Outcome> {
+async function sendRequest(client: EndpointClient, address: string, body = new Uint8Array(0)): Promise<Outcome> {
 	return new Promise(resolve => {
 		let text = '';
 		client.send({
-			sendId: 1, address, method: 'GET', target: '/', headers: ['Host', 'a.example'], body: new Uint8Array(0),
+			sendId: 1, address, method: body.length === 0 ? 'GET' : 'POST', target: '/', headers: ['Host', 'a.example'], body,
 		}, {
 			onHead: () => undefined,
 			onBytes(bytes) {
@@ -105,6 +105,45 @@
 	}
 });
 
+/** Lengths of uploads, the longer one of which the operating system doesn't take at once. */
+const uploadLengths = [100_000, 8_000_000];
+
+// Guards against a part of a response that is passed on as whole, since its end is read before the reset that an unread upload causes.
+test.each(uploadLengths)('fails an undelimited response that ends while an upload of %d bytes is written, when the connection is reset then', async length => {
+	const address = await startEndpoint(socket => {
+		socket.pause();
+		socket.end('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhal', () => {
+			setTimeout(() => {
+				socket.resetAndDestroy();
+			}, 20);
+		});
+	});
+	expect(await sendRequest(createClient(), address, new Uint8Array(length))).toEqual({kind: 'failed', wasSent: true});
+});
+
+test.each(uploadLengths)('completes an undelimited response that ends while an upload of %d bytes is written, when the endpoint reads on', async length => {
+	const address = await startEndpoint(socket => {
+		socket.end('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole');
+		socket.resume();
+	});
+	expect(await sendRequest(createClient(), address, new Uint8Array(length))).toEqual({kind: 'ended', text: 'whole'});
+});
+
+// Guards against a part of a control response that counts as the whole of it, and its endpoint as alive.
+test.each([0, 20])('rejects a control request whose undelimited response is reset %d ms after its last bytes', async delayMs => {
+	const address = await startEndpoint(socket => {
+		socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{"wai', () => {
+			setTimeout(() => {
+				socket.resetAndDestroy();
+			}, delayMs);
+		});
+	});
+	const probe = {
+		method: 'GET', target: '/', headers: [], body: '',
+	};
+	await expect(createClient().sendControlRequest(address, probe)).rejects.toThrow('reset');
+});
+
 test.each(['', 'Connection: close\r\n'])('fails a chunked response when the connection closes before the last chunk (%j)', async header => {
 	const address = await startEndpoint(socket => {
 		socket.end(`HTTP/1.1 200 OK\r\n${header}Transfer-Encoding: chunked\r\n\r\n3\r\nhal\r\n`);
@@ -170,6 +209,42 @@
 	});
 });
 
+// Guards against requests that are written after their callers have left, whose closes came in a long turn after an idle connection was chosen.
+test.each([false, true])('a request on an idle connection is written only after the loop has read what arrived in a long turn (cancelled by that: %s)', async isCancelled => {
+	const received: string[] = [];
+	const address = await startEndpoint(socket => {
+		socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+		socket.on('data', (bytes: Uint8Array) => {
+			received.push(Buffer.from(bytes).toString().split('\r\n', 1)[0] ?? '');
+			socket.write('HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore');
+		});
+	});
+	const client = createClient();
+	expect(await sendRequest(client, address)).toEqual({kind: 'ended', text: 'ok'});
+	const outcome = new Promise<Outcome>(resolve => {
+		setImmediate(() => {
+			setImmediate(() => {
+				Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 700);
+				if (isCancelled) {
+					setImmediate(() => {
+						client.cancel(1, 'abort');
+					});
+				}
+			});
+			void sendRequest(client, address).then(resolve);
+		});
+	});
+	if (isCancelled) {
+		await new Promise(resolve => {
+			setTimeout(resolve, 900);
+		});
+		expect(received).toEqual([]);
+	} else {
+		expect(await outcome).toEqual({kind: 'ended', text: 'more'});
+		expect(received).toEqual(['GET / HTTP/1.1']);
+	}
+});
+
 // Guards against a faulty endpoint whose endless response fills the memory or keeps the connection.
 test.each(['garbage', 'reason', 'header', 'headers', 'informational', 'trailers', 'chunkSize', 'chunkExtension', 'body'] as const)('fails an endless response (%s) and closes the connection', async kind => {
 	const endpoint = await startEndlessServer(kind);
