Let stand-in servers wait for their port when they restart

Cause: a restarting server frees its port for 40 ms, and a connection of another process may be given it.

It tries again for two seconds. Restarts may also name how long the list keeps the old entry, for the next test. Not provoked again; by reading.

--- a/packages/standins/src/single-run-server.ts
+++ b/packages/standins/src/single-run-server.ts
@@ -23,8 +23,8 @@
 }>;
 
 export type SingleRunServerCommand
-	/** Ends the server and starts it at the same address under a new id, which the store lists some time later. */
-	= | Readonly<{kind: 'restart'}>
+	/** Ends the server and starts it at the same address under a new id, which the store lists this much later, a short time unless given. */
+	= | Readonly<{kind: 'restart'; listedAfterMs?: number}>
 	/** Keeps the thread from running. */
 		| Readonly<{kind: 'freeze'; frozenMs: number}>;
 
@@ -53,8 +53,10 @@
 const laterMs = 4;
 /** Time for which a server is away when it restarts. */
 const downMs = 40;
-/** Time after which the store has the entry of a server that was started again. */
-const listedAfterMs = 150;
+/** Tries to listen again; a connection of another process may have taken the port while the server was away. */
+const maximumListenTries = 50;
+/** Time after which the store usually has the entry of a server that was started again. */
+const usualListedAfterMs = 150;
 /** Time after a freeze in which requests may have waited for its end. */
 const thawMs = 100;
 const serverSlots = 60;
@@ -248,8 +250,18 @@
 async function startServer(port: number): Promise<number> {
 	startCount += 1;
 	instanceId = `${settings.name}-${startCount}`;
-	listener = net.createServer(handleConnection);
-	return listen(listener, {host: loopback, port});
+	for (let triesLeft = maximumListenTries; ; triesLeft -= 1) {
+		listener = net.createServer(handleConnection);
+		try {
+			return await listen(listener, {host: loopback, port}); // eslint-disable-line no-await-in-loop -- the port may be free later
+		} catch (error) {
+			if (triesLeft === 0) {
+				throw error;
+			}
+
+			await wait(downMs); // eslint-disable-line no-await-in-loop -- as above
+		}
+	}
 }
 
 function endServer(): void {
@@ -267,7 +279,7 @@
 await writeEntry(boundPort);
 report({kind: 'started', port: boundPort, instanceId});
 
-async function restartServer(): Promise<void> {
+async function restartServer(listedAfterMs: number): Promise<void> {
 	const endedId = instanceId;
 	endServer();
 	await wait(downMs);
@@ -281,7 +293,7 @@
 async function handleCommand(command: SingleRunServerCommand): Promise<void> {
 	switch (command.kind) {
 		case 'restart': {
-			await restartServer();
+			await restartServer(command.listedAfterMs ?? usualListedAfterMs);
 			return;
 		}
 
