Fail a response with a transfer coding that isn't decoded

What callers saw: the bytes of a body in the transfer coding gzip, or in one that nobody knows, as the server's body, since a gateway doesn't pass on the header that names it. Found by a trial of heads against the client, not seen in a run of whole processes.

Cause: the parser removes chunks alone and hands over anything else as it is.

Change: the interceptor that checks heads lets chunked and identity pass and fails the others, as responses of requests that may have run.

--- a/packages/endpoint/src/response-heads.ts
+++ b/packages/endpoint/src/response-heads.ts
@@ -1,6 +1,8 @@
 /**
-Fails responses whose head is none that HTTP allows, whatever they say of their request. undici checks only part of it.
+Fails responses whose head is none that HTTP allows, whatever they say of their request, or names a transfer coding that isn't decoded. undici
+checks only part of it.
 */
+import type {IncomingHttpHeaders} from 'node:http';
 import type {Dispatcher} from 'undici';
 import VError from 'verror';
 
@@ -13,6 +15,14 @@
 	return status >= lowestStatus && status <= highestStatus && status !== switchingProtocolsStatus;
 }
 
+/** Transfer codings that the parser removes. */
+const decodedCodings: ReadonlySet<string> = new Set(['chunked', 'identity']);
+
+function isDecoded(headers: IncomingHttpHeaders): boolean {
+	const coding = headers['transfer-encoding'];
+	return coding === undefined || (typeof coding === 'string' && decodedCodings.has(coding.trim().toLowerCase()));
+}
+
 /** Creates an interceptor that fails such responses and closes their connections. */
 export function createHeadInterceptor(): Dispatcher.DispatcherComposeInterceptor {
 	return dispatch => (options, handler) => dispatch(options, {
@@ -20,10 +30,12 @@
 			handler.onRequestStart?.(controller, context);
 		},
 		onResponseStart(controller, statusCode, headers, statusMessage) {
-			if (isPossibleStatus(statusCode)) {
+			if (!isPossibleStatus(statusCode)) {
+				controller.abort(new VError({name: 'InvalidStatus'}, 'the response has the status %d', statusCode));
+			} else if (isDecoded(headers)) {
 				handler.onResponseStart?.(controller, statusCode, headers, statusMessage);
 			} else {
-				controller.abort(new VError({name: 'InvalidStatus'}, 'the response has the status %d', statusCode));
+				controller.abort(new VError({name: 'UnknownCoding'}, 'the response has the transfer coding %s', headers['transfer-encoding']));
 			}
 		},
 		onResponseData(controller, chunk) {
--- a/packages/gateway/src/endpoint-client.test.ts
+++ b/packages/gateway/src/endpoint-client.test.ts
@@ -210,6 +210,14 @@
 	await expect.poll(() => openConnections).toBe(0);
 });
 
+// Guards against a body in a coding that nobody decodes, and whose name isn't passed on, that a caller gets as the endpoint's body.
+test.each(['gzip', 'gzip, chunked', 'x-chunked'])('fails a response with the transfer coding %s', async coding => {
+	const address = await startEndpoint(socket => {
+		socket.end(`HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: ${coding}\r\n\r\n4\r\ncode\r\n0\r\n\r\n`);
+	});
+	expect(await sendRequest(createClient(), address)).toEqual({kind: 'failed', wasSent: true});
+});
+
 // Guards against a slow sound response that is taken for one without progress.
 test('completes a response whose chunks and their framing come apart, with pauses', async () => {
 	const parts = ['HTTP/1.1 200 OK\r\n', 'Transfer-Encoding: chunked\r\n\r\n', ...Array.from({length: 8}, () => ['3;a=b\r\n', 'abc', '\r\n']).flat(), '0\r\n\r\n'];
