Find the effect of an own entry that a peer's state has covered

Cause: the answer to the create is lost, or late. Before the log is read back, a peer that has read it passes its state on, which includes the ticket. The log took its batch for one that another writer had displaced, and appended it again; the second entry has no effect but "accepted before". If a later ticket had changed one of the objects meanwhile, the operator was told that his ticket is refused, though its other objects were in force.

Change: a batch whose sequence a transferred state covers is neither appended again nor given up until the entry of its sequence is known, from the answer or from a read that begins there. Its effect is then found from the state, without applying it again: accepted if one of its objects is still as this entry left it, and refused if later tickets have changed them all.

What remains: two equal tickets that one entry appends in one batch are both reported as accepted, if a peer's state covers them first.

--- a/packages/core/src/configuration.test.ts
+++ b/packages/core/src/configuration.test.ts
@@ -104,24 +104,26 @@
 	const configuration = createConfiguration();
 	const log = createReplicatedLog<Ticket, TicketEffect>({
 		writer: name, minimumCreateIntervalMs: 0, retryDelayMs: 1, maximumBatchRecords: 5,
-	}, (record, sequence) => configuration.applyTicket(record, sequence));
+	}, configuration.applyTicket, configuration.getTransferredEffect);
 	return {configuration, log};
 }
 
 describe('concurrent tickets in a shared log', () => {
-	test('brings all writers to the same state, in which every ticket reported as accepted is in force or superseded', () => {
+	test('brings all writers, who also transfer their states, to the same state, in which every ticket reported as accepted is in force or superseded, and each is appended once', () => {
 		const scenario = fc.record({
 			tickets: fc.array(fc.record({writer: fc.nat({max: 2}), ticket}), {minLength: 1, maxLength: 10}),
 			schedule: fc.array(fc.nat({max: 2}), {minLength: 40, maxLength: 120}),
 			lostResponses: fc.array(fc.boolean(), {maxLength: 30}),
+			transferSources: fc.array(fc.nat({max: 6}), {maxLength: 120}),
 		});
-		fc.assert(fc.property(scenario, ({tickets, schedule, lostResponses}) => {
+		fc.assert(fc.property(scenario, ({tickets, schedule, lostResponses, transferSources}) => {
 			const storedEntries = new Map<number, LogEntry<Ticket>>();
 			const writers = ['w0', 'w1', 'w2'].map(name => createWriter(name));
 			const pendingActions: Array<Array<LogAction<Ticket, TicketEffect>>> = writers.map(() => []);
 			const effects: Array<Readonly<{ticket: Ticket; effect: TicketEffect}>> = [];
 			let now = 0;
 			let createCallCount = 0;
+			let turnCount = 0;
 
 			function create(entry: LogEntry<Ticket>): CreateOutcome {
 				createCallCount += 1;
@@ -168,9 +170,19 @@
 				pendingActions[index]?.push(...writers[index]?.log.step(event, now) ?? []);
 			}
 
-			/** Performs the next pending action of a writer, or lets time pass if there is none. */
+			/** Lets a writer merge the state of another one. */
+			function transferState(index: number, source: Writer | undefined): void {
+				const {configuration} = writers[index] ?? createWriter('');
+				if (source !== undefined && configuration.mergeDelta(source.configuration.getDelta(configuration.getSequence()))) {
+					step(index, {kind: 'stateTransferred', sequence: configuration.getSequence()});
+				}
+			}
+
+			/** Performs the next pending action of a writer, or lets time pass if there is none. Before that its state may be transferred to it. */
 			function performTurn(index: number): void {
 				now += 2;
+				turnCount += 1;
+				transferState(index, writers[transferSources[turnCount] ?? writers.length]);
 				const action = pendingActions[index]?.shift();
 				if (action === undefined) {
 					step(index, {kind: 'timePassed'});
@@ -201,6 +213,7 @@
 			expect(states[1]).toEqual(states[0]);
 			expect(states[2]).toEqual(states[0]);
 			expect(effects).toHaveLength(tickets.length);
+			expect([...storedEntries.values()].flatMap(({records}) => records)).toHaveLength(tickets.length);
 			const numbers = getTicketNumbers(writers[0]?.configuration ?? createConfiguration());
 			for (const {ticket: {number, objects: changedObjects}, effect} of effects) {
 				if (effect.kind === 'accepted') {
@@ -211,6 +224,122 @@
 	});
 });
 
+describe('a log whose state comes from a peer while the outcome of its own entry is unknown', () => {
+	const createPoolTicket = (number: number, ...names: readonly string[]): Ticket => ({
+		number, objects: names.map(name => ({kind: 'pool', name, state: {kind: 'model', engineMemoryTokens: number}})),
+	});
+
+	type TransferredRun = Readonly<{effects: readonly TicketEffect[]; createdEntries: ReadonlyArray<LogEntry<Ticket>>}>;
+
+	/**
+	Submits a ticket whose entry becomes the first one unless the log has one, and lets a peer that has applied all entries transfer its state
+	before or after the create is answered.
+	*/
+	function runTransfer(outcome: CreateOutcome, isTransferredFirst: boolean, others: ReadonlyArray<LogEntry<Ticket>>): TransferredRun {
+		const {configuration, log} = createWriter('own');
+		const effects: TicketEffect[] = [];
+		const createdEntries: Array<LogEntry<Ticket>> = [];
+		const storedEntries: Array<LogEntry<Ticket>> = others.filter(({sequence}) => sequence === 1);
+		let now = 0;
+
+		function transferState(): void {
+			const peer = createConfiguration();
+			for (const {sequence, records} of [...storedEntries, ...others.filter(entry => entry.sequence > 1)]) {
+				for (const record of records) {
+					peer.applyTicket(record, sequence);
+				}
+			}
+
+			configuration.mergeDelta(peer.getDelta(configuration.getSequence()));
+			step({kind: 'stateTransferred', sequence: configuration.getSequence()});
+		}
+
+		function perform(action: LogAction<Ticket, TicketEffect>): void {
+			switch (action.kind) {
+				case 'createEntry': {
+					createdEntries.push(action.entry);
+					if (createdEntries.length > 1) {
+						storedEntries.push(action.entry);
+						step({kind: 'createAnswered', sequence: action.entry.sequence, outcome: 'created'});
+						return;
+					}
+
+					if (others.every(({sequence}) => sequence !== 1)) {
+						storedEntries.push(action.entry);
+					}
+
+					storedEntries.push(...others.filter(({sequence}) => sequence > 1));
+					if (isTransferredFirst) {
+						transferState();
+					}
+
+					step({kind: 'createAnswered', sequence: action.entry.sequence, outcome});
+					if (!isTransferredFirst) {
+						transferState();
+					}
+
+					return;
+				}
+
+				case 'readEntries': {
+					step({kind: 'entriesRead', entries: storedEntries.filter(entry => entry.sequence > action.after)});
+					return;
+				}
+
+				case 'effectKnown': {
+					effects.push(action.effect);
+					return;
+				}
+
+				case 'submissionExpired': {
+					throw new Error('unexpected expiry of a submission without an expiry time');
+				}
+			}
+		}
+
+		function step(event: Parameters<Writer['log']['step']>[0]): void {
+			for (const action of log.step(event, now)) {
+				perform(action);
+			}
+		}
+
+		step({
+			kind: 'submitted', submissionId: '0', record: createPoolTicket(5, 'p1', 'p2'), expiresAt: Number.POSITIVE_INFINITY,
+		});
+		for (let turn = 0; turn < 5; turn += 1) {
+			now += 1000;
+			step({kind: 'timePassed'});
+		}
+
+		return {effects, createdEntries};
+	}
+
+	// Guards against a ticket that is reported as accepted before, since a peer told its own entry of it before that has read the log.
+	test.each([
+		['unknown', false], ['unknown', true], ['created', true],
+	] as const)('reports a ticket as accepted and appends it once (%s, transferred first: %s)', (outcome, isTransferredFirst) => {
+		const {effects, createdEntries} = runTransfer(outcome, isTransferredFirst, []);
+		expect(effects).toEqual([{kind: 'accepted', sequence: 1}]);
+		expect(createdEntries).toHaveLength(1);
+	});
+
+	test('reports a ticket as accepted of which a later one has changed a part, and as refused if that has changed it all', () => {
+		const createLater = (...names: readonly string[]): LogEntry<Ticket> => ({
+			sequence: 2, writer: 'other', batch: 1, records: [createPoolTicket(6, ...names)],
+		});
+		expect(runTransfer('unknown', true, [createLater('p1')]).effects).toEqual([{kind: 'accepted', sequence: 1}]);
+		expect(runTransfer('unknown', true, [createLater('p1', 'p2')]).effects).toMatchObject([{kind: 'refused', newerNumber: 6}]);
+	});
+
+	test('appends a ticket again if the entry of its sequence is another one\'s', () => {
+		const {effects, createdEntries} = runTransfer('exists', true, [{
+			sequence: 1, writer: 'other', batch: 1, records: [createPoolTicket(4, 'p1')],
+		}]);
+		expect(effects).toEqual([{kind: 'accepted', sequence: 2}]);
+		expect(createdEntries.map(({sequence}) => sequence)).toEqual([1, 2]);
+	});
+});
+
 describe('ticket schema', () => {
 	test('reports the path of the invalid key with each problem', () => {
 		const state = {kind: 'model', engineMemoryTokens: -1};
--- a/packages/core/src/configuration.ts
+++ b/packages/core/src/configuration.ts
@@ -36,6 +36,8 @@
 	getSequence(): number;
 	/** Applies a ticket that is recorded at the given log sequence. */
 	applyTicket(ticket: Ticket, sequence: number): TicketEffect;
+	/** Returns the effect of a ticket whose log sequence a merged delta has covered; that of one which has been superseded completely is `refused`. */
+	getTransferredEffect(ticket: Ticket, sequence: number): TicketEffect;
 	/** Merges a delta. Returns false, and changes nothing, if the delta starts after the current sequence or ends at or before it. */
 	mergeDelta(delta: ConfigurationDelta): boolean;
 	/** Returns all objects that changed after a sequence. */
@@ -119,6 +121,16 @@
 			: {kind: 'refused', newerNumber: current.ticketNumber, objectName: getObjectKey(object)};
 	}
 
+	/** Returns whether the ticket at this sequence has changed its objects, one of which at least no later ticket has changed. */
+	function isInForce({number, objects: changedObjects}: Ticket, ticketSequence: number): boolean {
+		const states = changedObjects.map(object => {
+			const current = objects.get(getObjectKey(object));
+			const isOwn = current?.sequence === ticketSequence && current.ticketNumber === number && hasSameContent(current.object, object);
+			return {isOwn, isSuperseded: current !== undefined && current.sequence > ticketSequence && current.ticketNumber > number};
+		});
+		return states.some(({isOwn}) => isOwn) && states.every(({isOwn, isSuperseded}) => isOwn || isSuperseded);
+	}
+
 	/** Returns why a ticket is not accepted as a new one, or `undefined` if there is no conflict. */
 	function findTicketConflict(ticket: Ticket): TicketEffect | undefined {
 		const conflicts = ticket.objects.map(object => findObjectConflict(object, ticket.number));
@@ -137,21 +149,24 @@
 		return {kind: 'refused', newerNumber: ticket.number, objectName: getObjectKey(repeatedObject)};
 	}
 
-	return {
-		getSequence: () => sequence,
-		applyTicket(ticket, ticketSequence) {
-			sequence = Math.max(sequence, ticketSequence);
-			const conflict = findTicketConflict(ticket);
-			if (conflict !== undefined) {
-				return conflict;
-			}
+	function applyTicket(ticket: Ticket, ticketSequence: number): TicketEffect {
+		sequence = Math.max(sequence, ticketSequence);
+		const conflict = findTicketConflict(ticket);
+		if (conflict !== undefined) {
+			return conflict;
+		}
 
-			for (const object of ticket.objects) {
-				setObject({object, ticketNumber: ticket.number, sequence: ticketSequence});
-			}
+		for (const object of ticket.objects) {
+			setObject({object, ticketNumber: ticket.number, sequence: ticketSequence});
+		}
 
-			return {kind: 'accepted', sequence: ticketSequence};
-		},
+		return {kind: 'accepted', sequence: ticketSequence};
+	}
+
+	return {
+		getSequence: () => sequence,
+		applyTicket,
+		getTransferredEffect: (ticket, ticketSequence) => isInForce(ticket, ticketSequence) ? {kind: 'accepted', sequence: ticketSequence} : applyTicket(ticket, ticketSequence),
 		mergeDelta(delta) {
 			if (delta.after > sequence || delta.sequence <= sequence) {
 				return false;
--- a/packages/core/src/replicated-log.ts
+++ b/packages/core/src/replicated-log.ts
@@ -79,10 +79,14 @@
 	submissions: ReadonlyArray<Submission<LogRecord>>;
 }>;
 
-/** Creates a log at sequence 0 whose records are applied by `applyRecord`. */
+/**
+Creates a log at sequence 0 whose records are applied by `applyRecord`. `getTransferredEffect` returns the effect of a record that was applied
+where the state was transferred from; later records may have been, too.
+*/
 export function createReplicatedLog<LogRecord, Effect>(
 	settings: LogSettings,
 	applyRecord: ApplyLogRecord<LogRecord, Effect>,
+	getTransferredEffect = applyRecord,
 ): ReplicatedLog<LogRecord, Effect> {
 	type Action = LogAction<LogRecord, Effect>;
 	let sequence = 0;
@@ -92,31 +96,48 @@
 	let isCreating = false;
 	let isReading = false;
 	let isTailUnknown = false;
+	/** Whether the state was transferred of which the batch, or another one's entry in its place, is a part. */
+	let isBatchTransferred = false;
 	let nextCallAt: Timestamp = 0;
 
 	function applyEntry(entry: LogEntry<LogRecord>): Action[] {
 		const isOwnBatch = batch !== undefined && entry.writer === settings.writer && entry.batch === batch.entry.batch;
 		const submissions = isOwnBatch ? batch?.submissions : undefined;
+		const getEffect = entry.sequence > sequence ? applyRecord : getTransferredEffect;
 		const actions: Action[] = [];
 		for (const [index, record] of entry.records.entries()) {
-			const effect = applyRecord(record, entry.sequence);
+			const effect = getEffect(record, entry.sequence);
 			const submission = submissions?.[index];
 			if (submission !== undefined) {
 				actions.push({kind: 'effectKnown', submissionId: submission.submissionId, effect});
 			}
 		}
 
-		sequence = entry.sequence;
+		sequence = Math.max(sequence, entry.sequence);
 		if (isOwnBatch) {
 			batch = undefined;
+			isBatchTransferred = false;
 		}
 
 		return actions;
 	}
 
+	/** Applies the entry in the place of a transferred batch if it is the batch, and lets it conflict otherwise. */
+	function applyTransferredBatch(entries: ReadonlyArray<LogEntry<LogRecord>>, now: Timestamp): Action[] {
+		const entry = entries.find(candidate => candidate.sequence === batch?.entry.sequence);
+		if (entry === undefined) {
+			isTailUnknown = true;
+			nextCallAt = now + settings.retryDelayMs;
+			return [];
+		}
+
+		isBatchTransferred = false;
+		return entry.writer === settings.writer && entry.batch === batch?.entry.batch ? applyEntry(entry) : [];
+	}
+
 	/** Moves the batch's submissions back to the front of the queue if another writer took its sequence number. */
 	function retryConflictingBatch(): void {
-		if (batch === undefined || isCreating || batch.entry.sequence > sequence) {
+		if (batch === undefined || isCreating || isBatchTransferred || batch.entry.sequence > sequence) {
 			return;
 		}
 
@@ -144,12 +165,7 @@
 		switch (outcome) {
 			case 'created': {
 				nextCallAt = now + settings.minimumCreateIntervalMs;
-				if (entrySequence === sequence + 1) {
-					return applyEntry(batch.entry);
-				}
-
-				isTailUnknown = true;
-				return [];
+				return applyEntry(batch.entry);
 			}
 
 			case 'exists': {
@@ -213,7 +229,7 @@
 
 		if (isTailUnknown) {
 			isReading = true;
-			return [{kind: 'readEntries', after: sequence}];
+			return [{kind: 'readEntries', after: isBatchTransferred && batch !== undefined ? batch.entry.sequence - 1 : sequence}];
 		}
 
 		if (batch === undefined && pendingSubmissions.length > 0) {
@@ -243,7 +259,7 @@
 			case 'entriesRead': {
 				isReading = false;
 				isTailUnknown = false;
-				return applyEntries(event.entries);
+				return [...isBatchTransferred ? applyTransferredBatch(event.entries, now) : [], ...applyEntries(event.entries)];
 			}
 
 			case 'readFailed': {
@@ -253,6 +269,11 @@
 			}
 
 			case 'stateTransferred': {
+				if (batch !== undefined && batch.entry.sequence > sequence && batch.entry.sequence <= event.sequence) {
+					isBatchTransferred = true;
+					isTailUnknown = true;
+				}
+
 				sequence = Math.max(sequence, event.sequence);
 				return [];
 			}
--- a/packages/daemon/src/configuration-sync.ts
+++ b/packages/daemon/src/configuration-sync.ts
@@ -78,7 +78,7 @@
 		retryDelayMs,
 		maximumBatchRecords,
 		onApplied: publishSequence,
-	}, host.objectApi, (ticket, sequence) => configuration.applyTicket(ticket, sequence));
+	}, host.objectApi, configuration.applyTicket, configuration.getTransferredEffect);
 	const closeController = new AbortController();
 
 	/** Reports the sequence in force, and exchanges it with some random peers so that they learn of a change immediately. */
--- a/packages/object-api/src/log-driver.ts
+++ b/packages/object-api/src/log-driver.ts
@@ -40,13 +40,14 @@
 	return entry;
 }
 
-/** Creates the driver of a log whose records are applied by `applyRecord`. */
+/** Creates the driver of a log whose records are applied by `applyRecord`, and whose effects are given by the other function where the state was transferred. */
 export function createLogDriver<LogRecord, Effect>(
 	settings: LogDriverSettings,
 	objectApi: ObjectApi,
 	applyRecord: ApplyLogRecord<LogRecord, Effect>,
+	getTransferredEffect = applyRecord,
 ): LogDriver<LogRecord, Effect> {
-	const log = createReplicatedLog(settings, applyRecord);
+	const log = createReplicatedLog(settings, applyRecord, getTransferredEffect);
 	const pendingSubmissions = new Map<string, (outcome: SubmissionOutcome<Effect>) => void>();
 	let submissionCount = 0;
 	let timer: NodeJS.Timeout | undefined;
