Answer a body that is too large and ends in the same read

What callers saw: a request to an entry whose body exceeds the limit with its last read never got an answer, however small the limit is.

Cause: the server waits for the rest of a body that is too large, by its events. If the byte that exceeds the limit and the end are parsed in one go, "end" and "close" are emitted before the wait begins, since the result of the reading is a promise.

Evidence: the new test failed before (no answer for 2 s to 1,001 and 1,500 bytes where 1,000 are allowed).

Change: nothing is waited for if the body has ended.

--- a/packages/caller/src/http-server.test.ts
+++ b/packages/caller/src/http-server.test.ts
@@ -68,6 +68,16 @@
 		expect(statuses).toEqual(Array.from({length: 10}, () => [413, 200]).flat());
 	});
 
+	// Guards against a request that is never answered, since its body has ended before the rest of it is waited for.
+	test.each([1001, 1500])('is answered with 413 if its end is read together with the byte that exceeds the limit (%i bytes)', async length => {
+		const client = new Client(await startEchoServer(1000));
+		const response = await client.request({
+			method: 'POST', path: '/echo', body: 'x'.repeat(length), signal: AbortSignal.timeout(2000),
+		});
+		expect(response.statusCode).toBe(413);
+		await client.destroy();
+	});
+
 	test('is cut off and answered with 413 when it never ends', async () => {
 		const client = new Client(await startEchoServer(1000));
 		const response = await client.request({method: 'POST', path: '/echo', body: Readable.from(createEndlessBody())});
--- a/packages/caller/src/http-server.ts
+++ b/packages/caller/src/http-server.ts
@@ -89,6 +89,11 @@
 
 /** Reads an oversized body on and discards it, since unread data would break the next request, to its end or the limit for that. */
 async function drainOversizedBody(message: IncomingMessage, maximumBytes: number): Promise<void> {
+	// Its last events are emitted before the size is known here if they come from one read.
+	if (message.readableEnded || message.destroyed) {
+		return;
+	}
+
 	let size = maximumBytes;
 	await new Promise<void>(resolve => {
 		// The body reader releases what it discards.
