Leave out a server whose address is another one's also where all others pause

Cause: since such a server paused like any other, and where all pause all are used: the one that answers 421 at once gets every request.

Change: during its pause it isn't among those that are used then, unless there is no other.

--- a/packages/core/src/gateway/endpoint-registry.ts
+++ b/packages/core/src/gateway/endpoint-registry.ts
@@ -48,7 +48,7 @@
 	/** Returns the ready endpoints of a service that aren't avoided after a failure. */
 	getAvailable(service: string, now: Timestamp): readonly ListedEndpoint[];
 	/** Returns all ready endpoints of a service, including those avoided after a failure. */
-	getListed(service: string): readonly ListedEndpoint[];
+	getListed(service: string, now: Timestamp): readonly ListedEndpoint[];
 	findByAddress(address: string): ListedEndpoint | undefined;
 	/** Returns the service of an endpoint, or `undefined` if it isn't listed. */
 	tryGetService(id: EndpointId): string | undefined;
@@ -67,6 +67,8 @@
 	long as that of `sentRequest`. A busy endpoint answers older requests first, so the overtaken request is probably lost.
 	*/
 	isOvertaken(id: EndpointId, sentRequest: SentRequest, since: Timestamp): boolean;
+	/** Records that another endpoint seems to respond at this endpoint's address, which pauses it as a failure does. */
+	recordMisdirected(id: EndpointId, now: Timestamp): void;
 	/** Records that the endpoint wants no requests from this gateway for some time. */
 	recordRest(id: EndpointId, restMs: Milliseconds, now: Timestamp): void;
 	/** Returns for how long the endpoint wants no requests from this gateway. */
@@ -88,6 +90,8 @@
 	listed: ListedEndpoint;
 	consecutiveFailures: number;
 	avoidedUntil: Timestamp;
+	/** Until then another endpoint seems to respond at its address. */
+	misdirectedUntil: Timestamp;
 	/** Until then the endpoint wants no requests from this gateway. */
 	restsUntil: Timestamp;
 	lastResponseAt: Timestamp;
@@ -153,6 +157,7 @@
 				listed,
 				consecutiveFailures: 0,
 				avoidedUntil: Number.NEGATIVE_INFINITY,
+				misdirectedUntil: Number.NEGATIVE_INFINITY,
 				restsUntil: Number.NEGATIVE_INFINITY,
 				lastResponseAt: Number.NEGATIVE_INFINITY,
 				answeredRequests: [],
@@ -165,8 +170,19 @@
 		return hasStartedDraining ? {kind: 'draining', id: listed.id, address: listed.address} : undefined;
 	}
 
-	function getReady(service: string): readonly KnownEndpoint[] {
-		return [...endpointsById.values()].filter(({listed}) => listed.service === service && listed.state === 'ready');
+	/** Returns the endpoints that may get requests. One at whose address another one seems to respond is left out while there are others. */
+	function getReady(service: string, now: Timestamp): readonly KnownEndpoint[] {
+		const ready = [...endpointsById.values()].filter(({listed}) => listed.service === service && listed.state === 'ready');
+		const reachable = ready.filter(({misdirectedUntil}) => misdirectedUntil <= now);
+		return reachable.length === 0 ? ready : reachable;
+	}
+
+	/** Pauses an endpoint, longer after each failure in a row. Returns when the pause ends. */
+	function pauseEndpoint(endpoint: KnownEndpoint, now: Timestamp): Timestamp {
+		const backoffMs = settings.failureBackoffMs * (2 ** endpoint.consecutiveFailures);
+		endpoint.avoidedUntil = now + Math.min(settings.maximumFailureBackoffMs, backoffMs);
+		endpoint.consecutiveFailures += 1;
+		return endpoint.avoidedUntil;
 	}
 
 	return {
@@ -204,17 +220,21 @@
 			restoredEntriesHeldUntil = now + settings.restoredEntryHoldMs;
 		},
 		getAvailable(service, now) {
-			return getReady(service).filter(({avoidedUntil}) => avoidedUntil <= now).map(({listed}) => listed);
+			return getReady(service, now).filter(({avoidedUntil}) => avoidedUntil <= now).map(({listed}) => listed);
 		},
-		getListed: service => getReady(service).map(({listed}) => listed),
+		getListed: (service, now) => getReady(service, now).map(({listed}) => listed),
 		findByAddress: address => [...endpointsById.values()].find(({listed}) => listed.address === address)?.listed,
 		tryGetService: id => endpointsById.get(id)?.listed.service,
 		recordFailure(id, now) {
 			const endpoint = endpointsById.get(id);
 			if (endpoint !== undefined) {
-				const backoffMs = settings.failureBackoffMs * (2 ** endpoint.consecutiveFailures);
-				endpoint.avoidedUntil = now + Math.min(settings.maximumFailureBackoffMs, backoffMs);
-				endpoint.consecutiveFailures += 1;
+				pauseEndpoint(endpoint, now);
+			}
+		},
+		recordMisdirected(id, now) {
+			const endpoint = endpointsById.get(id);
+			if (endpoint !== undefined) {
+				endpoint.misdirectedUntil = pauseEndpoint(endpoint, now);
 			}
 		},
 		recordUnreachable(id, now) {
--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -434,7 +434,9 @@
 		const {id: endpointId, address} = refusedSend.placement.endpoint;
 		const isMisdirected = head.status === misdirectedStatus;
 		const faulty = head.faultyAddress === undefined || head.faultyAddress === address ? undefined : context.registry.findByAddress(head.faultyAddress);
-		if (faulty === undefined) {
+		if (faulty === undefined && isMisdirected) {
+			context.registry.recordMisdirected(endpointId, now);
+		} else if (faulty === undefined) {
 			context.registry.recordFailure(endpointId, now);
 		} else {
 			excluded.delete(endpointId);
--- a/packages/core/src/gateway/gateway-parts.test.ts
+++ b/packages/core/src/gateway/gateway-parts.test.ts
@@ -154,10 +154,24 @@
 		expect(registry.isOvertaken('models-0', {sentAt: 100, promptTokens: undefined}, 100)).toBe(false);
 	});
 
-	test('a restarted endpoint is available even if it was recorded as failing before', () => {
+	// Guards against a server that answers at once for another one at its address, and so gets every request while all others pause.
+	test('an endpoint at whose address another one responds is left out for its pause though all pause, but for when there is no other', () => {
 		const registry = createEndpointRegistry(defaultEndpointRegistrySettings);
 		registry.applyList(endpoints, 0);
-		registry.recordFailure('models-0', 0);
+		registry.recordMisdirected('models-0', 0);
+		registry.recordFailure('models-1', 0);
+		expect(registry.getAvailable('models', 10)).toEqual([]);
+		expect(registry.getListed('models', 10).map(({id}) => id)).toEqual(['models-1']);
+		expect(registry.getListed('models', 400)).toHaveLength(2);
+		registry.recordMisdirected('models-0', 400);
+		registry.recordMisdirected('models-1', 400);
+		expect(registry.getListed('models', 410)).toHaveLength(2);
+	});
+
+	test('a restarted endpoint is available even if it was recorded as misdirected before', () => {
+		const registry = createEndpointRegistry(defaultEndpointRegistrySettings);
+		registry.applyList(endpoints, 0);
+		registry.recordMisdirected('models-0', 0);
 		expect(registry.getAvailable('models', 1)).toHaveLength(1);
 		registry.applyList(endpoints.map(endpoint => ({...endpoint, startedAt: 2})), 10);
 		expect(registry.getAvailable('models', 10)).toHaveLength(2);
--- a/packages/core/src/gateway/gateway.ts
+++ b/packages/core/src/gateway/gateway.ts
@@ -240,7 +240,7 @@
 		const levels = getLevels(request.service);
 		const organisation = findOrganisation(request);
 		const available = restrictions.getPermitted(request, organisation, registry.getAvailable(request.service, now)).filter(({id}) => registry.getRestMs(id, now) === 0);
-		const ready = available.some(({id}) => !excluded.has(id)) ? available : restrictions.getPermitted(request, organisation, registry.getListed(request.service));
+		const ready = available.some(({id}) => !excluded.has(id)) ? available : restrictions.getPermitted(request, organisation, registry.getListed(request.service, now));
 		const endpoints = ready.filter(({id}) => getEndpointWaitMs(id, now) === 0);
 		if (endpoints.length < ready.length) {
 			cold?.recordChoice(ready, now);
@@ -254,7 +254,7 @@
 		}
 
 		if (placement === undefined) {
-			const restriction = ready.length === 0 ? restrictions.findRefusal(request, organisation, registry.getListed(request.service)) : undefined;
+			const restriction = ready.length === 0 ? restrictions.findRefusal(request, organisation, registry.getListed(request.service, now)) : undefined;
 			return refuse(restriction ?? createNotRunFailure('overloaded', 'no endpoint is available', getSpreadRetryMs(getEndpointRetryMs(ready, excluded, now), request.requestId, levels)));
 		}
 
