Close the connection that brought a refusal's status without a valid statement

By reading: such a response may have been left over, and the real one may follow on the connection, where the next request's is expected; that request would end with 502. The tests of the cases expect the close. forwarded-request, changed-routes, the properties and doubtful-refusals pass.

--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -469,7 +469,8 @@
 
 		const detail = `status ${status} without a valid statement`;
 		context.registry.recordFailure(current.placement.endpoint.id, now);
-		return [...cancelCurrentSend('discard'), ...closeSend('failedStatus', detail, now), ...retryOrEnd(createFailure('serverFailed', detail), true, now)];
+		// Nothing says that the real response doesn't follow.
+		return [...cancelCurrentSend(), ...closeSend('failedStatus', detail, now), ...retryOrEnd(createFailure('serverFailed', detail), true, now)];
 	}
 
 	function startResponse(head: EndpointResponseHead, now: Timestamp): readonly GatewayAction[] {
