Count no standstill of a follower as a silence of its reader

Cause: a reader is lost after 500 ms without a state. The timer for that also runs first after a standstill of the process, when the states of that time wait unread; each such loss in a row doubles the time for which the reader is avoided, up to 30 s.

Change: a timer that is late by more than 50 ms shows a standstill, from whose end the silence counts anew. The age of what is known counts on, so that a follower reads the store itself as soon after the last verification as before, and the time within which a reader must answer first does, too.

Evidence: the new test of the follower failed before (it read the store after each of three standstills of 0.8 s) and passes.

--- a/packages/core/src/gateway/feed-source.test.ts
+++ b/packages/core/src/gateway/feed-source.test.ts
@@ -66,6 +66,23 @@
 		expect(source.getDecision(640)).toEqual({reader: 'a-0', isReading: false});
 	});
 
+	// Guards against all followers of a busy host that read the store, since their own standstill counts as a silence of the reader.
+	test('is the reader after a standstill of the process, until it is silent from then on', () => {
+		const source = createSource('a-3');
+		source.recordState('a-1', 100, 100);
+		source.recordStandstill(1000);
+		expect(source.getDecision(1000)).toEqual({reader: 'a-1', isReading: false});
+		expect(source.getWakeAt()).toBe(1500);
+		expect(source.getDecision(1501)).toEqual({reader: 'a-0', isReading: true});
+	});
+
+	test('is the store after a standstill in which the state became too old', () => {
+		const source = createSource('a-3');
+		source.recordState('a-1', 100, 100);
+		source.recordStandstill(3000);
+		expect(source.getDecision(3000)).toEqual({reader: 'a-0', isReading: true});
+	});
+
 	test('is the store while both readers lie behind', () => {
 		const source = createSource('a-3');
 		source.recordState('a-1', 0, 0);
--- a/packages/core/src/gateway/feed-source.ts
+++ b/packages/core/src/gateway/feed-source.ts
@@ -20,6 +20,8 @@
 	recordState(reader: GatewayName, verifiedAt: Timestamp, now: Timestamp): void;
 	/** Records that the stream of a reader has ended. */
 	recordLoss(reader: GatewayName, now: Timestamp): void;
+	/** Records that this process has stood still until now: what a reader has sent meanwhile is not read yet. */
+	recordStandstill(now: Timestamp): void;
 	/** Returns the decision, which also changes with time alone. */
 	getDecision(now: Timestamp): FeedDecision;
 	/** Returns when time alone may change the decision, or infinity. */
@@ -46,8 +48,8 @@
 /** Losses in a row, and the time until which the reader is avoided. */
 type ReaderRecord = {lossCount: number; avoidedUntil: Timestamp};
 
-/** The reader that is followed. Until its first state, `stateAt` is `undefined`. */
-type FollowedReader = {readonly name: GatewayName; readonly since: Timestamp; stateAt: Timestamp | undefined; verifiedAt: Timestamp};
+/** The reader that is followed. Until its first state, `stateAt` is `undefined`. Its silence counts from `silentSince`. */
+type FollowedReader = {readonly name: GatewayName; readonly since: Timestamp; stateAt: Timestamp | undefined; verifiedAt: Timestamp; silentSince: Timestamp};
 
 /**
 Returns the gateways that read the store for a data centre, the first one first. The relay of the exchange is the last of them, since
@@ -79,8 +81,8 @@
 	}
 
 	/** Returns when the followed reader is silent or behind if it sends nothing more. */
-	function getLossAt({since, stateAt, verifiedAt}: FollowedReader): Timestamp {
-		return stateAt === undefined ? since + connectTimeoutMs : Math.min(stateAt + maximumSilenceMs, verifiedAt + maximumStateAgeMs);
+	function getLossAt({stateAt, verifiedAt, silentSince}: FollowedReader): Timestamp {
+		return stateAt === undefined ? silentSince + connectTimeoutMs : Math.min(silentSince + maximumSilenceMs, verifiedAt + maximumStateAgeMs);
 	}
 
 	function update(now: Timestamp): void {
@@ -93,7 +95,7 @@
 			followed = undefined;
 		} else if (followed?.name !== chosen) {
 			followed = {
-				name: chosen, since: now, stateAt: undefined, verifiedAt: Number.NEGATIVE_INFINITY,
+				name: chosen, since: now, stateAt: undefined, verifiedAt: Number.NEGATIVE_INFINITY, silentSince: now,
 			};
 		}
 	}
@@ -111,12 +113,18 @@
 			if (followed?.name === reader && now <= verifiedAt + maximumStateAgeMs) {
 				followed.stateAt = now;
 				followed.verifiedAt = verifiedAt;
+				followed.silentSince = now;
 			}
 		},
 		recordLoss(reader, now) {
 			recordReaderLoss(reader, now);
 			update(now);
 		},
+		recordStandstill(now) {
+			if (followed?.stateAt !== undefined) {
+				followed.silentSince = now;
+			}
+		},
 		getDecision(now) {
 			update(now);
 			return {reader: followed?.name, isReading: followed?.stateAt === undefined};
--- a/packages/gateway/src/reader-follower.test.ts
+++ b/packages/gateway/src/reader-follower.test.ts
@@ -38,7 +38,7 @@
 	}
 }
 
-type Follower = Readonly<{states: readonly FollowedState[]; verifiedTimes: readonly number[]; isReading(): boolean}>;
+type Follower = Readonly<{states: readonly FollowedState[]; verifiedTimes: readonly number[]; isReading(): boolean; getReadingChanges(): readonly boolean[]}>;
 
 /** Starts a gateway of a large deployment that follows the one whose states are streamed by the function. */
 async function startFollower(streamState: (gateway: string, signal: AbortSignal) => AsyncIterable<PlatformState>): Promise<Follower> {
@@ -60,7 +60,7 @@
 	});
 	const states: FollowedState[] = [];
 	const verifiedTimes: number[] = [];
-	let isReading = true;
+	const readingChanges: boolean[] = [];
 	const follower = createReaderFollower({
 		self: createRegistration(9),
 		connections,
@@ -72,12 +72,14 @@
 			return true;
 		},
 		setReading(value) {
-			isReading = value;
+			readingChanges.push(value);
 		},
 	});
 	closers.push(follower.close);
 	follower.setGateways(Array.from({length: 9}, (_, index) => createRegistration(index)));
-	return {states, verifiedTimes, isReading: () => isReading};
+	return {
+		states, verifiedTimes, isReading: () => readingChanges.at(-1) ?? true, getReadingChanges: () => readingChanges,
+	};
 }
 
 function createKnownState(endpoints: readonly ListedEndpoint[], verifiedAt: number): KnownState {
@@ -122,6 +124,20 @@
 	expect(Math.min(...verifiedTimes)).toBeGreaterThan(verifiedAt - 500);
 });
 
+// Guards against followers of a busy host that all read the store, since they take their own standstill for a silence of the reader.
+test('a follower whose process stood still goes on following a reader that goes on sending', async () => {
+	const {isReading, getReadingChanges} = await startFollower(createStateStream({
+		getKnownState: () => createKnownState([], performance.now()), observeChanges: () => () => undefined,
+	}));
+	await waitUntil(() => !isReading());
+	for (let count = 0; count < 3; count += 1) {
+		Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 800);
+		await wait(300); // eslint-disable-line no-await-in-loop
+	}
+
+	expect(getReadingChanges()).toEqual([false]);
+});
+
 // Guards against a follower that opens streams in a tight loop because its reader ends each of them.
 test('a follower whose reader ends the stream reads the store, and does not open streams without a pause', async () => {
 	let streamCount = 0;
--- a/packages/gateway/src/reader-follower.ts
+++ b/packages/gateway/src/reader-follower.ts
@@ -38,6 +38,8 @@
 /** Lifetime of a stream, and the share of its age by which the clocks of two hosts may have drifted apart. */
 const streamLifetimeMs: Milliseconds = 100_000;
 const maximumDrift = 0.0005;
+/** Delay of a timer that is normal. */
+const toleranceMs: Milliseconds = 50;
 
 type OpenStream = Readonly<{reader: GatewayName; controller: AbortController}>;
 
@@ -48,8 +50,19 @@
 	let openStream: OpenStream | undefined;
 	let isReading = true;
 	let timer: NodeJS.Timeout | undefined;
+	let timerDueAt: Timestamp = Number.POSITIVE_INFINITY;
 	let isClosed = false;
 
+	/** Records a standstill of this process if there was one, and returns the time. */
+	function checkStandstill(): Timestamp {
+		const now = performance.now();
+		if (now > timerDueAt + toleranceMs) {
+			source.recordStandstill(now);
+		}
+
+		return now;
+	}
+
 	/** Receives the states of one stream until its lifetime ends. */
 	async function receiveStates(peerUrl: string, {reader, controller}: OpenStream): Promise<void> {
 		const lifetime = AbortSignal.timeout(streamLifetimeMs);
@@ -65,7 +78,7 @@
 					endpoints.set(endpoint.id, endpoint);
 				}
 
-				const now = performance.now();
+				const now = checkStandstill();
 				const verifiedAt = Math.min(now, openedAt + verifiedAfterMs - ((now - openedAt) * maximumDrift));
 				if (openStream?.controller === controller && host.applyState({...state, endpoints: changes === undefined ? undefined : [...endpoints.values()]}, verifiedAt)) {
 					source.recordState(reader, verifiedAt, now);
@@ -93,7 +106,7 @@
 		} catch (error) {
 			if (!stream.controller.signal.aborted) {
 				host.logger.warn('readerLost', {reader: stream.reader, reason: getErrorText(error)});
-				source.recordLoss(stream.reader, performance.now());
+				source.recordLoss(stream.reader, checkStandstill());
 				applyDecision();
 			}
 		}
@@ -118,7 +131,7 @@
 			return;
 		}
 
-		const now = performance.now();
+		const now = checkStandstill();
 		const decision = source.getDecision(now);
 		setStream(decision.reader);
 		if (decision.isReading !== isReading) {
@@ -129,18 +142,19 @@
 
 		clearTimeout(timer);
 		const wakeAt = source.getWakeAt();
+		timerDueAt = wakeAt;
 		timer = Number.isFinite(wakeAt) ? setTimeout(applyDecision, Math.max(1, wakeAt - now + 1)) : undefined;
 	}
 
 	return {
 		setGateways(newRegistrations) {
 			registrations = new Map(newRegistrations.map(registration => [registration.name, registration]));
-			source.setMembers(newRegistrations, performance.now());
+			source.setMembers(newRegistrations, checkStandstill());
 			applyDecision();
 		},
 		reset() {
 			if (openStream !== undefined) {
-				source.recordLoss(openStream.reader, performance.now());
+				source.recordLoss(openStream.reader, checkStandstill());
 				applyDecision();
 			}
 		},
