--- a/packages/core/src/gateway/feed-source.ts
+++ b/packages/core/src/gateway/feed-source.ts
@@ -121,7 +121,7 @@
 			update(now);
 		},
 		recordStandstill(now) {
-			if (followed !== undefined) {
+			if (followed?.stateAt !== undefined) {
 				followed.silentSince = now;
 			}
 		},
