Reserve the ports of gateways that tests start

Cause: a port was looked for by listening on it and closing it again, so that another process could find it free as well, or take it while the gateway of a soak run was down. Test gateways even used ports of outgoing connections.

Change: a process that starts gateways listens on the first port of a block of 40 for as long as it runs, and uses the others alone; a block is reserved by listening on that port, which only one process can.

--- a/packages/soak/src/soak-gateways.ts
+++ b/packages/soak/src/soak-gateways.ts
@@ -6,11 +6,10 @@
 import {once} from 'node:events';
 import {closeSync, openSync, writeFileSync} from 'node:fs';
 import http from 'node:http';
-import net from 'node:net';
 import path from 'node:path';
 import process from 'node:process';
-import {listen} from '@currantcross/core/listen';
 import {startByteRelay, type ByteRelay} from '@currantcross/standins/byte-relay';
+import {reservePort} from '@currantcross/standins/reserved-ports';
 import {soakBounds} from './soak-configuration.js';
 
 /**
@@ -56,38 +55,6 @@
 	});
 }
 
-/** Start of a range below the ephemeral ports, so that no outgoing connection takes a port while its gateway is down. */
-const firstPort = 18_000;
-const portCount = 12_000;
-/** Multiplied by the process id, so that concurrent runs start at different ports. */
-const portsPerProcess = 37;
-let portCounter = process.pid * portsPerProcess;
-
-async function isPortFree(port: number): Promise<boolean> {
-	const server = net.createServer();
-	try {
-		await listen(server, {host: '127.0.0.1', port});
-	} catch {
-		// The port is in use; the caller tries the next one.
-		return false;
-	}
-
-	server.close();
-	await once(server, 'close');
-	return true;
-}
-
-async function takeFreePort(): Promise<number> {
-	for (;;) {
-		portCounter += 1;
-		const port = firstPort + (portCounter % portCount);
-		// eslint-disable-next-line no-await-in-loop
-		if (await isPortFree(port)) {
-			return port;
-		}
-	}
-}
-
 const children = new Set<ChildProcess>();
 
 // Kills the gateways that are still running when a run fails.
@@ -149,13 +116,13 @@
 	for (let index = 1; index <= settings.count; index += 1) {
 		const name = `gateway-${index}`;
 		// eslint-disable-next-line no-await-in-loop
-		const callerPort = await takeFreePort();
+		const callerPort = await reservePort();
 		// eslint-disable-next-line no-await-in-loop
-		const readinessPort = await takeFreePort();
+		const readinessPort = await reservePort();
 		// eslint-disable-next-line no-await-in-loop
-		const peerPort = await takeFreePort();
+		const peerPort = await reservePort();
 		// eslint-disable-next-line no-await-in-loop
-		const metricsPort = await takeFreePort();
+		const metricsPort = await reservePort();
 		// eslint-disable-next-line no-await-in-loop
 		const storeRelay = await startByteRelay(settings.storePort);
 		const settingsFile = path.join(settings.directory, `${name}.json`);
