--- a/packages/caller/src/http-server.ts
+++ b/packages/caller/src/http-server.ts
@@ -8,7 +8,7 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import {createCallerMemory, getRequestBytes, type CallerMemory} from '@currantcross/core/gateway/caller-memory';
 import {listen} from '@currantcross/core/listen';
-import {startLoopMonitor, waitForReads} from '@currantcross/core/loop-monitor';
+import {startLoopMonitor, waitForRecentReads} from '@currantcross/core/loop-monitor';
 import type {Milliseconds} from '@currantcross/core/types';
 import createRouter from 'find-my-way';
 import VError from 'verror';
@@ -89,6 +89,11 @@
 
 /** Reads an oversized body on and discards it, since unread data would break the next request, to its end or the limit for that. */
 async function drainOversizedBody(message: IncomingMessage, maximumBytes: number): Promise<void> {
+	// Its last events are emitted before the size is known here if they come from one read.
+	if (message.readableEnded || message.destroyed) {
+		return;
+	}
+
 	let size = maximumBytes;
 	await new Promise<void>(resolve => {
 		// The body reader releases what it discards.
@@ -106,7 +111,7 @@
 /** Lets the loop read once more, such as the close behind a request. */
 async function readOnce(): Promise<void> {
 	await new Promise<void>(resolve => {
-		waitForReads(resolve);
+		waitForRecentReads(resolve);
 	});
 }
 
--- a/packages/core/src/gateway/forwarded-request.ts
+++ b/packages/core/src/gateway/forwarded-request.ts
@@ -434,7 +434,9 @@
 		const {id: endpointId, address} = refusedSend.placement.endpoint;
 		const isMisdirected = head.status === misdirectedStatus;
 		const faulty = head.faultyAddress === undefined || head.faultyAddress === address ? undefined : context.registry.findByAddress(head.faultyAddress);
-		if (faulty === undefined) {
+		if (faulty === undefined && isMisdirected) {
+			context.registry.recordMisdirected(endpointId, now);
+		} else if (faulty === undefined) {
 			context.registry.recordFailure(endpointId, now);
 		} else {
 			excluded.delete(endpointId);
@@ -467,7 +469,8 @@
 
 		const detail = `status ${status} without a valid statement`;
 		context.registry.recordFailure(current.placement.endpoint.id, now);
-		return [...cancelCurrentSend('discard'), ...closeSend('failedStatus', detail, now), ...retryOrEnd(createFailure('serverFailed', detail), true, now)];
+		// Nothing says that the real response doesn't follow.
+		return [...cancelCurrentSend(), ...closeSend('failedStatus', detail, now), ...retryOrEnd(createFailure('serverFailed', detail), true, now)];
 	}
 
 	function startResponse(head: EndpointResponseHead, now: Timestamp): readonly GatewayAction[] {
--- a/packages/gateway/src/endpoint-client.test.ts
+++ b/packages/gateway/src/endpoint-client.test.ts
@@ -42,11 +42,11 @@
 	return `127.0.0.1:${typeof address === 'object' ? address?.port ?? 0 : 0}`;
 }
 
-async function sendRequest(client: EndpointClient, address: string): Promise<Outcome> {
+async function sendRequest(client: EndpointClient, address: string, body = new Uint8Array(0)): Promise<Outcome> {
 	return new Promise(resolve => {
 		let text = '';
 		client.send({
-			sendId: 1, address, method: 'GET', target: '/', headers: ['Host', 'a.example'], body: new Uint8Array(0),
+			sendId: 1, address, method: body.length === 0 ? 'GET' : 'POST', target: '/', headers: ['Host', 'a.example'], body,
 		}, {
 			onHead: () => undefined,
 			onBytes(bytes) {
@@ -105,6 +105,45 @@
 	}
 });
 
+/** Lengths of uploads, the longer one of which the operating system doesn't take at once. */
+const uploadLengths = [100_000, 8_000_000];
+
+// Guards against a part of a response that is passed on as whole, since its end is read before the reset that an unread upload causes.
+test.each(uploadLengths)('fails an undelimited response that ends while an upload of %d bytes is written, when the connection is reset then', async length => {
+	const address = await startEndpoint(socket => {
+		socket.pause();
+		socket.end('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhal', () => {
+			setTimeout(() => {
+				socket.resetAndDestroy();
+			}, 20);
+		});
+	});
+	expect(await sendRequest(createClient(), address, new Uint8Array(length))).toEqual({kind: 'failed', wasSent: true});
+});
+
+test.each(uploadLengths)('completes an undelimited response that ends while an upload of %d bytes is written, when the endpoint reads on', async length => {
+	const address = await startEndpoint(socket => {
+		socket.end('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole');
+		socket.resume();
+	});
+	expect(await sendRequest(createClient(), address, new Uint8Array(length))).toEqual({kind: 'ended', text: 'whole'});
+});
+
+// Guards against a part of a control response that counts as the whole of it, and its endpoint as alive.
+test.each([0, 20])('rejects a control request whose undelimited response is reset %d ms after its last bytes', async delayMs => {
+	const address = await startEndpoint(socket => {
+		socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{"wai', () => {
+			setTimeout(() => {
+				socket.resetAndDestroy();
+			}, delayMs);
+		});
+	});
+	const probe = {
+		method: 'GET', target: '/', headers: [], body: '',
+	};
+	await expect(createClient().sendControlRequest(address, probe)).rejects.toThrow('reset');
+});
+
 test.each(['', 'Connection: close\r\n'])('fails a chunked response when the connection closes before the last chunk (%j)', async header => {
 	const address = await startEndpoint(socket => {
 		socket.end(`HTTP/1.1 200 OK\r\n${header}Transfer-Encoding: chunked\r\n\r\n3\r\nhal\r\n`);
@@ -170,6 +209,42 @@
 	});
 });
 
+// Guards against requests that are written after their callers have left, whose closes came in a long turn after an idle connection was chosen.
+test.each([false, true])('a request on an idle connection is written only after the loop has read what arrived in a long turn (cancelled by that: %s)', async isCancelled => {
+	const received: string[] = [];
+	const address = await startEndpoint(socket => {
+		socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+		socket.on('data', (bytes: Uint8Array) => {
+			received.push(Buffer.from(bytes).toString().split('\r\n', 1)[0] ?? '');
+			socket.write('HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore');
+		});
+	});
+	const client = createClient();
+	expect(await sendRequest(client, address)).toEqual({kind: 'ended', text: 'ok'});
+	const outcome = new Promise<Outcome>(resolve => {
+		setImmediate(() => {
+			setImmediate(() => {
+				Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 700);
+				if (isCancelled) {
+					setImmediate(() => {
+						client.cancel(1, 'abort');
+					});
+				}
+			});
+			void sendRequest(client, address).then(resolve);
+		});
+	});
+	if (isCancelled) {
+		await new Promise(resolve => {
+			setTimeout(resolve, 900);
+		});
+		expect(received).toEqual([]);
+	} else {
+		expect(await outcome).toEqual({kind: 'ended', text: 'more'});
+		expect(received).toEqual(['GET / HTTP/1.1']);
+	}
+});
+
 // Guards against a faulty endpoint whose endless response fills the memory or keeps the connection.
 test.each(['garbage', 'reason', 'header', 'headers', 'informational', 'trailers', 'chunkSize', 'chunkExtension', 'body'] as const)('fails an endless response (%s) and closes the connection', async kind => {
 	const endpoint = await startEndlessServer(kind);
@@ -220,6 +295,14 @@
 	await expect.poll(() => openConnections).toBe(0);
 });
 
+// Guards against a body in a coding that nobody decodes, and whose name isn't passed on, that a caller gets as the endpoint's body.
+test.each(['gzip', 'gzip, chunked', 'x-chunked'])('fails a response with the transfer coding %s', async coding => {
+	const address = await startEndpoint(socket => {
+		socket.end(`HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: ${coding}\r\n\r\n4\r\ncode\r\n0\r\n\r\n`);
+	});
+	expect(await sendRequest(createClient(), address)).toEqual({kind: 'failed', wasSent: true});
+});
+
 // Guards against a slow sound response that is taken for one without progress.
 test('completes a response whose chunks and their framing come apart, with pauses', async () => {
 	const parts = ['HTTP/1.1 200 OK\r\n', 'Transfer-Encoding: chunked\r\n\r\n', ...Array.from({length: 8}, () => ['3;a=b\r\n', 'abc', '\r\n']).flat(), '0\r\n\r\n'];
--- a/packages/gateway/src/gateway-driver.ts
+++ b/packages/gateway/src/gateway-driver.ts
@@ -21,7 +21,7 @@
 import type {Reservation} from '@currantcross/core/gateway/memory-reservation';
 import type {Milliseconds} from '@currantcross/core/types';
 import type {Logger} from '@currantcross/daemon/logger';
-import {waitForReads} from '@currantcross/core/loop-monitor';
+import {waitForRecentReads} from '@currantcross/core/loop-monitor';
 import {getForwardedHeaders, type CallerExchange} from './caller-exchange.js';
 import type {ConnectionUse} from './connection-uses.js';
 import type {ControlResponse, EndpointClient} from './endpoint-client.js';
@@ -504,7 +504,7 @@
 
 		const heldAt = performance.now();
 		heldSends.add(action.sendId);
-		waitForReads(() => {
+		waitForRecentReads(() => {
 			const remainingMs = action.remainingMs - (performance.now() - heldAt);
 			if (heldSends.delete(action.sendId) && remainingMs > 0 && openRequests.get(action.key)?.exchange.hasCallerLeft() === false) {
 				startSend(action, remainingMs);
@@ -535,6 +535,16 @@
 			headers.push('Content-Length', String(body.length));
 		}
 
+		/** Cancels the send if the caller's close has been read, of which the server tells a turn later or more. Returns whether it was. */
+		const cancelIfDeparted = (): boolean => {
+			const hasLeft = openRequest.exchange.hasCallerLeft();
+			if (hasLeft) {
+				dispatchRelayEvent(key, {kind: 'clientGone'});
+			}
+
+			return hasLeft;
+		};
+
 		const handedOverAt = performance.now();
 		let isHeld = false;
 		let receivedBytes = 0;
@@ -543,6 +553,10 @@
 			sendId, address: endpoint.address, method: message.method ?? 'GET', target: message.url ?? '/', headers, body: Buffer.from(body.buffer, body.byteOffset, body.byteLength),
 		}, {
 			onStart(getUse) {
+				if (cancelIfDeparted()) {
+					return;
+				}
+
 				connectionUses.set(sendId, getUse);
 				const waitedMs = performance.now() - handedOverAt;
 				if (waitedMs > loggedSendDelayMs) {
@@ -551,6 +565,9 @@
 					});
 				}
 			},
+			onRelease() {
+				cancelIfDeparted();
+			},
 			onHead(status, responseHeaders) {
 				const head = host.wireFormat.parseResponseHead(status, responseHeaders);
 				isHeld = !isStreamResponse(openRequest.request, head);
